--- /dev/null
+++ b/balance/balance.go
@@ -0,0 +1,864 @@
+// Package balance holds every decision of the router, for one front.
+//
+// How it is called: New is handed the Charter once; List, Take, Returned, Probed, Left, Streams, Told and Beat
+// follow as things happen, one at a time, each with the present moment. The module acts through the Front that
+// New was given. Those types, and what a front can do, are in front.go. Nothing here is shared among fronts.
+//
+// The mechanism is pgpilot's: a session has a fence, the log position of its last write; a read goes to the
+// least busy replica whose known position has passed what the read needs, else to the primary; writes go to
+// the primary. docs/design.md tells what was kept, what was changed, and when each exception acts.
+package balance
+
+import (
+	"errors"
+	"fmt"
+	"sort"
+)
+
+const (
+	never     = Time(1) << 60
+	second    = Time(10000)
+	mostTrips = 8 // places for trips in a job
+	fenceBits = 14
+)
+
+// profile is what is derived from a Profile.
+type profile struct {
+	Profile
+	typical float64 // how long a trip of it takes of late
+	longest Time    // most time that a client's try was seen to have
+}
+
+// customer has a bucket of jobs within its share.
+type customer struct{ perTime, bucket float64 }
+
+// member is what this front believes of one store.
+type member struct {
+	store       uint32
+	group       int32
+	far         bool // reaching it crosses between places, at a price
+	open        bool // the list lets new work go there
+	size        float64
+	started     Time // of its last start; 0 when warm
+	position    Time // the largest it has shown
+	refreshed   Time // when the position was last confirmed to have moved or been looked at
+	primaryAt   Time // newest moment at which it was surely the primary
+	replicaAt   Time // when an answer last said that it is not
+	inFlight    int
+	limit       float64 // trips in flight that it takes in good time, learned from its answers
+	strain      float64 // its answer times as a part of the expected time
+	pace        float64 // its answer times against those of its peers
+	eased       Time    // when the limit was last cut
+	ramping     bool    // the limit has not met its bound yet
+	budget      float64 // while cold: typical time that may still be sent
+	probed      Time    // when it was last probed
+	asked       Time    // oldest probe without a sign of life since; 0: none
+	heard       Time    // last sign of life
+	reply, vary float64 // mean and spread of the gaps between a probe and the sign of life after it
+	unreached   bool    // the last try to connect failed
+	suspect     bool
+}
+
+// group is one primary and its replicas.
+type group struct {
+	members []int32
+	primary int32   // -1: not known
+	held    []int32 // jobs that wait, the worthiest first
+	blind   bool    // every member is silent: then silence says nothing of a single one
+}
+
+type trip struct {
+	member int32
+	out    bool
+	sent   Time
+}
+
+// step is what a job does next; it is handed the result of the step before.
+type step func(b *Balancer, i int32, r Return)
+
+// job is a place in the slab.
+type job struct {
+	id        string
+	profile   int32
+	group     int32
+	slot      int32 // of its session's fence; -1: none
+	fence     Time
+	rank      float64 // credit for the work, as it came in
+	came      Time
+	wanted    Time // its expected time is up
+	limit     Time // the client's time is up
+	trips     [mostTrips]trip
+	sent, out int
+	further   int // trips that came back without proof that they never ran
+	ranAt     Time
+	ended     bool
+	held      bool
+	streams   bool
+	next      step
+}
+
+// Balancer decides for one front.
+type Balancer struct {
+	front      Front
+	now        Time
+	beat       Time
+	mwc        uint64
+	zone       string
+	overShare  float64
+	checks     bool
+	carried    bool
+	pushed     bool
+	askWithin  Time
+	onlyDrains bool
+	startShare float64
+	cold       Time
+	coldPart   float64 // of what warm members are sent, at full capacity, that a cold one may be sent
+	span       Time
+	mostTrips  int
+	mayProbe   bool
+	mayCancel  bool
+	mostPause  Time
+	priced     bool // crossings cost
+	tightest   Time // bound on the age of data
+	probeEvery Time
+	quickest   Time // shortest expected time
+
+	profiles  []profile
+	profileOf map[string]int32
+	customers []customer
+	custOf    map[string]int32
+	members   []member
+	memberOf  map[uint32]int32
+	groups    []group
+	groupOf   map[uint64]int32
+	jobs      []job
+	free      []int32
+	jobOf     map[string]int32
+	fences    []Time
+	flow      float64 // typical time sent to warm members, for each unit of size and time
+	sentWarm  float64
+	crowded   Time // when the front last saw overload
+	watchAt   Time
+	watchMiss int
+}
+
+// New makes the module for one front.
+func New(now Time, c Charter, f Front) (*Balancer, error) {
+	if len(c.Profiles) == 0 {
+		return nil, errors.New("charter: no profiles")
+	}
+	b := &Balancer{front: f, now: now, mwc: c.Seed ^ 0x9e3779b97f4a7c15, zone: c.Zone, overShare: c.OverShare,
+		checks: c.Checks, carried: c.FencesCarried, pushed: c.ListPushed, askWithin: c.AskWithin,
+		onlyDrains: c.OnlyDraining, startShare: c.StartShare, cold: c.Cold, coldPart: c.FallMultiple / 2,
+		span: c.FallSpan, mostTrips: min(max(c.MostTrips, 1), mostTrips), mayProbe: c.MayProbe,
+		mayCancel: c.MayCancel, priced: c.CrossPrice > 0, tightest: never, quickest: never,
+		profileOf: map[string]int32{}, custOf: map[string]int32{}, memberOf: map[uint32]int32{},
+		groupOf: map[uint64]int32{}, jobOf: map[string]int32{}, fences: make([]Time, 1<<fenceBits),
+		crowded: -never, watchAt: never}
+	if c.MayPause {
+		b.mostPause = c.MostPause
+	}
+	for i, p := range c.Profiles {
+		if p.Bound < 0 || p.ExpectedTime <= 0 || p.OuterLimit <= 0 || p.Window < 0 {
+			return nil, fmt.Errorf("charter: profile %q: bound, window or times out of range", p.Name)
+		}
+		b.profileOf[p.Name] = int32(i)
+		b.profiles = append(b.profiles, profile{Profile: p, typical: float64(p.ExpectedTime) / 4})
+		b.quickest = min(b.quickest, p.ExpectedTime)
+		if p.Need == Bounded {
+			b.tightest = min(b.tightest, p.Bound)
+		}
+	}
+	for i, q := range c.Customers {
+		rate := q.Quota / float64(second) / float64(max(c.Fronts, 1))
+		b.custOf[q.Name] = int32(i)
+		b.customers = append(b.customers, customer{perTime: rate, bucket: rate * float64(second)})
+	}
+	// Answers must come within the slack after the limit, so the module looks around twice in it.
+	b.beat = max(c.Round, min(2*c.Round, c.AnswerSlack/2), 1)
+	b.probeEvery = max(min(b.tightest, b.quickest)/3, b.beat)
+	if !b.pushed {
+		// All fronts may be starting together: the first call is spread over an eighth of the allowed time.
+		b.watchAt = now + b.chance(b.askWithin/8)
+	}
+	f.Wake(b.beat)
+	return b, nil
+}
+
+// chance draws from 0 to n-1 with a multiply-with-carry generator.
+func (b *Balancer) chance(n Time) Time {
+	b.mwc = (b.mwc&0xffffffff)*4294957665 + b.mwc>>32
+	return Time(uint64(uint32(b.mwc)) * uint64(max(n, 1)) >> 32)
+}
+
+// ---- the list ----
+
+// List takes news of the list.
+func (b *Balancer) List(now Time, news ListNews, list []Member) {
+	b.now = now
+	if news == ListFailed {
+		// Fronts that failed together must not call again together: longer waits each time, and spread.
+		b.watchMiss = min(b.watchMiss+1, 3)
+		wait := b.askWithin / 32 << b.watchMiss
+		b.watchAt = now + wait/2 + b.chance(wait)
+		return
+	}
+	if news != ListCached {
+		b.watchMiss, b.watchAt = 0, never
+	}
+	if news != ListChanges {
+		for i := range b.members {
+			m := &b.members[i]
+			m.open = m.open && b.onlyDrains || listed(list, m.store)
+		}
+	}
+	for i := range list {
+		b.entry(&list[i])
+	}
+	for g := range b.groups {
+		b.release(int32(g))
+	}
+}
+
+func listed(list []Member, store uint32) bool {
+	for i := range list {
+		if list[i].Store == store {
+			return true
+		}
+	}
+	return false
+}
+
+// entry takes one line of the list.
+func (b *Balancer) entry(e *Member) {
+	i, known := b.memberOf[e.Store]
+	if !known {
+		g, ok := b.groupOf[e.Group]
+		if !ok {
+			g = int32(len(b.groups))
+			b.groupOf[e.Group] = g
+			b.groups = append(b.groups, group{primary: -1})
+		}
+		i = int32(len(b.members))
+		b.memberOf[e.Store] = i
+		// The first limit is a guess that the first answers raise or cut.
+		b.members = append(b.members, member{store: e.Store, group: g, limit: 8, ramping: true, pace: 1,
+			reply: float64(b.beat), vary: float64(b.beat), probed: b.now - b.probeEvery,
+			far: b.priced && e.Zone != b.zone, open: true, size: 1})
+		b.groups[g].members = append(b.groups[g].members, i)
+	}
+	m := &b.members[i]
+	m.open = e.Condition == Ready || e.Condition == Gone && b.onlyDrains && m.open
+	if e.Size > 0 {
+		m.size = e.Size
+	}
+	if e.Started > m.started && b.now-e.Started < b.cold {
+		m.started = e.Started
+	}
+	// The list is the weakest witness: it names a primary only where nothing better is known.
+	if g := &b.groups[m.group]; e.Primary && m.open && g.primary < 0 && m.replicaAt == 0 {
+		g.primary = i
+	}
+}
+
+// ---- positions and roles ----
+
+// learn takes what a member says of itself, and at is when it did so; 0 means some unknown time ago.
+func (b *Balancer) learn(i int32, r Report, at Time) {
+	m := &b.members[i]
+	if r.Role == RoleUnknown || r.Position < m.position && at == 0 {
+		return // a report from before what is already known says nothing
+	}
+	m.position = max(m.position, r.Position)
+	if r.Role == Primary {
+		at = max(at, r.Position) // a primary stands at the present of its report
+		b.claim(i, at)
+	} else if at > 0 || r.Position > m.primaryAt {
+		b.deny(i, max(at, r.Position))
+	}
+}
+
+// claim: the member was surely the primary at that moment. Of two that claim, the newer claim holds.
+func (b *Balancer) claim(i int32, at Time) {
+	m := &b.members[i]
+	g := &b.groups[m.group]
+	if at <= m.replicaAt {
+		return
+	}
+	m.primaryAt = max(m.primaryAt, at)
+	if g.primary != i && (g.primary < 0 || b.members[g.primary].primaryAt < at) {
+		g.primary = i
+		b.front.Log(fmt.Sprintf("primary of group %d is store %d", m.group, m.store))
+	}
+}
+
+// deny: the member is a replica.
+func (b *Balancer) deny(i int32, at Time) {
+	m := &b.members[i]
+	m.replicaAt = max(m.replicaAt, at)
+	if g := &b.groups[m.group]; g.primary == i {
+		g.primary = -1
+		b.front.Log(fmt.Sprintf("primary of group %d lost: store %d is a replica", m.group, m.store))
+	}
+}
+
+// primary gives the group's primary if work may go there, else -1.
+func (b *Balancer) primary(g *group) int32 {
+	if p := g.primary; p >= 0 && b.members[p].open && !b.members[p].suspect {
+		return p
+	}
+	return -1
+}
+
+// ---- health ----
+
+// alive takes a sign of life.
+func (b *Balancer) alive(i int32) {
+	m := &b.members[i]
+	if m.asked > 0 {
+		gap := float64(b.now - m.asked)
+		if !m.suspect {
+			off := gap - m.reply
+			m.reply += off / 16
+			m.vary += (max(off, -off) - m.vary) / 16
+		}
+		m.asked = 0
+	}
+	if m.unreached {
+		// A store that could not be reached may have started anew unannounced, and is then cold.
+		m.unreached, m.started = false, b.now
+	}
+	m.heard = b.now
+	if m.suspect {
+		m.suspect = false
+		b.front.Log(fmt.Sprintf("store %d is back", m.store))
+	}
+}
+
+// doubt suspects the member if its silence is unusual for the gaps seen before (accrual).
+func (b *Balancer) doubt(m *member) {
+	if m.asked > 0 && !m.suspect && float64(b.now-m.asked) > m.reply+4*m.vary+float64(2*b.beat) {
+		m.suspect = true
+		b.front.Log(fmt.Sprintf("store %d is suspected", m.store))
+	}
+}
+
+// probe asks a member for its position when nothing has shown it of late, sooner where the primary is sought
+// or where the member holds trips and has gone silent.
+func (b *Balancer) probe(m *member, seeking bool) {
+	every := b.probeEvery
+	fresh := max(m.refreshed, m.probed)
+	if seeking {
+		every, fresh = every/2, m.probed
+	}
+	if !b.mayProbe || !m.open || b.now-fresh < every {
+		return
+	}
+	m.probed = b.now + b.chance(every/8)
+	if m.asked == 0 {
+		m.asked = b.now
+	}
+	b.front.Probe(m.store)
+}
+
+// Probed takes the result of a probe.
+func (b *Balancer) Probed(now Time, store uint32, r Return) {
+	b.now = now
+	i, ok := b.memberOf[store]
+	if !ok {
+		return
+	}
+	if r.Ending != Delivered && r.Ending != Crowded {
+		m := &b.members[i]
+		m.unreached = m.unreached || r.Ending == Unreached
+		if m.open && !m.suspect {
+			m.suspect = true
+			b.front.Log(fmt.Sprintf("store %d is suspected: a probe failed", store))
+		}
+		return
+	}
+	b.alive(i)
+	b.learn(i, r.Load, 0)
+	b.release(b.members[i].group)
+}
+
+// Told takes a message from another front.
+func (b *Balancer) Told(now Time, data []byte) { b.now = now }
+
+// ---- cold stores ----
+
+// warmth is the part of its capacity that a member surely has.
+func (b *Balancer) warmth(m *member) float64 {
+	if m.started == 0 {
+		return 1
+	}
+	age := float64(max(b.now-m.started, 0)) / float64(max(b.cold, 1))
+	if age >= 1 {
+		m.started = 0
+		return 1
+	}
+	return b.startShare + (1-b.startShare)*age
+}
+
+// refill gives a cold member its part of what warm ones of like size are sent.
+// Danger: all fronts together push a cold store over. Each keeps to the same part of its own traffic.
+func (b *Balancer) refill(m *member) {
+	if m.started == 0 {
+		return
+	}
+	rate := b.flow * m.size * b.warmth(m) * b.coldPart
+	m.budget = min(m.budget+rate*float64(b.beat), rate*float64(b.span)/2)
+}
+
+// ---- choosing ----
+
+// room tells whether the member takes one more trip in good time; part leaves the rest to worthier work.
+func (b *Balancer) room(m *member, part float64) bool {
+	if m.started == 0 {
+		return float64(m.inFlight) < m.limit*part
+	}
+	return m.inFlight == 0 || m.budget > 0 && float64(m.inFlight) < m.limit*part*b.warmth(m)
+}
+
+// busy compares members: trips in flight for what the member can do.
+func (b *Balancer) busy(m *member) float64 {
+	v := float64(m.inFlight+1) / (m.size * b.warmth(m)) * max(1, m.pace)
+	if m.far {
+		v *= 2 // a crossing is paid for, so the own place may be somewhat busier
+	}
+	return v
+}
+
+// need is the position that a read needs at this moment.
+func (b *Balancer) need(j *job) Time {
+	switch p := &b.profiles[j.profile]; p.Need {
+	case Bounded:
+		return b.now - p.Bound
+	case Session:
+		return j.fence
+	}
+	return 0
+}
+
+// choose gives the member for the job's next trip, or -1 if it has to wait.
+func (b *Balancer) choose(j *job) int32 {
+	g, p := &b.groups[j.group], &b.profiles[j.profile]
+	primary := b.primary(g)
+	if p.Need >= Fresh {
+		if primary < 0 || b.room(&b.members[primary], 1) {
+			return primary
+		}
+		b.crowded = b.now
+		return -1
+	}
+	need := b.need(j)
+	best, ahead, full := int32(-1), int32(-1), false
+	var least float64
+	for _, i := range g.members {
+		m := &b.members[i]
+		if i == g.primary || !m.open || m.suspect && !g.blind {
+			continue
+		}
+		if ahead < 0 || m.position > b.members[ahead].position {
+			ahead = i
+		}
+		if m.position < need {
+			continue
+		}
+		if !b.room(m, 1) {
+			full = true
+			continue
+		}
+		v := b.busy(m)
+		if need == 0 && m.position > b.now-b.tightest {
+			v *= 1.25 // leave the fresh ones to those who need them
+		}
+		if best < 0 || v < least || v == least && b.chance(2) == 0 {
+			best, least = i, v
+		}
+	}
+	if best >= 0 {
+		return best
+	}
+	if p.Need == Session && !full && b.now-j.came < p.ExpectedTime/10 && b.now-need < p.ExpectedTime*2 {
+		return -1 // known positions trail a fresh fence: one that passes it is due at once
+	}
+	if p.Need == Session && !full && b.checks && j.sent == 0 && ahead >= 0 && b.room(&b.members[ahead], 1) {
+		return ahead // the store itself checks the fence, so the most advanced may be tried
+	}
+	if primary >= 0 && b.room(&b.members[primary], 0.7) {
+		return primary
+	}
+	if full || primary >= 0 {
+		b.crowded = b.now
+	}
+	return -1
+}
+
+// ---- jobs ----
+
+// Take takes a job in.
+func (b *Balancer) Take(now Time, in Job) error {
+	b.now = now
+	p, ok := b.profileOf[in.Profile]
+	if !ok {
+		return fmt.Errorf("job %s: profile %q is not in the charter", in.ID, in.Profile)
+	}
+	g, ok := b.groupOf[in.Group]
+	if !ok {
+		g = int32(len(b.groups))
+		b.groupOf[in.Group] = g
+		b.groups = append(b.groups, group{primary: -1})
+	}
+	if len(b.free) == 0 {
+		b.jobs = append(b.jobs, job{})
+		b.free = append(b.free, int32(len(b.jobs)-1))
+	}
+	i := b.free[len(b.free)-1]
+	b.free = b.free[:len(b.free)-1]
+	b.jobOf[in.ID] = i
+	j, pr := &b.jobs[i], &b.profiles[p]
+	*j = job{id: in.ID, profile: p, group: g, slot: -1, came: now, limit: now + in.Left}
+	// A try with less time than others have had is a client's further try: its first came that much earlier.
+	pr.longest = max(pr.longest, in.Left)
+	j.wanted = now + pr.ExpectedTime
+	if in.Left < pr.longest {
+		j.wanted -= max(pr.OuterLimit-in.Left, 0)
+	}
+	if in.Session != "" && !b.carried {
+		j.slot = int32(hash(in.Session) >> (64 - fenceBits))
+	}
+	if pr.Need == Session {
+		if b.carried && in.WriteAge >= 0 {
+			j.fence = now - in.WriteAge
+		} else if j.slot >= 0 {
+			j.fence = b.fences[j.slot]
+		}
+	}
+	j.rank = pr.Credit / pr.typical
+	if c, ok := b.custOf[in.Customer]; ok {
+		if q := &b.customers[c]; q.bucket >= 1 {
+			q.bucket--
+		} else {
+			j.rank *= b.overShare
+		}
+	}
+	b.place(i)
+	return nil
+}
+
+// hash is FNV-1a with a last mixing, since its top bits choose the place of a fence.
+func hash(s string) uint64 {
+	h := uint64(14695981039346656037)
+	for i := 0; i < len(s); i++ {
+		h = (h ^ uint64(s[i])) * 1099511628211
+	}
+	return (h ^ h>>32) * 0x9e3779b97f4a7c15
+}
+
+// place sends the job on its next trip or holds it.
+func (b *Balancer) place(i int32) {
+	j := &b.jobs[i]
+	if m := b.choose(j); m >= 0 {
+		b.send(i, m)
+		return
+	}
+	j.held = true
+	g := &b.groups[j.group]
+	at := sort.Search(len(g.held), func(k int) bool { return b.jobs[g.held[k]].rank < j.rank })
+	g.held = append(g.held, 0)
+	copy(g.held[at+1:], g.held[at:])
+	g.held[at] = i
+}
+
+// release sends the held jobs that can go by now.
+func (b *Balancer) release(gi int32) {
+	g := &b.groups[gi]
+	keep := 0
+	for _, i := range g.held {
+		j := &b.jobs[i]
+		if !j.held || j.ended {
+			continue
+		}
+		if m := b.choose(j); m >= 0 {
+			j.held = false
+			b.send(i, m)
+			continue
+		}
+		g.held[keep] = i
+		keep++
+	}
+	g.held = g.held[:keep]
+}
+
+// unhold takes the job out of its group's waiting line.
+func (b *Balancer) unhold(i int32) {
+	j := &b.jobs[i]
+	if !j.held {
+		return
+	}
+	j.held = false
+	g := &b.groups[j.group]
+	for k, h := range g.held {
+		if h == i {
+			g.held = append(g.held[:k], g.held[k+1:]...)
+			return
+		}
+	}
+}
+
+func (b *Balancer) send(i, mi int32) {
+	j, m := &b.jobs[i], &b.members[mi]
+	p := &b.profiles[j.profile]
+	j.trips[j.sent] = trip{member: mi, out: true, sent: b.now}
+	j.sent++
+	j.out++
+	m.inFlight++
+	if m.started > 0 {
+		m.budget -= p.typical
+	} else {
+		b.sentWarm += p.typical
+	}
+	until := j.limit
+	if p.Repeat == Reissuable && b.mayGoAgain(j) && j.wanted > b.now {
+		// Leave time for another trip, but none is worth cutting off an answer that is merely usual.
+		until = min(until, b.now+max((j.wanted-b.now)/2, Time(4*p.typical)))
+	}
+	j.next = (*Balancer).afterTrip
+	b.front.Send(j.id, m.store, until)
+}
+
+// mayGoAgain: no further trips while overload is seen, up to two otherwise.
+func (b *Balancer) mayGoAgain(j *job) bool {
+	return j.sent < b.mostTrips && j.further < 2 && b.now-b.crowded > 2*b.quickest
+}
+
+// Returned takes the result of a trip.
+func (b *Balancer) Returned(now Time, id string, n int, store uint32, r Return) {
+	b.now = now
+	i, ok := b.jobOf[id]
+	if !ok || n < 0 || n >= b.jobs[i].sent || !b.jobs[i].trips[n].out {
+		return
+	}
+	j := &b.jobs[i]
+	t := &j.trips[n]
+	if b.members[t.member].store != store {
+		return
+	}
+	t.out = false
+	j.out--
+	gi := j.group
+	b.grade(j, t, r)
+	if r.Done && !j.ended {
+		b.unhold(i)
+		j.ended = true
+	}
+	if !j.ended {
+		if !r.Ending.NeverRan() {
+			j.further++
+			if j.ranAt == 0 {
+				j.ranAt = t.sent
+			}
+		}
+		j.next(b, i, r)
+	}
+	b.recycle(i)
+	b.release(gi)
+}
+
+// recycle gives the place back once nothing more can come for the job.
+func (b *Balancer) recycle(i int32) {
+	if j := &b.jobs[i]; j.ended && j.out == 0 && j.id != "" {
+		delete(b.jobOf, j.id)
+		j.id = ""
+		b.free = append(b.free, i)
+	}
+}
+
+// grade learns from one result: health, position, role, speed and room of the member.
+func (b *Balancer) grade(j *job, t *trip, r Return) {
+	m, p := &b.members[t.member], &b.profiles[j.profile]
+	m.inFlight--
+	took := b.now - t.sent
+	switch r.Ending {
+	case Delivered, Behind, Crowded, Faulted:
+		b.alive(t.member)
+		b.learn(t.member, r.Note, b.now)
+		if r.Note.Position > 0 {
+			m.refreshed = b.now
+		}
+		b.learn(t.member, r.Load, 0)
+	case Unreached:
+		m.unreached = true
+		m.suspect = true
+	case Severed:
+		m.unreached = true
+	}
+	if r.Ending == Crowded {
+		b.crowded = b.now
+	}
+	if r.Ending == Delivered {
+		if p.Need == Write && j.slot >= 0 && !j.ended {
+			b.fences[j.slot] = max(b.fences[j.slot], r.Note.Position)
+		}
+		p.typical += (float64(took) - p.typical) / 32
+		m.pace += (float64(took)/p.typical - m.pace) / 8
+	}
+	if r.Ending != Delivered && r.Ending != Expired && r.Ending != Crowded {
+		return
+	}
+	m.strain += (float64(took)/float64(p.ExpectedTime) - m.strain) / 8
+	if m.strain > 0.5 || r.Ending == Crowded {
+		if b.now-m.eased > p.ExpectedTime/2 {
+			m.limit = max(1, min(m.limit, float64(m.inFlight+1))*0.8)
+			m.eased, m.ramping = b.now, false
+		}
+	} else if float64(m.inFlight+1) > m.limit/2 {
+		if m.ramping {
+			m.limit++
+		} else {
+			m.limit += 1 / m.limit
+		}
+	}
+}
+
+// afterTrip: the trip is back without an answer for the client.
+func (b *Balancer) afterTrip(i int32, r Return) {
+	j := &b.jobs[i]
+	if j.out > 0 {
+		return
+	}
+	if r.Ending == Unsent || b.now >= j.limit-b.beat || !b.mayRepeat(j) {
+		b.giveUp(i)
+		return
+	}
+	b.place(i)
+}
+
+// mayRepeat tells whether the rules and the house's custom allow another trip.
+func (b *Balancer) mayRepeat(j *job) bool {
+	p := &b.profiles[j.profile]
+	if j.sent >= b.mostTrips {
+		return false
+	}
+	if j.ranAt == 0 {
+		return true // proven never to have run
+	}
+	switch p.Repeat {
+	case AtMostOnce:
+		return false // Danger: an effect twice.
+	case Numbered:
+		// Danger: past its window a repeat is not dropped. Trips never leave the job's group.
+		return b.mayGoAgain(j) && b.now+b.beat < j.ranAt+p.Window
+	}
+	return b.mayGoAgain(j)
+}
+
+// giveUp gives the final answer of a job that will not be delivered, at once.
+func (b *Balancer) giveUp(i int32) {
+	j := &b.jobs[i]
+	p := &b.profiles[j.profile]
+	b.unhold(i)
+	j.ended = true
+	harmless := p.Repeat == Reissuable || j.ranAt == 0 && j.out == 0 || p.Repeat == Numbered && p.Anywhere
+	if harmless {
+		b.front.TurnBack(j.id, min(b.mostPause, p.ExpectedTime/2+b.chance(p.ExpectedTime/2)))
+	} else {
+		b.front.WriteOff(j.id)
+	}
+	b.recall(j)
+	b.recycle(i)
+}
+
+// recall calls the job's trips off, so that a store may stop working on them.
+func (b *Balancer) recall(j *job) {
+	for n := 0; n < j.sent && b.mayCancel; n++ {
+		if j.trips[n].out {
+			b.front.Cancel(j.id, n)
+		}
+	}
+}
+
+// Left: the client has gone; nothing more is owed.
+func (b *Balancer) Left(now Time, id string) {
+	b.now = now
+	if i, ok := b.jobOf[id]; ok && !b.jobs[i].ended {
+		b.unhold(i)
+		b.jobs[i].ended = true
+		b.recall(&b.jobs[i])
+		b.recycle(i)
+	}
+}
+
+// Streams: the job's answer has begun, and its limits no longer run.
+func (b *Balancer) Streams(now Time, id string) {
+	b.now = now
+	if i, ok := b.jobOf[id]; ok {
+		b.jobs[i].streams = true
+	}
+}
+
+// ---- the beat ----
+
+// Beat looks after all that depends on time alone.
+func (b *Balancer) Beat(now Time) {
+	b.now = now
+	b.front.Wake(b.beat)
+	if now >= b.watchAt {
+		b.watchAt = now + b.askWithin/2
+		b.front.Watch()
+	}
+	for c := range b.customers {
+		q := &b.customers[c]
+		q.bucket = min(q.bucket+q.perTime*float64(b.beat), q.perTime*float64(second))
+	}
+	warm := 0.0
+	for i := range b.members {
+		if m := &b.members[i]; m.open && m.started == 0 {
+			warm += m.size
+		}
+	}
+	if warm > 0 {
+		b.flow += (b.sentWarm/(warm*float64(b.beat)) - b.flow) * float64(b.beat) / float64(max(b.span, b.beat))
+	}
+	b.sentWarm = 0
+	for gi := range b.groups {
+		g := &b.groups[gi]
+		seeking := b.primary(g) < 0
+		g.blind = true
+		for _, i := range g.members {
+			m := &b.members[i]
+			b.refill(m)
+			b.doubt(m)
+			b.probe(m, seeking)
+			m.pace += (1 - m.pace) * float64(b.beat) / float64(2*second)
+			g.blind = g.blind && (m.suspect || !m.open)
+		}
+	}
+	for i := range b.jobs {
+		if b.jobs[i].id != "" && !b.jobs[i].ended && !b.jobs[i].streams {
+			b.review(int32(i))
+		}
+	}
+	for g := range b.groups {
+		b.release(int32(g))
+	}
+}
+
+// review ends a job whose time is up or can no longer be kept, and calls a trip back from a silent store.
+func (b *Balancer) review(i int32) {
+	j := &b.jobs[i]
+	p := &b.profiles[j.profile]
+	late := p.LateCredit == 0 && b.now+Time(p.typical/2) > j.wanted
+	switch {
+	case b.now >= j.limit-b.beat:
+		b.giveUp(i)
+	case j.held && (late || b.now+Time(p.typical/2) > j.limit):
+		b.giveUp(i)
+	case j.out > 0 && p.Repeat == Reissuable && b.mayCancel && b.mayGoAgain(j):
+		t := &j.trips[j.sent-1]
+		if t.out && b.members[t.member].suspect && !b.groups[j.group].blind {
+			b.front.Cancel(j.id, j.sent-1)
+		}
+	}
+}
--- /dev/null
+++ b/balance/front.go
@@ -0,0 +1,173 @@
+package balance
+
+// Time is a moment or a span in whole tenths of a millisecond.
+type Time = int64
+
+// Charter is what a front is handed once, when it starts.
+type Charter struct {
+	Seed          uint64
+	Number        int // which of the fronts this one is, from 0
+	Fronts        int // how many there are
+	Zone          string
+	Round         Time // events come no more often than this
+	Profiles      []Profile
+	Customers     []Customer
+	OverShare     float64 // credit of a job past its customer's share, as a part of the usual
+	PositionZero  Time
+	Checks        bool // a member turns away a read that it is too far behind for
+	FencesCarried bool // reads carry the age of their session's last write; else the front remembers
+	ListPushed    bool // the list's changes come by themselves; else they must be asked for
+	AskWithin     Time // a front without a watch must ask this often
+	OnlyDraining  bool // being gone from the list does not bind, only a drain does
+	AnswerSlack   Time
+	StartShare    float64 // part of its capacity with which a store starts, at least
+	Cold          Time    // by then it is warm
+	FallMultiple  float64 // a cold store sent more than this multiple of its capacity
+	FallSpan      Time    // for this long falls over
+	MostTrips     int
+	MayProbe      bool
+	MayCancel     bool
+	MayCopy       bool // a second trip may be out beside the first
+	MayTell       bool // messages among fronts
+	MayPause      bool // a turn-back may name a time to come back
+	MostPause     Time
+	CrossPrice    float64
+	ProbePrice    float64
+}
+
+// Need says how recent a profile's data must be.
+type Need uint8
+
+const (
+	Any     Need = iota // any member's data will do
+	Bounded             // no older than the profile's bound when sent
+	Session             // all that its session has written
+	Fresh               // all that was written before the job came
+	Write               // taken by the primary alone
+)
+
+// Repeat says what a profile allows once a trip may have run.
+type Repeat uint8
+
+const (
+	Reissuable Repeat = iota
+	Numbered
+	AtMostOnce
+)
+
+// Profile is one kind of job.
+type Profile struct {
+	Name         string
+	Need         Need
+	Bound        Time // for Bounded
+	Repeat       Repeat
+	Anywhere     bool // Numbered: every store drops repeats, not the job's group alone
+	Window       Time // Numbered: how long repeats are dropped
+	ExpectedTime Time
+	Stretches    bool // the expected time grows with the job's own work
+	OuterLimit   Time
+	Credit       float64
+	LateCredit   float64 // part of the credit left after the expected time
+}
+
+// Customer is one of those who share the service.
+type Customer struct {
+	Name  string
+	Quota float64 // jobs a second within its share, over all fronts
+}
+
+// Condition is what the list says of a member.
+type Condition uint8
+
+const (
+	Gone Condition = iota
+	Ready
+	Draining
+)
+
+// Member is one line of the list.
+type Member struct {
+	Store     uint32
+	Group     uint64
+	Zone      string
+	Condition Condition
+	Primary   bool
+	Size      float64
+	Started   Time // 0: long ago
+}
+
+// ListNews says what a list holds.
+type ListNews uint8
+
+const (
+	ListFailed ListNews = iota // a call for the list failed, or the watch broke
+	ListWhole
+	ListChanges
+	ListCached // what the front held before it was restarted
+)
+
+// Job is one request as it comes in.
+type Job struct {
+	ID       string
+	Profile  string
+	Customer string
+	Session  string
+	Group    uint64
+	Left     Time // until the client gives this try up
+	Repeated bool // known to be a client's further try
+	WriteAge Time // age of the session's last write, rounded down; below 0: none, or not told
+}
+
+// Role is what a member says it is.
+type Role uint8
+
+const (
+	RoleUnknown Role = iota
+	Primary
+	Replica
+)
+
+// Report is what a member says of itself. A Position of 0 says nothing.
+type Report struct {
+	Position Time
+	Role     Role
+}
+
+// Ending says how a trip or a probe came back.
+type Ending uint8
+
+const (
+	Delivered Ending = iota
+	Behind           // turned away unprocessed: not primary, or too far behind
+	Crowded          // turned away unseen
+	Unreached        // no connection
+	Unsent           // never left the front
+	Faulted          // from here on it may have run
+	Expired
+	Severed
+	Recalled
+)
+
+// NeverRan tells whether the ending proves that nothing was done.
+func (e Ending) NeverRan() bool { return e >= Behind && e <= Unsent }
+
+// Return is the result of one trip or probe.
+type Return struct {
+	Ending Ending
+	Note   Report // of the very moment of the answer
+	Load   Report // as old as the member's own report
+	Done   bool   // the job has had its final answer
+}
+
+// Front is what a front can do for the module. A job's trips are numbered from 0 in the order of Send.
+type Front interface {
+	Send(job string, store uint32, until Time)
+	Cancel(job string, trip int)
+	TurnBack(job string, pause Time)
+	WriteOff(job string)
+	Probe(store uint32)
+	Wake(after Time)
+	Watch()
+	Tell(data []byte) // to all other fronts
+	Log(text string)
+}
--- /dev/null
+++ b/cmd/simhost/main.go
@@ -0,0 +1,16 @@
+// Command simhost plays any number of fronts on the simulator's wire, on standard input and output.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"micatrack/internal/simwire"
+)
+
+func main() {
+	if err := simwire.Serve(os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "simhost:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/simwire/charter.go
@@ -0,0 +1,90 @@
+package simwire
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"micatrack/balance"
+)
+
+// readCharter turns the settings of the first message into the module's charter, and gives the clock time
+// from which positions count, in microseconds. Keys that it does not know are passed over.
+func readCharter(text string) (balance.Charter, int64, error) {
+	var w struct {
+		Az       string
+		Ceilings struct {
+			MaxAttempts                                        int
+			MaxRetryAfter                                      int64
+			MayCancel, MayDuplicate, Peers, Probes, RetryAfter bool
+		}
+		Contract struct {
+			AnswerSlack, AskWithin, Cold, TipAfter int64
+			FallMultiple, StartCapacity            float64
+			OnlyDrainingBinds                      bool
+		}
+		Extra struct {
+			Behind, SessionMarks string
+			Freshness            []string
+			OldestData           []int64
+			PositionZero         int64
+		}
+		Orgs []struct {
+			Name      string
+			QuotaPerS float64
+		}
+		OverShareWorth float64
+		Prices         struct{ CrossZone, Probe float64 }
+		Profiles       []struct {
+			Aim, HardLimit, Window   int64
+			AimStretch               float64
+			Group, Idempotency, Name string
+			LateWorth, Worth         float64
+		}
+		RegistryMode         string
+		ReplicasOfMe, SlotNo int
+		Round                int64
+	}
+	if err := json.Unmarshal([]byte(text), &w); err != nil {
+		return balance.Charter{}, 0, err
+	}
+	c := balance.Charter{
+		Number: w.SlotNo, Fronts: w.ReplicasOfMe, Zone: w.Az, Round: w.Round / microsPerTime,
+		OverShare: w.OverShareWorth, PositionZero: w.Extra.PositionZero / microsPerTime,
+		Checks: w.Extra.Behind == "refuse" || w.Extra.Behind == "wait", FencesCarried: w.Extra.SessionMarks == "carried",
+		ListPushed: w.RegistryMode == "pushed", AskWithin: w.Contract.AskWithin / microsPerTime,
+		OnlyDraining: w.Contract.OnlyDrainingBinds, AnswerSlack: w.Contract.AnswerSlack / microsPerTime,
+		StartShare: w.Contract.StartCapacity, Cold: w.Contract.Cold / microsPerTime,
+		FallMultiple: w.Contract.FallMultiple, FallSpan: w.Contract.TipAfter / microsPerTime,
+		MostTrips: w.Ceilings.MaxAttempts, MayProbe: w.Ceilings.Probes, MayCancel: w.Ceilings.MayCancel,
+		MayCopy: w.Ceilings.MayDuplicate, MayTell: w.Ceilings.Peers, MayPause: w.Ceilings.RetryAfter,
+		MostPause: w.Ceilings.MaxRetryAfter / microsPerTime, CrossPrice: w.Prices.CrossZone, ProbePrice: w.Prices.Probe,
+	}
+	if len(w.Extra.Freshness) != len(w.Profiles) {
+		return c, 0, fmt.Errorf("Extra.Freshness has %d entries for %d Profiles", len(w.Extra.Freshness), len(w.Profiles))
+	}
+	if len(w.Extra.OldestData) != len(w.Profiles) {
+		return c, 0, fmt.Errorf("Extra.OldestData has %d entries for %d Profiles", len(w.Extra.OldestData), len(w.Profiles))
+	}
+	needs := map[string]balance.Need{"any": balance.Any, "bounded": balance.Bounded, "session": balance.Session,
+		"fresh": balance.Fresh, "write": balance.Write}
+	repeats := map[string]balance.Repeat{"repeatable": balance.Reissuable, "by_key": balance.Numbered,
+		"once": balance.AtMostOnce}
+	for i, p := range w.Profiles {
+		need, ok := needs[w.Extra.Freshness[i]]
+		if !ok {
+			return c, 0, fmt.Errorf("Extra.Freshness: %q is unknown", w.Extra.Freshness[i])
+		}
+		repeat, ok := repeats[p.Idempotency]
+		if !ok {
+			return c, 0, fmt.Errorf("Profiles[%d].Idempotency: %q is unknown", i, p.Idempotency)
+		}
+		c.Profiles = append(c.Profiles, balance.Profile{Name: p.Name, Need: need,
+			Bound: w.Extra.OldestData[i] / microsPerTime, Repeat: repeat, Anywhere: p.Group == "all",
+			Window: p.Window / microsPerTime, ExpectedTime: p.Aim / microsPerTime, Stretches: p.AimStretch > 0,
+			OuterLimit: p.HardLimit / microsPerTime, Credit: p.Worth, LateCredit: p.LateWorth})
+	}
+	for _, o := range w.Orgs {
+		c.Customers = append(c.Customers, balance.Customer{Name: o.Name, Quota: o.QuotaPerS})
+	}
+	return c, w.Extra.PositionZero, nil
+}
