--- a/balance/balance.go
+++ b/balance/balance.go
@@ -38,25 +38,24 @@
 	group       int32
 	far         bool // reaching it crosses between places, at a price
 	open        bool // the list lets new work go there
-	size        float64
-	started     Time // of its last start; 0 when warm
-	position    Time // the largest it has shown
-	refreshed   Time // when the position was last confirmed to have moved or been looked at
-	primaryAt   Time // newest moment at which it was surely the primary
-	replicaAt   Time // when an answer last said that it is not
+	suspect     bool // its silence is unusual
+	unreached   bool // the last try to connect failed
+	ramping     bool // the limit has not met its bound yet
 	inFlight    int
+	size        float64
+	started     Time    // of its last start; 0 when warm
+	budget      float64 // while cold: typical time that may still be sent
+	position    Time    // the largest it has shown
+	refreshed   Time    // when an answer last told its position
+	primaryAt   Time    // newest moment at which it was surely the primary
+	replicaAt   Time    // newest moment at which it surely was not
 	limit       float64 // trips in flight that it takes in good time, learned from its answers
 	strain      float64 // its answer times as a part of the expected time
 	pace        float64 // its answer times against those of its peers
 	eased       Time    // when the limit was last cut
-	ramping     bool    // the limit has not met its bound yet
-	budget      float64 // while cold: typical time that may still be sent
 	probed      Time    // when it was last probed
 	asked       Time    // oldest probe without a sign of life since; 0: none
-	heard       Time    // last sign of life
 	reply, vary float64 // mean and spread of the gaps between a probe and the sign of life after it
-	unreached   bool    // the last try to connect failed
-	suspect     bool
 }
 
 // group is one primary and its replicas.
@@ -99,47 +98,36 @@
 
 // Balancer decides for one front.
 type Balancer struct {
-	front      Front
-	now        Time
-	beat       Time
-	mwc        uint64
-	zone       string
-	overShare  float64
-	checks     bool
-	carried    bool
-	pushed     bool
-	askWithin  Time
-	onlyDrains bool
-	startShare float64
-	cold       Time
-	coldPart   float64 // of what warm members are sent, at full capacity, that a cold one may be sent
-	span       Time
-	mostTrips  int
-	mayProbe   bool
-	mayCancel  bool
-	mostPause  Time
-	priced     bool // crossings cost
-	tightest   Time // bound on the age of data
-	probeEvery Time
-	quickest   Time // shortest expected time
-
-	profiles  []profile
-	profileOf map[string]int32
-	customers []customer
-	custOf    map[string]int32
-	members   []member
-	memberOf  map[uint32]int32
-	groups    []group
-	groupOf   map[uint64]int32
-	jobs      []job
-	free      []int32
-	jobOf     map[string]int32
-	fences    []Time
-	flow      float64 // typical time sent to warm members, for each unit of size and time
-	sentWarm  float64
-	crowded   Time // when the front last saw overload
-	watchAt   Time
-	watchMiss int
+	front                   Front
+	now, beat               Time
+	mwc                     uint64
+	zone                    string
+	overShare               float64 // credit past a customer's share, as a part of the usual
+	checks, carried, pushed bool    // see Charter
+	onlyDrains, priced      bool
+	mayProbe, mayCancel     bool
+	mostTrips               int
+	mostPause               Time
+	askWithin, cold, span   Time
+	startShare              float64
+	coldPart                float64 // of what warm members are sent, a cold one's part at full capacity
+	tightest, quickest      Time    // shortest bound on the age of data, and expected time
+	probeEvery              Time
+	profiles                []profile
+	customers               []customer
+	members                 []member
+	groups                  []group
+	profileOf, custOf       map[string]int32
+	memberOf                map[uint32]int32
+	groupOf                 map[uint64]int32
+	jobOf                   map[string]int32
+	jobs                    []job // the slab
+	free                    []int32
+	fences                  []Time  // newest write of each session, by hash; sharing a place only tightens it
+	flow, sentWarm          float64 // typical time sent to warm members, for each unit of size and time
+	crowded                 Time    // when the front last saw overload
+	watchAt                 Time
+	watchMiss               int
 }
 
 // New makes the module for one front.
@@ -191,8 +179,6 @@
 	return Time(uint64(uint32(b.mwc)) * uint64(max(n, 1)) >> 32)
 }
 
-// ---- the list ----
-
 // List takes news of the list.
 func (b *Balancer) List(now Time, news ListNews, list []Member) {
 	b.now = now
@@ -208,8 +194,7 @@
 	}
 	if news != ListChanges {
 		for i := range b.members {
-			m := &b.members[i]
-			m.open = m.open && b.onlyDrains || listed(list, m.store)
+			b.members[i].open = b.members[i].open && b.onlyDrains
 		}
 	}
 	for i := range list {
@@ -220,25 +205,22 @@
 	}
 }
 
-func listed(list []Member, store uint32) bool {
-	for i := range list {
-		if list[i].Store == store {
-			return true
-		}
+// groupAt gives the index of a group.
+func (b *Balancer) groupAt(id uint64) int32 {
+	g, ok := b.groupOf[id]
+	if !ok {
+		g = int32(len(b.groups))
+		b.groupOf[id] = g
+		b.groups = append(b.groups, group{primary: -1})
 	}
-	return false
+	return g
 }
 
 // entry takes one line of the list.
 func (b *Balancer) entry(e *Member) {
 	i, known := b.memberOf[e.Store]
 	if !known {
-		g, ok := b.groupOf[e.Group]
-		if !ok {
-			g = int32(len(b.groups))
-			b.groupOf[e.Group] = g
-			b.groups = append(b.groups, group{primary: -1})
-		}
+		g := b.groupAt(e.Group)
 		i = int32(len(b.members))
 		b.memberOf[e.Store] = i
 		// The first limit is a guess that the first answers raise or cut.
@@ -261,8 +243,6 @@
 	}
 }
 
-// ---- positions and roles ----
-
 // learn takes what a member says of itself, and at is when it did so; 0 means some unknown time ago.
 func (b *Balancer) learn(i int32, r Report, at Time) {
 	m := &b.members[i]
@@ -310,8 +290,6 @@
 	return -1
 }
 
-// ---- health ----
-
 // alive takes a sign of life.
 func (b *Balancer) alive(i int32) {
 	m := &b.members[i]
@@ -328,7 +306,6 @@
 		// A store that could not be reached may have started anew unannounced, and is then cold.
 		m.unreached, m.started = false, b.now
 	}
-	m.heard = b.now
 	if m.suspect {
 		m.suspect = false
 		b.front.Log(fmt.Sprintf("store %d is back", m.store))
@@ -385,8 +362,6 @@
 // Told takes a message from another front.
 func (b *Balancer) Told(now Time, data []byte) { b.now = now }
 
-// ---- cold stores ----
-
 // warmth is the part of its capacity that a member surely has.
 func (b *Balancer) warmth(m *member) float64 {
 	if m.started == 0 {
@@ -410,8 +385,6 @@
 	m.budget = min(m.budget+rate*float64(b.beat), rate*float64(b.span)/2)
 }
 
-// ---- choosing ----
-
 // room tells whether the member takes one more trip in good time; part leaves the rest to worthier work.
 func (b *Balancer) room(m *member, part float64) bool {
 	if m.started == 0 {
@@ -495,8 +468,6 @@
 	return -1
 }
 
-// ---- jobs ----
-
 // Take takes a job in.
 func (b *Balancer) Take(now Time, in Job) error {
 	b.now = now
@@ -504,12 +475,7 @@
 	if !ok {
 		return fmt.Errorf("job %s: profile %q is not in the charter", in.ID, in.Profile)
 	}
-	g, ok := b.groupOf[in.Group]
-	if !ok {
-		g = int32(len(b.groups))
-		b.groupOf[in.Group] = g
-		b.groups = append(b.groups, group{primary: -1})
-	}
+	g := b.groupAt(in.Group)
 	if len(b.free) == 0 {
 		b.jobs = append(b.jobs, job{})
 		b.free = append(b.free, int32(len(b.jobs)-1))
@@ -577,8 +543,8 @@
 	keep := 0
 	for _, i := range g.held {
 		j := &b.jobs[i]
-		if !j.held || j.ended {
-			continue
+		if !j.held || j.group != gi {
+			continue // it went or ended meanwhile
 		}
 		if m := b.choose(j); m >= 0 {
 			j.held = false
@@ -591,22 +557,6 @@
 	g.held = g.held[:keep]
 }
 
-// unhold takes the job out of its group's waiting line.
-func (b *Balancer) unhold(i int32) {
-	j := &b.jobs[i]
-	if !j.held {
-		return
-	}
-	j.held = false
-	g := &b.groups[j.group]
-	for k, h := range g.held {
-		if h == i {
-			g.held = append(g.held[:k], g.held[k+1:]...)
-			return
-		}
-	}
-}
-
 func (b *Balancer) send(i, mi int32) {
 	j, m := &b.jobs[i], &b.members[mi]
 	p := &b.profiles[j.profile]
@@ -650,8 +600,7 @@
 	gi := j.group
 	b.grade(j, t, r)
 	if r.Done && !j.ended {
-		b.unhold(i)
-		j.ended = true
+		j.held, j.ended = false, true
 	}
 	if !j.ended {
 		if !r.Ending.NeverRan() {
@@ -758,8 +707,7 @@
 func (b *Balancer) giveUp(i int32) {
 	j := &b.jobs[i]
 	p := &b.profiles[j.profile]
-	b.unhold(i)
-	j.ended = true
+	j.held, j.ended = false, true
 	harmless := p.Repeat == Reissuable || j.ranAt == 0 && j.out == 0 || p.Repeat == Numbered && p.Anywhere
 	if harmless {
 		b.front.TurnBack(j.id, min(b.mostPause, p.ExpectedTime/2+b.chance(p.ExpectedTime/2)))
@@ -783,8 +731,7 @@
 func (b *Balancer) Left(now Time, id string) {
 	b.now = now
 	if i, ok := b.jobOf[id]; ok && !b.jobs[i].ended {
-		b.unhold(i)
-		b.jobs[i].ended = true
+		b.jobs[i].held, b.jobs[i].ended = false, true
 		b.recall(&b.jobs[i])
 		b.recycle(i)
 	}
@@ -798,8 +745,6 @@
 	}
 }
 
-// ---- the beat ----
-
 // Beat looks after all that depends on time alone.
 func (b *Balancer) Beat(now Time) {
 	b.now = now
