Shun a member that refuses or fails, longer each time

It should also hold against full stores, broken stores that answer errors fast, and refused connections. It may hurt where a store refuses only a part of what it gets: it is then left alone for up to the shortest expected time.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -40,6 +40,8 @@
 	open        bool // the list lets new work go there
 	suspect     bool // its silence is unusual
 	unreached   bool // the last try to connect failed
+	refusals    int  // refusals and failures since the last delivery
+	shut        Time // until then nothing new goes there, for these
 	ramping     bool // the limit has not met its bound yet
 	inFlight    int
 	size        float64
@@ -284,12 +286,20 @@
 
 // primary gives the group's primary if work may go there, else -1.
 func (b *Balancer) primary(g *group) int32 {
-	if p := g.primary; p >= 0 && b.members[p].open && !b.members[p].suspect {
+	if p := g.primary; p >= 0 && b.members[p].open && !b.members[p].suspect && b.now >= b.members[p].shut {
 		return p
 	}
 	return -1
 }
 
+// shun stays away from a member that refuses or fails, longer each time.
+// Danger: a store that fails at once looks the least busy of all and draws every job. This holds for full and
+// broken stores, and for drains of which the list does not tell yet; a single error costs two beats.
+func (b *Balancer) shun(m *member) {
+	m.refusals = min(m.refusals+1, 8)
+	m.shut = b.now + min(b.beat<<m.refusals, b.quickest)
+}
+
 // alive takes a sign of life.
 func (b *Balancer) alive(i int32) {
 	m := &b.members[i]
@@ -429,7 +439,7 @@
 	var least float64
 	for _, i := range g.members {
 		m := &b.members[i]
-		if i == g.primary || !m.open || m.suspect && !g.blind {
+		if i == g.primary || !m.open || m.suspect && !g.blind || b.now < m.shut {
 			continue
 		}
 		if ahead < 0 || m.position > b.members[ahead].position {
@@ -638,13 +648,18 @@
 		}
 		b.learn(t.member, r.Load, 0)
 	case Unreached:
-		m.unreached = true
-		m.suspect = true
+		m.unreached, m.suspect = true, true
 	case Severed:
 		m.unreached = true
 	}
-	if r.Ending == Crowded {
+	switch r.Ending {
+	case Crowded:
 		b.crowded = b.now
+		b.shun(m)
+	case Faulted, Unreached, Severed:
+		b.shun(m)
+	case Delivered:
+		m.refusals, m.shut = 0, 0
 	}
 	if r.Ending == Delivered {
 		if p.Need == Write && j.slot >= 0 && !j.ended {
