Probe no more often than the price allows for the jobs taken

A member whose primary is sought or that has gone silent is still probed at the full pace. It may hurt where reads are rare and unchecked: positions then age past their bounds more often.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -20,6 +20,7 @@
 	second    = Time(10000)
 	mostTrips = 8 // places for trips in a job
 	fenceBits = 14
+	thrift    = 0.005 // part of the result that probes may cost on the ordinary path
 )
 
 // profile is what is derived from a Profile.
@@ -114,7 +115,9 @@
 	startShare              float64
 	coldPart                float64 // of what warm members are sent, a cold one's part at full capacity
 	tightest, quickest      Time    // shortest bound on the age of data, and expected time
-	probeEvery              Time
+	probeEvery, probeNow    Time    // gap between probes of a member: as wished, and as the price allows
+	probesPerJob, jobRate   float64 // probes that the price allows; jobs taken in a beat, on average
+	taken                   int
 	profiles                []profile
 	customers               []customer
 	members                 []member
@@ -167,6 +170,7 @@
 	// Answers must come within the slack after the limit, so the module looks around twice in it.
 	b.beat = max(c.Round, min(2*c.Round, c.AnswerSlack/2), 1)
 	b.probeEvery = max(min(b.tightest, b.quickest)/3, b.beat)
+	b.probeNow, b.probesPerJob = b.probeEvery, thrift/max(c.ProbePrice, thrift/10)
 	if !b.pushed {
 		// All fronts may be starting together: the first call is spread over an eighth of the allowed time.
 		b.watchAt = now + b.chance(b.askWithin/8)
@@ -333,10 +337,11 @@
 // probe asks a member for its position when nothing has shown it of late, sooner where the primary is sought
 // or where the member holds trips and has gone silent.
 func (b *Balancer) probe(m *member, seeking bool) {
-	every := b.probeEvery
-	fresh := max(m.refreshed, m.probed)
+	every, fresh := b.probeNow, max(m.refreshed, m.probed)
 	if seeking {
-		every, fresh = every/2, m.probed
+		every, fresh = b.probeEvery/2, m.probed
+	} else if m.asked > 0 {
+		every = b.probeEvery
 	}
 	if !b.mayProbe || !m.open || b.now-fresh < every {
 		return
@@ -481,6 +486,7 @@
 // Take takes a job in.
 func (b *Balancer) Take(now Time, in Job) error {
 	b.now = now
+	b.taken++
 	p, ok := b.profileOf[in.Profile]
 	if !ok {
 		return fmt.Errorf("job %s: profile %q is not in the charter", in.ID, in.Profile)
@@ -764,6 +770,10 @@
 func (b *Balancer) Beat(now Time) {
 	b.now = now
 	b.front.Wake(b.beat)
+	b.jobRate += (float64(b.taken) - b.jobRate) * float64(b.beat) / float64(second)
+	b.taken = 0
+	b.probeNow = Time(float64(len(b.members)) * float64(b.beat) / max(b.jobRate*b.probesPerJob, 1e-6))
+	b.probeNow = min(max(b.probeNow, b.probeEvery), 10*b.probeEvery)
 	if now >= b.watchAt {
 		b.watchAt = now + b.askWithin/2
 		b.front.Watch()
