Fronts tell each other the positions that their answers showed

Cause: a front among several hears from each replica too seldom to know it within the bound, and probes are priced. Every decision holds with all messages lost; lines of unknown stores and positions from a time to come are passed over. It may hurt if a front tells positions that its stores never had.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -10,6 +10,7 @@
 package balance
 
 import (
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"sort"
@@ -20,6 +21,8 @@
 	second    = Time(10000)
 	mostTrips = 8 // places for trips in a job
 	fenceBits = 14
+	tellLine  = 12    // bytes of a line in a message
+	tellMost  = 252   // bytes of a message, in whole lines
 	thrift    = 0.005 // part of the result that probes may cost on the ordinary path
 )
 
@@ -49,6 +52,7 @@
 	started     Time    // of its last start; 0 when warm
 	budget      float64 // while cold: typical time that may still be sent
 	position    Time    // the largest it has shown
+	news        Role    // what an answer showed that other fronts have not been told
 	refreshed   Time    // when an answer last told its position
 	primaryAt   Time    // newest moment at which it was surely the primary
 	replicaAt   Time    // newest moment at which it surely was not
@@ -108,6 +112,9 @@
 	overShare               float64 // credit past a customer's share, as a part of the usual
 	checks, carried, pushed bool    // see Charter
 	onlyDrains, priced      bool
+	tellAt                  Time
+	letter                  [tellMost]byte
+	mayTell                 bool
 	mayProbe, mayCancel     bool
 	mostTrips               int
 	mostPause               Time
@@ -144,6 +151,7 @@
 		checks: c.Checks, carried: c.FencesCarried, pushed: c.ListPushed, askWithin: c.AskWithin,
 		onlyDrains: c.OnlyDraining, startShare: c.StartShare, cold: c.Cold, coldPart: c.FallMultiple / 2,
 		span: c.FallSpan, mostTrips: min(max(c.MostTrips, 1), mostTrips), mayProbe: c.MayProbe,
+		mayTell:   c.MayTell && c.Fronts > 1,
 		mayCancel: c.MayCancel, priced: c.CrossPrice > 0, tightest: never, quickest: never,
 		profileOf: map[string]int32{}, custOf: map[string]int32{}, memberOf: map[uint32]int32{},
 		groupOf: map[uint64]int32{}, jobOf: map[string]int32{}, fences: make([]Time, 1<<fenceBits),
@@ -252,8 +260,8 @@
 // learn takes what a member says of itself, and at is when it did so; 0 means some unknown time ago.
 func (b *Balancer) learn(i int32, r Report, at Time) {
 	m := &b.members[i]
-	if r.Role == RoleUnknown || r.Position < m.position && at == 0 {
-		return // a report from before what is already known says nothing
+	if r.Role == RoleUnknown || r.Position < m.position && at == 0 || r.Position > b.now+2*b.beat {
+		return // older than what is known, or from a time to come: it says nothing
 	}
 	m.position = max(m.position, r.Position)
 	if r.Role == Primary {
@@ -374,8 +382,42 @@
 	b.release(b.members[i].group)
 }
 
-// Told takes a message from another front.
-func (b *Balancer) Told(now Time, data []byte) { b.now = now }
+// tell passes on to the other fronts what answers have shown since the last time. A line is a store's number,
+// its position and its role, in twelve bytes.
+func (b *Balancer) tell() {
+	if !b.mayTell || b.now < b.tellAt {
+		return
+	}
+	b.tellAt = b.now + b.probeEvery/3
+	data := b.letter[:0]
+	for i := range b.members {
+		m := &b.members[i]
+		if m.news == RoleUnknown || len(data)+tellLine > cap(data) {
+			continue
+		}
+		data = binary.LittleEndian.AppendUint32(data, m.store)
+		data = binary.LittleEndian.AppendUint64(data, uint64(m.position)<<8|uint64(m.news))
+		m.news = RoleUnknown
+	}
+	if len(data) > 0 {
+		b.front.Tell(data)
+	}
+}
+
+// Told takes a message from another front. Nothing depends on its coming: a position holds whoever saw it.
+func (b *Balancer) Told(now Time, data []byte) {
+	b.now = now
+	for ; len(data) >= tellLine; data = data[tellLine:] {
+		i, ok := b.memberOf[binary.LittleEndian.Uint32(data)]
+		if !ok {
+			continue
+		}
+		v := binary.LittleEndian.Uint64(data[4:])
+		b.learn(i, Report{Position: Time(v >> 8), Role: Role(v & 3)}, 0)
+		b.members[i].refreshed = max(b.members[i].refreshed, b.now-b.beat)
+		b.release(b.members[i].group)
+	}
+}
 
 // warmth is the part of its capacity that a member surely has.
 func (b *Balancer) warmth(m *member) float64 {
@@ -648,9 +690,13 @@
 	switch r.Ending {
 	case Delivered, Behind, Crowded, Faulted:
 		b.alive(t.member)
-		b.learn(t.member, r.Note, b.now)
+		note := r.Note
+		if p.Need == Write {
+			note.Position -= second / 1000 // a commit is told rounded up, a position must not be
+		}
+		b.learn(t.member, note, b.now)
 		if r.Note.Position > 0 {
-			m.refreshed = b.now
+			m.refreshed, m.news = b.now, r.Note.Role
 		}
 		b.learn(t.member, r.Load, 0)
 	case Unreached:
@@ -792,6 +838,7 @@
 		b.flow += (b.sentWarm/(warm*float64(b.beat)) - b.flow) * float64(b.beat) / float64(max(b.span, b.beat))
 	}
 	b.sentWarm = 0
+	b.tell()
 	for gi := range b.groups {
 		g := &b.groups[gi]
 		seeking := b.primary(g) < 0
