--- a/balance/balance.go
+++ b/balance/balance.go
@@ -724,7 +724,7 @@
 		return
 	}
 	m.strain += (float64(took)/float64(p.ExpectedTime) - m.strain) / 8
-	if m.strain > 0.25 || r.Ending == Crowded {
+	if m.strain > 0.18 || r.Ending == Crowded {
 		if b.now-m.eased > p.ExpectedTime/2 {
 			m.limit = max(1, min(m.limit, float64(m.inFlight+1))*0.8)
 			m.eased, m.ramping = b.now, false
