--- a/balance/balance.go
+++ b/balance/balance.go
@@ -30,6 +30,7 @@
 type profile struct {
 	Profile
 	typical float64 // how long a trip of it takes of late
+	bare    float64 // how long it takes at a member that held no other trip of this front
 	longest Time    // most time that a client's try was seen to have
 }
 
@@ -57,7 +58,8 @@
 	primaryAt   Time    // newest moment at which it was surely the primary
 	replicaAt   Time    // newest moment at which it surely was not
 	limit       float64 // trips in flight that it takes in good time, learned from its answers
-	strain      float64 // its answer times as a part of the expected time
+	strain      float64 // its answer times against the bare ones of its own
+	own         float64 // its bare answer times against those of all
 	pace        float64 // its answer times against those of its peers
 	eased       Time    // when the limit was last cut
 	probed      Time    // when it was last probed
@@ -76,6 +78,7 @@
 type trip struct {
 	member int32
 	out    bool
+	alone  bool // the member held no other trip of this front
 	sent   Time
 }
 
@@ -164,7 +167,8 @@
 			return nil, fmt.Errorf("charter: profile %q: bound, window or times out of range", p.Name)
 		}
 		b.profileOf[p.Name] = int32(i)
-		b.profiles = append(b.profiles, profile{Profile: p, typical: float64(p.ExpectedTime) / 4})
+		b.profiles = append(b.profiles, profile{Profile: p, typical: float64(p.ExpectedTime) / 4,
+			bare: float64(p.ExpectedTime) / 4})
 		b.quickest = min(b.quickest, p.ExpectedTime)
 		if p.Need == Bounded {
 			b.tightest = min(b.tightest, p.Bound)
@@ -238,7 +242,7 @@
 		i = int32(len(b.members))
 		b.memberOf[e.Store] = i
 		// The first limit is a guess that the first answers raise or cut.
-		b.members = append(b.members, member{store: e.Store, group: g, limit: 8, ramping: true, pace: 1,
+		b.members = append(b.members, member{store: e.Store, group: g, limit: 8, ramping: true, pace: 1, own: 1,
 			reply: float64(b.beat), vary: float64(b.beat), probed: b.now - b.probeEvery,
 			far: b.priced && e.Zone != b.zone, open: true, size: 1})
 		b.groups[g].members = append(b.groups[g].members, i)
@@ -618,7 +622,7 @@
 func (b *Balancer) send(i, mi int32) {
 	j, m := &b.jobs[i], &b.members[mi]
 	p := &b.profiles[j.profile]
-	j.trips[j.sent] = trip{member: mi, out: true, sent: b.now}
+	j.trips[j.sent] = trip{member: mi, out: true, alone: m.inFlight == 0, sent: b.now}
 	j.sent++
 	j.out++
 	m.inFlight++
@@ -718,13 +722,17 @@
 			b.fences[j.slot] = max(b.fences[j.slot], r.Note.Position)
 		}
 		p.typical += (float64(took) - p.typical) / 32
+		if t.alone {
+			m.own += (float64(took)/p.bare - m.own) / 8
+			p.bare += (float64(took) - p.bare) / 32
+		}
 		m.pace += (float64(took)/p.typical - m.pace) / 8
 	}
 	if r.Ending != Delivered && r.Ending != Expired && r.Ending != Crowded {
 		return
 	}
-	m.strain += (float64(took)/float64(p.ExpectedTime) - m.strain) / 8
-	if m.strain > 0.18 || r.Ending == Crowded {
+	m.strain += (float64(took)/(p.bare*m.own) - m.strain) / 8
+	if m.strain > 1.5 || r.Ending == Crowded {
 		if b.now-m.eased > p.ExpectedTime/2 {
 			m.limit = max(1, min(m.limit, float64(m.inFlight+1))*0.8)
 			m.eased, m.ramping = b.now, false
