Prove a primary by one write after an answer said that it is a replica

A draining primary turns writes away as a replica while its answers to reads still claim the role; the claim was believed, fresh reads followed, and one came after the handover. Now claims must be newer than a growing doubt, one write goes ahead, and reads count on the role only when it was taken or two seconds have passed without a denial. It also covers two members that both claim and held writes that would arrive as a burst. It may hurt a group with next to no writes after a change of primary: reads that need it wait up to two seconds.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -30,7 +30,6 @@
 type profile struct {
 	Profile
 	typical float64 // how long a trip of it takes of late
-	bare    float64 // how long it takes at a member that held no other trip of this front
 	longest Time    // most time that a client's try was seen to have
 }
 
@@ -57,9 +56,11 @@
 	refreshed   Time    // when an answer last told its position
 	primaryAt   Time    // newest moment at which it was surely the primary
 	replicaAt   Time    // newest moment at which it surely was not
+	doubted     Time    // claims from before this moment do not count
+	proven      bool    // it has taken a write since an answer last said that it is a replica
+	scouted     bool    // a write is out to prove it
 	limit       float64 // trips in flight that it takes in good time, learned from its answers
-	strain      float64 // its answer times against the bare ones of its own
-	own         float64 // its bare answer times against those of all
+	strain      float64 // its answer times as a part of the expected time
 	pace        float64 // its answer times against those of its peers
 	eased       Time    // when the limit was last cut
 	probed      Time    // when it was last probed
@@ -78,7 +79,6 @@
 type trip struct {
 	member int32
 	out    bool
-	alone  bool // the member held no other trip of this front
 	sent   Time
 }
 
@@ -167,8 +167,7 @@
 			return nil, fmt.Errorf("charter: profile %q: bound, window or times out of range", p.Name)
 		}
 		b.profileOf[p.Name] = int32(i)
-		b.profiles = append(b.profiles, profile{Profile: p, typical: float64(p.ExpectedTime) / 4,
-			bare: float64(p.ExpectedTime) / 4})
+		b.profiles = append(b.profiles, profile{Profile: p, typical: float64(p.ExpectedTime) / 4})
 		b.quickest = min(b.quickest, p.ExpectedTime)
 		if p.Need == Bounded {
 			b.tightest = min(b.tightest, p.Bound)
@@ -242,9 +241,9 @@
 		i = int32(len(b.members))
 		b.memberOf[e.Store] = i
 		// The first limit is a guess that the first answers raise or cut.
-		b.members = append(b.members, member{store: e.Store, group: g, limit: 8, ramping: true, pace: 1, own: 1,
+		b.members = append(b.members, member{store: e.Store, group: g, limit: 8, ramping: true, pace: 1,
 			reply: float64(b.beat), vary: float64(b.beat), probed: b.now - b.probeEvery,
-			far: b.priced && e.Zone != b.zone, open: true, size: 1})
+			far: b.priced && e.Zone != b.zone, open: true, size: 1, proven: true})
 		b.groups[g].members = append(b.groups[g].members, i)
 	}
 	m := &b.members[i]
@@ -280,9 +279,10 @@
 func (b *Balancer) claim(i int32, at Time) {
 	m := &b.members[i]
 	g := &b.groups[m.group]
-	if at <= m.replicaAt {
+	if at <= max(m.replicaAt, m.doubted) {
 		return
 	}
+	m.proven = m.proven || at > m.replicaAt+2*second
 	m.primaryAt = max(m.primaryAt, at)
 	if g.primary != i && (g.primary < 0 || b.members[g.primary].primaryAt < at) {
 		g.primary = i
@@ -479,7 +479,17 @@
 	g, p := &b.groups[j.group], &b.profiles[j.profile]
 	primary := b.primary(g)
 	if p.Need >= Fresh {
-		if primary < 0 || b.room(&b.members[primary], 1) {
+		if primary < 0 {
+			return -1
+		}
+		m := &b.members[primary]
+		if !m.proven {
+			if p.Need == Write && !m.scouted {
+				return primary // one write goes ahead; the rest follow once it is taken
+			}
+			return -1
+		}
+		if b.room(m, 1) {
 			return primary
 		}
 		b.crowded = b.now
@@ -490,7 +500,7 @@
 	var least float64
 	for _, i := range g.members {
 		m := &b.members[i]
-		if i == g.primary || !m.open || m.suspect && !g.blind || b.now < m.shut {
+		if i == g.primary && m.proven || !m.open || m.suspect && !g.blind || b.now < m.shut {
 			continue
 		}
 		if ahead < 0 || m.position > b.members[ahead].position {
@@ -520,7 +530,7 @@
 	if p.Need == Session && !full && b.checks && j.sent == 0 && ahead >= 0 && b.room(&b.members[ahead], 1) {
 		return ahead // the store itself checks the fence, so the most advanced may be tried
 	}
-	if primary >= 0 && b.room(&b.members[primary], 0.7) {
+	if primary >= 0 && b.members[primary].proven && b.room(&b.members[primary], 0.7) {
 		return primary
 	}
 	if full || primary >= 0 {
@@ -622,10 +632,11 @@
 func (b *Balancer) send(i, mi int32) {
 	j, m := &b.jobs[i], &b.members[mi]
 	p := &b.profiles[j.profile]
-	j.trips[j.sent] = trip{member: mi, out: true, alone: m.inFlight == 0, sent: b.now}
+	j.trips[j.sent] = trip{member: mi, out: true, sent: b.now}
 	j.sent++
 	j.out++
 	m.inFlight++
+	m.scouted = m.scouted || p.Need == Write && !m.proven
 	if m.started > 0 {
 		m.budget -= p.typical
 	} else {
@@ -691,9 +702,17 @@
 	m, p := &b.members[t.member], &b.profiles[j.profile]
 	m.inFlight--
 	took := b.now - t.sent
+	m.scouted = m.scouted && p.Need != Write
 	switch r.Ending {
 	case Delivered, Behind, Crowded, Faulted:
 		b.alive(t.member)
+		if p.Need == Write && r.Ending != Delivered && r.Note.Role == Replica {
+			// Danger: a draining primary turns writes away as a replica while its other answers still claim
+			// the role, so a claim must be newer each time; and until it takes a write, no read relies on it.
+			m.refusals = min(m.refusals+1, 8)
+			m.doubted = b.now + min(b.beat<<m.refusals, b.quickest)
+		}
+		m.proven = m.proven && r.Note.Role != Replica || p.Need == Write && r.Ending == Delivered
 		note := r.Note
 		if p.Need == Write {
 			note.Position -= second / 1000 // a commit is told rounded up, a position must not be
@@ -722,17 +741,13 @@
 			b.fences[j.slot] = max(b.fences[j.slot], r.Note.Position)
 		}
 		p.typical += (float64(took) - p.typical) / 32
-		if t.alone {
-			m.own += (float64(took)/p.bare - m.own) / 8
-			p.bare += (float64(took) - p.bare) / 32
-		}
 		m.pace += (float64(took)/p.typical - m.pace) / 8
 	}
 	if r.Ending != Delivered && r.Ending != Expired && r.Ending != Crowded {
 		return
 	}
-	m.strain += (float64(took)/(p.bare*m.own) - m.strain) / 8
-	if m.strain > 1.5 || r.Ending == Crowded {
+	m.strain += (float64(took)/float64(p.ExpectedTime) - m.strain) / 8
+	if m.strain > 0.18 || r.Ending == Crowded {
 		if b.now-m.eased > p.ExpectedTime/2 {
 			m.limit = max(1, min(m.limit, float64(m.inFlight+1))*0.8)
 			m.eased, m.ramping = b.now, false
