--- a/balance/balance.go
+++ b/balance/balance.go
@@ -51,6 +51,7 @@
 	size        float64
 	started     Time    // of its last start; 0 when warm
 	budget      float64 // while cold: typical time that may still be sent
+	sentAt      Time    // last trip sent
 	position    Time    // the largest it has shown
 	news        Role    // what an answer showed that other fronts have not been told
 	refreshed   Time    // when an answer last told its position
@@ -451,7 +452,10 @@
 	if m.started == 0 {
 		return float64(m.inFlight) < m.limit*part
 	}
-	return m.inFlight == 0 || m.budget > 0 && float64(m.inFlight) < m.limit*part*b.warmth(m)
+	if m.budget <= 0 { // a trickle keeps it in sight where there is nothing to judge a budget by
+		return m.inFlight == 0 && b.now-m.sentAt > b.span/8
+	}
+	return m.inFlight == 0 || float64(m.inFlight) < m.limit*part*b.warmth(m)
 }
 
 // busy compares members: trips in flight for what the member can do.
@@ -639,6 +643,7 @@
 	m.scouted = m.scouted || p.Need == Write && !m.proven
 	if m.started > 0 {
 		m.budget -= p.typical
+		m.sentAt = b.now
 	} else {
 		b.sentWarm += p.typical
 	}
--- /dev/null
+++ b/balance/balance_test.go
@@ -0,0 +1,313 @@
+package balance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+)
+
+// three is a group of a primary and two replicas, heard from just now.
+func three(t testing.TB, c Charter) *world {
+	w := newWorld(t, c)
+	w.list(ListCached, Member{Store: 1, Group: 9, Zone: "a", Condition: Ready, Primary: true, Size: 1},
+		Member{Store: 2, Group: 9, Zone: "a", Condition: Ready, Size: 1},
+		Member{Store: 3, Group: 9, Zone: "a", Condition: Ready, Size: 1})
+	w.hear(1, w.now, Primary)
+	w.hear(2, w.now-50, Replica)
+	w.hear(3, w.now-50, Replica)
+	return w
+}
+
+// hear is a probe's report from a store.
+func (w *world) hear(store uint32, position Time, role Role) {
+	r := Return{Load: Report{Position: position, Role: role}}
+	w.believe(w.stores[store], r.Load, false)
+	w.note("hear %d %+v", store, r)
+	w.b.Probed(w.now, store, r)
+}
+
+func (w *world) at(t *testing.T, id string) uint32 {
+	t.Helper()
+	p := w.jobs[id]
+	if len(p.trips) == 0 {
+		t.Fatalf("%s is held", id)
+	}
+	return p.trips[len(p.trips)-1].store
+}
+
+func (w *world) held(id string) bool { p := w.jobs[id]; return p.final == 0 && len(p.trips) == 0 }
+
+func ask(id, profile string) Job {
+	return Job{ID: id, Profile: profile, Customer: "c", Group: 9, Left: 10000, WriteAge: -1}
+}
+
+func TestOrdinaryPath(t *testing.T) {
+	w := three(t, testCharter())
+	w.hear(3, w.now-20, Replica)
+	w.take(ask("write", "once"))
+	w.take(ask("fresh", "fresh"))
+	if w.at(t, "write") != 1 || w.at(t, "fresh") != 1 {
+		t.Error("writes and fresh reads go to the primary")
+	}
+	in := ask("fenced", "session")
+	in.WriteAge = 30
+	w.take(in)
+	if got := w.at(t, "fenced"); got != 3 {
+		t.Errorf("fenced read went to %d, only 3 has passed its fence", got)
+	}
+	w.take(ask("least", "session"))
+	if got := w.at(t, "least"); got != 2 {
+		t.Errorf("a read without a fence went to %d, 2 is the least busy replica", got)
+	}
+	w.pass(4000)
+	w.take(ask("old", "bounded"))
+	if got := w.at(t, "old"); got != 1 {
+		t.Errorf("bounded read went to %d while no replica is known within the bound", got)
+	}
+}
+
+func TestFenceRemembered(t *testing.T) {
+	c := testCharter()
+	c.FencesCarried = false
+	w := three(t, c)
+	write := ask("w", "once")
+	write.Session = "s"
+	w.take(write)
+	w.pass(100)
+	w.back("w", 0, Return{Note: Report{Position: w.now - 20, Role: Primary}})
+	read := ask("r", "session")
+	read.Session = "s"
+	w.take(read)
+	if !w.held("r") {
+		t.Fatal("no replica has passed the fence, yet one was read")
+	}
+	w.hear(2, w.now-10, Replica)
+	if got := w.at(t, "r"); got != 2 {
+		t.Errorf("read went to %d, 2 has just passed the fence", got)
+	}
+}
+
+// A place was freed twice when a job was given up from within its own return.
+func TestPlaceFreedOnce(t *testing.T) {
+	w := three(t, testCharter())
+	w.take(ask("w", "once"))
+	w.back("w", 0, Return{Ending: Faulted})
+	if w.jobs["w"].final != 1 {
+		t.Fatal("an at-most-once job that may have run must be written off at once")
+	}
+	w.take(ask("x", "any"))
+	w.take(ask("y", "any"))
+	w.pass(11000)
+}
+
+// A store that turns all away at once looked the least busy and drew every job.
+func TestFastRefusals(t *testing.T) {
+	w := three(t, testCharter())
+	drawn := 0
+	for n := range 200 {
+		w.hear(2, w.now-50, Replica)
+		w.hear(3, w.now-50, Replica)
+		id := fmt.Sprint("j", n)
+		w.take(ask(id, "any"))
+		if !w.held(id) && w.at(t, id) == 2 {
+			drawn++
+			w.back(id, 0, Return{Ending: Crowded})
+		}
+		if w.jobs[id].final == 0 && w.at(t, id) == 3 {
+			w.pass(20)
+			w.back(id, len(w.jobs[id].trips)-1, Return{Note: Report{Position: w.now - 50, Role: Replica}})
+		}
+	}
+	if drawn == 0 || drawn > 10 {
+		t.Errorf("the refusing store drew %d of 200 jobs", drawn)
+	}
+}
+
+// A draining primary turned writes away as a replica while its reads still claimed the role.
+func TestDeniedPrimaryProvesItself(t *testing.T) {
+	w := three(t, testCharter())
+	w.take(ask("w1", "once"))
+	w.take(ask("r1", "fresh"))
+	w.back("w1", 0, Return{Ending: Behind, Note: Report{Position: w.now, Role: Replica}})
+	w.pass(100)
+	w.back("r1", 0, Return{Note: Report{Position: w.now, Role: Primary}})
+	w.take(ask("r2", "fresh"))
+	if !w.held("r2") {
+		t.Fatal("a fresh read relied on a denied role")
+	}
+	for range 8 {
+		w.pass(500)
+		w.hear(1, w.now, Primary)
+		if p := w.jobs["w1"]; len(p.trips) > 1 {
+			w.back("w1", 1, Return{Note: Report{Position: w.now, Role: Primary}})
+			break
+		}
+	}
+	if w.held("r2") {
+		t.Error("the role was not believed after a write was taken")
+	}
+}
+
+func TestProbesKeepToTheirPrice(t *testing.T) {
+	w := three(t, testCharter())
+	w.pass(20 * second)
+	if n := len(w.probes); n == 0 || n > 3*30*20 {
+		t.Errorf("%d probes in 20 s without a job", n)
+	}
+	w.b.Told(w.now, []byte{1, 2, 3})
+	w.b.Told(w.now, []byte{2, 0, 0, 0, 2, 255, 255, 255, 255, 255, 255, 127})
+	if w.b.members[1].position > w.now {
+		t.Error("a position from a time to come was believed")
+	}
+}
+
+func TestWatchIsRenewed(t *testing.T) {
+	c := testCharter()
+	c.ListPushed = false
+	w := three(t, c)
+	w.pass(c.AskWithin / 8)
+	if w.watches != 1 {
+		t.Fatalf("%d calls for a watch at the start", w.watches)
+	}
+	w.b.List(w.now, ListFailed, nil)
+	w.pass(c.AskWithin / 4)
+	if w.watches != 2 {
+		t.Errorf("%d calls after one failed", w.watches)
+	}
+}
+
+func TestCharterRefused(t *testing.T) {
+	if _, err := New(0, Charter{}, &world{t: t}); err == nil || !strings.Contains(err.Error(), "profiles") {
+		t.Errorf("no profiles: %v", err)
+	}
+	c := testCharter()
+	c.Profiles[1].Bound = -1
+	if _, err := New(0, c, &world{t: t}); err == nil || !strings.Contains(err.Error(), "bounded") {
+		t.Errorf("negative bound: %v", err)
+	}
+}
+
+func TestOrdinaryPathAllocatesNothing(t *testing.T) {
+	w := three(t, testCharter())
+	f := &still{}
+	w.b.front = f
+	in := ask("j", "any")
+	note := Return{Done: true, Note: Report{Position: w.now, Role: Replica}}
+	if n := testing.AllocsPerRun(1000, func() {
+		if err := w.b.Take(w.now, in); err != nil {
+			t.Fatal(err)
+		}
+		w.b.Returned(w.now, "j", 0, f.store, note)
+	}); n != 0 {
+		t.Errorf("a job in, a trip out and an answer in allocate %v times", n)
+	}
+}
+
+// still is a front that only remembers where the last trip went.
+type still struct {
+	*world
+	store uint32
+}
+
+func (s *still) Send(id string, store uint32, until Time) { s.store = store }
+
+// drive plays a generated day and returns what was done.
+func drive(t testing.TB, seed uint64, shape uint8) []string {
+	r := rand.New(rand.NewPCG(seed, uint64(shape)))
+	c := testCharter()
+	c.FencesCarried = shape&1 == 0
+	c.ListPushed = shape&2 == 0
+	c.Checks = shape&4 != 0
+	c.MayCopy = shape&8 != 0
+	c.MayTell, c.Fronts = shape&16 != 0, 1+int(shape&16)/8
+	c.Seed = seed
+	w := newWorld(t, c)
+	condition := func() Condition {
+		if r.IntN(3) > 0 {
+			return Ready
+		}
+		return Condition(r.IntN(3))
+	}
+	member := func(i int) Member {
+		m := Member{Store: uint32(100 + i), Group: uint64(i % 2), Zone: "a", Condition: condition(),
+			Primary: r.IntN(4) == 0, Size: 1 + float64(i%3)}
+		if r.IntN(4) == 0 {
+			m.Started = w.now - Time(r.IntN(120000))
+		}
+		return m
+	}
+	whole := func(news ListNews) {
+		var all []Member
+		for i := range 8 {
+			if r.IntN(8) > 0 {
+				all = append(all, member(i))
+			}
+		}
+		w.list(news, all...)
+	}
+	whole(ListCached)
+	report := func() Report {
+		return Report{Position: w.now - Time(r.IntN(6000)), Role: Role(r.IntN(3))}
+	}
+	for n := range 1500 {
+		switch k := r.IntN(20); {
+		case k < 6:
+			in := ask(fmt.Sprint("j", n), c.Profiles[r.IntN(len(c.Profiles))].Name)
+			in.Group, in.Session, in.Left = uint64(r.IntN(2)), fmt.Sprint("s", r.IntN(9)), Time(r.IntN(12000))
+			if r.IntN(2) == 0 {
+				in.WriteAge = Time(r.IntN(8000))
+			}
+			w.take(in)
+		case k < 13:
+			if id, i, ok := w.out(r); ok {
+				ending := Delivered
+				if r.IntN(3) == 0 {
+					ending = Ending(r.IntN(int(Recalled) + 1))
+				}
+				back := Return{Ending: ending}
+				if ending <= Crowded || ending == Faulted { // only a store's own answer bears a note
+					back.Note = report()
+				}
+				w.back(id, i, back)
+				if r.IntN(9) == 0 { // a repeated result changes nothing
+					w.b.Returned(w.now, id, i, w.jobs[id].trips[i].store, Return{Ending: Faulted})
+				}
+			}
+		case k < 15 && len(w.ids) > 0:
+			w.hear(w.ids[r.IntN(len(w.ids))], w.now-Time(r.IntN(4000)), Role(r.IntN(3)))
+		case k == 15 && r.IntN(4) == 0:
+			whole(ListWhole)
+		case k == 15:
+			w.list(ListChanges, member(r.IntN(9)))
+		case k == 16 && len(w.order) > 0:
+			if p := w.jobs[w.order[r.IntN(len(w.order))]]; p.final == 0 {
+				p.final, p.ended = 1, w.now
+				w.alive--
+				w.b.Left(w.now, p.in.ID)
+			}
+		case k == 17 && r.IntN(10) == 0:
+			w.pass(Time(r.IntN(60000)))
+		case k == 18:
+			w.b.List(w.now, ListFailed, nil)
+		default:
+			w.pass(Time(r.IntN(400)))
+		}
+	}
+	w.pass(40000)
+	return w.log
+}
+
+func FuzzRules(f *testing.F) {
+	for seed := range uint64(32) {
+		f.Add(seed, uint8(seed))
+	}
+	f.Fuzz(func(t *testing.T, seed uint64, shape uint8) { drive(t, seed, shape) })
+}
+
+func TestSameEventsSameActions(t *testing.T) {
+	a, b := drive(t, 5, 0), drive(t, 5, 0)
+	if strings.Join(a, "\n") != strings.Join(b, "\n") {
+		t.Error("the same events gave other actions")
+	}
+}
--- /dev/null
+++ b/balance/helper_test.go
@@ -0,0 +1,308 @@
+package balance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+)
+
+// past is what the plain model knows of one job.
+type past struct {
+	in      Job
+	profile Profile
+	came    Time
+	fence   Time
+	trips   []*sending
+	final   int
+	ended   Time
+}
+
+type sending struct {
+	store  uint32
+	sent   Time
+	out    bool
+	mayRan bool
+}
+
+// known is what a front has been told of one store.
+type known struct {
+	open            bool
+	group           uint64
+	position        Time
+	claimed, denied Time
+	wroteSince      bool
+	started         Time
+	size            float64
+	sends           []Time
+}
+
+// world is a Front that keeps a slow, plain model of the rules and holds every action against it.
+type world struct {
+	t       testing.TB
+	charter Charter
+	b       *Balancer
+	now     Time
+	jobs    map[string]*past
+	order   []string
+	stores  map[uint32]*known
+	ids     []uint32
+	fences  map[string]Time
+	probes  []uint32
+	watches int
+	wake    Time
+	log     []string
+	quiet   bool // keep no log: the allocation test
+	alive   int
+	peak    float64 // most trips that a warm store was sent in a span, for its size
+}
+
+func testCharter() Charter {
+	return Charter{Seed: 7, Fronts: 1, Zone: "a", Round: 50, FencesCarried: true, ListPushed: true, AskWithin: 100000,
+		AnswerSlack: 200, StartShare: 0.2, Cold: 100000, FallMultiple: 3, FallSpan: 15000, MostTrips: 6, MayProbe: true,
+		MayCancel: true, ProbePrice: 0.01, OverShare: 0.2, Customers: []Customer{{Name: "c", Quota: 500}},
+		Profiles: []Profile{
+			{Name: "any", Need: Any, ExpectedTime: 3000, OuterLimit: 12000, Credit: 1},
+			{Name: "bounded", Need: Bounded, Bound: 3000, ExpectedTime: 4000, OuterLimit: 15000, Credit: 2},
+			{Name: "session", Need: Session, ExpectedTime: 3000, OuterLimit: 10000, Credit: 1, LateCredit: 0.2},
+			{Name: "fresh", Need: Fresh, ExpectedTime: 6000, OuterLimit: 20000, Credit: 1},
+			{Name: "once", Need: Write, Repeat: AtMostOnce, ExpectedTime: 6000, OuterLimit: 30000, Credit: 4},
+			{Name: "marked", Need: Write, Repeat: Numbered, Window: 9000, ExpectedTime: 6000, OuterLimit: 30000, Credit: 4,
+				LateCredit: 0.5},
+		}}
+}
+
+func newWorld(t testing.TB, c Charter) *world {
+	w := &world{t: t, charter: c, now: 1000000, jobs: map[string]*past{}, stores: map[uint32]*known{},
+		fences: map[string]Time{}}
+	b, err := New(w.now, c, w)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.b = b
+	return w
+}
+
+func (w *world) note(format string, args ...any) {
+	if !w.quiet {
+		w.log = append(w.log, fmt.Sprintf("%d ", w.now)+fmt.Sprintf(format, args...))
+	}
+}
+
+func (w *world) broken(rule, format string, args ...any) {
+	w.t.Helper()
+	w.t.Fatalf("%s: %s\n%s", rule, fmt.Sprintf(format, args...), strings.Join(w.log[max(0, len(w.log)-300):], "\n"))
+}
+
+// list hands out a list and keeps what it says.
+func (w *world) list(news ListNews, members ...Member) {
+	w.note("list %d %v", news, members)
+	if news == ListWhole || news == ListCached {
+		for _, k := range w.stores {
+			k.open = false
+		}
+	}
+	for _, m := range members {
+		k := w.stores[m.Store]
+		if k == nil {
+			k = &known{group: m.Group}
+			w.stores[m.Store] = k
+			w.ids = append(w.ids, m.Store)
+		}
+		k.open, k.size = m.Condition == Ready, m.Size
+		if m.Primary && k.claimed == 0 {
+			k.claimed = w.now
+		}
+		if m.Started > k.started && w.now-m.Started < w.charter.Cold {
+			k.started = m.Started
+		}
+	}
+	w.b.List(w.now, news, members)
+}
+
+func (w *world) take(in Job) *past {
+	p := &past{in: in, came: w.now}
+	for _, q := range w.charter.Profiles {
+		if q.Name == in.Profile {
+			p.profile = q
+		}
+	}
+	if w.charter.FencesCarried {
+		if in.WriteAge >= 0 {
+			p.fence = w.now - in.WriteAge
+		}
+	} else {
+		p.fence = w.fences[in.Session]
+	}
+	w.jobs[in.ID] = p
+	w.order = append(w.order, in.ID)
+	w.alive++
+	w.note("take %+v", in)
+	if err := w.b.Take(w.now, in); err != nil {
+		w.t.Fatal(err)
+	}
+	return p
+}
+
+// believe keeps what a store has shown of itself.
+func (w *world) believe(k *known, r Report, answer bool) {
+	if r.Role == RoleUnknown {
+		return
+	}
+	k.position = max(k.position, r.Position)
+	if r.Role == Primary {
+		k.claimed = max(k.claimed, w.now)
+	} else if answer {
+		k.denied, k.wroteSince = w.now, false
+	}
+}
+
+// back returns a trip.
+func (w *world) back(id string, n int, r Return) {
+	p := w.jobs[id]
+	s := p.trips[n]
+	k := w.stores[s.store]
+	s.out, s.mayRan = false, !r.Ending.NeverRan()
+	if r.Ending == Delivered && p.final == 0 {
+		p.final++
+		p.ended = w.now
+		w.alive--
+		r.Done = true
+		if p.profile.Need == Write {
+			w.fences[p.in.Session] = max(w.fences[p.in.Session], r.Note.Position)
+		}
+	}
+	r.Done = r.Done || p.final > 0
+	w.believe(k, r.Note, true)
+	if r.Ending == Delivered && p.profile.Need == Write {
+		k.wroteSince = true
+	}
+	w.note("back %s %d %+v", id, n, r)
+	w.b.Returned(w.now, id, n, s.store, r)
+}
+
+// pass lets time go by, with a beat whenever one is due.
+func (w *world) pass(span Time) {
+	for end := w.now + span; w.now < end; {
+		w.now = min(end, max(w.now+1, w.wake))
+		if w.now >= w.wake {
+			w.b.Beat(w.now)
+		}
+		w.overdue()
+	}
+}
+
+// overdue holds rule 1 against every job at hand.
+func (w *world) overdue() {
+	if w.alive == 0 {
+		return
+	}
+	for _, id := range w.order {
+		if p := w.jobs[id]; p.final == 0 && w.now > p.came+p.in.Left+w.charter.AnswerSlack {
+			w.broken("lost", "job %s has no final answer", id)
+		}
+	}
+}
+
+func (w *world) Send(id string, store uint32, until Time) {
+	p, k := w.jobs[id], w.stores[store]
+	w.note("send %s to %d", id, store)
+	if p == nil || p.final > 0 {
+		w.broken("lost", "trip for job %s after its end", id)
+	}
+	if k == nil || !k.open || k.group != p.in.Group {
+		w.broken("drain", "trip of %s to store %d", id, store)
+	}
+	for _, s := range p.trips {
+		if s.out && !w.charter.MayCopy {
+			w.broken("twice", "two trips of %s at once", id)
+		}
+		if may := s.out || s.mayRan; may && (p.profile.Repeat == AtMostOnce ||
+			p.profile.Repeat == Numbered && w.now > s.sent+p.profile.Window) {
+			w.broken("twice", "a further trip of %s", id)
+		}
+	}
+	need := Time(0)
+	switch p.profile.Need {
+	case Bounded:
+		need = w.now - p.profile.Bound
+	case Session:
+		need = p.fence
+	case Fresh:
+		need = never
+	}
+	role := k.claimed > 0 && (k.denied == 0 || k.wroteSince || k.claimed > k.denied+2*second)
+	if p.profile.Need != Write && k.position < need && !role && !w.charter.Checks {
+		w.broken("stale", "%s needs %d, store %d shows %d", id, need, store, k.position)
+	}
+	if k.started > 0 && w.now-k.started < w.charter.Cold {
+		w.cold(store, k)
+		k.sends = append(k.sends, w.now)
+	} else {
+		k.sends = append(k.sends, w.now)
+		w.peak = max(w.peak, w.recent(k)/k.size)
+	}
+	p.trips = append(p.trips, &sending{store: store, sent: w.now, out: true})
+}
+
+// cold holds the sends to a cold store against the most that a warm one was ever sent in such a span, for its size.
+func (w *world) cold(store uint32, k *known) {
+	part := w.charter.StartShare + (1-w.charter.StartShare)*float64(w.now-k.started)/float64(w.charter.Cold)
+	if n := w.recent(k); n > 10+w.charter.FallMultiple*part*w.peak*k.size {
+		w.broken("cold", "store %d was sent %v, its busiest warm peer %v", store, n, w.peak)
+	}
+}
+
+func (w *world) recent(k *known) (n float64) {
+	for _, t := range k.sends {
+		if t > w.now-w.charter.FallSpan {
+			n++
+		}
+	}
+	return n
+}
+
+func (w *world) final(id string) *past {
+	p := w.jobs[id]
+	if p == nil || p.final > 0 {
+		w.broken("lost", "second final answer for %s", id)
+	}
+	p.final++
+	p.ended = w.now
+	w.alive--
+	return p
+}
+
+func (w *world) TurnBack(id string, pause Time) {
+	w.note("turn back %s", id)
+	p := w.final(id)
+	for _, s := range p.trips {
+		if (s.out || s.mayRan) && p.profile.Repeat != Reissuable && !p.profile.Anywhere {
+			w.broken("twice", "%s is turned back but may have run", id)
+		}
+	}
+}
+
+func (w *world) WriteOff(id string)         { w.note("write off %s", id); w.final(id) }
+func (w *world) Cancel(id string, trip int) { w.note("cancel %s %d", id, trip) }
+func (w *world) Probe(store uint32)         { w.note("probe %d", store); w.probes = append(w.probes, store) }
+func (w *world) Wake(after Time)            { w.wake = w.now + after }
+func (w *world) Watch()                     { w.note("watch"); w.watches++ }
+func (w *world) Tell(data []byte)           { w.note("tell %x", data) }
+func (w *world) Log(text string)            { w.note("log %s", text) }
+
+// out names a trip that is under way.
+func (w *world) out(r *rand.Rand) (string, int, bool) {
+	for range 20 {
+		if len(w.order) == 0 {
+			break
+		}
+		id := w.order[len(w.order)-1-r.IntN(min(len(w.order), 40))]
+		for n, s := range w.jobs[id].trips {
+			if s.out {
+				return id, n, true
+			}
+		}
+	}
+	return "", 0, false
+}
