Fold code; give up held jobs whose repeats are no longer dropped; positions told as sightings

A numbered job that may have run could wait in the front past its window and be sent again on release; release now asks the rule again. Reading and writing of messages among fronts moved to the adapter.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -1,8 +1,8 @@
 // Package balance holds every decision of the router, for one front.
 //
-// How it is called: New is handed the Charter once; List, Take, Returned, Probed, Left, Streams, Told and Beat
-// follow as things happen, one at a time, each with the present moment. The module acts through the Front that
-// New was given. Those types, and what a front can do, are in front.go. Nothing here is shared among fronts.
+// How it is called: New is handed the Charter once; List, Take, Returned, Probed, Left, Streams, Told, Beat
+// follow as things happen, one at a time, each with the present moment. The module acts through the Front
+// that New was given. Those types, and what a front can do, are in front.go. Fronts share nothing.
 //
 // The mechanism is pgpilot's: a session has a fence, the log position of its last write; a read goes to the
 // least busy replica whose known position has passed what the read needs, else to the primary; writes go to
@@ -10,10 +10,10 @@
 package balance
 
 import (
-	"encoding/binary"
 	"errors"
 	"fmt"
-	"sort"
+	"hash/crc32"
+	"slices"
 )
 
 const (
@@ -21,8 +21,6 @@
 	second    = Time(10000)
 	mostTrips = 8 // places for trips in a job
 	fenceBits = 14
-	tellLine  = 12    // bytes of a line in a message
-	tellMost  = 252   // bytes of a message, in whole lines
 	thrift    = 0.005 // part of the result that probes may cost on the ordinary path
 )
 
@@ -38,35 +36,27 @@
 
 // member is what this front believes of one store.
 type member struct {
-	store       uint32
-	group       int32
-	far         bool // reaching it crosses between places, at a price
-	open        bool // the list lets new work go there
-	suspect     bool // its silence is unusual
-	unreached   bool // the last try to connect failed
-	refusals    int  // refusals and failures since the last delivery
-	shut        Time // until then nothing new goes there, for these
-	ramping     bool // the limit has not met its bound yet
-	inFlight    int
-	size        float64
-	started     Time    // of its last start; 0 when warm
-	budget      float64 // while cold: typical time that may still be sent
-	sentAt      Time    // last trip sent
-	position    Time    // the largest it has shown
-	news        Role    // what an answer showed that other fronts have not been told
-	refreshed   Time    // when an answer last told its position
-	primaryAt   Time    // newest moment at which it was surely the primary
-	replicaAt   Time    // newest moment at which it surely was not
-	doubted     Time    // claims from before this moment do not count
-	proven      bool    // it has taken a write since an answer last said that it is a replica
-	scouted     bool    // a write is out to prove it
-	limit       float64 // trips in flight that it takes in good time, learned from its answers
-	strain      float64 // its answer times as a part of the expected time
-	pace        float64 // its answer times against those of its peers
-	eased       Time    // when the limit was last cut
-	probed      Time    // when it was last probed
-	asked       Time    // oldest probe without a sign of life since; 0: none
-	reply, vary float64 // mean and spread of the gaps between a probe and the sign of life after it
+	store                uint32
+	group                int32
+	far                  bool // reaching it crosses between places, at a price
+	open                 bool // the list lets new work go there
+	suspect, unreached   bool // its silence is unusual; the last try to connect failed
+	proven, scouted      bool // its role as primary may be relied on; a write is out to prove it
+	refusals             int  // refusals and failures since the last delivery
+	shut                 Time // until then nothing new goes there, for these
+	inFlight             int
+	limit                float64 // trips in flight that it takes in good time, learned from its answers
+	ramping              bool    // the limit has not met its bound yet
+	eased                Time    // when the limit was last cut
+	strain, pace         float64 // its answer times against expected times, and against its peers'
+	size, budget         float64 // listed; typical time that may still be sent while it is cold
+	started, sentAt      Time    // of its last start, 0 when warm; last trip sent
+	position, refreshed  Time    // the largest it has shown, and when an answer last showed one
+	news                 Role    // what an answer showed that other fronts have not been told
+	primaryAt, replicaAt Time    // newest moments at which it surely was, and surely was not, the primary
+	doubted              Time    // claims from before this moment do not count
+	probed, asked        Time    // last probe; oldest without a sign of life since, 0: none
+	reply, vary          float64 // mean and spread of the gaps between a probe and the sign of life after it
 }
 
 // group is one primary and its replicas.
@@ -88,23 +78,21 @@
 
 // job is a place in the slab.
 type job struct {
-	id        string
-	profile   int32
-	group     int32
-	slot      int32 // of its session's fence; -1: none
-	fence     Time
-	rank      float64 // credit for the work, as it came in
-	came      Time
-	wanted    Time // its expected time is up
-	limit     Time // the client's time is up
-	trips     [mostTrips]trip
-	sent, out int
-	further   int // trips that came back without proof that they never ran
-	ranAt     Time
-	ended     bool
-	held      bool
-	streams   bool
-	next      step
+	id          string
+	profile     int32
+	group       int32
+	slot        int32 // of its session's fence; -1: none
+	fence       Time
+	rank        float64 // credit for the work, as it came in
+	came        Time
+	wanted      Time // its expected time is up
+	limit       Time // the client's time is up
+	trips       [mostTrips]trip
+	sent, out   int
+	further     int // trips that came back without proof that they never ran
+	ranAt       Time
+	ended, held bool
+	next        step
 }
 
 // Balancer decides for one front.
@@ -116,9 +104,9 @@
 	overShare               float64 // credit past a customer's share, as a part of the usual
 	checks, carried, pushed bool    // see Charter
 	onlyDrains, priced      bool
+	tellMost                int // positions in a message; 0: there are none
 	tellAt                  Time
-	letter                  [tellMost]byte
-	mayTell                 bool
+	letter                  []Sighting
 	mayProbe, mayCancel     bool
 	mostTrips               int
 	mostPause               Time
@@ -155,8 +143,7 @@
 		checks: c.Checks, carried: c.FencesCarried, pushed: c.ListPushed, askWithin: c.AskWithin,
 		onlyDrains: c.OnlyDraining, startShare: c.StartShare, cold: c.Cold, coldPart: c.FallMultiple / 2,
 		span: c.FallSpan, mostTrips: min(max(c.MostTrips, 1), mostTrips), mayProbe: c.MayProbe,
-		mayTell:   c.MayTell && c.Fronts > 1,
-		mayCancel: c.MayCancel, priced: c.CrossPrice > 0, tightest: never, quickest: never,
+		tellMost: c.TellMost, mayCancel: c.MayCancel, priced: c.CrossPrice > 0, tightest: never, quickest: never,
 		profileOf: map[string]int32{}, custOf: map[string]int32{}, memberOf: map[uint32]int32{},
 		groupOf: map[uint64]int32{}, jobOf: map[string]int32{}, fences: make([]Time, 1<<fenceBits),
 		crowded: -never, watchAt: never}
@@ -218,9 +205,7 @@
 	for i := range list {
 		b.entry(&list[i])
 	}
-	for g := range b.groups {
-		b.release(int32(g))
-	}
+	b.releaseAll()
 }
 
 // groupAt gives the index of a group.
@@ -303,32 +288,34 @@
 
 // primary gives the group's primary if work may go there, else -1.
 func (b *Balancer) primary(g *group) int32 {
-	if p := g.primary; p >= 0 && b.members[p].open && !b.members[p].suspect && b.now >= b.members[p].shut {
+	if p := g.primary; p >= 0 && b.usable(&b.members[p]) && !b.members[p].suspect {
 		return p
 	}
 	return -1
 }
 
-// shun stays away from a member that refuses or fails, longer each time.
+// usable tells whether new work may go to the member.
+func (b *Balancer) usable(m *member) bool {
+	return m.open && b.now >= m.shut && (!m.suspect || b.groups[m.group].blind)
+}
+
+// shun tells until when to stay away from a member that refuses or fails: longer each time.
 // Danger: a store that fails at once looks the least busy of all and draws every job. This holds for full and
 // broken stores, and for drains of which the list does not tell yet; a single error costs two beats.
-func (b *Balancer) shun(m *member) {
+func (b *Balancer) shun(m *member) Time {
 	m.refusals = min(m.refusals+1, 8)
-	m.shut = b.now + min(b.beat<<m.refusals, b.quickest)
+	return b.now + min(b.beat<<m.refusals, b.quickest)
 }
 
 // alive takes a sign of life.
 func (b *Balancer) alive(i int32) {
 	m := &b.members[i]
-	if m.asked > 0 {
-		gap := float64(b.now - m.asked)
-		if !m.suspect {
-			off := gap - m.reply
-			m.reply += off / 16
-			m.vary += (max(off, -off) - m.vary) / 16
-		}
-		m.asked = 0
+	if m.asked > 0 && !m.suspect {
+		off := float64(b.now-m.asked) - m.reply
+		m.reply += off / 16
+		m.vary += (max(off, -off) - m.vary) / 16
 	}
+	m.asked = 0
 	if m.unreached {
 		// A store that could not be reached may have started anew unannounced, and is then cold.
 		m.unreached, m.started = false, b.now
@@ -373,13 +360,8 @@
 	if !ok {
 		return
 	}
-	if r.Ending != Delivered && r.Ending != Crowded {
-		m := &b.members[i]
-		m.unreached = m.unreached || r.Ending == Unreached
-		if m.open && !m.suspect {
-			m.suspect = true
-			b.front.Log(fmt.Sprintf("store %d is suspected: a probe failed", store))
-		}
+	if m := &b.members[i]; r.Ending != Delivered && r.Ending != Crowded {
+		m.unreached, m.suspect = m.unreached || r.Ending == Unreached, true
 		return
 	}
 	b.alive(i)
@@ -387,40 +369,32 @@
 	b.release(b.members[i].group)
 }
 
-// tell passes on to the other fronts what answers have shown since the last time. A line is a store's number,
-// its position and its role, in twelve bytes.
+// tell passes on to the other fronts what answers have shown since the last time.
 func (b *Balancer) tell() {
-	if !b.mayTell || b.now < b.tellAt {
+	if b.tellMost == 0 || b.now < b.tellAt {
 		return
 	}
-	b.tellAt = b.now + b.probeEvery/3
-	data := b.letter[:0]
+	b.tellAt, b.letter = b.now+b.probeEvery/3, b.letter[:0]
 	for i := range b.members {
-		m := &b.members[i]
-		if m.news == RoleUnknown || len(data)+tellLine > cap(data) {
-			continue
+		if m := &b.members[i]; m.news != RoleUnknown && len(b.letter) < b.tellMost {
+			b.letter = append(b.letter, Sighting{m.store, Report{m.position, m.news}})
+			m.news = RoleUnknown
 		}
-		data = binary.LittleEndian.AppendUint32(data, m.store)
-		data = binary.LittleEndian.AppendUint64(data, uint64(m.position)<<8|uint64(m.news))
-		m.news = RoleUnknown
 	}
-	if len(data) > 0 {
-		b.front.Tell(data)
+	if len(b.letter) > 0 {
+		b.front.Tell(b.letter)
 	}
 }
 
 // Told takes a message from another front. Nothing depends on its coming: a position holds whoever saw it.
-func (b *Balancer) Told(now Time, data []byte) {
+func (b *Balancer) Told(now Time, seen []Sighting) {
 	b.now = now
-	for ; len(data) >= tellLine; data = data[tellLine:] {
-		i, ok := b.memberOf[binary.LittleEndian.Uint32(data)]
-		if !ok {
-			continue
+	for _, s := range seen {
+		if i, ok := b.memberOf[s.Store]; ok {
+			b.learn(i, s.Report, 0)
+			b.members[i].refreshed = max(b.members[i].refreshed, now-b.beat)
+			b.release(b.members[i].group)
 		}
-		v := binary.LittleEndian.Uint64(data[4:])
-		b.learn(i, Report{Position: Time(v >> 8), Role: Role(v & 3)}, 0)
-		b.members[i].refreshed = max(b.members[i].refreshed, b.now-b.beat)
-		b.release(b.members[i].group)
 	}
 }
 
@@ -440,11 +414,10 @@
 // refill gives a cold member its part of what warm ones of like size are sent.
 // Danger: all fronts together push a cold store over. Each keeps to the same part of its own traffic.
 func (b *Balancer) refill(m *member) {
-	if m.started == 0 {
-		return
+	if m.started > 0 {
+		rate := b.flow * m.size * b.warmth(m) * b.coldPart
+		m.budget = min(m.budget+rate*float64(b.beat), rate*float64(b.span)/2)
 	}
-	rate := b.flow * m.size * b.warmth(m) * b.coldPart
-	m.budget = min(m.budget+rate*float64(b.beat), rate*float64(b.span)/2)
 }
 
 // room tells whether the member takes one more trip in good time; part leaves the rest to worthier work.
@@ -467,44 +440,31 @@
 	return v
 }
 
-// need is the position that a read needs at this moment.
-func (b *Balancer) need(j *job) Time {
-	switch p := &b.profiles[j.profile]; p.Need {
-	case Bounded:
-		return b.now - p.Bound
-	case Session:
-		return j.fence
-	}
-	return 0
-}
-
 // choose gives the member for the job's next trip, or -1 if it has to wait.
 func (b *Balancer) choose(j *job) int32 {
 	g, p := &b.groups[j.group], &b.profiles[j.profile]
 	primary := b.primary(g)
 	if p.Need >= Fresh {
-		if primary < 0 {
+		switch {
+		case primary < 0:
 			return -1
-		}
-		m := &b.members[primary]
-		if !m.proven {
-			if p.Need == Write && !m.scouted {
-				return primary // one write goes ahead; the rest follow once it is taken
-			}
-			return -1
-		}
-		if b.room(m, 1) {
+		case !b.members[primary].proven && (p.Need != Write || b.members[primary].scouted):
+			return -1 // one write goes ahead; the rest follow once it is taken
+		case b.room(&b.members[primary], 1):
 			return primary
 		}
 		b.crowded = b.now
 		return -1
 	}
-	need := b.need(j)
+	need := j.fence
+	if p.Need == Bounded {
+		need = b.now - p.Bound
+	}
 	best, ahead, full := int32(-1), int32(-1), false
 	var least float64
 	for _, i := range g.members {
 		m := &b.members[i]
-		if i == g.primary && m.proven || !m.open || m.suspect && !g.blind || b.now < m.shut {
+		if i == g.primary && m.proven || !b.usable(m) {
 			continue
 		}
 		if ahead < 0 || m.position > b.members[ahead].position {
@@ -568,7 +528,7 @@
 		j.wanted -= max(pr.OuterLimit-in.Left, 0)
 	}
 	if in.Session != "" && !b.carried {
-		j.slot = int32(hash(in.Session) >> (64 - fenceBits))
+		j.slot = int32(crc32.ChecksumIEEE([]byte(in.Session)) >> (32 - fenceBits))
 	}
 	if pr.Need == Session {
 		if b.carried && in.WriteAge >= 0 {
@@ -589,15 +549,6 @@
 	return nil
 }
 
-// hash is FNV-1a with a last mixing, since its top bits choose the place of a fence.
-func hash(s string) uint64 {
-	h := uint64(14695981039346656037)
-	for i := 0; i < len(s); i++ {
-		h = (h ^ uint64(s[i])) * 1099511628211
-	}
-	return (h ^ h>>32) * 0x9e3779b97f4a7c15
-}
-
 // place sends the job on its next trip or holds it.
 func (b *Balancer) place(i int32) {
 	j := &b.jobs[i]
@@ -607,10 +558,11 @@
 	}
 	j.held = true
 	g := &b.groups[j.group]
-	at := sort.Search(len(g.held), func(k int) bool { return b.jobs[g.held[k]].rank < j.rank })
-	g.held = append(g.held, 0)
-	copy(g.held[at+1:], g.held[at:])
-	g.held[at] = i
+	at := slices.IndexFunc(g.held, func(k int32) bool { return b.jobs[k].rank < j.rank })
+	if at < 0 {
+		at = len(g.held)
+	}
+	g.held = slices.Insert(g.held, at, i)
 }
 
 // release sends the held jobs that can go by now.
@@ -622,6 +574,10 @@
 		if !j.held || j.group != gi {
 			continue // it went or ended meanwhile
 		}
+		if !b.mayRepeat(j) { // Danger: what may have run must not wait here past the time of its repeats.
+			b.giveUp(i)
+			continue
+		}
 		if m := b.choose(j); m >= 0 {
 			j.held = false
 			b.send(i, m)
@@ -633,6 +589,12 @@
 	g.held = g.held[:keep]
 }
 
+func (b *Balancer) releaseAll() {
+	for g := range b.groups {
+		b.release(int32(g))
+	}
+}
+
 func (b *Balancer) send(i, mi int32) {
 	j, m := &b.jobs[i], &b.members[mi]
 	p := &b.profiles[j.profile]
@@ -677,16 +639,15 @@
 	j.out--
 	gi := j.group
 	b.grade(j, t, r)
-	if r.Done && !j.ended {
-		j.held, j.ended = false, true
-	}
-	if !j.ended {
-		if !r.Ending.NeverRan() {
-			j.further++
-			if j.ranAt == 0 {
-				j.ranAt = t.sent
-			}
+	if !r.Ending.NeverRan() {
+		j.further++
+		if j.ranAt == 0 {
+			j.ranAt = t.sent
 		}
+	}
+	if r.Done {
+		j.held, j.ended = false, true
+	} else if !j.ended {
 		j.next(b, i, r)
 	}
 	b.recycle(i)
@@ -708,38 +669,33 @@
 	m.inFlight--
 	took := b.now - t.sent
 	m.scouted = m.scouted && p.Need != Write
-	switch r.Ending {
-	case Delivered, Behind, Crowded, Faulted:
+	if r.Ending <= Crowded || r.Ending == Faulted { // the store itself has answered
 		b.alive(t.member)
-		if p.Need == Write && r.Ending != Delivered && r.Note.Role == Replica {
-			// Danger: a draining primary turns writes away as a replica while its other answers still claim
-			// the role, so a claim must be newer each time; and until it takes a write, no read relies on it.
-			m.refusals = min(m.refusals+1, 8)
-			m.doubted = b.now + min(b.beat<<m.refusals, b.quickest)
-		}
-		m.proven = m.proven && r.Note.Role != Replica || p.Need == Write && r.Ending == Delivered
 		note := r.Note
 		if p.Need == Write {
 			note.Position -= second / 1000 // a commit is told rounded up, a position must not be
 		}
+		m.proven = m.proven && note.Role != Replica || p.Need == Write && r.Ending == Delivered
 		b.learn(t.member, note, b.now)
+		b.learn(t.member, r.Load, 0)
 		if r.Note.Position > 0 {
 			m.refreshed, m.news = b.now, r.Note.Role
 		}
-		b.learn(t.member, r.Load, 0)
-	case Unreached:
-		m.unreached, m.suspect = true, true
-	case Severed:
-		m.unreached = true
 	}
-	switch r.Ending {
-	case Crowded:
-		b.crowded = b.now
-		b.shun(m)
-	case Faulted, Unreached, Severed:
-		b.shun(m)
-	case Delivered:
+	switch {
+	case r.Ending == Delivered:
 		m.refusals, m.shut = 0, 0
+	case r.Ending == Behind && p.Need == Write:
+		// Danger: a draining primary turns writes away as a replica while its other answers still claim the
+		// role, so a claim must be newer each time; and until it takes a write, no read relies on it.
+		m.doubted = b.shun(m)
+	case r.Ending == Crowded || r.Ending == Unreached || r.Ending == Faulted || r.Ending == Severed:
+		m.shut = b.shun(m)
+		m.unreached = r.Ending == Unreached || r.Ending == Severed
+		m.suspect = m.suspect || r.Ending == Unreached
+	}
+	if r.Ending == Crowded {
+		b.crowded = b.now
 	}
 	if r.Ending == Delivered {
 		if p.Need == Write && j.slot >= 0 && !j.ended {
@@ -752,17 +708,16 @@
 		return
 	}
 	m.strain += (float64(took)/float64(p.ExpectedTime) - m.strain) / 8
-	if m.strain > 0.18 || r.Ending == Crowded {
+	switch {
+	case m.strain > 0.18 || r.Ending == Crowded:
 		if b.now-m.eased > p.ExpectedTime/2 {
 			m.limit = max(1, min(m.limit, float64(m.inFlight+1))*0.8)
 			m.eased, m.ramping = b.now, false
 		}
-	} else if float64(m.inFlight+1) > m.limit/2 {
-		if m.ramping {
-			m.limit++
-		} else {
-			m.limit += 1 / m.limit
-		}
+	case float64(m.inFlight+1) > m.limit/2 && m.ramping:
+		m.limit++
+	case float64(m.inFlight+1) > m.limit/2:
+		m.limit += 1 / m.limit
 	}
 }
 
@@ -774,26 +729,23 @@
 	}
 	if r.Ending == Unsent || b.now >= j.limit-b.beat || !b.mayRepeat(j) {
 		b.giveUp(i)
-		return
+	} else {
+		b.place(i)
 	}
-	b.place(i)
 }
 
-// mayRepeat tells whether the rules and the house's custom allow another trip.
+// mayRepeat tells whether the rules and the house's custom allow the job one more trip.
 func (b *Balancer) mayRepeat(j *job) bool {
 	p := &b.profiles[j.profile]
-	if j.sent >= b.mostTrips {
+	switch {
+	case j.sent >= b.mostTrips:
 		return false
-	}
-	if j.ranAt == 0 {
+	case j.ranAt == 0:
 		return true // proven never to have run
-	}
-	switch p.Repeat {
-	case AtMostOnce:
+	case p.Repeat == AtMostOnce:
 		return false // Danger: an effect twice.
-	case Numbered:
-		// Danger: past its window a repeat is not dropped. Trips never leave the job's group.
-		return b.mayGoAgain(j) && b.now+b.beat < j.ranAt+p.Window
+	case p.Repeat == Numbered && b.now+b.beat >= j.ranAt+p.Window:
+		return false // Danger: past its window a repeat is not dropped. Trips never leave the job's group.
 	}
 	return b.mayGoAgain(j)
 }
@@ -836,7 +788,7 @@
 func (b *Balancer) Streams(now Time, id string) {
 	b.now = now
 	if i, ok := b.jobOf[id]; ok {
-		b.jobs[i].streams = true
+		b.jobs[i].limit, b.jobs[i].wanted = never, never
 	}
 }
 
@@ -856,23 +808,17 @@
 		q := &b.customers[c]
 		q.bucket = min(q.bucket+q.perTime*float64(b.beat), q.perTime*float64(second))
 	}
-	warm := 0.0
-	for i := range b.members {
-		if m := &b.members[i]; m.open && m.started == 0 {
-			warm += m.size
-		}
-	}
-	if warm > 0 {
-		b.flow += (b.sentWarm/(warm*float64(b.beat)) - b.flow) * float64(b.beat) / float64(max(b.span, b.beat))
-	}
-	b.sentWarm = 0
 	b.tell()
+	warm := 0.0
 	for gi := range b.groups {
 		g := &b.groups[gi]
 		seeking := b.primary(g) < 0
 		g.blind = true
 		for _, i := range g.members {
 			m := &b.members[i]
+			if m.open && m.started == 0 {
+				warm += m.size
+			}
 			b.refill(m)
 			b.doubt(m)
 			b.probe(m, seeking)
@@ -880,14 +826,16 @@
 			g.blind = g.blind && (m.suspect || !m.open)
 		}
 	}
+	if warm > 0 {
+		b.flow += (b.sentWarm/(warm*float64(b.beat)) - b.flow) * float64(b.beat) / float64(max(b.span, b.beat))
+	}
+	b.sentWarm = 0
 	for i := range b.jobs {
-		if b.jobs[i].id != "" && !b.jobs[i].ended && !b.jobs[i].streams {
+		if b.jobs[i].id != "" && !b.jobs[i].ended {
 			b.review(int32(i))
 		}
 	}
-	for g := range b.groups {
-		b.release(int32(g))
-	}
+	b.releaseAll()
 }
 
 // review ends a job whose time is up or can no longer be kept, and calls a trip back from a silent store.
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -155,8 +155,7 @@
 	if n := len(w.probes); n == 0 || n > 3*30*20 {
 		t.Errorf("%d probes in 20 s without a job", n)
 	}
-	w.b.Told(w.now, []byte{1, 2, 3})
-	w.b.Told(w.now, []byte{2, 0, 0, 0, 2, 255, 255, 255, 255, 255, 255, 127})
+	w.b.Told(w.now, []Sighting{{Store: 77}, {2, Report{w.now + second, Replica}}})
 	if w.b.members[1].position > w.now {
 		t.Error("a position from a time to come was believed")
 	}
@@ -192,7 +191,8 @@
 	w := three(t, testCharter())
 	f := &still{}
 	w.b.front = f
-	in := ask("j", "any")
+	in := ask("j", "session")
+	in.Session = strings.Repeat("s", 64)
 	note := Return{Done: true, Note: Report{Position: w.now, Role: Replica}}
 	if n := testing.AllocsPerRun(1000, func() {
 		if err := w.b.Take(w.now, in); err != nil {
@@ -220,7 +220,7 @@
 	c.ListPushed = shape&2 == 0
 	c.Checks = shape&4 != 0
 	c.MayCopy = shape&8 != 0
-	c.MayTell, c.Fronts = shape&16 != 0, 1+int(shape&16)/8
+	c.TellMost, c.Fronts = int(shape&16), 1+int(shape&16)/8
 	c.Seed = seed
 	w := newWorld(t, c)
 	condition := func() Condition {
--- a/balance/front.go
+++ b/balance/front.go
@@ -28,7 +28,7 @@
 	MayProbe      bool
 	MayCancel     bool
 	MayCopy       bool // a second trip may be out beside the first
-	MayTell       bool // messages among fronts
+	TellMost      int  // positions in a message to the other fronts; 0: no messages
 	MayPause      bool // a turn-back may name a time to come back
 	MostPause     Time
 	CrossPrice    float64
@@ -151,6 +151,12 @@
 // NeverRan tells whether the ending proves that nothing was done.
 func (e Ending) NeverRan() bool { return e >= Behind && e <= Unsent }
 
+// Sighting is what one front tells others of a store.
+type Sighting struct {
+	Store uint32
+	Report
+}
+
 // Return is the result of one trip or probe.
 type Return struct {
 	Ending Ending
@@ -168,6 +174,6 @@
 	Probe(store uint32)
 	Wake(after Time)
 	Watch()
-	Tell(data []byte) // to all other fronts
+	Tell(seen []Sighting) // to all other fronts
 	Log(text string)
 }
--- a/internal/simwire/charter.go
+++ b/internal/simwire/charter.go
@@ -56,9 +56,12 @@
 		StartShare: w.Contract.StartCapacity, Cold: w.Contract.Cold / microsPerTime,
 		FallMultiple: w.Contract.FallMultiple, FallSpan: w.Contract.TipAfter / microsPerTime,
 		MostTrips: w.Ceilings.MaxAttempts, MayProbe: w.Ceilings.Probes, MayCancel: w.Ceilings.MayCancel,
-		MayCopy: w.Ceilings.MayDuplicate, MayTell: w.Ceilings.Peers, MayPause: w.Ceilings.RetryAfter,
+		MayCopy: w.Ceilings.MayDuplicate, MayPause: w.Ceilings.RetryAfter,
 		MostPause: w.Ceilings.MaxRetryAfter / microsPerTime, CrossPrice: w.Prices.CrossZone, ProbePrice: w.Prices.Probe,
 	}
+	if w.Ceilings.Peers && c.Fronts > 1 {
+		c.TellMost = letterMost / letterLine
+	}
 	if len(w.Extra.Freshness) != len(w.Profiles) {
 		return c, 0, fmt.Errorf("Extra.Freshness has %d entries for %d Profiles", len(w.Extra.Freshness), len(w.Profiles))
 	}
