Send cold stores three quarters of the allowed multiple

In flight they may now hold twice the part that is surely warm. It may hurt where stores warm at the slowest allowed pace under heavy jobs.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -141,7 +141,7 @@
 	}
 	b := &Balancer{front: f, now: now, mwc: c.Seed ^ 0x9e3779b97f4a7c15, zone: c.Zone, overShare: c.OverShare,
 		checks: c.Checks, carried: c.FencesCarried, pushed: c.ListPushed, askWithin: c.AskWithin,
-		onlyDrains: c.OnlyDraining, startShare: c.StartShare, cold: c.Cold, coldPart: c.FallMultiple / 2,
+		onlyDrains: c.OnlyDraining, startShare: c.StartShare, cold: c.Cold, coldPart: c.FallMultiple * 3 / 4,
 		span: c.FallSpan, mostTrips: min(max(c.MostTrips, 1), mostTrips), mayProbe: c.MayProbe,
 		tellMost: c.TellMost, mayCancel: c.MayCancel, priced: c.CrossPrice > 0, tightest: never, quickest: never,
 		profileOf: map[string]int32{}, custOf: map[string]int32{}, memberOf: map[uint32]int32{},
@@ -428,7 +428,7 @@
 	if m.budget <= 0 { // a trickle keeps it in sight where there is nothing to judge a budget by
 		return m.inFlight == 0 && b.now-m.sentAt > b.span/8
 	}
-	return m.inFlight == 0 || float64(m.inFlight) < m.limit*part*b.warmth(m)
+	return m.inFlight == 0 || float64(m.inFlight) < m.limit*part*min(1, 2*b.warmth(m))
 }
 
 // busy compares members: trips in flight for what the member can do.
