Long jobs that stop the log go to the same replica at every front

Told from lag by positions that stand still for the length of one trip only, and only at members that hold such a job. It should hold for any long job that freezes a member. It may hurt where every replica lags for another reason while such jobs run: they then share one replica for no gain.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -28,6 +28,7 @@
 type profile struct {
 	Profile
 	typical float64 // how long a trip of it takes of late
+	stills  float64 // how often a replica's position stood still while it held one
 	longest Time    // most time that a client's try was seen to have
 }
 
@@ -481,6 +482,11 @@
 		if need == 0 && m.position > b.now-b.tightest {
 			v *= 1.25 // leave the fresh ones to those who need them
 		}
+		if p.stills > 0.5 && 2*p.typical > float64(b.tightest) {
+			// Danger: long jobs that keep a replica from applying the log, spread by the least busy rule, keep all
+			// of them behind every bound. All fronts fill the same one first, so that the others stay fresh.
+			v = float64(m.store)
+		}
 		if best < 0 || v < least || v == least && b.chance(2) == 0 {
 			best, least = i, v
 		}
@@ -701,6 +707,13 @@
 		if p.Need == Write && j.slot >= 0 && !j.ended {
 			b.fences[j.slot] = max(b.fences[j.slot], r.Note.Position)
 		}
+		if p.Need == Any && r.Note.Role == Replica && 2*took > b.tightest {
+			still := 0.0
+			if r.Note.Position < t.sent+took/4 {
+				still = 1
+			}
+			p.stills += (still - p.stills) / 8
+		}
 		p.typical += (float64(took) - p.typical) / 32
 		m.pace += (float64(took)/p.typical - m.pace) / 8
 	}
