--- a/balance/balance.go
+++ b/balance/balance.go
@@ -49,7 +49,7 @@
 	limit                float64 // trips in flight that it takes in good time, learned from its answers
 	ramping              bool    // the limit has not met its bound yet
 	eased                Time    // when the limit was last cut
-	strain, pace         float64 // its answer times against expected times, and against its peers'
+	strain               float64 // its answer times against the expected ones
 	size, budget         float64 // listed; typical time that may still be sent while it is cold
 	started, sentAt      Time    // of its last start, 0 when warm; last trip sent
 	position, refreshed  Time    // the largest it has shown, and when an answer last showed one
@@ -228,7 +228,7 @@
 		i = int32(len(b.members))
 		b.memberOf[e.Store] = i
 		// The first limit is a guess that the first answers raise or cut.
-		b.members = append(b.members, member{store: e.Store, group: g, limit: 8, ramping: true, pace: 1,
+		b.members = append(b.members, member{store: e.Store, group: g, limit: 8, ramping: true,
 			reply: float64(b.beat), vary: float64(b.beat), probed: b.now - b.probeEvery,
 			far: b.priced && e.Zone != b.zone, open: true, size: 1, proven: true})
 		b.groups[g].members = append(b.groups[g].members, i)
@@ -434,7 +434,7 @@
 
 // busy compares members: trips in flight for what the member can do.
 func (b *Balancer) busy(m *member) float64 {
-	v := float64(m.inFlight+1) / (m.size * b.warmth(m)) * max(1, m.pace)
+	v := float64(m.inFlight+1) / (m.size * b.warmth(m))
 	if m.far {
 		v *= 2 // a crossing is paid for, so the own place may be somewhat busier
 	}
@@ -715,7 +715,6 @@
 			p.stills += (still - p.stills) / 8
 		}
 		p.typical += (float64(took) - p.typical) / 32
-		m.pace += (float64(took)/p.typical - m.pace) / 8
 	}
 	if r.Ending != Delivered && r.Ending != Expired && r.Ending != Crowded {
 		return
@@ -835,7 +834,6 @@
 			b.refill(m)
 			b.doubt(m)
 			b.probe(m, seeking)
-			m.pace += (1 - m.pace) * float64(b.beat) / float64(2*second)
 			g.blind = g.blind && (m.suspect || !m.open)
 		}
 	}
