--- a/balance/balance.go
+++ b/balance/balance.go
@@ -47,7 +47,6 @@
 	shut                 Time // until then nothing new goes there, for these
 	inFlight             int
 	limit                float64 // trips in flight that it takes in good time, learned from its answers
-	ramping              bool    // the limit has not met its bound yet
 	eased                Time    // when the limit was last cut
 	strain               float64 // its answer times against the expected ones
 	size, budget         float64 // listed; typical time that may still be sent while it is cold
@@ -228,7 +227,7 @@
 		i = int32(len(b.members))
 		b.memberOf[e.Store] = i
 		// The first limit is a guess that the first answers raise or cut.
-		b.members = append(b.members, member{store: e.Store, group: g, limit: 8, ramping: true,
+		b.members = append(b.members, member{store: e.Store, group: g, limit: 8,
 			reply: float64(b.beat), vary: float64(b.beat), probed: b.now - b.probeEvery,
 			far: b.priced && e.Zone != b.zone, open: true, size: 1, proven: true})
 		b.groups[g].members = append(b.groups[g].members, i)
@@ -724,10 +723,8 @@
 	case m.strain > 0.18 || r.Ending == Crowded:
 		if b.now-m.eased > p.ExpectedTime/2 {
 			m.limit = max(1, min(m.limit, float64(m.inFlight+1))*0.8)
-			m.eased, m.ramping = b.now, false
+			m.eased = b.now
 		}
-	case float64(m.inFlight+1) > m.limit/2 && m.ramping:
-		m.limit++
 	case float64(m.inFlight+1) > m.limit/2:
 		m.limit += 1 / m.limit
 	}
