--- a/balance/balance.go
+++ b/balance/balance.go
@@ -479,7 +479,7 @@
 		}
 		v := b.busy(m)
 		if need == 0 && m.position > b.now-b.tightest {
-			v *= 1.25 // leave the fresh ones to those who need them
+			v *= 2 // leave the fresh ones to those who need them
 		}
 		if p.stills > 0.5 && 2*p.typical > float64(b.tightest) {
 			// Danger: long jobs that keep a replica from applying the log, spread by the least busy rule, keep all
