Limits sink to four trips over all fronts, not to one a front

Told from plain overload by short answer times with many turned back. It covers any slowness of all members at once. It may hurt where a store has a single core.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -28,7 +28,6 @@
 type profile struct {
 	Profile
 	typical float64 // how long a trip of it takes of late
-	bare    float64 // how long at a member that held no other trip of this front
 	stills  float64 // how often a replica's position stood still while it held one
 	longest Time    // most time that a client's try was seen to have
 }
@@ -49,7 +48,7 @@
 	inFlight             int
 	limit                float64 // trips in flight that it takes in good time, learned from its answers
 	eased                Time    // when the limit was last cut
-	strain, own          float64 // its answer times against what is good; its bare ones against those of all
+	strain               float64 // its answer times against the expected ones
 	size, budget         float64 // listed; typical time that may still be sent while it is cold
 	started, sentAt      Time    // of its last start, 0 when warm; last trip sent
 	position, refreshed  Time    // the largest it has shown, and when an answer last showed one
@@ -71,7 +70,6 @@
 type trip struct {
 	member int32
 	out    bool
-	alone  bool // the member held no other trip of this front
 	sent   Time
 }
 
@@ -115,6 +113,7 @@
 	askWithin, cold, span   Time
 	startShare              float64
 	coldPart                float64 // of what warm members are sent, a cold one's part at full capacity
+	least                   float64 // limit that a member keeps however slow it is: together the fronts keep its cores busy
 	tightest, quickest      Time    // shortest bound on the age of data, and expected time
 	probeEvery, probeNow    Time    // gap between probes of a member: as wished, and as the price allows
 	probesPerJob, jobRate   float64 // probes that the price allows; jobs taken in a beat, on average
@@ -148,7 +147,7 @@
 		tellMost: c.TellMost, mayCancel: c.MayCancel, priced: c.CrossPrice > 0, tightest: never, quickest: never,
 		profileOf: map[string]int32{}, custOf: map[string]int32{}, memberOf: map[uint32]int32{},
 		groupOf: map[uint64]int32{}, jobOf: map[string]int32{}, fences: make([]Time, 1<<fenceBits),
-		crowded: -never, watchAt: never}
+		crowded: -never, watchAt: never, least: max(1, 4/float64(max(c.Fronts, 1)))}
 	if c.MayPause {
 		b.mostPause = c.MostPause
 	}
@@ -157,8 +156,7 @@
 			return nil, fmt.Errorf("charter: profile %q: bound, window or times out of range", p.Name)
 		}
 		b.profileOf[p.Name] = int32(i)
-		b.profiles = append(b.profiles, profile{Profile: p, typical: float64(p.ExpectedTime) / 4,
-			bare: float64(p.ExpectedTime) / 8})
+		b.profiles = append(b.profiles, profile{Profile: p, typical: float64(p.ExpectedTime) / 4})
 		b.quickest = min(b.quickest, p.ExpectedTime)
 		if p.Need == Bounded {
 			b.tightest = min(b.tightest, p.Bound)
@@ -232,7 +230,7 @@
 		// The first limit is a guess that the first answers raise or cut.
 		b.members = append(b.members, member{store: e.Store, group: g, limit: 8,
 			reply: float64(b.beat), vary: float64(b.beat), probed: b.now - b.probeEvery,
-			far: b.priced && e.Zone != b.zone, open: true, size: 1, own: 1, proven: true})
+			far: b.priced && e.Zone != b.zone, open: true, size: 1, proven: true})
 		b.groups[g].members = append(b.groups[g].members, i)
 	}
 	m := &b.members[i]
@@ -606,7 +604,7 @@
 func (b *Balancer) send(i, mi int32) {
 	j, m := &b.jobs[i], &b.members[mi]
 	p := &b.profiles[j.profile]
-	j.trips[j.sent] = trip{member: mi, out: true, alone: m.inFlight == 0, sent: b.now}
+	j.trips[j.sent] = trip{member: mi, out: true, sent: b.now}
 	j.sent++
 	j.out++
 	m.inFlight++
@@ -717,22 +715,15 @@
 			p.stills += (still - p.stills) / 8
 		}
 		p.typical += (float64(took) - p.typical) / 32
-		if t.alone {
-			m.own += (float64(took)/p.bare - m.own) / 16
-			p.bare += (float64(took) - p.bare) / 32
-		}
 	}
 	if r.Ending != Delivered && r.Ending != Expired && r.Ending != Crowded {
 		return
 	}
-	// Good is little more than the bare time, which this front sees only through the others' load: so that it
-	// cannot drift with that load, the expected time holds it from both sides.
-	good := min(max(1.25*p.bare*m.own, 0.18*float64(p.ExpectedTime)), 0.35*float64(p.ExpectedTime))
-	m.strain += (float64(took)/good - m.strain) / 8
+	m.strain += (float64(took)/float64(p.ExpectedTime) - m.strain) / 8
 	switch {
-	case m.strain > 1 || r.Ending == Crowded:
+	case m.strain > 0.18 || r.Ending == Crowded:
 		if b.now-m.eased > p.ExpectedTime/2 {
-			m.limit = max(1, min(m.limit, float64(m.inFlight+1))*0.8)
+			m.limit = max(b.least, min(m.limit, float64(m.inFlight+1))*0.8)
 			m.eased = b.now
 		}
 	case float64(m.inFlight+1) > m.limit/2:
