--- a/balance/balance.go
+++ b/balance/balance.go
@@ -50,6 +50,7 @@
 	eased                Time    // when the limit was last cut
 	strain               float64 // its answer times against the expected ones
 	size, budget         float64 // listed; typical time that may still be sent while it is cold
+	work                 float64 // typical time of the last trip sent
 	started, sentAt      Time    // of its last start, 0 when warm; last trip sent
 	position, refreshed  Time    // the largest it has shown, and when an answer last showed one
 	news                 Role    // what an answer showed that other fronts have not been told
@@ -147,7 +148,7 @@
 		tellMost: c.TellMost, mayCancel: c.MayCancel, priced: c.CrossPrice > 0, tightest: never, quickest: never,
 		profileOf: map[string]int32{}, custOf: map[string]int32{}, memberOf: map[uint32]int32{},
 		groupOf: map[uint64]int32{}, jobOf: map[string]int32{}, fences: make([]Time, 1<<fenceBits),
-		crowded: -never, watchAt: never, least: max(1, 4/float64(max(c.Fronts, 1)))}
+		crowded: -never, watchAt: never, least: 4 / float64(max(c.Fronts, 1))}
 	if c.MayPause {
 		b.mostPause = c.MostPause
 	}
@@ -423,13 +424,14 @@
 
 // room tells whether the member takes one more trip in good time; part leaves the rest to worthier work.
 func (b *Balancer) room(m *member, part float64) bool {
-	if m.started == 0 {
-		return float64(m.inFlight) < m.limit*part
-	}
-	if m.budget <= 0 { // a trickle keeps it in sight where there is nothing to judge a budget by
+	limit := m.limit * part * min(1, 2*b.warmth(m))
+	switch {
+	case m.started > 0 && m.budget <= 0: // a trickle keeps it in sight where nothing tells what it can take
 		return m.inFlight == 0 && b.now-m.sentAt > b.span/8
+	case limit < 1: // less than one trip at a time: leave a gap between them
+		return m.inFlight == 0 && float64(b.now-m.sentAt)*limit > m.work
 	}
-	return m.inFlight == 0 || float64(m.inFlight) < m.limit*part*min(1, 2*b.warmth(m))
+	return float64(m.inFlight) < limit
 }
 
 // busy compares members: trips in flight for what the member can do.
@@ -609,9 +611,9 @@
 	j.out++
 	m.inFlight++
 	m.scouted = m.scouted || p.Need == Write && !m.proven
+	m.sentAt, m.work = b.now, p.typical
 	if m.started > 0 {
 		m.budget -= p.typical
-		m.sentAt = b.now
 	} else {
 		b.sentWarm += p.typical
 	}
@@ -721,7 +723,7 @@
 	}
 	m.strain += (float64(took)/float64(p.ExpectedTime) - m.strain) / 8
 	switch {
-	case m.strain > 0.18 || r.Ending == Crowded:
+	case m.strain > 0.26 || r.Ending == Crowded:
 		if b.now-m.eased > p.ExpectedTime/2 {
 			m.limit = max(b.least, min(m.limit, float64(m.inFlight+1))*0.8)
 			m.eased = b.now
