--- a/balance/balance.go
+++ b/balance/balance.go
@@ -39,13 +39,13 @@
 type member struct {
 	store                uint32
 	group                int32
-	far                  bool    // reaching it crosses between places, at a price
-	open                 bool    // the list lets new work go there
-	suspect, unreached   bool    // its silence is unusual; the last try to connect failed
-	proven, scouted      bool    // its role as primary may be relied on; a write is out to prove it
-	refusals             int     // refusals and failures since the last delivery
-	shut                 Time    // until then nothing new goes there, for these
-	inFlight, own        int     // trips in flight; those that only a primary takes
+	far                  bool // reaching it crosses between places, at a price
+	open                 bool // the list lets new work go there
+	suspect, unreached   bool // its silence is unusual; the last try to connect failed
+	proven, scouted      bool // its role as primary may be relied on; a write is out to prove it
+	refusals             int  // refusals and failures since the last delivery
+	shut                 Time // until then nothing new goes there, for these
+	inFlight             int
 	limit                float64 // trips in flight that it takes in good time, learned from its answers
 	eased                Time    // when the limit was last cut
 	strain               float64 // its answer times against the expected ones
@@ -421,15 +421,15 @@
 	}
 }
 
-// room tells whether a member that holds so many trips takes one more in good time, within a part of its limit.
-func (b *Balancer) room(m *member, holds int, part float64) bool {
+// room tells whether the member takes one more trip in good time; part leaves the rest to worthier work.
+func (b *Balancer) room(m *member, part float64) bool {
 	if m.started == 0 {
-		return float64(holds) < m.limit*part
+		return float64(m.inFlight) < m.limit*part
 	}
 	if m.budget <= 0 { // a trickle keeps it in sight where there is nothing to judge a budget by
-		return holds == 0 && b.now-m.sentAt > b.span/8
+		return m.inFlight == 0 && b.now-m.sentAt > b.span/8
 	}
-	return holds == 0 || float64(holds) < m.limit*part*min(1, 2*b.warmth(m))
+	return m.inFlight == 0 || float64(m.inFlight) < m.limit*part*min(1, 2*b.warmth(m))
 }
 
 // busy compares members: trips in flight for what the member can do.
@@ -451,8 +451,8 @@
 			return -1
 		case !b.members[primary].proven && (p.Need != Write || b.members[primary].scouted):
 			return -1 // one write goes ahead; the rest follow once it is taken
-		case b.room(&b.members[primary], b.members[primary].own, 1):
-			return primary // spilled reads do not keep it from what only it can do
+		case b.room(&b.members[primary], 1):
+			return primary
 		}
 		b.crowded = b.now
 		return -1
@@ -474,7 +474,7 @@
 		if m.position < need {
 			continue
 		}
-		if !b.room(m, m.inFlight, 1) {
+		if !b.room(m, 1) {
 			full = true
 			continue
 		}
@@ -497,10 +497,10 @@
 	if p.Need == Session && !full && b.now-j.came < p.ExpectedTime/10 && b.now-need < p.ExpectedTime*2 {
 		return -1 // known positions trail a fresh fence: one that passes it is due at once
 	}
-	if p.Need == Session && !full && b.checks && j.sent == 0 && ahead >= 0 && b.room(&b.members[ahead], b.members[ahead].inFlight, 1) {
+	if p.Need == Session && !full && b.checks && j.sent == 0 && ahead >= 0 && b.room(&b.members[ahead], 1) {
 		return ahead // the store itself checks the fence, so the most advanced may be tried
 	}
-	if primary >= 0 && b.members[primary].proven && b.room(&b.members[primary], b.members[primary].inFlight, 0.7) {
+	if primary >= 0 && b.members[primary].proven && b.room(&b.members[primary], 0.7) {
 		return primary
 	}
 	if full || primary >= 0 {
@@ -544,6 +544,9 @@
 		}
 	}
 	j.rank = pr.Credit / pr.typical
+	if j.wanted < now+Time(pr.typical/2) {
+		j.rank *= pr.LateCredit
+	}
 	if c, ok := b.custOf[in.Customer]; ok {
 		if q := &b.customers[c]; q.bucket >= 1 {
 			q.bucket--
@@ -608,9 +611,6 @@
 	j.sent++
 	j.out++
 	m.inFlight++
-	if p.Need >= Fresh {
-		m.own++
-	}
 	m.scouted = m.scouted || p.Need == Write && !m.proven
 	if m.started > 0 {
 		m.budget -= p.typical
@@ -676,9 +676,6 @@
 func (b *Balancer) grade(j *job, t *trip, r Return) {
 	m, p := &b.members[t.member], &b.profiles[j.profile]
 	m.inFlight--
-	if p.Need >= Fresh {
-		m.own--
-	}
 	took := b.now - t.sent
 	m.scouted = m.scouted && p.Need != Write
 	if r.Ending <= Crowded || r.Ending == Faulted { // the store itself has answered
