--- a/balance/balance.go
+++ b/balance/balance.go
@@ -544,9 +544,6 @@
 		}
 	}
 	j.rank = pr.Credit / pr.typical
-	if j.wanted < now+Time(pr.typical/2) {
-		j.rank *= pr.LateCredit
-	}
 	if c, ok := b.custOf[in.Customer]; ok {
 		if q := &b.customers[c]; q.bucket >= 1 {
 			q.bucket--
