--- a/balance/balance.go
+++ b/balance/balance.go
@@ -421,15 +421,15 @@
 	}
 }
 
-// room tells whether the member takes one more trip in good time; part leaves the rest to worthier work.
-func (b *Balancer) room(m *member, part float64) bool {
+// room tells whether the member takes one more trip in good time.
+func (b *Balancer) room(m *member) bool {
 	if m.started == 0 {
-		return float64(m.inFlight) < m.limit*part
+		return float64(m.inFlight) < m.limit
 	}
 	if m.budget <= 0 { // a trickle keeps it in sight where there is nothing to judge a budget by
 		return m.inFlight == 0 && b.now-m.sentAt > b.span/8
 	}
-	return m.inFlight == 0 || float64(m.inFlight) < m.limit*part*min(1, 2*b.warmth(m))
+	return m.inFlight == 0 || float64(m.inFlight) < m.limit*min(1, 2*b.warmth(m))
 }
 
 // busy compares members: trips in flight for what the member can do.
@@ -451,7 +451,7 @@
 			return -1
 		case !b.members[primary].proven && (p.Need != Write || b.members[primary].scouted):
 			return -1 // one write goes ahead; the rest follow once it is taken
-		case b.room(&b.members[primary], 1):
+		case b.room(&b.members[primary]):
 			return primary
 		}
 		b.crowded = b.now
@@ -474,7 +474,7 @@
 		if m.position < need {
 			continue
 		}
-		if !b.room(m, 1) {
+		if !b.room(m) {
 			full = true
 			continue
 		}
@@ -497,10 +497,10 @@
 	if p.Need == Session && !full && b.now-j.came < p.ExpectedTime/10 && b.now-need < p.ExpectedTime*2 {
 		return -1 // known positions trail a fresh fence: one that passes it is due at once
 	}
-	if p.Need == Session && !full && b.checks && j.sent == 0 && ahead >= 0 && b.room(&b.members[ahead], 1) {
+	if p.Need == Session && !full && b.checks && j.sent == 0 && ahead >= 0 && b.room(&b.members[ahead]) {
 		return ahead // the store itself checks the fence, so the most advanced may be tried
 	}
-	if primary >= 0 && b.members[primary].proven && b.room(&b.members[primary], 0.7) {
+	if primary >= 0 && b.members[primary].proven && b.room(&b.members[primary]) {
 		return primary
 	}
 	if full || primary >= 0 {
