Spilled reads fill the primary's limit as far as their rank allows

A read may use the part of the primary's limit that its credit for the work is of the best work only a primary takes, half at least. It may hurt where expensive reads and cheap writes come in bursts.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -117,6 +117,7 @@
 	tightest, quickest      Time    // shortest bound on the age of data, and expected time
 	probeEvery, probeNow    Time    // gap between probes of a member: as wished, and as the price allows
 	probesPerJob, jobRate   float64 // probes that the price allows; jobs taken in a beat, on average
+	ownRank                 float64 // best rank of what only a primary takes
 	taken                   int
 	profiles                []profile
 	customers               []customer
@@ -421,15 +422,15 @@
 	}
 }
 
-// room tells whether the member takes one more trip in good time.
-func (b *Balancer) room(m *member) bool {
+// room tells whether the member takes one more trip in good time; part leaves the rest to worthier work.
+func (b *Balancer) room(m *member, part float64) bool {
 	if m.started == 0 {
-		return float64(m.inFlight) < m.limit
+		return float64(m.inFlight) < m.limit*part
 	}
 	if m.budget <= 0 { // a trickle keeps it in sight where there is nothing to judge a budget by
 		return m.inFlight == 0 && b.now-m.sentAt > b.span/8
 	}
-	return m.inFlight == 0 || float64(m.inFlight) < m.limit*min(1, 2*b.warmth(m))
+	return m.inFlight == 0 || float64(m.inFlight) < m.limit*part*min(1, 2*b.warmth(m))
 }
 
 // busy compares members: trips in flight for what the member can do.
@@ -451,7 +452,7 @@
 			return -1
 		case !b.members[primary].proven && (p.Need != Write || b.members[primary].scouted):
 			return -1 // one write goes ahead; the rest follow once it is taken
-		case b.room(&b.members[primary]):
+		case b.room(&b.members[primary], 1):
 			return primary
 		}
 		b.crowded = b.now
@@ -474,7 +475,7 @@
 		if m.position < need {
 			continue
 		}
-		if !b.room(m) {
+		if !b.room(m, 1) {
 			full = true
 			continue
 		}
@@ -497,10 +498,10 @@
 	if p.Need == Session && !full && b.now-j.came < p.ExpectedTime/10 && b.now-need < p.ExpectedTime*2 {
 		return -1 // known positions trail a fresh fence: one that passes it is due at once
 	}
-	if p.Need == Session && !full && b.checks && j.sent == 0 && ahead >= 0 && b.room(&b.members[ahead]) {
+	if p.Need == Session && !full && b.checks && j.sent == 0 && ahead >= 0 && b.room(&b.members[ahead], 1) {
 		return ahead // the store itself checks the fence, so the most advanced may be tried
 	}
-	if primary >= 0 && b.members[primary].proven && b.room(&b.members[primary]) {
+	if primary >= 0 && b.members[primary].proven && b.room(&b.members[primary], min(1, max(0.5, j.rank/b.ownRank))) {
 		return primary
 	}
 	if full || primary >= 0 {
@@ -808,6 +809,12 @@
 	b.front.Wake(b.beat)
 	b.jobRate += (float64(b.taken) - b.jobRate) * float64(b.beat) / float64(second)
 	b.taken = 0
+	b.ownRank = 0
+	for i := range b.profiles {
+		if p := &b.profiles[i]; p.Need >= Fresh {
+			b.ownRank = max(b.ownRank, p.Credit/p.typical)
+		}
+	}
 	b.probeNow = Time(float64(len(b.members)) * float64(b.beat) / max(b.jobRate*b.probesPerJob, 1e-6))
 	b.probeNow = min(max(b.probeNow, b.probeEvery), 10*b.probeEvery)
 	if now >= b.watchAt {
