Give trips the whole time; silence, not a time-out, calls them back

Cause: time-outs at half of what was left cut answers that were merely long, and the work was done twice. A trip at a store that falls silent is still called back. It may hurt at a store whose probes answer while its jobs hang.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -616,13 +616,8 @@
 	} else {
 		b.sentWarm += p.typical
 	}
-	until := j.limit
-	if p.Repeat == Reissuable && b.mayGoAgain(j) && j.wanted > b.now {
-		// Leave time for another trip, but none is worth cutting off an answer that is merely usual.
-		until = min(until, b.now+max((j.wanted-b.now)/2, Time(4*p.typical)))
-	}
 	j.next = (*Balancer).afterTrip
-	b.front.Send(j.id, m.store, until)
+	b.front.Send(j.id, m.store, j.limit)
 }
 
 // mayGoAgain: no further trips while overload is seen, up to two otherwise.
