--- a/balance/balance.go
+++ b/balance/balance.go
@@ -78,62 +78,54 @@
 
 // job is a place in the slab.
 type job struct {
-	id          string
-	profile     int32
-	group       int32
-	slot        int32 // of its session's fence; -1: none
-	fence       Time
-	rank        float64 // credit for the work, as it came in
-	came        Time
-	wanted      Time // its expected time is up
-	limit       Time // the client's time is up
-	trips       [mostTrips]trip
-	sent, out   int
-	further     int // trips that came back without proof that they never ran
-	ranAt       Time
-	ended, held bool
-	next        step
+	id             string
+	profile, group int32
+	slot           int32   // of its session's fence; -1: none
+	rank           float64 // credit for the work, as it came in
+	fence, came    Time
+	wanted, limit  Time // its expected time is up; the client's time is up
+	ranAt          Time // when the first trip was sent that may have run
+	trips          [mostTrips]trip
+	sent, out      int
+	further        int // trips that came back without proof that they never ran
+	ended, held    bool
+	next           step
 }
 
 // Balancer decides for one front.
 type Balancer struct {
-	front                   Front
-	now, beat               Time
-	mwc                     uint64
-	zone                    string
-	overShare               float64 // credit past a customer's share, as a part of the usual
-	checks, carried, pushed bool    // see Charter
-	onlyDrains, priced      bool
-	tellMost                int // positions in a message; 0: there are none
-	tellAt                  Time
-	letter                  []Sighting
-	mayProbe, mayCancel     bool
-	mostTrips               int
-	mostPause               Time
-	askWithin, cold, span   Time
-	startShare              float64
-	coldPart                float64 // of what warm members are sent, a cold one's part at full capacity
-	least                   float64 // limit that a member keeps however slow it is: together the fronts keep its cores busy
-	tightest, quickest      Time    // shortest bound on the age of data, and expected time
-	probeEvery, probeNow    Time    // gap between probes of a member: as wished, and as the price allows
-	probesPerJob, jobRate   float64 // probes that the price allows; jobs taken in a beat, on average
-	ownRank                 float64 // best rank of what only a primary takes
-	taken                   int
-	profiles                []profile
-	customers               []customer
-	members                 []member
-	groups                  []group
-	profileOf, custOf       map[string]int32
-	memberOf                map[uint32]int32
-	groupOf                 map[uint64]int32
-	jobOf                   map[string]int32
-	jobs                    []job // the slab
-	free                    []int32
-	fences                  []Time  // newest write of each session, by hash; sharing a place only tightens it
-	flow, sentWarm          float64 // typical time sent to warm members, for each unit of size and time
-	crowded                 Time    // when the front last saw overload
-	watchAt                 Time
-	watchMiss               int
+	front                      Front
+	now, beat                  Time
+	mwc                        uint64
+	zone                       string
+	overShare                  float64 // credit past a customer's share, as a part of the usual
+	checks, carried            bool    // stores check reads; reads carry the age of their fence
+	onlyDrains, priced         bool    // being gone does not bind; crossings cost
+	mayProbe, mayCancel        bool
+	mostTrips, tellMost        int // trips of a job; positions in a message, 0 where there are none
+	letter                     []Sighting
+	mostPause, askWithin, span Time
+	cold                       Time
+	startShare, coldPart       float64 // capacity at a start; of what warm members are sent, a cold one's part
+	least                      float64 // limit that a member keeps: together the fronts keep its cores busy
+	tightest, quickest         Time    // shortest bound on the age of data, and expected time
+	probeEvery, probeNow       Time    // gap between probes of a member: as wished, and as the price allows
+	probesPerJob, jobRate      float64 // probes that the price allows; jobs taken in a beat, on average
+	ownRank                    float64 // best rank of what only a primary takes
+	taken, watchMiss           int     // jobs since the last beat; failed calls for the list in a row
+	tellAt, watchAt            Time    // when to tell, and to ask for the list, next
+	crowded                    Time    // when the front last saw overload
+	profiles                   []profile
+	customers                  []customer
+	members                    []member
+	groups                     []group
+	profileOf, custOf, jobOf   map[string]int32
+	memberOf                   map[uint32]int32
+	groupOf                    map[uint64]int32
+	jobs                       []job // the slab
+	free                       []int32
+	fences                     []Time  // newest write of each session, by hash; sharing a place only tightens it
+	flow, sentWarm             float64 // typical time sent to warm members, for each unit of size and time
 }
 
 // New makes the module for one front.
@@ -142,7 +134,7 @@
 		return nil, errors.New("charter: no profiles")
 	}
 	b := &Balancer{front: f, now: now, mwc: c.Seed ^ 0x9e3779b97f4a7c15, zone: c.Zone, overShare: c.OverShare,
-		checks: c.Checks, carried: c.FencesCarried, pushed: c.ListPushed, askWithin: c.AskWithin,
+		checks: c.Checks, carried: c.FencesCarried, askWithin: c.AskWithin,
 		onlyDrains: c.OnlyDraining, startShare: c.StartShare, cold: c.Cold, coldPart: c.FallMultiple * 3 / 4,
 		span: c.FallSpan, mostTrips: min(max(c.MostTrips, 1), mostTrips), mayProbe: c.MayProbe,
 		tellMost: c.TellMost, mayCancel: c.MayCancel, priced: c.CrossPrice > 0, tightest: never, quickest: never,
@@ -172,7 +164,7 @@
 	b.beat = max(c.Round, min(2*c.Round, c.AnswerSlack/2), 1)
 	b.probeEvery = max(min(b.tightest, b.quickest)/3, b.beat)
 	b.probeNow, b.probesPerJob = b.probeEvery, thrift/max(c.ProbePrice, thrift/10)
-	if !b.pushed {
+	if !c.ListPushed {
 		// All fronts may be starting together: the first call is spread over an eighth of the allowed time.
 		b.watchAt = now + b.chance(b.askWithin/8)
 	}
@@ -207,7 +199,6 @@
 	for i := range list {
 		b.entry(&list[i])
 	}
-	b.releaseAll()
 }
 
 // groupAt gives the index of a group.
@@ -290,10 +281,10 @@
 
 // primary gives the group's primary if work may go there, else -1.
 func (b *Balancer) primary(g *group) int32 {
-	if p := g.primary; p >= 0 && b.usable(&b.members[p]) && !b.members[p].suspect {
-		return p
+	if g.primary < 0 || !b.usable(&b.members[g.primary]) || b.members[g.primary].suspect {
+		return -1
 	}
-	return -1
+	return g.primary
 }
 
 // usable tells whether new work may go to the member.
@@ -447,12 +438,9 @@
 	g, p := &b.groups[j.group], &b.profiles[j.profile]
 	primary := b.primary(g)
 	if p.Need >= Fresh {
-		switch {
-		case primary < 0:
-			return -1
-		case !b.members[primary].proven && (p.Need != Write || b.members[primary].scouted):
-			return -1 // one write goes ahead; the rest follow once it is taken
-		case b.room(&b.members[primary], 1):
+		if primary < 0 || !b.members[primary].proven && (p.Need != Write || b.members[primary].scouted) {
+			return -1 // a denied primary takes one write; the rest follow once it is taken
+		} else if b.room(&b.members[primary], 1) {
 			return primary
 		}
 		b.crowded = b.now
@@ -596,12 +584,6 @@
 	g.held = g.held[:keep]
 }
 
-func (b *Balancer) releaseAll() {
-	for g := range b.groups {
-		b.release(int32(g))
-	}
-}
-
 func (b *Balancer) send(i, mi int32) {
 	j, m := &b.jobs[i], &b.members[mi]
 	p := &b.profiles[j.profile]
@@ -696,19 +678,15 @@
 		m.unreached = r.Ending == Unreached || r.Ending == Severed
 		m.suspect = m.suspect || r.Ending == Unreached
 	}
-	if r.Ending == Crowded {
-		b.crowded = b.now
-	}
 	if r.Ending == Delivered {
 		if p.Need == Write && j.slot >= 0 && !j.ended {
 			b.fences[j.slot] = max(b.fences[j.slot], r.Note.Position)
 		}
 		if p.Need == Any && r.Note.Role == Replica && 2*took > b.tightest {
-			still := 0.0
+			p.stills -= p.stills / 8
 			if r.Note.Position < t.sent+took/4 {
-				still = 1
+				p.stills += 1.0 / 8
 			}
-			p.stills += (still - p.stills) / 8
 		}
 		p.typical += (float64(took) - p.typical) / 32
 	}
@@ -760,33 +738,31 @@
 func (b *Balancer) giveUp(i int32) {
 	j := &b.jobs[i]
 	p := &b.profiles[j.profile]
-	j.held, j.ended = false, true
-	harmless := p.Repeat == Reissuable || j.ranAt == 0 && j.out == 0 || p.Repeat == Numbered && p.Anywhere
-	if harmless {
+	if p.Repeat == Reissuable || j.ranAt == 0 && j.out == 0 || p.Repeat == Numbered && p.Anywhere {
 		b.front.TurnBack(j.id, min(b.mostPause, p.ExpectedTime/2+b.chance(p.ExpectedTime/2)))
 	} else {
 		b.front.WriteOff(j.id)
 	}
-	b.recall(j)
-	b.recycle(i)
+	b.end(i)
 }
 
-// recall calls the job's trips off, so that a store may stop working on them.
-func (b *Balancer) recall(j *job) {
+// end closes a job and calls its trips off, so that a store may stop working on them.
+func (b *Balancer) end(i int32) {
+	j := &b.jobs[i]
+	j.held, j.ended = false, true
 	for n := 0; n < j.sent && b.mayCancel; n++ {
 		if j.trips[n].out {
 			b.front.Cancel(j.id, n)
 		}
 	}
+	b.recycle(i)
 }
 
 // Left: the client has gone; nothing more is owed.
 func (b *Balancer) Left(now Time, id string) {
 	b.now = now
 	if i, ok := b.jobOf[id]; ok && !b.jobs[i].ended {
-		b.jobs[i].held, b.jobs[i].ended = false, true
-		b.recall(&b.jobs[i])
-		b.recycle(i)
+		b.end(i)
 	}
 }
 
@@ -846,7 +822,9 @@
 			b.review(int32(i))
 		}
 	}
-	b.releaseAll()
+	for g := range b.groups {
+		b.release(int32(g))
+	}
 }
 
 // review ends a job whose time is up or can no longer be kept, and calls a trip back from a silent store.
