--- a/balance/balance.go
+++ b/balance/balance.go
@@ -5,21 +5,19 @@
 // that New was given. Those types, and what a front can do, are in front.go. Fronts share nothing.
 //
 // The mechanism is pgpilot's: a session has a fence, the log position of its last write; a read goes to the
-// least busy replica whose known position has passed what the read needs, else to the primary; writes go to
-// the primary. docs/design.md tells what was kept, what was changed, and when each exception acts.
+// least busy replica known to have passed what it needs, else to the primary. See docs/design.md.
 package balance
 
 import (
-	"errors"
 	"fmt"
 	"hash/crc32"
 	"slices"
+	"sort"
 )
 
 const (
 	never     = Time(1) << 60
 	second    = Time(10000)
-	mostTrips = 8 // places for trips in a job
 	fenceBits = 14
 	thrift    = 0.005 // part of the result that probes may cost on the ordinary path
 )
@@ -32,8 +30,11 @@
 	longest Time    // most time that a client's try was seen to have
 }
 
-// customer has a bucket of jobs within its share.
-type customer struct{ perTime, bucket float64 }
+// customer has a bucket of jobs within its share, a second's worth at most.
+type customer struct {
+	perTime, bucket float64
+	filled          Time
+}
 
 // member is what this front believes of one store.
 type member struct {
@@ -67,12 +68,6 @@
 	blind   bool    // every member is silent: then silence says nothing of a single one
 }
 
-type trip struct {
-	member int32
-	out    bool
-	sent   Time
-}
-
 // step is what a job does next; it is handed the result of the step before.
 type step func(b *Balancer, i int32, r Return)
 
@@ -83,11 +78,13 @@
 	slot           int32   // of its session's fence; -1: none
 	rank           float64 // credit for the work, as it came in
 	fence, came    Time
-	wanted, limit  Time // its expected time is up; the client's time is up
-	ranAt          Time // when the first trip was sent that may have run
-	trips          [mostTrips]trip
-	sent, out      int
-	further        int // trips that came back without proof that they never ran
+	wanted, limit  Time  // its expected time is up; the client's time is up
+	ranAt          Time  // when the first trip was sent that may have run
+	member         int32 // where its last trip went: a job has one out at a time
+	sentAt         Time  // when
+	sent           int   // trips
+	out            bool  // one is out
+	further        int   // trips that came back without proof that they never ran
 	ended, held    bool
 	next           step
 }
@@ -116,10 +113,10 @@
 	tellAt, watchAt            Time    // when to tell, and to ask for the list, next
 	crowded                    Time    // when the front last saw overload
 	profiles                   []profile
-	customers                  []customer
+	customers                  map[string]*customer
 	members                    []member
 	groups                     []group
-	profileOf, custOf, jobOf   map[string]int32
+	profileOf, jobOf           map[string]int32
 	memberOf                   map[uint32]int32
 	groupOf                    map[uint64]int32
 	jobs                       []job // the slab
@@ -131,19 +128,16 @@
 // New makes the module for one front.
 func New(now Time, c Charter, f Front) (*Balancer, error) {
 	if len(c.Profiles) == 0 {
-		return nil, errors.New("charter: no profiles")
+		return nil, fmt.Errorf("charter: no profiles")
 	}
 	b := &Balancer{front: f, now: now, mwc: c.Seed ^ 0x9e3779b97f4a7c15, zone: c.Zone, overShare: c.OverShare,
 		checks: c.Checks, carried: c.FencesCarried, askWithin: c.AskWithin,
 		onlyDrains: c.OnlyDraining, startShare: c.StartShare, cold: c.Cold, coldPart: c.FallMultiple * 3 / 4,
-		span: c.FallSpan, mostTrips: min(max(c.MostTrips, 1), mostTrips), mayProbe: c.MayProbe,
+		span: c.FallSpan, mostTrips: max(c.MostTrips, 1), mayProbe: c.MayProbe,
 		tellMost: c.TellMost, mayCancel: c.MayCancel, priced: c.CrossPrice > 0, tightest: never, quickest: never,
-		profileOf: map[string]int32{}, custOf: map[string]int32{}, memberOf: map[uint32]int32{},
+		profileOf: map[string]int32{}, customers: map[string]*customer{}, memberOf: map[uint32]int32{},
 		groupOf: map[uint64]int32{}, jobOf: map[string]int32{}, fences: make([]Time, 1<<fenceBits),
-		crowded: -never, watchAt: never, least: max(1, 4/float64(max(c.Fronts, 1)))}
-	if c.MayPause {
-		b.mostPause = c.MostPause
-	}
+		mostPause: c.MostPause, crowded: -never, watchAt: never, least: max(1, 4/float64(max(c.Fronts, 1)))}
 	for i, p := range c.Profiles {
 		if p.Bound < 0 || p.ExpectedTime <= 0 || p.OuterLimit <= 0 || p.Window < 0 {
 			return nil, fmt.Errorf("charter: profile %q: bound, window or times out of range", p.Name)
@@ -155,10 +149,9 @@
 			b.tightest = min(b.tightest, p.Bound)
 		}
 	}
-	for i, q := range c.Customers {
+	for _, q := range c.Customers {
 		rate := q.Quota / float64(second) / float64(max(c.Fronts, 1))
-		b.custOf[q.Name] = int32(i)
-		b.customers = append(b.customers, customer{perTime: rate, bucket: rate * float64(second)})
+		b.customers[q.Name] = &customer{perTime: rate, bucket: rate * float64(second), filled: now}
 	}
 	// Answers must come within the slack after the limit, so the module looks around twice in it.
 	b.beat = max(c.Round, min(2*c.Round, c.AnswerSlack/2), 1)
@@ -222,7 +215,7 @@
 		// The first limit is a guess that the first answers raise or cut.
 		b.members = append(b.members, member{store: e.Store, group: g, limit: 8,
 			reply: float64(b.beat), vary: float64(b.beat), probed: b.now - b.probeEvery,
-			far: b.priced && e.Zone != b.zone, open: true, size: 1, proven: true})
+			far: b.priced && e.Zone != b.zone, size: 1, proven: true})
 		b.groups[g].members = append(b.groups[g].members, i)
 	}
 	m := &b.members[i]
@@ -247,8 +240,7 @@
 	}
 	m.position = max(m.position, r.Position)
 	if r.Role == Primary {
-		at = max(at, r.Position) // a primary stands at the present of its report
-		b.claim(i, at)
+		b.claim(i, max(at, r.Position)) // a primary stands at the present of its report
 	} else if at > 0 || r.Position > m.primaryAt {
 		b.deny(i, max(at, r.Position))
 	}
@@ -293,8 +285,7 @@
 }
 
 // shun tells until when to stay away from a member that refuses or fails: longer each time.
-// Danger: a store that fails at once looks the least busy of all and draws every job. This holds for full and
-// broken stores, and for drains of which the list does not tell yet; a single error costs two beats.
+// Danger: a store that fails at once, full, broken or draining, looks the least busy and draws every job.
 func (b *Balancer) shun(m *member) Time {
 	m.refusals = min(m.refusals+1, 8)
 	return b.now + min(b.beat<<m.refusals, b.quickest)
@@ -319,16 +310,7 @@
 	}
 }
 
-// doubt suspects the member if its silence is unusual for the gaps seen before (accrual).
-func (b *Balancer) doubt(m *member) {
-	if m.asked > 0 && !m.suspect && float64(b.now-m.asked) > m.reply+4*m.vary+float64(2*b.beat) {
-		m.suspect = true
-		b.front.Log(fmt.Sprintf("store %d is suspected", m.store))
-	}
-}
-
-// probe asks a member for its position when nothing has shown it of late, sooner where the primary is sought
-// or where the member holds trips and has gone silent.
+// probe asks a member for its position when nothing has shown it of late, sooner while a primary is sought.
 func (b *Balancer) probe(m *member, seeking bool) {
 	every, fresh := b.probeNow, max(m.refreshed, m.probed)
 	if seeking {
@@ -393,24 +375,13 @@
 
 // warmth is the part of its capacity that a member surely has.
 func (b *Balancer) warmth(m *member) float64 {
-	if m.started == 0 {
-		return 1
-	}
-	age := float64(max(b.now-m.started, 0)) / float64(max(b.cold, 1))
-	if age >= 1 {
+	if m.started > 0 && b.now-m.started >= b.cold {
 		m.started = 0
-		return 1
 	}
-	return b.startShare + (1-b.startShare)*age
-}
-
-// refill gives a cold member its part of what warm ones of like size are sent.
-// Danger: all fronts together push a cold store over. Each keeps to the same part of its own traffic.
-func (b *Balancer) refill(m *member) {
-	if m.started > 0 {
-		rate := b.flow * m.size * b.warmth(m) * b.coldPart
-		m.budget = min(m.budget+rate*float64(b.beat), rate*float64(b.span)/2)
+	if m.started == 0 {
+		return 1
 	}
+	return b.startShare + (1-b.startShare)*float64(max(b.now-m.started, 0))/float64(b.cold)
 }
 
 // room tells whether the member takes one more trip in good time; part leaves the rest to worthier work.
@@ -424,15 +395,6 @@
 	return m.inFlight == 0 || float64(m.inFlight) < m.limit*part*min(1, 2*b.warmth(m))
 }
 
-// busy compares members: trips in flight for what the member can do.
-func (b *Balancer) busy(m *member) float64 {
-	v := float64(m.inFlight+1) / (m.size * b.warmth(m))
-	if m.far {
-		v *= 2 // a crossing is paid for, so the own place may be somewhat busier
-	}
-	return v
-}
-
 // choose gives the member for the job's next trip, or -1 if it has to wait.
 func (b *Balancer) choose(j *job) int32 {
 	g, p := &b.groups[j.group], &b.profiles[j.profile]
@@ -467,7 +429,10 @@
 			full = true
 			continue
 		}
-		v := b.busy(m)
+		v := float64(m.inFlight+1) / (m.size * b.warmth(m)) // how busy, for what it can do
+		if m.far {
+			v *= 2 // a crossing is paid for, so the own place may be somewhat busier
+		}
 		if need == 0 && m.position > b.now-b.tightest {
 			v *= 2 // leave the fresh ones to those who need them
 		}
@@ -489,7 +454,8 @@
 	if p.Need == Session && !full && b.checks && j.sent == 0 && ahead >= 0 && b.room(&b.members[ahead], 1) {
 		return ahead // the store itself checks the fence, so the most advanced may be tried
 	}
-	if primary >= 0 && b.members[primary].proven && b.room(&b.members[primary], min(1, max(0.5, j.rank/b.ownRank))) {
+	part := min(1, max(0.5, j.rank/b.ownRank)) // what is worth less leaves room for what only the primary takes
+	if primary >= 0 && b.members[primary].proven && b.room(&b.members[primary], part) {
 		return primary
 	}
 	if full || primary >= 0 {
@@ -533,8 +499,10 @@
 		}
 	}
 	j.rank = pr.Credit / pr.typical
-	if c, ok := b.custOf[in.Customer]; ok {
-		if q := &b.customers[c]; q.bucket >= 1 {
+	if q := b.customers[in.Customer]; q != nil {
+		q.bucket = min(q.bucket+q.perTime*float64(now-q.filled), q.perTime*float64(second))
+		q.filled = now
+		if q.bucket >= 1 {
 			q.bucket--
 		} else {
 			j.rank *= b.overShare
@@ -553,10 +521,7 @@
 	}
 	j.held = true
 	g := &b.groups[j.group]
-	at := slices.IndexFunc(g.held, func(k int32) bool { return b.jobs[k].rank < j.rank })
-	if at < 0 {
-		at = len(g.held)
-	}
+	at := sort.Search(len(g.held), func(k int) bool { return b.jobs[g.held[k]].rank < j.rank })
 	g.held = slices.Insert(g.held, at, i)
 }
 
@@ -587,9 +552,8 @@
 func (b *Balancer) send(i, mi int32) {
 	j, m := &b.jobs[i], &b.members[mi]
 	p := &b.profiles[j.profile]
-	j.trips[j.sent] = trip{member: mi, out: true, sent: b.now}
+	j.member, j.sentAt, j.out = mi, b.now, true
 	j.sent++
-	j.out++
 	m.inFlight++
 	m.scouted = m.scouted || p.Need == Write && !m.proven
 	if m.started > 0 {
@@ -611,22 +575,17 @@
 func (b *Balancer) Returned(now Time, id string, n int, store uint32, r Return) {
 	b.now = now
 	i, ok := b.jobOf[id]
-	if !ok || n < 0 || n >= b.jobs[i].sent || !b.jobs[i].trips[n].out {
+	if !ok || !b.jobs[i].out || n != b.jobs[i].sent-1 || b.members[b.jobs[i].member].store != store {
 		return
 	}
 	j := &b.jobs[i]
-	t := &j.trips[n]
-	if b.members[t.member].store != store {
-		return
-	}
-	t.out = false
-	j.out--
 	gi := j.group
-	b.grade(j, t, r)
+	j.out = false
+	b.grade(j, r)
 	if !r.Ending.NeverRan() {
 		j.further++
 		if j.ranAt == 0 {
-			j.ranAt = t.sent
+			j.ranAt = j.sentAt
 		}
 	}
 	if r.Done {
@@ -640,7 +599,7 @@
 
 // recycle gives the place back once nothing more can come for the job.
 func (b *Balancer) recycle(i int32) {
-	if j := &b.jobs[i]; j.ended && j.out == 0 && j.id != "" {
+	if j := &b.jobs[i]; j.ended && !j.out && j.id != "" {
 		delete(b.jobOf, j.id)
 		j.id = ""
 		b.free = append(b.free, i)
@@ -648,20 +607,20 @@
 }
 
 // grade learns from one result: health, position, role, speed and room of the member.
-func (b *Balancer) grade(j *job, t *trip, r Return) {
-	m, p := &b.members[t.member], &b.profiles[j.profile]
+func (b *Balancer) grade(j *job, r Return) {
+	m, p := &b.members[j.member], &b.profiles[j.profile]
 	m.inFlight--
-	took := b.now - t.sent
+	took := b.now - j.sentAt
 	m.scouted = m.scouted && p.Need != Write
 	if r.Ending <= Crowded || r.Ending == Faulted { // the store itself has answered
-		b.alive(t.member)
+		b.alive(j.member)
 		note := r.Note
 		if p.Need == Write {
 			note.Position -= second / 1000 // a commit is told rounded up, a position must not be
 		}
 		m.proven = m.proven && note.Role != Replica || p.Need == Write && r.Ending == Delivered
-		b.learn(t.member, note, b.now)
-		b.learn(t.member, r.Load, 0)
+		b.learn(j.member, note, b.now)
+		b.learn(j.member, r.Load, 0)
 		if r.Note.Position > 0 {
 			m.refreshed, m.news = b.now, r.Note.Role
 		}
@@ -684,7 +643,7 @@
 		}
 		if p.Need == Any && r.Note.Role == Replica && 2*took > b.tightest {
 			p.stills -= p.stills / 8
-			if r.Note.Position < t.sent+took/4 {
+			if r.Note.Position < j.sentAt+took/4 {
 				p.stills += 1.0 / 8
 			}
 		}
@@ -708,9 +667,6 @@
 // afterTrip: the trip is back without an answer for the client.
 func (b *Balancer) afterTrip(i int32, r Return) {
 	j := &b.jobs[i]
-	if j.out > 0 {
-		return
-	}
 	if r.Ending == Unsent || b.now >= j.limit-b.beat || !b.mayRepeat(j) {
 		b.giveUp(i)
 	} else {
@@ -738,7 +694,7 @@
 func (b *Balancer) giveUp(i int32) {
 	j := &b.jobs[i]
 	p := &b.profiles[j.profile]
-	if p.Repeat == Reissuable || j.ranAt == 0 && j.out == 0 || p.Repeat == Numbered && p.Anywhere {
+	if p.Repeat == Reissuable || j.ranAt == 0 && !j.out || p.Repeat == Numbered && p.Anywhere {
 		b.front.TurnBack(j.id, min(b.mostPause, p.ExpectedTime/2+b.chance(p.ExpectedTime/2)))
 	} else {
 		b.front.WriteOff(j.id)
@@ -746,14 +702,12 @@
 	b.end(i)
 }
 
-// end closes a job and calls its trips off, so that a store may stop working on them.
+// end closes a job and calls its trip off, so that a store may stop working on them.
 func (b *Balancer) end(i int32) {
 	j := &b.jobs[i]
 	j.held, j.ended = false, true
-	for n := 0; n < j.sent && b.mayCancel; n++ {
-		if j.trips[n].out {
-			b.front.Cancel(j.id, n)
-		}
+	if j.out && b.mayCancel {
+		b.front.Cancel(j.id, j.sent-1)
 	}
 	b.recycle(i)
 }
@@ -792,10 +746,6 @@
 		b.watchAt = now + b.askWithin/2
 		b.front.Watch()
 	}
-	for c := range b.customers {
-		q := &b.customers[c]
-		q.bucket = min(q.bucket+q.perTime*float64(b.beat), q.perTime*float64(second))
-	}
 	b.tell()
 	warm := 0.0
 	for gi := range b.groups {
@@ -804,11 +754,19 @@
 		g.blind = true
 		for _, i := range g.members {
 			m := &b.members[i]
-			if m.open && m.started == 0 {
+			if m.started > 0 {
+				// Danger: all fronts together push a cold store over. Each front gives it its part of what it
+				// sends to warm ones of like size, within the allowed multiple.
+				rate := b.flow * m.size * b.warmth(m) * b.coldPart
+				m.budget = min(m.budget+rate*float64(b.beat), rate*float64(b.span)/2)
+			} else if m.open {
 				warm += m.size
 			}
-			b.refill(m)
-			b.doubt(m)
+			// Accrual: its silence is unusual for the gaps seen before.
+			if m.asked > 0 && !m.suspect && float64(now-m.asked) > m.reply+4*m.vary+float64(2*b.beat) {
+				m.suspect = true
+				b.front.Log(fmt.Sprintf("store %d is suspected", m.store))
+			}
 			b.probe(m, seeking)
 			g.blind = g.blind && (m.suspect || !m.open)
 		}
@@ -837,9 +795,8 @@
 		b.giveUp(i)
 	case j.held && (late || b.now+Time(p.typical/2) > j.limit):
 		b.giveUp(i)
-	case j.out > 0 && p.Repeat == Reissuable && b.mayCancel && b.mayGoAgain(j):
-		t := &j.trips[j.sent-1]
-		if t.out && b.members[t.member].suspect && !b.groups[j.group].blind {
+	case j.out && p.Repeat == Reissuable && b.mayCancel && b.mayGoAgain(j):
+		if b.members[j.member].suspect && !b.groups[j.group].blind {
 			b.front.Cancel(j.id, j.sent-1)
 		}
 	}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -219,7 +219,7 @@
 	c.FencesCarried = shape&1 == 0
 	c.ListPushed = shape&2 == 0
 	c.Checks = shape&4 != 0
-	c.MayCopy = shape&8 != 0
+	c.OnlyDraining = shape&8 != 0
 	c.TellMost, c.Fronts = int(shape&16), 1+int(shape&16)/8
 	c.Seed = seed
 	w := newWorld(t, c)
--- a/balance/front.go
+++ b/balance/front.go
@@ -6,19 +6,17 @@
 // Charter is what a front is handed once, when it starts.
 type Charter struct {
 	Seed          uint64
-	Number        int // which of the fronts this one is, from 0
 	Fronts        int // how many there are
 	Zone          string
 	Round         Time // events come no more often than this
 	Profiles      []Profile
 	Customers     []Customer
 	OverShare     float64 // credit of a job past its customer's share, as a part of the usual
-	PositionZero  Time
-	Checks        bool // a member turns away a read that it is too far behind for
-	FencesCarried bool // reads carry the age of their session's last write; else the front remembers
-	ListPushed    bool // the list's changes come by themselves; else they must be asked for
-	AskWithin     Time // a front without a watch must ask this often
-	OnlyDraining  bool // being gone from the list does not bind, only a drain does
+	Checks        bool    // a member turns away a read that it is too far behind for
+	FencesCarried bool    // reads carry the age of their session's last write; else the front remembers
+	ListPushed    bool    // the list's changes come by themselves; else they must be asked for
+	AskWithin     Time    // a front without a watch must ask this often
+	OnlyDraining  bool    // being gone from the list does not bind, only a drain does
 	AnswerSlack   Time
 	StartShare    float64 // part of its capacity with which a store starts, at least
 	Cold          Time    // by then it is warm
@@ -27,10 +25,8 @@
 	MostTrips     int
 	MayProbe      bool
 	MayCancel     bool
-	MayCopy       bool // a second trip may be out beside the first
 	TellMost      int  // positions in a message to the other fronts; 0: no messages
-	MayPause      bool // a turn-back may name a time to come back
-	MostPause     Time
+	MostPause     Time // most that a turn-back may name as a time to come back; 0: it may name none
 	CrossPrice    float64
 	ProbePrice    float64
 }
@@ -64,7 +60,6 @@
 	Anywhere     bool // Numbered: every store drops repeats, not the job's group alone
 	Window       Time // Numbered: how long repeats are dropped
 	ExpectedTime Time
-	Stretches    bool // the expected time grows with the job's own work
 	OuterLimit   Time
 	Credit       float64
 	LateCredit   float64 // part of the credit left after the expected time
--- a/balance/helper_test.go
+++ b/balance/helper_test.go
@@ -99,7 +99,7 @@
 	w.note("list %d %v", news, members)
 	if news == ListWhole || news == ListCached {
 		for _, k := range w.stores {
-			k.open = false
+			k.open = k.open && w.charter.OnlyDraining
 		}
 	}
 	for _, m := range members {
@@ -109,7 +109,8 @@
 			w.stores[m.Store] = k
 			w.ids = append(w.ids, m.Store)
 		}
-		k.open, k.size = m.Condition == Ready, m.Size
+		k.open = m.Condition == Ready || m.Condition == Gone && w.charter.OnlyDraining && k.open
+		k.size = m.Size
 		if m.Primary && k.claimed == 0 {
 			k.claimed = w.now
 		}
@@ -214,7 +215,7 @@
 		w.broken("drain", "trip of %s to store %d", id, store)
 	}
 	for _, s := range p.trips {
-		if s.out && !w.charter.MayCopy {
+		if s.out {
 			w.broken("twice", "two trips of %s at once", id)
 		}
 		if may := s.out || s.mayRan; may && (p.profile.Repeat == AtMostOnce ||
--- a/internal/simwire/charter.go
+++ b/internal/simwire/charter.go
@@ -13,9 +13,9 @@
 	var w struct {
 		Az       string
 		Ceilings struct {
-			MaxAttempts                                        int
-			MaxRetryAfter                                      int64
-			MayCancel, MayDuplicate, Peers, Probes, RetryAfter bool
+			MaxAttempts                          int
+			MaxRetryAfter                        int64
+			MayCancel, Peers, Probes, RetryAfter bool
 		}
 		Contract struct {
 			AnswerSlack, AskWithin, Cold, TipAfter int64
@@ -36,37 +36,41 @@
 		Prices         struct{ CrossZone, Probe float64 }
 		Profiles       []struct {
 			Aim, HardLimit, Window   int64
-			AimStretch               float64
 			Group, Idempotency, Name string
 			LateWorth, Worth         float64
 		}
-		RegistryMode         string
-		ReplicasOfMe, SlotNo int
-		Round                int64
+		RegistryMode string
+		ReplicasOfMe int
+		Round        int64
 	}
 	if err := json.Unmarshal([]byte(text), &w); err != nil {
 		return balance.Charter{}, 0, err
 	}
 	c := balance.Charter{
-		Number: w.SlotNo, Fronts: w.ReplicasOfMe, Zone: w.Az, Round: w.Round / microsPerTime,
-		OverShare: w.OverShareWorth, PositionZero: w.Extra.PositionZero / microsPerTime,
-		Checks: w.Extra.Behind == "refuse" || w.Extra.Behind == "wait", FencesCarried: w.Extra.SessionMarks == "carried",
-		ListPushed: w.RegistryMode == "pushed", AskWithin: w.Contract.AskWithin / microsPerTime,
+		Fronts: w.ReplicasOfMe, Zone: w.Az, Round: w.Round / microsPerTime,
+		OverShare:     w.OverShareWorth,
+		Checks:        w.Extra.Behind == "refuse" || w.Extra.Behind == "wait",
+		FencesCarried: w.Extra.SessionMarks == "carried",
+		ListPushed:    w.RegistryMode == "pushed", AskWithin: w.Contract.AskWithin / microsPerTime,
 		OnlyDraining: w.Contract.OnlyDrainingBinds, AnswerSlack: w.Contract.AnswerSlack / microsPerTime,
 		StartShare: w.Contract.StartCapacity, Cold: w.Contract.Cold / microsPerTime,
 		FallMultiple: w.Contract.FallMultiple, FallSpan: w.Contract.TipAfter / microsPerTime,
 		MostTrips: w.Ceilings.MaxAttempts, MayProbe: w.Ceilings.Probes, MayCancel: w.Ceilings.MayCancel,
-		MayCopy: w.Ceilings.MayDuplicate, MayPause: w.Ceilings.RetryAfter,
-		MostPause: w.Ceilings.MaxRetryAfter / microsPerTime, CrossPrice: w.Prices.CrossZone, ProbePrice: w.Prices.Probe,
+		CrossPrice: w.Prices.CrossZone, ProbePrice: w.Prices.Probe,
+	}
+	if w.Ceilings.RetryAfter {
+		c.MostPause = w.Ceilings.MaxRetryAfter / microsPerTime
 	}
 	if w.Ceilings.Peers && c.Fronts > 1 {
 		c.TellMost = letterMost / letterLine
 	}
 	if len(w.Extra.Freshness) != len(w.Profiles) {
-		return c, 0, fmt.Errorf("Extra.Freshness has %d entries for %d Profiles", len(w.Extra.Freshness), len(w.Profiles))
+		return c, 0, fmt.Errorf("Extra.Freshness has %d entries for %d Profiles",
+			len(w.Extra.Freshness), len(w.Profiles))
 	}
 	if len(w.Extra.OldestData) != len(w.Profiles) {
-		return c, 0, fmt.Errorf("Extra.OldestData has %d entries for %d Profiles", len(w.Extra.OldestData), len(w.Profiles))
+		return c, 0, fmt.Errorf("Extra.OldestData has %d entries for %d Profiles",
+			len(w.Extra.OldestData), len(w.Profiles))
 	}
 	needs := map[string]balance.Need{"any": balance.Any, "bounded": balance.Bounded, "session": balance.Session,
 		"fresh": balance.Fresh, "write": balance.Write}
@@ -83,7 +87,7 @@
 		}
 		c.Profiles = append(c.Profiles, balance.Profile{Name: p.Name, Need: need,
 			Bound: w.Extra.OldestData[i] / microsPerTime, Repeat: repeat, Anywhere: p.Group == "all",
-			Window: p.Window / microsPerTime, ExpectedTime: p.Aim / microsPerTime, Stretches: p.AimStretch > 0,
+			Window: p.Window / microsPerTime, ExpectedTime: p.Aim / microsPerTime,
 			OuterLimit: p.HardLimit / microsPerTime, Credit: p.Worth, LateCredit: p.LateWorth})
 	}
 	for _, o := range w.Orgs {
