--- a/balance/balance.go
+++ b/balance/balance.go
@@ -137,7 +137,7 @@
 		tellMost: c.TellMost, mayCancel: c.MayCancel, priced: c.CrossPrice > 0, tightest: never, quickest: never,
 		profileOf: map[string]int32{}, customers: map[string]*customer{}, memberOf: map[uint32]int32{},
 		groupOf: map[uint64]int32{}, jobOf: map[string]int32{}, fences: make([]Time, 1<<fenceBits),
-		mostPause: c.MostPause, crowded: -never, watchAt: never, least: max(1, 4/float64(max(c.Fronts, 1)))}
+		mostPause: c.MostPause, crowded: -never, watchAt: never, least: max(1, 3/float64(max(c.Fronts, 1)))}
 	for i, p := range c.Profiles {
 		if p.Bound < 0 || p.ExpectedTime <= 0 || p.OuterLimit <= 0 || p.Window < 0 {
 			return nil, fmt.Errorf("charter: profile %q: bound, window or times out of range", p.Name)
@@ -654,7 +654,7 @@
 	}
 	m.strain += (float64(took)/float64(p.ExpectedTime) - m.strain) / 8
 	switch {
-	case m.strain > 0.18 || r.Ending == Crowded:
+	case m.strain > 0.22 || r.Ending == Crowded:
 		if b.now-m.eased > p.ExpectedTime/2 {
 			m.limit = max(b.least, min(m.limit, float64(m.inFlight+1))*0.8)
 			m.eased = b.now
