--- a/balance/balance.go
+++ b/balance/balance.go
@@ -649,7 +649,7 @@
 		}
 		p.typical += (float64(took) - p.typical) / 32
 	}
-	if r.Ending != Delivered && r.Ending != Expired && r.Ending != Crowded {
+	if r.Ending != Delivered && r.Ending != Expired && r.Ending != Crowded && r.Ending != Recalled {
 		return
 	}
 	m.strain += (float64(took)/float64(p.ExpectedTime) - m.strain) / 8
@@ -795,8 +795,6 @@
 		b.giveUp(i)
 	case j.held && (late || b.now+Time(p.typical/2) > j.limit):
 		b.giveUp(i)
-	case j.out && p.Repeat == Reissuable && p.LateCredit == 0 && b.now > j.wanted && !b.mayGoAgain(j):
-		b.giveUp(i) // in overload the store had better do what is still wanted
 	case j.out && p.Repeat == Reissuable && b.mayCancel && b.mayGoAgain(j):
 		if b.members[j.member].suspect && !b.groups[j.group].blind {
 			b.front.Cancel(j.id, j.sent-1)
