--- a/balance/balance.go
+++ b/balance/balance.go
@@ -789,7 +789,7 @@
 func (b *Balancer) review(i int32) {
 	j := &b.jobs[i]
 	p := &b.profiles[j.profile]
-	late := p.LateCredit == 0 && b.now+Time(p.typical/2) > j.wanted
+	late := p.LateCredit == 0 && b.now+Time(p.typical) > j.wanted
 	switch {
 	case b.now >= j.limit-b.beat:
 		b.giveUp(i)
