Of held jobs with about the same rank the newest goes first

Cause: served in the order they came, held jobs went out with just their typical answer left, and half of those were late. It covers every overload and every wait for a primary. It may hurt profiles that earn late: the oldest of them wait longest.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -521,7 +521,7 @@
 	}
 	j.held = true
 	g := &b.groups[j.group]
-	at := sort.Search(len(g.held), func(k int) bool { return b.jobs[g.held[k]].rank < j.rank })
+	at := sort.Search(len(g.held), func(k int) bool { return b.jobs[g.held[k]].rank <= j.rank*1.05 })
 	g.held = slices.Insert(g.held, at, i)
 }
 
