--- a/balance/balance.go
+++ b/balance/balance.go
@@ -11,6 +11,7 @@
 import (
 	"fmt"
 	"hash/crc32"
+	"math"
 	"slices"
 	"sort"
 )
@@ -171,7 +172,6 @@
 	return Time(uint64(uint32(b.mwc)) * uint64(max(n, 1)) >> 32)
 }
 
-// List takes news of the list.
 func (b *Balancer) List(now Time, news ListNews, list []Member) {
 	b.now = now
 	if news == ListFailed {
@@ -194,7 +194,6 @@
 	}
 }
 
-// groupAt gives the index of a group.
 func (b *Balancer) groupAt(id uint64) int32 {
 	g, ok := b.groupOf[id]
 	if !ok {
@@ -205,7 +204,6 @@
 	return g
 }
 
-// entry takes one line of the list.
 func (b *Balancer) entry(e *Member) {
 	i, known := b.memberOf[e.Store]
 	if !known {
@@ -328,7 +326,6 @@
 	b.front.Probe(m.store)
 }
 
-// Probed takes the result of a probe.
 func (b *Balancer) Probed(now Time, store uint32, r Return) {
 	b.now = now
 	i, ok := b.memberOf[store]
@@ -521,7 +518,10 @@
 	}
 	j.held = true
 	g := &b.groups[j.group]
-	at := sort.Search(len(g.held), func(k int) bool { return b.jobs[g.held[k]].rank <= j.rank*1.05 })
+	// Ranks go by powers of two, and within one the newest first: it has the most time left to be in time.
+	at := sort.Search(len(g.held), func(k int) bool {
+		return math.Ilogb(b.jobs[g.held[k]].rank) <= math.Ilogb(j.rank)
+	})
 	g.held = slices.Insert(g.held, at, i)
 }
 
@@ -571,7 +571,6 @@
 	return j.sent < b.mostTrips && j.further < 2 && b.now-b.crowded > 2*b.quickest
 }
 
-// Returned takes the result of a trip.
 func (b *Balancer) Returned(now Time, id string, n int, store uint32, r Return) {
 	b.now = now
 	i, ok := b.jobOf[id]
