A lost connection alone no longer makes a member cold

Cause: a lost connection counted as a sign of a restart, so every member was cold and had next to no budget. Told from crashes by stores that go on answering and accept connections. A refused connection still counts.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -633,7 +633,7 @@
 		m.doubted = b.shun(m)
 	case r.Ending == Crowded || r.Ending == Unreached || r.Ending == Faulted || r.Ending == Severed:
 		m.shut = b.shun(m)
-		m.unreached = r.Ending == Unreached || r.Ending == Severed
+		m.unreached = r.Ending == Unreached // a single lost connection is no restart
 		m.suspect = m.suspect || r.Ending == Unreached
 	}
 	if r.Ending == Delivered {
