Trips out for six times the typical answer no longer count against a limit

Cause: at eight of ten stores a third or more of the trips never came back; they filled the limits until their clients gave up, writes for three seconds each. It covers one-way losses and stores whose probes answer while some jobs hang. It may hurt where work takes far longer than it used to, until the typical time has caught up.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -74,20 +74,20 @@
 
 // job is a place in the slab.
 type job struct {
-	id             string
-	profile, group int32
-	slot           int32   // of its session's fence; -1: none
-	rank           float64 // credit for the work, as it came in
-	fence, came    Time
-	wanted, limit  Time  // its expected time is up; the client's time is up
-	ranAt          Time  // when the first trip was sent that may have run
-	member         int32 // where its last trip went: a job has one out at a time
-	sentAt         Time  // when
-	sent           int   // trips
-	out            bool  // one is out
-	further        int   // trips that came back without proof that they never ran
-	ended, held    bool
-	next           step
+	id                string
+	profile, group    int32
+	slot              int32   // of its session's fence; -1: none
+	rank              float64 // credit for the work, as it came in
+	fence, came       Time
+	wanted, limit     Time  // its expected time is up; the client's time is up
+	ranAt             Time  // when the first trip was sent that may have run
+	member            int32 // where its last trip went: a job has one out at a time
+	sentAt            Time  // when
+	sent              int   // trips
+	out               bool  // one is out
+	further           int   // trips that came back without proof that they never ran
+	ended, held, lost bool  // lost: its trip is so long out that it no longer counts as work in hand
+	next              step
 }
 
 // Balancer decides for one front.
@@ -552,7 +552,7 @@
 func (b *Balancer) send(i, mi int32) {
 	j, m := &b.jobs[i], &b.members[mi]
 	p := &b.profiles[j.profile]
-	j.member, j.sentAt, j.out = mi, b.now, true
+	j.member, j.sentAt, j.out, j.lost = mi, b.now, true, false
 	j.sent++
 	m.inFlight++
 	m.scouted = m.scouted || p.Need == Write && !m.proven
@@ -608,7 +608,9 @@
 // grade learns from one result: health, position, role, speed and room of the member.
 func (b *Balancer) grade(j *job, r Return) {
 	m, p := &b.members[j.member], &b.profiles[j.profile]
-	m.inFlight--
+	if !j.lost {
+		m.inFlight--
+	}
 	took := b.now - j.sentAt
 	m.scouted = m.scouted && p.Need != Write
 	if r.Ending <= Crowded || r.Ending == Faulted { // the store itself has answered
@@ -651,7 +653,9 @@
 	if r.Ending != Delivered && r.Ending != Expired && r.Ending != Crowded && r.Ending != Recalled {
 		return
 	}
-	m.strain += (float64(took)/float64(p.ExpectedTime) - m.strain) / 8
+	if !j.lost {
+		m.strain += (float64(took)/float64(p.ExpectedTime) - m.strain) / 8
+	}
 	switch {
 	case m.strain > 0.22 || r.Ending == Crowded:
 		if b.now-m.eased > p.ExpectedTime/2 {
@@ -788,6 +792,11 @@
 func (b *Balancer) review(i int32) {
 	j := &b.jobs[i]
 	p := &b.profiles[j.profile]
+	if j.out && !j.lost && float64(b.now-j.sentAt) > 6*p.typical {
+		// Danger: trips whose answers are lost fill a member's limit until their clients give up.
+		j.lost = true
+		b.members[j.member].inFlight--
+	}
 	late := p.LateCredit == 0 && b.now+Time(p.typical) > j.wanted
 	switch {
 	case b.now >= j.limit-b.beat:
