--- a/balance/balance.go
+++ b/balance/balance.go
@@ -282,7 +282,7 @@
 // Danger: a store that fails at once, full, broken or draining, looks the least busy and draws every job.
 func (b *Balancer) shun(m *member) Time {
 	m.refusals = min(m.refusals+1, 8)
-	return b.now + min(b.beat<<m.refusals, 4*b.quickest)
+	return b.now + min(b.beat<<m.refusals, b.quickest)
 }
 
 func (b *Balancer) alive(i int32) {
@@ -628,7 +628,7 @@
 		// Danger: a draining primary turns writes away as a replica while its other answers still claim the
 		// role, so a claim must be newer each time; and until it takes a write, no read relies on it.
 		m.doubted = b.shun(m)
-	case r.Ending >= Expired && float64(took) > p.typical || r.Ending == Crowded || r.Ending == Unreached || r.Ending == Faulted || r.Ending == Severed:
+	case r.Ending == Crowded || r.Ending == Unreached || r.Ending == Faulted || r.Ending == Severed:
 		m.shut = b.shun(m)
 		m.unreached = r.Ending == Unreached // a single lost connection is no restart
 		m.suspect = m.suspect || r.Ending == Unreached
