--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -140,6 +140,9 @@
 		w.pass(500)
 		w.hear(1, w.now, Primary)
 		if p := w.jobs["w1"]; len(p.trips) > 1 {
+			if !w.held("r2") {
+				t.Fatal("a fresh read went along with the write that was to prove the role")
+			}
 			w.back("w1", 1, Return{Note: Report{Position: w.now, Role: Primary}})
 			break
 		}
@@ -149,6 +152,41 @@
 	}
 }
 
+// A numbered job that may have run waited past the time for which its repeats are dropped.
+func TestNumberedJobKeepsItsWindow(t *testing.T) {
+	w := three(t, testCharter())
+	in := ask("m", "marked")
+	in.Left = 30000
+	w.take(in)
+	w.pass(100)
+	w.back("m", 0, Return{Ending: Faulted, Note: Report{Position: w.now, Role: Primary}})
+	w.list(ListChanges, Member{Store: 1, Group: 9, Zone: "a", Condition: Draining, Size: 1})
+	if w.jobs["m"].final != 0 || len(w.jobs["m"].trips) != 1 {
+		t.Fatal("the job ought to wait for a new primary")
+	}
+	w.pass(testCharter().Profiles[5].Window)
+	w.hear(2, w.now, Primary)
+	if w.jobs["m"].final != 1 {
+		t.Error("the job outlived its window")
+	}
+}
+
+// A cold store that answered or turned away at once was sent one job after the other.
+func TestColdStoreIsNotRushed(t *testing.T) {
+	w := three(t, testCharter())
+	for store := range uint32(3) {
+		w.list(ListChanges, Member{Store: store + 1, Group: 9, Zone: "a", Condition: Ready, Size: 1, Started: w.now})
+	}
+	for n := range 120 {
+		id := fmt.Sprint("j", n)
+		w.take(ask(id, "any"))
+		if !w.held(id) {
+			w.back(id, 0, Return{Note: Report{Position: w.now, Role: Replica}})
+		}
+		w.pass(50)
+	}
+}
+
 // Trips whose answers were lost filled a member's limit until their clients gave up; a lost connection made it cold.
 func TestLostAnswersFreeTheirPlaces(t *testing.T) {
 	w := three(t, testCharter())
