--- a/balance/balance.go
+++ b/balance/balance.go
@@ -691,7 +691,7 @@
 	j := &b.jobs[i]
 	p := &b.profiles[j.profile]
 	if p.Repeat == Reissuable || j.ranAt == 0 && !j.out || p.Repeat == Numbered && p.Anywhere {
-		b.front.TurnBack(j.id, min(b.mostPause, p.ExpectedTime/2+b.chance(p.ExpectedTime/2)))
+		b.front.TurnBack(j.id, b.mostPause/2+b.chance(b.mostPause/2))
 	} else {
 		b.front.WriteOff(j.id)
 	}
