--- a/balance/balance.go
+++ b/balance/balance.go
@@ -54,7 +54,6 @@
 	position, refreshed  Time    // the largest it has shown, and when an answer last showed one
 	news                 Role    // what an answer showed that other fronts have not been told
 	primaryAt, replicaAt Time    // newest moments at which it surely was, and surely was not, the primary
-	noSpill, gap         Time    // spilled reads wait until then, and for so long after one that came to nothing
 	doubted              Time    // claims from before this moment do not count
 	probed, asked        Time    // last probe; oldest without a sign of life since, 0: none
 	reply, vary          float64 // mean and spread of the gaps between a probe and the sign of life after it
@@ -448,8 +447,7 @@
 		return ahead // the store itself checks the fence, so the most advanced may be tried
 	}
 	part := min(1, max(0.5, j.rank/b.ownRank)) // what is worth less leaves room for what only the primary takes
-	if primary >= 0 && b.members[primary].proven && b.now >= b.members[primary].noSpill &&
-		b.room(&b.members[primary], part) {
+	if primary >= 0 && b.members[primary].proven && b.room(&b.members[primary], part) {
 		return primary
 	}
 	if full || primary >= 0 {
@@ -650,14 +648,6 @@
 	if j.lost || r.Ending == Behind || r.Ending == Unreached || r.Ending == Unsent {
 		return
 	}
-	if b.groups[j.group].primary == j.member && p.Need < Fresh {
-		// Danger: many fronts with a spilled read each keep a primary busy with reads that all come too late.
-		m.gap /= 2
-		if b.now > j.wanted || r.Ending != Delivered {
-			m.gap = min(4*m.gap+Time(p.typical), 8*b.quickest)
-			m.noSpill = b.now + m.gap/2 + b.chance(m.gap)
-		}
-	}
 	m.strain += (float64(took)/float64(p.ExpectedTime) - m.strain) / 8
 	switch {
 	case m.strain > 0.22 || r.Ending == Crowded:
