No spill where the primary's answers would come after the client's time

A read now spills only if the primary's recent answer times leave it time. It may hurt where a primary that gets no writes was slow once.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -447,7 +447,8 @@
 		return ahead // the store itself checks the fence, so the most advanced may be tried
 	}
 	part := min(1, max(0.5, j.rank/b.ownRank)) // what is worth less leaves room for what only the primary takes
-	if primary >= 0 && b.members[primary].proven && b.room(&b.members[primary], part) {
+	if primary >= 0 && b.members[primary].proven && b.room(&b.members[primary], part) &&
+		b.now+Time(b.members[primary].strain*float64(p.ExpectedTime)) < j.limit {
 		return primary
 	}
 	if full || primary >= 0 {
