--- a/balance/balance.go
+++ b/balance/balance.go
@@ -448,7 +448,7 @@
 	}
 	part := min(1, max(0.5, j.rank/b.ownRank)) // what is worth less leaves room for what only the primary takes
 	if primary >= 0 && b.members[primary].proven && b.room(&b.members[primary], part) &&
-		b.now+Time(b.members[primary].strain*float64(p.ExpectedTime)) < min(j.wanted, j.limit) {
+		b.now+Time(b.members[primary].strain*float64(p.ExpectedTime)) < j.limit {
 		return primary
 	}
 	if full || primary >= 0 {
