--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -43,7 +43,7 @@
 
 // Serve plays batches from in until its end.
 func Serve(in io.Reader, out io.Writer) error {
-	h := &host{out: bufio.NewWriterSize(out, 1<<16), fronts: map[string]*front{}, fields: map[string]string{}}
+	h := &host{out: bufio.NewWriterSize(out, 1<<16), fronts: map[string]*front{}, fields: map[string]string{}, batch: "none"}
 	r := bufio.NewReaderSize(in, 1<<20)
 	for n := 1; ; n++ {
 		line, err := r.ReadString('\n')
