--- a/balance/balance.go
+++ b/balance/balance.go
@@ -384,7 +384,7 @@
 	if m.budget <= 0 { // a trickle keeps it in sight where there is nothing to judge a budget by
 		return m.inFlight == 0 && b.now-m.sentAt > b.span/8
 	}
-	return m.inFlight == 0 || float64(m.inFlight) < m.limit*part*min(1, 2*b.warmth(m))
+	return m.inFlight == 0 || float64(m.inFlight) < m.limit*part*min(1, 3*b.warmth(m))
 }
 
 // choose gives the member for the job's next trip, or -1 if it has to wait.
