--- a/balance/balance.go
+++ b/balance/balance.go
@@ -384,7 +384,7 @@
 	if m.budget <= 0 { // a trickle keeps it in sight where there is nothing to judge a budget by
 		return m.inFlight == 0 && b.now-m.sentAt > b.span/8
 	}
-	return m.inFlight == 0 || float64(m.inFlight) < m.limit*part*min(1, 2*b.warmth(m))
+	return m.inFlight == 0 || float64(m.inFlight) < m.limit*part*min(1, 3*b.warmth(m))
 }
 
 // choose gives the member for the job's next trip, or -1 if it has to wait.
@@ -443,11 +443,8 @@
 	if p.Need == Session && !full && b.now-j.came < p.ExpectedTime/10 && b.now-need < p.ExpectedTime*2 {
 		return -1 // known positions trail a fresh fence: one that passes it is due at once
 	}
-	if b.checks && !full && j.sent == 0 && ahead >= 0 && b.room(&b.members[ahead], 1) {
-		// The store itself checks, so the most advanced may be tried, for a bound if it kept it when last heard.
-		if m := &b.members[ahead]; p.Need == Session || m.refreshed-m.position < p.Bound/2 {
-			return ahead
-		}
+	if p.Need == Session && !full && b.checks && j.sent == 0 && ahead >= 0 && b.room(&b.members[ahead], 1) {
+		return ahead // the store itself checks the fence, so the most advanced may be tried
 	}
 	part := min(1, max(0.5, j.rank/b.ownRank)) // what is worth less leaves room for what only the primary takes
 	if primary >= 0 && b.members[primary].proven && b.room(&b.members[primary], part) &&
