--- a/balance/balance.go
+++ b/balance/balance.go
@@ -790,7 +790,7 @@
 		j.lost = true
 		b.members[j.member].inFlight--
 	}
-	late := p.LateCredit == 0 && b.now+Time(p.typical) > j.wanted
+	late := p.LateCredit == 0 && b.now+Time(1.5*p.typical) > j.wanted
 	switch {
 	case b.now >= j.limit-b.beat:
 		b.giveUp(i)
