--- a/balance/balance.go
+++ b/balance/balance.go
@@ -3,7 +3,6 @@
 // How it is called: New is handed the Charter once; List, Take, Returned, Probed, Left, Streams, Told, Beat
 // follow as things happen, one at a time, each with the present moment. The module acts through the Front
 // that New was given. Those types, and what a front can do, are in front.go. Fronts share nothing.
-//
 // The mechanism is pgpilot's: a session has a fence, the log position of its last write; a read goes to the
 // least busy replica known to have passed what it needs, else to the primary. See docs/design.md.
 package balance
@@ -59,7 +58,6 @@
 	reply, vary          float64 // mean and spread of the gaps between a probe and the sign of life after it
 }
 
-// group is one primary and its replicas.
 type group struct {
 	members []int32
 	primary int32   // -1: not known
@@ -70,7 +68,6 @@
 // step is what a job does next; it is handed the result of the step before.
 type step func(b *Balancer, i int32, r Return)
 
-// job is a place in the slab.
 type job struct {
 	id                string
 	profile, group    int32
@@ -88,7 +85,6 @@
 	next              step
 }
 
-// Balancer decides for one front.
 type Balancer struct {
 	front                      Front
 	now, beat                  Time
@@ -208,7 +204,6 @@
 		g := b.groupAt(e.Group)
 		i = int32(len(b.members))
 		b.memberOf[e.Store] = i
-		// The first limit is a guess that the first answers raise or cut.
 		b.members = append(b.members, member{store: e.Store, group: g, limit: 8,
 			reply: float64(b.beat), vary: float64(b.beat), probed: b.now - b.probeEvery,
 			far: b.priced && e.Zone != b.zone, size: 1, proven: true})
@@ -257,7 +252,6 @@
 	}
 }
 
-// deny: the member is a replica.
 func (b *Balancer) deny(i int32, at Time) {
 	m := &b.members[i]
 	m.replicaAt = max(m.replicaAt, at)
@@ -384,7 +378,7 @@
 	if m.budget <= 0 { // a trickle keeps it in sight where there is nothing to judge a budget by
 		return m.inFlight == 0 && b.now-m.sentAt > b.span/8
 	}
-	return m.inFlight == 0 || float64(m.inFlight) < m.limit*part*min(1, 3*b.warmth(m))
+	return m.inFlight == 0 || float64(m.inFlight) < m.limit*part*min(1, 2*b.warmth(m))
 }
 
 // choose gives the member for the job's next trip, or -1 if it has to wait.
@@ -397,7 +391,7 @@
 		} else if b.room(&b.members[primary], 1) {
 			return primary
 		}
-		b.crowded = b.now
+		b.overload()
 		return -1
 	}
 	need := j.fence
@@ -452,11 +446,19 @@
 		return primary
 	}
 	if full || primary >= 0 {
-		b.crowded = b.now
+		b.overload()
 	}
 	return -1
 }
 
+// overload: a job found no room. It counts as seen for twice the shortest expected time.
+func (b *Balancer) overload() {
+	if b.now-b.crowded > 2*b.quickest {
+		b.front.Log("overload seen")
+	}
+	b.crowded = b.now
+}
+
 func (b *Balancer) Take(now Time, in Job) error {
 	b.now = now
 	b.taken++
@@ -506,7 +508,6 @@
 	return nil
 }
 
-// place sends the job on its next trip or holds it.
 func (b *Balancer) place(i int32) {
 	j := &b.jobs[i]
 	if m := b.choose(j); m >= 0 {
@@ -725,7 +726,6 @@
 	}
 }
 
-// Beat looks after all that depends on time alone.
 func (b *Balancer) Beat(now Time) {
 	b.now = now
 	b.front.Wake(b.beat)
@@ -738,6 +738,9 @@
 	}
 	b.probeNow = Time(float64(len(b.members)) * float64(b.beat) / max(b.jobRate*b.probesPerJob, 1e-6))
 	b.probeNow = min(max(b.probeNow, b.probeEvery), 10*b.probeEvery)
+	if calm := now - b.crowded - 2*b.quickest; calm > 0 && calm <= b.beat {
+		b.front.Log("overload is over")
+	}
 	if now >= b.watchAt {
 		b.watchAt = now + b.askWithin/2
 		b.front.Watch()
@@ -790,11 +793,9 @@
 		j.lost = true
 		b.members[j.member].inFlight--
 	}
-	late := p.LateCredit == 0 && b.now+Time(1.5*p.typical) > j.wanted
+	late := p.LateCredit == 0 && b.now+Time(p.typical) > j.wanted
 	switch {
-	case b.now >= j.limit-b.beat:
-		b.giveUp(i)
-	case j.held && (late || b.now+Time(p.typical/2) > j.limit):
+	case b.now >= j.limit-b.beat, j.held && (late || b.now+Time(p.typical/2) > j.limit):
 		b.giveUp(i)
 	case j.out && p.Repeat == Reissuable && b.mayCancel && b.mayGoAgain(j):
 		if j.lost || b.members[j.member].suspect && !b.groups[j.group].blind {
