--- a/balance/balance.go
+++ b/balance/balance.go
@@ -478,7 +478,7 @@
 	*j = job{id: in.ID, profile: p, group: g, slot: -1, came: now, limit: now + in.Left}
 	// A try with less time than others have had is a client's further try: its first came that much earlier.
 	pr.longest = max(pr.longest, in.Left)
-	j.wanted = now + pr.ExpectedTime
+	j.wanted = now + min(pr.ExpectedTime+Time(pr.Stretch*float64(in.Work)), pr.OuterLimit)
 	if in.Left < pr.longest {
 		j.wanted -= max(pr.OuterLimit-in.Left, 0)
 	}
--- a/balance/front.go
+++ b/balance/front.go
@@ -60,6 +60,7 @@
 	Anywhere     bool // Numbered: every store drops repeats, not the job's group alone
 	Window       Time // Numbered: how long repeats are dropped
 	ExpectedTime Time
+	Stretch      float64 // the expected time grows by this multiple of the job's own work
 	OuterLimit   Time
 	Credit       float64
 	LateCredit   float64 // part of the credit left after the expected time
@@ -108,6 +109,7 @@
 	Customer string
 	Session  string
 	Group    uint64
+	Work     Time // that it is expected to take; 0: not told
 	Left     Time // until the client gives this try up
 	Repeated bool // known to be a client's further try
 	WriteAge Time // age of the session's last write, rounded down; below 0: none, or not told
--- a/internal/simwire/charter.go
+++ b/internal/simwire/charter.go
@@ -36,6 +36,7 @@
 		Prices         struct{ CrossZone, Probe float64 }
 		Profiles       []struct {
 			Aim, HardLimit, Window   int64
+			AimStretch               float64
 			Group, Idempotency, Name string
 			LateWorth, Worth         float64
 		}
@@ -64,6 +65,9 @@
 	if w.Ceilings.Peers && c.Fronts > 1 {
 		c.TellMost = letterMost / letterLine
 	}
+	if len(w.Profiles) == 0 {
+		return c, 0, fmt.Errorf("Profiles is missing or empty")
+	}
 	if len(w.Extra.Freshness) != len(w.Profiles) {
 		return c, 0, fmt.Errorf("Extra.Freshness has %d entries for %d Profiles",
 			len(w.Extra.Freshness), len(w.Profiles))
@@ -77,6 +81,12 @@
 	repeats := map[string]balance.Repeat{"repeatable": balance.Reissuable, "by_key": balance.Numbered,
 		"once": balance.AtMostOnce}
 	for i, p := range w.Profiles {
+		if w.Extra.OldestData[i] < 0 {
+			return c, 0, fmt.Errorf("Extra.OldestData[%d] is negative", i)
+		}
+		if p.Aim <= 0 || p.HardLimit <= 0 || p.Window < 0 {
+			return c, 0, fmt.Errorf("Profiles[%d]: Aim, HardLimit or Window is out of range", i)
+		}
 		need, ok := needs[w.Extra.Freshness[i]]
 		if !ok {
 			return c, 0, fmt.Errorf("Extra.Freshness: %q is unknown", w.Extra.Freshness[i])
@@ -88,7 +98,7 @@
 		c.Profiles = append(c.Profiles, balance.Profile{Name: p.Name, Need: need,
 			Bound: w.Extra.OldestData[i] / microsPerTime, Repeat: repeat, Anywhere: p.Group == "all",
 			Window: p.Window / microsPerTime, ExpectedTime: p.Aim / microsPerTime,
-			OuterLimit: p.HardLimit / microsPerTime, Credit: p.Worth, LateCredit: p.LateWorth})
+			Stretch: p.AimStretch, OuterLimit: p.HardLimit / microsPerTime, Credit: p.Worth, LateCredit: p.LateWorth})
 	}
 	for _, o := range w.Orgs {
 		c.Customers = append(c.Customers, balance.Customer{Name: o.Name, Quota: o.QuotaPerS})
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -43,7 +43,8 @@
 
 // Serve plays batches from in until its end.
 func Serve(in io.Reader, out io.Writer) error {
-	h := &host{out: bufio.NewWriterSize(out, 1<<16), fronts: map[string]*front{}, fields: map[string]string{}, batch: "none"}
+	h := &host{out: bufio.NewWriterSize(out, 1<<16), fronts: map[string]*front{}, fields: map[string]string{},
+		batch: "none"}
 	r := bufio.NewReaderSize(in, 1<<20)
 	for n := 1; ; n++ {
 		line, err := r.ReadString('\n')
@@ -350,8 +351,12 @@
 	if err != nil {
 		return err
 	}
+	effort, err := h.optional("Effort")
+	if err != nil {
+		return err
+	}
 	j := balance.Job{ID: h.fields["Tid"], Profile: h.fields["Cls"], Customer: h.fields["Account"],
-		Session: h.fields["Session"], Group: group, Left: left / microsPerTime,
+		Session: h.fields["Session"], Group: group, Work: int64(effort) / microsPerTime, Left: left / microsPerTime,
 		Repeated: h.fields["Resent"] == "1", WriteAge: -1}
 	if age > 0 {
 		j.WriteAge = int64(age * 1000 / microsPerTime)
--- a/internal/simwire/simwire_test.go
+++ b/internal/simwire/simwire_test.go
@@ -45,9 +45,9 @@
 		{"malformed field", head + "LEFT I=front_0 Tid\n", "malformed field"},
 		{"short list", "TICK Clock=1 round=4\nMANIFEST Buffer=0 Entries=2\nCOMMIT\n", "list 0 lacks 2 entries"},
 		{"unknown profile", head + "ACCEPT I=front_0 Tid=t/a Remaining=1 Cls=x ClusterNo=3\n", `profile "x"`},
-		{"no profiles", "TICK Clock=1 round=4\nUP I=front_0 Entropy=1 BootInfo={}\n", "no profiles"},
+		{"no profiles", "TICK Clock=1 round=4\nUP I=front_0 Entropy=1 BootInfo={}\n", "Profiles is missing"},
 		{"unequal lists", "TICK Clock=1 round=4\n" + strings.Replace(up, `["write"]`, `[]`, 1) + "\n", "Extra.Freshness"},
-		{"negative bound", "TICK Clock=1 round=4\n" + strings.Replace(up, `[0]`, `[-100]`, 1) + "\n", `"w"`},
+		{"negative bound", "TICK Clock=1 round=4\n" + strings.Replace(up, `[0]`, `[-100]`, 1) + "\n", "Extra.OldestData[0] is negative"},
 		{"cut off", head, "input ends inside a batch"},
 	} {
 		out, err := play(t, c.in)
