--- a/balance/balance.go
+++ b/balance/balance.go
@@ -376,7 +376,7 @@
 		return float64(m.inFlight) < m.limit*part
 	}
 	if m.budget <= 0 { // a trickle keeps it in sight where there is nothing to judge a budget by
-		return m.inFlight == 0 && b.now-m.sentAt > b.span/8
+		return m.inFlight == 0 && b.now-m.sentAt > b.span/8 // a burst of eight in a span tips no store
 	}
 	return m.inFlight == 0 || float64(m.inFlight) < m.limit*part*min(1, 2*b.warmth(m))
 }
@@ -652,7 +652,7 @@
 	}
 	m.strain += (float64(took)/float64(p.ExpectedTime) - m.strain) / 8
 	switch {
-	case m.strain > 0.22 || r.Ending == Crowded:
+	case m.strain > 0.22 || r.Ending == Crowded: // a mean past about a fifth has a tail that is late
 		if b.now-m.eased > p.ExpectedTime/2 {
 			m.limit = max(b.least, min(m.limit, float64(m.inFlight+1))*0.8)
 			m.eased = b.now
