Fenced reads wait for a due position only where stores do not check fences

The wait costs its time where the store itself turns a read away for nothing. It may hurt where stores check but are far away.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -434,7 +434,7 @@
 	if best >= 0 {
 		return best
 	}
-	if p.Need == Session && !full && b.now-j.came < p.ExpectedTime/10 && b.now-need < p.ExpectedTime*2 {
+	if x := p.ExpectedTime; p.Need == Session && !full && !b.checks && b.now-j.came < x/10 && b.now-need < 2*x {
 		return -1 // known positions trail a fresh fence: one that passes it is due at once
 	}
 	if p.Need == Session && !full && b.checks && j.sent == 0 && ahead >= 0 && b.room(&b.members[ahead], 1) {
