--- a/balance/balance.go
+++ b/balance/balance.go
@@ -103,6 +103,7 @@
 	tightest, quickest         Time    // shortest bound on the age of data, and expected time
 	probeEvery, probeNow       Time    // gap between probes of a member: as wished, and as the price allows
 	probesPerJob, jobRate      float64 // probes that the price allows; jobs taken in a beat, on average
+	linesPerJob, lines         float64 // positions told to others that the price allows; those saved up
 	ownRank                    float64 // best rank of what only a primary takes
 	taken, watchMiss           int     // jobs since the last beat; failed calls for the list in a row
 	tellAt, watchAt            Time    // when to tell, and to ask for the list, next
@@ -152,6 +153,7 @@
 	b.beat = max(c.Round, min(2*c.Round, c.AnswerSlack/2), 1)
 	b.probeEvery = max(min(b.tightest, b.quickest)/3, b.beat)
 	b.probeNow, b.probesPerJob = b.probeEvery, thrift/max(c.ProbePrice, thrift/10)
+	b.linesPerJob = thrift * float64(c.TellMost) / (max(c.TellPrice, thrift/10) * float64(max(c.Fronts-1, 1)))
 	if !c.ListPushed {
 		// All fronts may be starting together: the first call is spread over an eighth of the allowed time.
 		b.watchAt = now + b.chance(b.askWithin/8)
@@ -302,8 +304,8 @@
 	every, fresh := b.probeNow, max(m.refreshed, m.probed)
 	if seeking {
 		every, fresh = b.probeEvery/2, m.probed
-	} else if m.asked > 0 {
-		every = b.probeEvery
+	} else if m.asked > 0 { // Danger: hundreds of fronts asking a dead store at a steady pace; so ever more seldom
+		every = min(max(b.probeEvery, m.probed-m.asked), b.probeNow)
 	}
 	if !b.mayProbe || !m.open || b.now-fresh < every {
 		return
@@ -337,9 +339,11 @@
 	}
 	b.tellAt, b.letter = b.now+b.probeEvery/3, b.letter[:0]
 	for i := range b.members {
-		if m := &b.members[i]; m.news != RoleUnknown && len(b.letter) < b.tellMost {
+		// Danger: every line goes to every other front, so what pays for a few of them floods hundreds.
+		if m := &b.members[i]; m.news != RoleUnknown && b.lines >= 1 {
 			b.letter = append(b.letter, Sighting{m.store, Report{m.position, m.news}})
 			m.news = RoleUnknown
+			b.lines--
 		}
 	}
 	if len(b.letter) > 0 {
@@ -730,6 +734,7 @@
 	b.now = now
 	b.front.Wake(b.beat)
 	b.jobRate += (float64(b.taken) - b.jobRate) * float64(b.beat) / float64(second)
+	b.lines = min(b.lines+float64(b.taken)*b.linesPerJob, float64(b.tellMost))
 	b.taken, b.ownRank = 0, 0
 	for i := range b.profiles {
 		if p := &b.profiles[i]; p.Need >= Fresh {
@@ -737,7 +742,7 @@
 		}
 	}
 	b.probeNow = Time(float64(len(b.members)) * float64(b.beat) / max(b.jobRate*b.probesPerJob, 1e-6))
-	b.probeNow = min(max(b.probeNow, b.probeEvery), 10*b.probeEvery)
+	b.probeNow = min(max(b.probeNow, b.probeEvery), b.cold)
 	if calm := now - b.crowded - 2*b.quickest; calm > 0 && calm <= b.beat {
 		b.front.Log("overload is over")
 	}
@@ -749,7 +754,7 @@
 	warm := 0.0
 	for gi := range b.groups {
 		g := &b.groups[gi]
-		seeking := b.primary(g) < 0
+		seeking := b.primary(g) < 0 && len(g.held) > 0
 		g.blind = true
 		for _, i := range g.members {
 			m := &b.members[i]
--- a/balance/front.go
+++ b/balance/front.go
@@ -29,6 +29,7 @@
 	MostPause     Time // most that a turn-back may name as a time to come back; 0: it may name none
 	CrossPrice    float64
 	ProbePrice    float64
+	TellPrice     float64 // of a full message to one front for each job
 }
 
 // Need says how recent a profile's data must be.
--- a/internal/simwire/charter.go
+++ b/internal/simwire/charter.go
@@ -33,7 +33,7 @@
 			QuotaPerS float64
 		}
 		OverShareWorth float64
-		Prices         struct{ CrossZone, Probe float64 }
+		Prices         struct{ CrossZone, Peer, Probe float64 }
 		Profiles       []struct {
 			Aim, HardLimit, Window   int64
 			AimStretch               float64
@@ -58,6 +58,7 @@
 		FallMultiple: w.Contract.FallMultiple, FallSpan: w.Contract.TipAfter / microsPerTime,
 		MostTrips: w.Ceilings.MaxAttempts, MayProbe: w.Ceilings.Probes, MayCancel: w.Ceilings.MayCancel,
 		CrossPrice: w.Prices.CrossZone, ProbePrice: w.Prices.Probe,
+		TellPrice: w.Prices.Peer,
 	}
 	if w.Ceilings.RetryAfter {
 		c.MostPause = w.Ceilings.MaxRetryAfter / microsPerTime
