Ask one likely replica before a read spills; supposed positions where stores check

A replica likely past the need by its lag when last heard is probed, and the read goes with its answer within a tenth of the expected time; where stores check reads themselves the trip itself is the question. Folds the wait for a due fence and the try of the most advanced replica into one rule. May hurt: a probe for a read that a spill would have served.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -50,7 +50,8 @@
 	strain               float64 // its answer times against the expected ones
 	size, budget         float64 // listed; typical time that may still be sent while it is cold
 	started, sentAt      Time    // of its last start, 0 when warm; last trip sent
-	position, refreshed  Time    // the largest it has shown, and when an answer last showed one
+	position, heard      Time    // the largest it has shown, and when it was heard of
+	refreshed            Time    // when an answer last showed one
 	news                 Role    // what an answer showed that other fronts have not been told
 	primaryAt, replicaAt Time    // newest moments at which it surely was, and surely was not, the primary
 	doubted              Time    // claims from before this moment do not count
@@ -81,6 +82,7 @@
 	sent              int   // trips
 	out               bool  // one is out
 	further           int   // trips that came back without proof that they never ran
+	asks              int   // probes sent for it
 	ended, held, lost bool  // lost: its trip is so long out that it no longer counts as work in hand
 	next              step
 }
@@ -207,12 +209,12 @@
 		i = int32(len(b.members))
 		b.memberOf[e.Store] = i
 		b.members = append(b.members, member{store: e.Store, group: g, limit: 8,
-			reply: float64(b.beat), vary: float64(b.beat), probed: b.now - b.probeEvery,
+			reply: float64(b.beat), vary: float64(b.beat), probed: b.now - b.chance(b.cold),
 			far: b.priced && e.Zone != b.zone, size: 1, proven: true})
 		b.groups[g].members = append(b.groups[g].members, i)
 	}
 	m := &b.members[i]
-	m.open = e.Condition == Ready || e.Condition == Gone && b.onlyDrains && m.open
+	m.open = e.Condition == Ready || e.Condition == Gone && b.onlyDrains && (m.open || !known)
 	if e.Size > 0 {
 		m.size = e.Size
 	}
@@ -231,7 +233,7 @@
 	if r.Role == RoleUnknown || r.Position < m.position && at == 0 || r.Position > b.now+2*b.beat {
 		return // older than what is known, or from a time to come: it says nothing
 	}
-	m.position = max(m.position, r.Position)
+	m.position, m.heard = max(m.position, r.Position), b.now
 	if r.Role == Primary {
 		b.claim(i, max(at, r.Position)) // a primary stands at the present of its report
 	} else if at > 0 || r.Position > m.primaryAt {
@@ -310,7 +312,12 @@
 	if !b.mayProbe || !m.open || b.now-fresh < every {
 		return
 	}
-	m.probed = b.now + b.chance(every/8)
+	b.ask(m)
+	m.probed += b.chance(every / 8)
+}
+
+func (b *Balancer) ask(m *member) {
+	m.probed = b.now
 	if m.asked == 0 {
 		m.asked = b.now
 	}
@@ -402,21 +409,21 @@
 	if p.Need == Bounded {
 		need = b.now - p.Bound
 	}
-	best, ahead, full := int32(-1), int32(-1), false
-	var least float64
+	best, hope, full := int32(-1), int32(-1), false
+	var least, hopes float64
 	for _, i := range g.members {
 		m := &b.members[i]
 		if i == g.primary && m.proven || !b.usable(m) {
 			continue
 		}
-		if ahead < 0 || m.position > b.members[ahead].position {
-			ahead = i
-		}
-		if m.position < need {
+		// What it lagged by when last heard it may lag by still. Where stores check reads that is enough.
+		reach := m.position + b.now - m.heard
+		past := m.position >= need || b.checks && m.heard > 0 && reach >= need
+		if !past && m.heard > 0 && reach+p.ExpectedTime/10 < need {
 			continue
 		}
 		if !b.room(m, 1) {
-			full = true
+			full = full || past
 			continue
 		}
 		v := float64(m.inFlight+1) / (m.size * b.warmth(m)) // how busy, for what it can do
@@ -431,6 +438,12 @@
 			// of them behind every bound. All fronts fill the same one first, so that the others stay fresh.
 			v = float64(m.store)
 		}
+		if !past {
+			if hope < 0 || v < hopes || v == hopes && b.chance(2) == 0 {
+				hope, hopes = i, v
+			}
+			continue
+		}
 		if best < 0 || v < least || v == least && b.chance(2) == 0 {
 			best, least = i, v
 		}
@@ -438,11 +451,14 @@
 	if best >= 0 {
 		return best
 	}
-	if x := p.ExpectedTime; p.Need == Session && !full && !b.checks && b.now-j.came < x/10 && b.now-need < 2*x {
-		return -1 // known positions trail a fresh fence: one that passes it is due at once
-	}
-	if p.Need == Session && !full && b.checks && j.sent == 0 && ahead >= 0 && b.room(&b.members[ahead], 1) {
-		return ahead // the store itself checks the fence, so the most advanced may be tried
+	if hope >= 0 && !full && b.mayProbe && b.now-j.came < p.ExpectedTime/10 {
+		// Danger: with many fronts each has few answers, known positions grow old, and all reads spill to the
+		// primary. One that is likely past the need is asked, and says so before a tenth of the expected time.
+		if m := &b.members[hope]; b.now-m.probed > b.probeEvery/2 && j.asks < 2 {
+			j.asks++
+			b.ask(m)
+		}
+		return -1
 	}
 	part := min(1, max(0.5, j.rank/b.ownRank)) // what is worth less leaves room for what only the primary takes
 	if primary >= 0 && b.members[primary].proven && b.room(&b.members[primary], part) &&
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -61,12 +61,29 @@
 		t.Errorf("a read without a fence went to %d, 2 is the least busy replica", got)
 	}
 	w.pass(4000)
+	w.hear(2, w.now-4000, Replica)
+	w.hear(3, w.now-4000, Replica)
+	w.hear(1, w.now, Primary)
 	w.take(ask("old", "bounded"))
 	if got := w.at(t, "old"); got != 1 {
 		t.Errorf("bounded read went to %d while no replica is known within the bound", got)
 	}
 }
 
+// Fronts with few jobs each knew only old positions, and all their reads spilled to the primary.
+func TestLikelyReplicaIsAsked(t *testing.T) {
+	w := three(t, testCharter())
+	w.now += 3100
+	w.take(ask("r", "bounded"))
+	if !w.held("r") || len(w.probes) != 1 {
+		t.Fatalf("%d probes for a read with two likely replicas", len(w.probes))
+	}
+	w.hear(w.probes[0], w.now-40, Replica)
+	if got := w.at(t, "r"); got != w.probes[0] {
+		t.Errorf("the read went to %d, %d has just shown a fresh position", got, w.probes[0])
+	}
+}
+
 func TestFenceRemembered(t *testing.T) {
 	c := testCharter()
 	c.FencesCarried = false
--- a/balance/helper_test.go
+++ b/balance/helper_test.go
@@ -105,7 +105,7 @@
 	for _, m := range members {
 		k := w.stores[m.Store]
 		if k == nil {
-			k = &known{group: m.Group}
+			k = &known{group: m.Group, open: w.charter.OnlyDraining}
 			w.stores[m.Store] = k
 			w.ids = append(w.ids, m.Store)
 		}
