Draw among idle members by what they can do, so that fronts do not choose alike

Cause: a front with no trip out found the largest member the least busy, as did all others (busiest server 5 to 7 times the mean).

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -426,7 +426,9 @@
 			full = full || past
 			continue
 		}
-		v := float64(m.inFlight+1) / (m.size * b.warmth(m)) // how busy, for what it can do
+		// How busy, for what it can do. Danger: a front with few trips finds nearly all idle, and without chance
+		// all fronts choose alike; the draw gives idle members work by what they can do.
+		v := (float64(m.inFlight) - math.Log(float64(b.chance(1<<20)+1)/(1<<20))) / (m.size * b.warmth(m))
 		if m.far {
 			v *= 2 // a crossing is paid for, so the own place may be somewhat busier
 		}
@@ -439,12 +441,12 @@
 			v = float64(m.store)
 		}
 		if !past {
-			if hope < 0 || v < hopes || v == hopes && b.chance(2) == 0 {
+			if hope < 0 || v < hopes {
 				hope, hopes = i, v
 			}
 			continue
 		}
-		if best < 0 || v < least || v == least && b.chance(2) == 0 {
+		if best < 0 || v < least {
 			best, least = i, v
 		}
 	}
