--- a/balance/balance.go
+++ b/balance/balance.go
@@ -49,7 +49,7 @@
 	eased                Time    // when the limit was last cut
 	strain               float64 // its answer times against the expected ones
 	size, budget         float64 // listed; typical time that may still be sent while it is cold
-	started, sentAt      Time    // of its last start, 0 when warm; last trip sent
+	started              Time    // of its last start, 0 when warm
 	position, heard      Time    // the largest it has shown, and when it was heard of
 	refreshed            Time    // when an answer last showed one
 	news                 Role    // what an answer showed that other fronts have not been told
@@ -101,6 +101,7 @@
 	mostPause, askWithin, span Time
 	cold                       Time
 	startShare, coldPart       float64 // capacity at a start; of what warm members are sent, a cold one's part
+	trickle                    float64 // rate that keeps it in sight where there is nothing to judge by
 	least                      float64 // limit that a member keeps: together the fronts keep its cores busy
 	tightest, quickest         Time    // shortest bound on the age of data, and expected time
 	probeEvery, probeNow       Time    // gap between probes of a member: as wished, and as the price allows
@@ -153,6 +154,8 @@
 	}
 	// Answers must come within the slack after the limit, so the module looks around twice in it.
 	b.beat = max(c.Round, min(2*c.Round, c.AnswerSlack/2), 1)
+	// Eight short trips in a span, over all fronts, tip no store.
+	b.trickle = 2 * float64(b.quickest) / float64(max(b.span, 1)) / float64(max(c.Fronts, 1))
 	b.probeEvery = max(min(b.tightest, b.quickest)/3, b.beat)
 	b.probeNow, b.probesPerJob = b.probeEvery, thrift/max(c.ProbePrice, thrift/10)
 	b.linesPerJob = thrift * float64(c.TellMost) / (max(c.TellPrice, thrift/10) * float64(max(c.Fronts-1, 1)))
@@ -382,14 +385,21 @@
 }
 
 // room tells whether the member takes one more trip in good time; part leaves the rest to worthier work.
-func (b *Balancer) room(m *member, part float64) bool {
+func (b *Balancer) room(m *member, trip, part float64) bool {
 	if m.started == 0 {
 		return float64(m.inFlight) < m.limit*part
 	}
-	if m.budget <= 0 { // a trickle keeps it in sight where there is nothing to judge a budget by
-		return m.inFlight == 0 && b.now-m.sentAt > b.span/8 // a burst of eight in a span tips no store
+	if m.inFlight > 0 && float64(m.inFlight) >= m.limit*part*min(1, 2*b.warmth(m)) {
+		return false
+	}
+	// Danger: hundreds of fronts with a trip each are far over what it stands. A part of a trip saved up is
+	// a chance of a whole one, and is spent whether won or lost.
+	if m.budget < trip && float64(b.chance(1<<20)) >= m.budget/trip*(1<<20) {
+		m.budget = min(m.budget, 0)
+		return false
 	}
-	return m.inFlight == 0 || float64(m.inFlight) < m.limit*part*min(1, 2*b.warmth(m))
+	m.budget = max(m.budget, trip)
+	return true
 }
 
 // choose gives the member for the job's next trip, or -1 if it has to wait.
@@ -399,7 +409,7 @@
 	if p.Need >= Fresh {
 		if primary < 0 || !b.members[primary].proven && (p.Need != Write || b.members[primary].scouted) {
 			return -1 // a denied primary takes one write; the rest follow once it is taken
-		} else if b.room(&b.members[primary], 1) {
+		} else if b.room(&b.members[primary], p.typical, 1) {
 			return primary
 		}
 		b.overload()
@@ -422,7 +432,7 @@
 		if !past && m.heard > 0 && reach+p.ExpectedTime/10 < need {
 			continue
 		}
-		if !b.room(m, 1) {
+		if !b.room(m, p.typical, 1) {
 			full = full || past
 			continue
 		}
@@ -463,7 +473,7 @@
 		return -1
 	}
 	part := min(1, max(0.5, j.rank/b.ownRank)) // what is worth less leaves room for what only the primary takes
-	if primary >= 0 && b.members[primary].proven && b.room(&b.members[primary], part) &&
+	if primary >= 0 && b.members[primary].proven && b.room(&b.members[primary], p.typical, part) &&
 		b.now+Time(b.members[primary].strain*float64(p.ExpectedTime)) < j.limit {
 		return primary
 	}
@@ -578,7 +588,6 @@
 	m.scouted = m.scouted || p.Need == Write && !m.proven
 	if m.started > 0 {
 		m.budget -= p.typical
-		m.sentAt = b.now
 	} else {
 		b.sentWarm += p.typical
 	}
@@ -779,7 +788,7 @@
 			if m.started > 0 {
 				// Danger: all fronts together push a cold store over. Each front gives it its part of what it
 				// sends to warm ones of like size, within the allowed multiple.
-				rate := b.flow * m.size * b.warmth(m) * b.coldPart
+				rate := max(b.flow*m.size*b.warmth(m)*b.coldPart, b.trickle)
 				m.budget = min(m.budget+rate*float64(b.beat), rate*float64(b.span)/2)
 			} else if m.open {
 				warm += m.size
