--- a/balance/balance.go
+++ b/balance/balance.go
@@ -121,7 +121,7 @@
 	jobs                       []job // the slab
 	free                       []int32
 	fences                     []Time  // newest write of each session, by hash; sharing a place only tightens it
-	flow, sentWarm             float64 // typical time sent to warm members, for each unit of size and time
+	flow, doneWarm             float64 // typical time of what warm members deliver, for each unit of size and time
 }
 
 // New makes the module for one front.
@@ -588,8 +588,6 @@
 	m.scouted = m.scouted || p.Need == Write && !m.proven
 	if m.started > 0 {
 		m.budget -= p.typical
-	} else {
-		b.sentWarm += p.typical
 	}
 	j.next = (*Balancer).afterTrip
 	b.front.Send(j.id, m.store, j.limit)
@@ -667,6 +665,9 @@
 		m.suspect = m.suspect || r.Ending == Unreached
 	}
 	if r.Ending == Delivered {
+		if m.started == 0 {
+			b.doneWarm += p.typical // Danger: what overloaded members are sent is no measure of what one can do.
+		}
 		if p.Need == Write && j.slot >= 0 && !j.ended {
 			b.fences[j.slot] = max(b.fences[j.slot], r.Note.Position)
 		}
@@ -803,9 +804,9 @@
 		}
 	}
 	if warm > 0 {
-		b.flow += (b.sentWarm/(warm*float64(b.beat)) - b.flow) * float64(b.beat) / float64(max(b.span, b.beat))
+		b.flow += (b.doneWarm/(warm*float64(b.beat)) - b.flow) * float64(b.beat) / float64(max(b.span, b.beat))
 	}
-	b.sentWarm = 0
+	b.doneWarm = 0
 	for i := range b.jobs {
 		if b.jobs[i].id != "" && !b.jobs[i].ended {
 			b.review(int32(i))
