Long reads are feared to stop the log until seen otherwise

Cause: a front with a long report every ten seconds never learned that reports stop the log, so all replicas stood still by turns and bounded reads spilled. Told from lag by the reports of the same replicas moving again between long jobs. May hurt: long reads of any data that do not stop the log keep to one replica until some answers have shown it.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -24,7 +24,7 @@
 type profile struct {
 	Profile
 	typical float64 // how long a trip of it takes of late
-	stills  float64 // how often a replica's position stood still while it held one
+	stills  float64 // how often a replica's position stood still while it held one; feared until seen
 	longest Time    // most time that a client's try was seen to have
 }
 
@@ -142,7 +142,7 @@
 			return nil, fmt.Errorf("charter: profile %q: bound, window or times out of range", p.Name)
 		}
 		b.profileOf[p.Name] = int32(i)
-		b.profiles = append(b.profiles, profile{Profile: p, typical: float64(p.ExpectedTime) / 4})
+		b.profiles = append(b.profiles, profile{Profile: p, typical: float64(p.ExpectedTime) / 4, stills: 1})
 		b.quickest = min(b.quickest, p.ExpectedTime)
 		if p.Need == Bounded {
 			b.tightest = min(b.tightest, p.Bound)
@@ -445,7 +445,7 @@
 		if need == 0 && m.position > b.now-b.tightest {
 			v *= 2 // leave the fresh ones to those who need them
 		}
-		if p.stills > 0.5 && 2*p.typical > float64(b.tightest) {
+		if p.stills > 0.5 && p.ExpectedTime > 2*b.tightest {
 			// Danger: long jobs that keep a replica from applying the log, spread by the least busy rule, keep all
 			// of them behind every bound. All fronts fill the same one first, so that the others stay fresh.
 			v = float64(m.store)
