Tell clients' further tries by the time most tries have left, not by the longest

Cause: a last try may have all that is left, more than any first try; then all first tries counted as further ones and were turned back on arrival. Seen in a trace: reads turned back within a tick with 440 ms left and 250 ms wanted.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -25,7 +25,8 @@
 	Profile
 	typical float64 // how long a trip of it takes of late
 	stills  float64 // how often a replica's position stood still while it held one; feared until seen
-	longest Time    // most time that a client's try was seen to have
+	usual   Time    // time that most clients' tries have left
+	votes   int     // tries in a row, on balance, that had it
 }
 
 // customer has a bucket of jobs within its share, a second's worth at most.
@@ -508,10 +509,14 @@
 	b.jobOf[in.ID] = i
 	j, pr := &b.jobs[i], &b.profiles[p]
 	*j = job{id: in.ID, profile: p, group: g, slot: -1, came: now, limit: now + in.Left}
-	// A try with less time than others have had is a client's further try: its first came that much earlier.
-	pr.longest = max(pr.longest, in.Left)
 	j.wanted = now + min(pr.ExpectedTime+Time(pr.Stretch*float64(in.Work)), pr.OuterLimit)
-	if in.Left < pr.longest {
+	if off := in.Left - pr.usual; max(off, -off) <= b.beat {
+		pr.votes = min(pr.votes+1, 16)
+	} else if pr.votes--; pr.votes < 0 {
+		pr.usual, pr.votes = in.Left, 1
+	} else {
+		// A try with less time left than most, or with all that is left, is a client's further one: its first
+		// came that much earlier. Danger: the longest ever seen is no measure, a last try may have the most.
 		j.wanted -= max(pr.OuterLimit-in.Left, 0)
 	}
 	if in.Session != "" {
