Reads spill by the odds that spilled ones came back in good time

Folds the stop of spills by the mean answer time. Covers any trouble that sends reads to few stores. May hurt where an answer in half the expected time is out of reach.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -85,6 +85,7 @@
 	further           int   // trips that came back without proof that they never ran
 	asks              int   // probes sent for it
 	ended, held, lost bool  // lost: its trip is so long out that it no longer counts as work in hand
+	spilled, barred   bool  // a read's trip went to the primary; it may not go there
 	next              step
 }
 
@@ -112,6 +113,7 @@
 	taken, watchMiss           int     // jobs since the last beat; failed calls for the list in a row
 	tellAt, watchAt            Time    // when to tell, and to ask for the list, next
 	crowded                    Time    // when the front last saw overload
+	spill                      float64 // odds that a read may spill
 	profiles                   []profile
 	customers                  map[string]*customer
 	members                    []member
@@ -137,7 +139,7 @@
 		tellMost: c.TellMost, mayCancel: c.MayCancel, priced: c.CrossPrice > 0, tightest: never, quickest: never,
 		profileOf: map[string]int32{}, customers: map[string]*customer{}, memberOf: map[uint32]int32{},
 		groupOf: map[uint64]int32{}, jobOf: map[string]int32{}, fences: make([]Time, 1<<fenceBits),
-		mostPause: c.MostPause, crowded: -never, watchAt: never, least: max(1, 3/float64(max(c.Fronts, 1)))}
+		mostPause: c.MostPause, crowded: -never, spill: 1, watchAt: never, least: max(1, 3/float64(max(c.Fronts, 1)))}
 	for i, p := range c.Profiles {
 		if p.Bound < 0 || p.ExpectedTime <= 0 || p.OuterLimit <= 0 || p.Window < 0 {
 			return nil, fmt.Errorf("charter: profile %q: bound, window or times out of range", p.Name)
@@ -474,9 +476,14 @@
 		return -1
 	}
 	part := min(1, max(0.5, j.rank/b.ownRank)) // what is worth less leaves room for what only the primary takes
-	if primary >= 0 && b.members[primary].proven && b.room(&b.members[primary], p.typical, part) &&
-		b.now+Time(b.members[primary].strain*float64(p.ExpectedTime)) < j.limit {
-		return primary
+	if !j.barred && primary >= 0 && b.members[primary].proven && b.room(&b.members[primary], p.typical, part) {
+		// Danger: where replicas lag, hundreds of fronts spill to the primary together, each too little to see
+		// it fill, and the writes drown. So a read spills by the odds that spilled ones came back in good time.
+		j.barred = float64(b.chance(1<<20)) >= b.spill*(1<<20)
+		j.spilled = !j.barred
+		if j.spilled {
+			return primary
+		}
 	}
 	if full || primary >= 0 {
 		b.overload()
@@ -643,6 +650,12 @@
 		m.inFlight--
 	}
 	took := b.now - j.sentAt
+	if j.spilled && r.Ending == Delivered && took < p.ExpectedTime/2 {
+		b.spill = min(b.spill+1.0/16, 1)
+	} else if j.spilled && r.Ending != Behind {
+		b.spill = max(b.spill*3/4, 1.0/16)
+	}
+	j.spilled, j.barred = false, false
 	m.scouted = m.scouted && p.Need != Write
 	if r.Ending <= Crowded || r.Ending == Faulted { // the store itself has answered
 		b.alive(j.member)
