--- a/balance/balance.go
+++ b/balance/balance.go
@@ -650,7 +650,7 @@
 		m.inFlight--
 	}
 	took := b.now - j.sentAt
-	if j.spilled && r.Ending == Delivered && b.now <= j.wanted {
+	if j.spilled && r.Ending == Delivered && took < p.ExpectedTime/2 {
 		b.spill = min(b.spill+1.0/16, 1)
 	} else if j.spilled && r.Ending != Behind {
 		b.spill = max(b.spill*3/4, 1.0/16)
