--- a/balance/balance.go
+++ b/balance/balance.go
@@ -443,7 +443,7 @@
 		// all fronts choose alike; the draw gives idle members work by what they can do.
 		v := (float64(m.inFlight) - math.Log(float64(b.chance(1<<20)+1)/(1<<20))) / (m.size * b.warmth(m))
 		if m.far {
-			v *= 4 // a crossing is paid for, so the own place may be busier
+			v *= 2 // a crossing is paid for, so the own place may be somewhat busier
 		}
 		if need == 0 && m.position > b.now-b.tightest {
 			v *= 2 // leave the fresh ones to those who need them
