--- a/balance/balance.go
+++ b/balance/balance.go
@@ -441,7 +441,7 @@
 		}
 		// How busy, for what it can do. Danger: a front with few trips finds nearly all idle, and without chance
 		// all fronts choose alike; the draw gives idle members work by what they can do.
-		v := (float64(m.inFlight) - math.Log(float64(b.chance(1<<20)+1)/(1<<20))/4) / (m.size * b.warmth(m))
+		v := (float64(m.inFlight) - math.Log(float64(b.chance(1<<20)+1)/(1<<20))) / (m.size * b.warmth(m))
 		if m.far {
 			v *= 2 // a crossing is paid for, so the own place may be somewhat busier
 		}
