--- a/balance/balance.go
+++ b/balance/balance.go
@@ -47,6 +47,7 @@
 	shut                 Time // until then nothing new goes there, for these
 	inFlight             int
 	limit                float64 // trips in flight that it takes in good time, learned from its answers
+	backAt               Time    // when a trip last came back
 	eased                Time    // when the limit was last cut
 	strain               float64 // its answer times against the expected ones
 	size, budget         float64 // listed; typical time that may still be sent while it is cold
@@ -139,7 +140,7 @@
 		tellMost: c.TellMost, mayCancel: c.MayCancel, priced: c.CrossPrice > 0, tightest: never, quickest: never,
 		profileOf: map[string]int32{}, customers: map[string]*customer{}, memberOf: map[uint32]int32{},
 		groupOf: map[uint64]int32{}, jobOf: map[string]int32{}, fences: make([]Time, 1<<fenceBits),
-		mostPause: c.MostPause, crowded: -never, spill: 1, watchAt: never, least: max(1, 3/float64(max(c.Fronts, 1)))}
+		mostPause: c.MostPause, crowded: -never, spill: 1, watchAt: never, least: 3 / float64(max(c.Fronts, 1))}
 	for i, p := range c.Profiles {
 		if p.Bound < 0 || p.ExpectedTime <= 0 || p.OuterLimit <= 0 || p.Window < 0 {
 			return nil, fmt.Errorf("charter: profile %q: bound, window or times out of range", p.Name)
@@ -390,7 +391,9 @@
 // room tells whether the member takes one more trip in good time; part leaves the rest to worthier work.
 func (b *Balancer) room(m *member, trip, part float64) bool {
 	if m.started == 0 {
-		return float64(m.inFlight) < m.limit*part
+		// Danger: hundreds of fronts with a trip each crowd a store. Under one trip a front rests between trips.
+		limit := m.limit * part
+		return float64(m.inFlight) < limit && (limit >= 1 || float64(b.now-m.backAt) >= trip*(1/limit-1))
 	}
 	if m.inFlight > 0 && float64(m.inFlight) >= m.limit*part*min(1, 2*b.warmth(m)) {
 		return false
@@ -649,6 +652,7 @@
 	if !j.lost {
 		m.inFlight--
 	}
+	m.backAt = b.now
 	took := b.now - j.sentAt
 	if j.spilled && r.Ending == Delivered && took < p.ExpectedTime/2 {
 		b.spill = min(b.spill+1.0/16, 1)
@@ -700,15 +704,16 @@
 	if j.lost || r.Ending == Behind || r.Ending == Unreached || r.Ending == Unsent {
 		return
 	}
-	m.strain += (float64(took)/float64(p.ExpectedTime) - m.strain) / 8
+	m.strain += (float64(took)/float64(p.ExpectedTime) - m.strain) / (1 + min(m.limit, 7)) // few tell more each
 	switch {
-	case m.strain > 0.22 || r.Ending == Crowded: // a mean past about a fifth has a tail that is late
+	// A mean past about a fifth has a tail that is late; a single answer may take half.
+	case m.strain > max(0.22, 0.5/(1+m.limit)) || r.Ending == Crowded:
 		if b.now-m.eased > p.ExpectedTime/2 {
 			m.limit = max(b.least, min(m.limit, float64(m.inFlight+1))*0.8)
 			m.eased = b.now
 		}
 	case float64(m.inFlight+1) > m.limit/2:
-		m.limit += 1 / m.limit
+		m.limit += min(1/m.limit, m.limit/2)
 	}
 }
 
