--- a/balance/balance.go
+++ b/balance/balance.go
@@ -432,11 +432,10 @@
 		if i == g.primary && m.proven || !b.usable(m) {
 			continue
 		}
-		// What it lagged by when last heard it may lag by still, but not for longer than it lagged: a front that
-		// goes by old news alone never hears that replicas have caught up. Where stores check reads it is enough.
+		// What it lagged by when last heard it may lag by still. Where stores check reads that is enough.
 		reach := m.position + b.now - m.heard
 		past := m.position >= need || b.checks && m.heard > 0 && reach >= need
-		if !past && m.heard > 0 && reach+p.ExpectedTime/10 < need && b.now-m.heard < m.heard-m.position {
+		if !past && m.heard > 0 && reach+p.ExpectedTime/10 < need {
 			continue
 		}
 		if !b.room(m, p.typical, 1) {
