Fronts begin with their part of a limit for all

Told from a slow log by the lag growing with trips in flight, and by one replica a group, the one with the reports, lagging most. May hurt: a busy front among many idle ones starts slowly.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -215,7 +215,7 @@
 		g := b.groupAt(e.Group)
 		i = int32(len(b.members))
 		b.memberOf[e.Store] = i
-		b.members = append(b.members, member{store: e.Store, group: g, limit: 8,
+		b.members = append(b.members, member{store: e.Store, group: g, limit: min(8, 8*b.least),
 			reply: float64(b.beat), vary: float64(b.beat), probed: b.now - b.chance(b.cold),
 			far: b.priced && e.Zone != b.zone, size: 1, proven: true})
 		b.groups[g].members = append(b.groups[g].members, i)
