--- a/balance/balance.go
+++ b/balance/balance.go
@@ -713,7 +713,7 @@
 			m.eased = b.now
 		}
 	case float64(m.inFlight+1) > m.limit/2:
-		m.limit += min(1/m.limit, m.limit/2)
+		m.limit += min(1/m.limit, m.limit/4)
 	}
 }
 
