--- a/balance/balance.go
+++ b/balance/balance.go
@@ -418,6 +418,7 @@
 		} else if b.room(&b.members[primary], p.typical, 1) {
 			return primary
 		}
+		b.overload()
 		return -1
 	}
 	need := j.fence
@@ -487,10 +488,13 @@
 			return primary
 		}
 	}
+	if full || primary >= 0 {
+		b.overload()
+	}
 	return -1
 }
 
-// overload: a limit had to be cut. It counts as seen for twice the shortest expected time.
+// overload: a job found no room. It counts as seen for twice the shortest expected time.
 func (b *Balancer) overload() {
 	if b.now-b.crowded > 2*b.quickest {
 		b.front.Log("overload seen")
@@ -707,7 +711,6 @@
 		if b.now-m.eased > p.ExpectedTime/2 {
 			m.limit = max(b.least, min(m.limit, float64(m.inFlight+1))*0.8)
 			m.eased = b.now
-			b.overload()
 		}
 	case float64(m.inFlight+1) > m.limit/2:
 		m.limit += min(1/m.limit, m.limit/4)
