--- a/balance/balance.go
+++ b/balance/balance.go
@@ -656,7 +656,7 @@
 	took := b.now - j.sentAt
 	if j.spilled && r.Ending == Delivered && took < p.ExpectedTime/2 {
 		b.spill = min(b.spill+1.0/16, 1)
-	} else if j.spilled && r.Ending != Behind {
+	} else if j.spilled && r.Ending != Behind && r.Ending != Severed && !j.lost {
 		b.spill = max(b.spill*3/4, 1.0/16)
 	}
 	j.spilled, j.barred = false, false
@@ -701,8 +701,8 @@
 		}
 		p.typical += (float64(took) - p.typical) / 32
 	}
-	if j.lost || r.Ending == Behind || r.Ending == Unreached || r.Ending == Unsent {
-		return
+	if j.lost || r.Ending == Behind || r.Ending == Unreached || r.Ending == Unsent || r.Ending == Severed {
+		return // Danger: answers that get lost on the way look like load.
 	}
 	m.strain += (float64(took)/float64(p.ExpectedTime) - m.strain) / (1 + min(m.limit, 7)) // few tell more each
 	switch {
