--- a/balance/balance.go
+++ b/balance/balance.go
@@ -844,10 +844,6 @@
 func (b *Balancer) review(i int32) {
 	j := &b.jobs[i]
 	p := &b.profiles[j.profile]
-	if m := &b.members[j.member]; j.out && b.mayProbe && float64(b.now-j.sentAt) > 3*p.typical &&
-		b.now-max(m.probed, m.backAt) > b.probeEvery {
-		b.ask(m) // with few probes an overdue trip is the first sign that a store has gone silent
-	}
 	if j.out && !j.lost && float64(b.now-j.sentAt) > 6*p.typical {
 		// Danger: trips whose answers are lost fill a member's limit until their clients give up.
 		j.lost = true
