--- a/balance/balance.go
+++ b/balance/balance.go
@@ -47,7 +47,7 @@
 	shut                 Time // until then nothing new goes there, for these
 	inFlight             int
 	limit                float64 // trips in flight that it takes in good time, learned from its answers
-	backAt               Time    // when a trip last came back
+	backAt, answered     Time    // when a trip last came back; when the newest of those delivered was sent
 	eased                Time    // when the limit was last cut
 	strain               float64 // its answer times against the expected ones
 	size, budget         float64 // listed; typical time that may still be sent while it is cold
@@ -654,9 +654,12 @@
 	}
 	m.backAt = b.now
 	took := b.now - j.sentAt
+	// Danger: answers that get lost on the way look like load, and a crowded store looks like lost answers. What
+	// tells them apart is that a later trip there has been answered.
+	gone := r.Ending == Severed || r.Ending >= Expired && j.sentAt < m.answered
 	if j.spilled && r.Ending == Delivered && took < p.ExpectedTime/2 {
 		b.spill = min(b.spill+1.0/16, 1)
-	} else if j.spilled && r.Ending != Behind && r.Ending != Severed && !j.lost {
+	} else if j.spilled && r.Ending != Behind && !gone {
 		b.spill = max(b.spill*3/4, 1.0/16)
 	}
 	j.spilled, j.barred = false, false
@@ -699,10 +702,11 @@
 				p.stills += 1.0 / 8
 			}
 		}
+		m.answered = max(m.answered, j.sentAt)
 		p.typical += (float64(took) - p.typical) / 32
 	}
-	if j.lost || r.Ending == Behind || r.Ending == Unreached || r.Ending == Unsent || r.Ending == Severed {
-		return // Danger: answers that get lost on the way look like load.
+	if gone || r.Ending == Behind || r.Ending == Unreached || r.Ending == Unsent {
+		return
 	}
 	m.strain += (float64(took)/float64(p.ExpectedTime) - m.strain) / (1 + min(m.limit, 7)) // few tell more each
 	switch {
