--- a/balance/balance.go
+++ b/balance/balance.go
@@ -110,7 +110,6 @@
 	probeEvery, probeNow       Time    // gap between probes of a member: as wished, and as the price allows
 	probesPerJob, jobRate      float64 // probes that the price allows; jobs taken in a beat, on average
 	linesPerJob, lines         float64 // positions told to others that the price allows; those saved up
-	ownRank                    float64 // best rank of what only a primary takes
 	taken, watchMiss           int     // jobs since the last beat; failed calls for the list in a row
 	tellAt, watchAt            Time    // when to tell, and to ask for the list, next
 	crowded                    Time    // when the front last saw overload
@@ -388,14 +387,13 @@
 	return b.startShare + (1-b.startShare)*float64(max(b.now-m.started, 0))/float64(b.cold)
 }
 
-// room tells whether the member takes one more trip in good time; part leaves the rest to worthier work.
-func (b *Balancer) room(m *member, trip, part float64) bool {
+// room tells whether the member takes one more trip in good time.
+func (b *Balancer) room(m *member, trip float64) bool {
 	if m.started == 0 {
 		// Danger: hundreds of fronts with a trip each crowd a store. Under one trip a front rests between trips.
-		limit := m.limit * part
-		return float64(m.inFlight) < limit && (limit >= 1 || float64(b.now-m.backAt) >= trip*(1/limit-1))
+		return float64(m.inFlight) < m.limit && (m.limit >= 1 || float64(b.now-m.backAt) >= trip*(1/m.limit-1))
 	}
-	if m.inFlight > 0 && float64(m.inFlight) >= m.limit*part*min(1, 2*b.warmth(m)) {
+	if m.inFlight > 0 && float64(m.inFlight) >= m.limit*min(1, 2*b.warmth(m)) {
 		return false
 	}
 	// Danger: hundreds of fronts with a trip each are far over what it stands. A part of a trip saved up is
@@ -415,7 +413,7 @@
 	if p.Need >= Fresh {
 		if primary < 0 || !b.members[primary].proven && (p.Need != Write || b.members[primary].scouted) {
 			return -1 // a denied primary takes one write; the rest follow once it is taken
-		} else if b.room(&b.members[primary], p.typical, 1) {
+		} else if b.room(&b.members[primary], p.typical) {
 			return primary
 		}
 		b.overload()
@@ -438,7 +436,7 @@
 		if !past && m.heard > 0 && reach+p.ExpectedTime/10 < need {
 			continue
 		}
-		if !b.room(m, p.typical, 1) {
+		if !b.room(m, p.typical) {
 			full = full || past
 			continue
 		}
@@ -478,8 +476,7 @@
 		}
 		return -1
 	}
-	part := min(1, max(0.5, j.rank/b.ownRank)) // what is worth less leaves room for what only the primary takes
-	if !j.barred && primary >= 0 && b.members[primary].proven && b.room(&b.members[primary], p.typical, part) {
+	if !j.barred && primary >= 0 && b.members[primary].proven && b.room(&b.members[primary], p.typical) {
 		// Danger: where replicas lag, hundreds of fronts spill to the primary together, each too little to see
 		// it fill, and the writes drown. So a read spills by the odds that spilled ones came back in good time.
 		j.barred = float64(b.chance(1<<20)) >= b.spill*(1<<20)
@@ -790,12 +787,7 @@
 	b.front.Wake(b.beat)
 	b.jobRate += (float64(b.taken) - b.jobRate) * float64(b.beat) / float64(second)
 	b.lines = min(b.lines+float64(b.taken)*b.linesPerJob, float64(b.tellMost))
-	b.taken, b.ownRank = 0, 0
-	for i := range b.profiles {
-		if p := &b.profiles[i]; p.Need >= Fresh {
-			b.ownRank = max(b.ownRank, p.Credit/p.typical)
-		}
-	}
+	b.taken = 0
 	b.probeNow = Time(float64(len(b.members)) * float64(b.beat) / max(b.jobRate*b.probesPerJob, 1e-6))
 	b.probeNow = min(max(b.probeNow, b.probeEvery), b.cold)
 	if calm := now - b.crowded - 2*b.quickest; calm > 0 && calm <= b.beat {
