--- a/balance/balance.go
+++ b/balance/balance.go
@@ -39,21 +39,16 @@
 type member struct {
 	store                uint32
 	group                int32
-	far                  bool // reaching it crosses between places, at a price
-	open                 bool // the list lets new work go there
-	suspect, unreached   bool // its silence is unusual; the last try to connect failed
-	proven, scouted      bool // its role as primary may be relied on; a write is out to prove it
-	refusals             int  // refusals and failures since the last delivery
-	shut                 Time // until then nothing new goes there, for these
-	inFlight             int
-	limit                float64 // trips in flight that it takes in good time, learned from its answers
-	backAt, answered     Time    // when a trip last came back; when the newest of those delivered was sent
-	eased                Time    // when the limit was last cut
-	strain               float64 // its answer times against the expected ones
+	far, open            bool    // reaching it crosses places, at a price; the list lets new work go there
+	suspect, unreached   bool    // its silence is unusual; the last try to connect failed
+	proven, scouted      bool    // its role as primary may be relied on; a write is out to prove it
+	inFlight, refusals   int     // trips; refusals and failures since the last delivery
+	shut, started        Time    // until then nothing new goes there, for these; its last start, 0 when warm
+	limit, strain        float64 // trips in flight it takes in good time; its answer times for the expected
 	size, budget         float64 // listed; typical time that may still be sent while it is cold
-	started              Time    // of its last start, 0 when warm
+	backAt, answered     Time    // when a trip last came back; when the newest of those delivered was sent
+	eased, refreshed     Time    // when the limit was last cut; when an answer last showed a position
 	position, heard      Time    // the largest it has shown, and when it was heard of
-	refreshed            Time    // when an answer last showed one
 	news                 Role    // what an answer showed that other fronts have not been told
 	primaryAt, replicaAt Time    // newest moments at which it surely was, and surely was not, the primary
 	doubted              Time    // claims from before this moment do not count
@@ -72,47 +67,42 @@
 type step func(b *Balancer, i int32, r Return)
 
 type job struct {
-	id                string
-	profile, group    int32
-	slot              int32   // of its session's fence; -1: none
-	rank              float64 // credit for the work, as it came in
-	fence, came       Time
-	wanted, limit     Time  // its expected time is up; the client's time is up
-	ranAt             Time  // when the first trip was sent that may have run
-	member            int32 // where its last trip went: a job has one out at a time
-	sentAt            Time  // when
-	sent              int   // trips
-	out               bool  // one is out
-	further           int   // trips that came back without proof that they never ran
-	asks              int   // probes sent for it
-	ended, held, lost bool  // lost: its trip is so long out that it no longer counts as work in hand
-	spilled, barred   bool  // a read's trip went to the primary; it may not go there
-	next              step
+	id               string
+	profile, group   int32
+	slot             int32   // of its session's fence; -1: none
+	rank             float64 // credit for the work, as it came in
+	fence, came      Time
+	wanted, limit    Time  // its expected time is up; the client's time is up
+	member           int32 // where its last trip went: a job has one out at a time
+	sentAt, ranAt    Time  // when; when the first trip was sent that may have run
+	sent, asks       int   // trips; probes sent for it
+	further          int   // trips that came back without proof that they never ran
+	out, ended, held bool  // a trip is out
+	lost             bool  // it is so long out that it no longer counts as work in hand
+	spilled, barred  bool  // a read's trip went to the primary; it may not go there
+	next             step
 }
 
 type Balancer struct {
 	front                      Front
-	now, beat                  Time
+	now, beat, cold            Time
+	mostPause, askWithin, span Time
 	mwc                        uint64
 	zone                       string
-	overShare                  float64 // credit past a customer's share, as a part of the usual
-	checks, carried            bool    // stores check reads; reads carry the age of their fence
-	onlyDrains, priced         bool    // being gone does not bind; crossings cost
-	mayProbe, mayCancel        bool
-	mostTrips, tellMost        int // trips of a job; positions in a message, 0 where there are none
 	letter                     []Sighting
-	mostPause, askWithin, span Time
-	cold                       Time
+	checks, carried            bool // stores check reads; reads carry the age of their fence
+	onlyDrains, priced         bool // being gone does not bind; crossings cost
+	mayProbe, mayCancel        bool
+	mostTrips, tellMost        int     // trips of a job; positions in a message, 0 where there are none
+	overShare                  float64 // credit past a customer's share, as a part of the usual
 	startShare, coldPart       float64 // capacity at a start; of what warm members are sent, a cold one's part
-	trickle                    float64 // rate that keeps it in sight where there is nothing to judge by
-	least                      float64 // limit that a member keeps: together the fronts keep its cores busy
+	trickle, least             float64 // its rate where there is nothing to judge by; limit that a member keeps
 	tightest, quickest         Time    // shortest bound on the age of data, and expected time
 	probeEvery, probeNow       Time    // gap between probes of a member: as wished, and as the price allows
 	probesPerJob, jobRate      float64 // probes that the price allows; jobs taken in a beat, on average
 	linesPerJob, lines         float64 // positions told to others that the price allows; those saved up
 	taken, watchMiss           int     // jobs since the last beat; failed calls for the list in a row
-	tellAt, watchAt            Time    // when to tell, and to ask for the list, next
-	crowded                    Time    // when the front last saw overload
+	tellAt, watchAt, crowded   Time    // when to tell, and to ask for the list, next; overload last seen
 	spill                      float64 // odds that a read may spill
 	profiles                   []profile
 	customers                  map[string]*customer
@@ -124,7 +114,7 @@
 	jobs                       []job // the slab
 	free                       []int32
 	fences                     []Time  // newest write of each session, by hash; sharing a place only tightens it
-	flow, doneWarm             float64 // typical time of what warm members deliver, for each unit of size and time
+	flow, doneWarm             float64 // typical time of what warm members deliver, by size and time
 }
 
 // New makes the module for one front.
@@ -176,6 +166,8 @@
 	return Time(uint64(uint32(b.mwc)) * uint64(max(n, 1)) >> 32)
 }
 
+func (b *Balancer) odds(part float64) bool { return float64(b.chance(1<<20)) < part*(1<<20) }
+
 func (b *Balancer) List(now Time, news ListNews, list []Member) {
 	b.now = now
 	if news == ListFailed {
@@ -312,7 +304,7 @@
 	every, fresh := b.probeNow, max(m.refreshed, m.probed)
 	if seeking {
 		every, fresh = b.probeEvery/2, m.probed
-	} else if m.asked > 0 { // Danger: hundreds of fronts asking a dead store at a steady pace; so ever more seldom
+	} else if m.asked > 0 { // Danger: hundreds of fronts asking a dead store at a steady pace
 		every = min(max(b.probeEvery, m.probed-m.asked), b.probeNow)
 	}
 	if !b.mayProbe || !m.open || b.now-fresh < every {
@@ -398,7 +390,7 @@
 	}
 	// Danger: hundreds of fronts with a trip each are far over what it stands. A part of a trip saved up is
 	// a chance of a whole one, and is spent whether won or lost.
-	if m.budget < trip && float64(b.chance(1<<20)) >= m.budget/trip*(1<<20) {
+	if m.budget < trip && !b.odds(m.budget/trip) {
 		m.budget = min(m.budget, 0)
 		return false
 	}
@@ -446,9 +438,6 @@
 		if m.far {
 			v *= 2 // a crossing is paid for, so the own place may be somewhat busier
 		}
-		if need == 0 && m.position > b.now-b.tightest {
-			v *= 2 // leave the fresh ones to those who need them
-		}
 		if p.stills > 0.5 && p.ExpectedTime > 2*b.tightest {
 			// Danger: long jobs that keep a replica from applying the log, spread by the least busy rule, keep all
 			// of them behind every bound. All fronts fill the same one first, so that the others stay fresh.
@@ -479,11 +468,10 @@
 	if !j.barred && primary >= 0 && b.members[primary].proven && b.room(&b.members[primary], p.typical) {
 		// Danger: where replicas lag, hundreds of fronts spill to the primary together, each too little to see
 		// it fill, and the writes drown. So a read spills by the odds that spilled ones came back in good time.
-		j.barred = float64(b.chance(1<<20)) >= b.spill*(1<<20)
-		j.spilled = !j.barred
-		if j.spilled {
+		if j.spilled = b.odds(b.spill); j.spilled {
 			return primary
 		}
+		j.barred = true
 	}
 	if full || primary >= 0 {
 		b.overload()
@@ -788,11 +776,8 @@
 	b.jobRate += (float64(b.taken) - b.jobRate) * float64(b.beat) / float64(second)
 	b.lines = min(b.lines+float64(b.taken)*b.linesPerJob, float64(b.tellMost))
 	b.taken = 0
-	b.probeNow = Time(float64(len(b.members)) * float64(b.beat) / max(b.jobRate*b.probesPerJob, 1e-6))
-	b.probeNow = min(max(b.probeNow, b.probeEvery), b.cold)
-	if calm := now - b.crowded - 2*b.quickest; calm > 0 && calm <= b.beat {
-		b.front.Log("overload is over")
-	}
+	every := float64(len(b.members)) * float64(b.beat) / max(b.jobRate*b.probesPerJob, 1e-6)
+	b.probeNow = min(max(Time(every), b.probeEvery), b.cold)
 	if now >= b.watchAt {
 		b.watchAt = now + b.askWithin/2
 		b.front.Watch()
