--- a/balance/balance.go
+++ b/balance/balance.go
@@ -694,15 +694,16 @@
 		return
 	}
 	m.strain += (float64(took)/float64(p.ExpectedTime) - m.strain) / (1 + min(m.limit, 7)) // few tell more each
-	switch {
 	// A mean past about a fifth has a tail that is late; a single answer may take half.
-	case m.strain > max(0.22, 0.5/(1+m.limit)) || r.Ending == Crowded:
+	most := max(0.22, 0.5/(1+m.limit))
+	switch {
+	case m.strain > most || r.Ending == Crowded:
 		if b.now-m.eased > p.ExpectedTime/2 {
 			m.limit = max(b.least, min(m.limit, float64(m.inFlight+1))*0.8)
 			m.eased = b.now
 		}
 	case float64(m.inFlight+1) > m.limit/2:
-		m.limit += min(1/m.limit, m.limit/4)
+		m.limit += min(1/m.limit, m.limit*min(1, most/m.strain-1))
 	}
 }
 
