--- a/balance/balance.go
+++ b/balance/balance.go
@@ -699,7 +699,7 @@
 	switch {
 	case m.strain > most || r.Ending == Crowded:
 		if b.now-m.eased > p.ExpectedTime/2 {
-			m.limit = max(b.least, min(m.limit, float64(m.inFlight+1))*0.8)
+			m.limit = max(b.least, min(m.limit, float64(m.inFlight+1))*min(0.8, max(0.5, most/m.strain)))
 			m.eased = b.now
 		}
 	case float64(m.inFlight+1) > m.limit/2:
