--- a/balance/balance.go
+++ b/balance/balance.go
@@ -693,7 +693,7 @@
 	if gone || r.Ending == Behind || r.Ending == Unreached || r.Ending == Unsent {
 		return
 	}
-	m.strain += (float64(took)/float64(p.ExpectedTime) - m.strain) / (1 + 7*min(m.limit, 1)) // few tell more each
+	m.strain += (float64(took)/float64(p.ExpectedTime) - m.strain) / (1 + min(m.limit, 7)) // few tell more each
 	// A mean past about a fifth has a tail that is late; a single answer may take half.
 	most := max(0.22, 0.5/(1+m.limit))
 	switch {
