--- a/balance/balance.go
+++ b/balance/balance.go
@@ -642,7 +642,7 @@
 	// Danger: answers that get lost on the way look like load, and a crowded store looks like lost answers. What
 	// tells them apart is that a later trip there has been answered.
 	gone := r.Ending == Severed || r.Ending >= Expired && j.sentAt < m.answered
-	if j.spilled && r.Ending == Delivered && took < p.ExpectedTime/2 {
+	if j.spilled && r.Ending == Delivered && took < p.ExpectedTime*3/4 {
 		b.spill = min(b.spill+1.0/16, 1)
 	} else if j.spilled && r.Ending != Behind && !gone {
 		b.spill = max(b.spill*3/4, 1.0/16)
