--- a/balance/balance.go
+++ b/balance/balance.go
@@ -695,7 +695,7 @@
 	}
 	m.strain += (float64(took)/float64(p.ExpectedTime) - m.strain) / (1 + min(m.limit, 7)) // few tell more each
 	// A mean past about a fifth has a tail that is late; a single answer may take half.
-	most := max(0.3, 0.6/(1+m.limit))
+	most := max(0.22, 0.5/(1+m.limit))
 	switch {
 	case m.strain > most || r.Ending == Crowded:
 		if b.now-m.eased > p.ExpectedTime/2 {
