--- a/balance/balance.go
+++ b/balance/balance.go
@@ -456,7 +456,7 @@
 	if best >= 0 {
 		return best
 	}
-	if hope >= 0 && !full && b.mayProbe && b.now-j.came < p.ExpectedTime/10 {
+	if hope >= 0 && b.mayProbe && b.now-j.came < p.ExpectedTime/10 {
 		// Danger: with many fronts each has few answers, known positions grow old, and all reads spill to the
 		// primary. One that is likely past the need is asked, and says so before a tenth of the expected time.
 		if m := &b.members[hope]; b.now-m.probed > b.probeEvery/2 && j.asks < 2 {
