--- a/balance/balance.go
+++ b/balance/balance.go
@@ -80,13 +80,12 @@
 	out, ended, held bool  // a trip is out
 	lost             bool  // it is so long out that it no longer counts as work in hand
 	spilled, barred  bool  // a read's trip went to the primary; it may not go there
-	dialled          bool  // its trip had to connect
 	next             step
 }
 
 type Balancer struct {
 	front                      Front
-	now, beat, cold, idle      Time
+	now, beat, cold            Time
 	mostPause, askWithin, span Time
 	mwc                        uint64
 	zone                       string
@@ -104,7 +103,7 @@
 	linesPerJob, lines         float64 // positions told to others that the price allows; those saved up
 	taken, watchMiss           int     // jobs since the last beat; failed calls for the list in a row
 	tellAt, watchAt, crowded   Time    // when to tell, and to ask for the list, next; overload last seen
-	spill, dial                float64 // odds that a read may spill; time of a trip that must connect, for the typical
+	spill                      float64 // odds that a read may spill
 	profiles                   []profile
 	customers                  map[string]*customer
 	members                    []member
@@ -126,7 +125,7 @@
 	b := &Balancer{front: f, now: now, mwc: c.Seed ^ 0x9e3779b97f4a7c15, zone: c.Zone, overShare: c.OverShare,
 		checks: c.Checks, carried: c.FencesCarried, askWithin: c.AskWithin,
 		onlyDrains: c.OnlyDraining, startShare: c.StartShare, cold: c.Cold, coldPart: c.FallMultiple * 3 / 4,
-		span: c.FallSpan, idle: c.ConnIdle, mostTrips: max(c.MostTrips, 1), mayProbe: c.MayProbe,
+		span: c.FallSpan, mostTrips: max(c.MostTrips, 1), mayProbe: c.MayProbe,
 		tellMost: c.TellMost, mayCancel: c.MayCancel, priced: c.CrossPrice > 0, tightest: never, quickest: never,
 		profileOf: map[string]int32{}, customers: map[string]*customer{}, memberOf: map[uint32]int32{},
 		groupOf: map[uint64]int32{}, jobOf: map[string]int32{}, fences: make([]Time, 1<<fenceBits),
@@ -399,11 +398,6 @@
 	return true
 }
 
-// linked tells whether a connection to the member is likely open.
-func (b *Balancer) linked(m *member) bool {
-	return m.answered > 0 && !m.unreached && b.now-m.backAt < b.idle
-}
-
 // choose gives the member for the job's next trip, or -1 if it has to wait.
 func (b *Balancer) choose(j *job) int32 {
 	g, p := &b.groups[j.group], &b.profiles[j.profile]
@@ -441,9 +435,6 @@
 		// How busy, for what it can do. Danger: a front with few trips finds nearly all idle, and without chance
 		// all fronts choose alike; the draw gives idle members work by what they can do.
 		v := (float64(m.inFlight) - math.Log(float64(b.chance(1<<20)+1)/(1<<20))) / (m.size * b.warmth(m))
-		if !b.linked(m) {
-			v *= max(1, b.dial) // Danger: where connections are dear or few, fronts that roam open ever new ones.
-		}
 		if m.far {
 			v *= 2 // a crossing is paid for, so the own place may be somewhat busier
 		}
@@ -591,7 +582,7 @@
 func (b *Balancer) send(i, mi int32) {
 	j, m := &b.jobs[i], &b.members[mi]
 	p := &b.profiles[j.profile]
-	j.member, j.sentAt, j.out, j.lost, j.dialled = mi, b.now, true, false, !b.linked(m)
+	j.member, j.sentAt, j.out, j.lost = mi, b.now, true, false
 	j.sent++
 	m.inFlight++
 	m.scouted = m.scouted || p.Need == Write && !m.proven
@@ -696,9 +687,6 @@
 				p.stills += 1.0 / 8
 			}
 		}
-		if j.dialled {
-			b.dial += (float64(took)/p.typical - b.dial) / 8
-		}
 		m.answered = max(m.answered, j.sentAt)
 		p.typical += (float64(took) - p.typical) / 32
 	}
--- a/balance/front.go
+++ b/balance/front.go
@@ -18,7 +18,6 @@
 	AskWithin     Time    // a front without a watch must ask this often
 	OnlyDraining  bool    // being gone from the list does not bind, only a drain does
 	AnswerSlack   Time
-	ConnIdle      Time    // a connection closes after being idle for this long
 	StartShare    float64 // part of its capacity with which a store starts, at least
 	Cold          Time    // by then it is warm
 	FallMultiple  float64 // a cold store sent more than this multiple of its capacity
--- a/internal/simwire/charter.go
+++ b/internal/simwire/charter.go
@@ -14,7 +14,7 @@
 		Az       string
 		Ceilings struct {
 			MaxAttempts                          int
-			ConnIdle, MaxRetryAfter              int64
+			MaxRetryAfter                        int64
 			MayCancel, Peers, Probes, RetryAfter bool
 		}
 		Contract struct {
@@ -56,7 +56,6 @@
 		OnlyDraining: w.Contract.OnlyDrainingBinds, AnswerSlack: w.Contract.AnswerSlack / microsPerTime,
 		StartShare: w.Contract.StartCapacity, Cold: w.Contract.Cold / microsPerTime,
 		FallMultiple: w.Contract.FallMultiple, FallSpan: w.Contract.TipAfter / microsPerTime,
-		ConnIdle:  w.Ceilings.ConnIdle / microsPerTime,
 		MostTrips: w.Ceilings.MaxAttempts, MayProbe: w.Ceilings.Probes, MayCancel: w.Ceilings.MayCancel,
 		CrossPrice: w.Prices.CrossZone, ProbePrice: w.Prices.Probe,
 		TellPrice: w.Prices.Peer,
