Remove the messages among fronts; probes on demand take their place

At size every message goes to hundreds of fronts and the price allows next to none. May hurt where three fronts share what none of them probes.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -1,6 +1,6 @@
 // Package balance holds every decision of the router, for one front.
 //
-// How it is called: New is handed the Charter once; List, Take, Returned, Probed, Left, Streams, Told, Beat
+// How it is called: New is handed the Charter once; List, Take, Returned, Probed, Left, Streams, Beat
 // follow as things happen, one at a time, each with the present moment. The module acts through the Front
 // that New was given. Those types, and what a front can do, are in front.go. Fronts share nothing.
 // The mechanism is pgpilot's: a session has a fence, the log position of its last write; a read goes to the
@@ -37,23 +37,21 @@
 
 // member is what this front believes of one store.
 type member struct {
-	store                uint32
-	group                int32
-	far, open            bool    // reaching it crosses places, at a price; the list lets new work go there
-	suspect, unreached   bool    // its silence is unusual; the last try to connect failed
-	proven, scouted      bool    // its role as primary may be relied on; a write is out to prove it
-	inFlight, refusals   int     // trips; refusals and failures since the last delivery
-	shut, started        Time    // until then nothing new goes there, for these; its last start, 0 when warm
-	limit, strain        float64 // trips in flight it takes in good time; its answer times for the expected
-	size, budget         float64 // listed; typical time that may still be sent while it is cold
-	backAt, answered     Time    // when a trip last came back; when the newest of those delivered was sent
-	eased, refreshed     Time    // when the limit was last cut; when an answer last showed a position
-	position, heard      Time    // the largest it has shown, and when it was heard of
-	news                 Role    // what an answer showed that other fronts have not been told
-	primaryAt, replicaAt Time    // newest moments at which it surely was, and surely was not, the primary
-	doubted              Time    // claims from before this moment do not count
-	probed, asked        Time    // last probe; oldest without a sign of life since, 0: none
-	reply, vary          float64 // mean and spread of the gaps between a probe and the sign of life after it
+	store                      uint32
+	group                      int32
+	far, open                  bool    // reaching it crosses places, at a price; the list lets new work go there
+	suspect, unreached         bool    // its silence is unusual; the last try to connect failed
+	proven, scouted            bool    // its role as primary may be relied on; a write is out to prove it
+	inFlight, refusals         int     // trips; refusals and failures since the last delivery
+	shut, started              Time    // nothing new goes there until then; its last start, 0 when warm
+	limit, strain              float64 // trips in flight it takes in good time; answer times for the expected
+	size, budget               float64 // listed; typical time that may still be sent while it is cold
+	backAt, answered           Time    // when a trip last came back; when the newest of those delivered was sent
+	position, heard, refreshed Time    // the largest it has shown; when it was heard of, and by an answer
+	primaryAt, replicaAt       Time    // newest moments at which it surely was, and surely was not, the primary
+	doubted, eased             Time    // claims from before do not count; when the limit was last cut
+	probed, asked              Time    // last probe; oldest without a sign of life since, 0: none
+	reply, vary                float64 // mean and spread of the gaps between a probe and a sign of life
 }
 
 type group struct {
@@ -89,20 +87,18 @@
 	mostPause, askWithin, span Time
 	mwc                        uint64
 	zone                       string
-	letter                     []Sighting
 	checks, carried            bool // stores check reads; reads carry the age of their fence
 	onlyDrains, priced         bool // being gone does not bind; crossings cost
 	mayProbe, mayCancel        bool
-	mostTrips, tellMost        int     // trips of a job; positions in a message, 0 where there are none
+	mostTrips                  int     // of a job
 	overShare                  float64 // credit past a customer's share, as a part of the usual
 	startShare, coldPart       float64 // capacity at a start; of what warm members are sent, a cold one's part
 	trickle, least             float64 // its rate where there is nothing to judge by; limit that a member keeps
 	tightest, quickest         Time    // shortest bound on the age of data, and expected time
 	probeEvery, probeNow       Time    // gap between probes of a member: as wished, and as the price allows
 	probesPerJob, jobRate      float64 // probes that the price allows; jobs taken in a beat, on average
-	linesPerJob, lines         float64 // positions told to others that the price allows; those saved up
 	taken, watchMiss           int     // jobs since the last beat; failed calls for the list in a row
-	tellAt, watchAt, crowded   Time    // when to tell, and to ask for the list, next; overload last seen
+	watchAt, crowded           Time    // when to ask for the list next; overload last seen
 	spill                      float64 // odds that a read may spill
 	profiles                   []profile
 	customers                  map[string]*customer
@@ -126,7 +122,7 @@
 		checks: c.Checks, carried: c.FencesCarried, askWithin: c.AskWithin,
 		onlyDrains: c.OnlyDraining, startShare: c.StartShare, cold: c.Cold, coldPart: c.FallMultiple * 3 / 4,
 		span: c.FallSpan, mostTrips: max(c.MostTrips, 1), mayProbe: c.MayProbe,
-		tellMost: c.TellMost, mayCancel: c.MayCancel, priced: c.CrossPrice > 0, tightest: never, quickest: never,
+		mayCancel: c.MayCancel, priced: c.CrossPrice > 0, tightest: never, quickest: never,
 		profileOf: map[string]int32{}, customers: map[string]*customer{}, memberOf: map[uint32]int32{},
 		groupOf: map[uint64]int32{}, jobOf: map[string]int32{}, fences: make([]Time, 1<<fenceBits),
 		mostPause: c.MostPause, crowded: -never, spill: 1, watchAt: never, least: 3 / float64(max(c.Fronts, 1))}
@@ -151,7 +147,6 @@
 	b.trickle = 2 * float64(b.quickest) / float64(max(b.span, 1)) / float64(max(c.Fronts, 1))
 	b.probeEvery = max(min(b.tightest, b.quickest)/3, b.beat)
 	b.probeNow, b.probesPerJob = b.probeEvery, thrift/max(c.ProbePrice, thrift/10)
-	b.linesPerJob = thrift * float64(c.TellMost) / (max(c.TellPrice, thrift/10) * float64(max(c.Fronts-1, 1)))
 	if !c.ListPushed {
 		// All fronts may be starting together: the first call is spread over an eighth of the allowed time.
 		b.watchAt = now + b.chance(b.askWithin/8)
@@ -337,37 +332,6 @@
 	b.release(b.members[i].group)
 }
 
-// tell passes on to the other fronts what answers have shown since the last time.
-func (b *Balancer) tell() {
-	if b.tellMost == 0 || b.now < b.tellAt {
-		return
-	}
-	b.tellAt, b.letter = b.now+b.probeEvery/3, b.letter[:0]
-	for i := range b.members {
-		// Danger: every line goes to every other front, so what pays for a few of them floods hundreds.
-		if m := &b.members[i]; m.news != RoleUnknown && b.lines >= 1 {
-			b.letter = append(b.letter, Sighting{m.store, Report{m.position, m.news}})
-			m.news = RoleUnknown
-			b.lines--
-		}
-	}
-	if len(b.letter) > 0 {
-		b.front.Tell(b.letter)
-	}
-}
-
-// Told takes a message from another front. Nothing depends on its coming: a position holds whoever saw it.
-func (b *Balancer) Told(now Time, seen []Sighting) {
-	b.now = now
-	for _, s := range seen {
-		if i, ok := b.memberOf[s.Store]; ok {
-			b.learn(i, s.Report, 0)
-			b.members[i].refreshed = max(b.members[i].refreshed, now-b.beat)
-			b.release(b.members[i].group)
-		}
-	}
-}
-
 // warmth is the part of its capacity that a member surely has.
 func (b *Balancer) warmth(m *member) float64 {
 	if m.started > 0 && b.now-m.started >= b.cold {
@@ -659,7 +623,7 @@
 		b.learn(j.member, note, b.now)
 		b.learn(j.member, r.Load, 0)
 		if r.Note.Position > 0 {
-			m.refreshed, m.news = b.now, r.Note.Role
+			m.refreshed = b.now
 		}
 	}
 	switch {
@@ -775,7 +739,6 @@
 	b.now = now
 	b.front.Wake(b.beat)
 	b.jobRate += (float64(b.taken) - b.jobRate) * float64(b.beat) / float64(second)
-	b.lines = min(b.lines+float64(b.taken)*b.linesPerJob, float64(b.tellMost))
 	b.taken = 0
 	every := float64(len(b.members)) * float64(b.beat) / max(b.jobRate*b.probesPerJob, 1e-6)
 	b.probeNow = min(max(Time(every), b.probeEvery), b.cold)
@@ -783,7 +746,6 @@
 		b.watchAt = now + b.askWithin/2
 		b.front.Watch()
 	}
-	b.tell()
 	warm := 0.0
 	for gi := range b.groups {
 		g := &b.groups[gi]
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -242,7 +242,8 @@
 	if n := len(w.probes); n == 0 || n > 3*30*20 {
 		t.Errorf("%d probes in 20 s without a job", n)
 	}
-	w.b.Told(w.now, []Sighting{{Store: 77}, {2, Report{w.now + second, Replica}}})
+	w.b.Probed(w.now, 77, Return{})
+	w.b.Probed(w.now, 2, Return{Load: Report{w.now + second, Replica}})
 	if w.b.members[1].position > w.now {
 		t.Error("a position from a time to come was believed")
 	}
@@ -307,7 +308,7 @@
 	c.ListPushed = shape&2 == 0
 	c.Checks = shape&4 != 0
 	c.OnlyDraining = shape&8 != 0
-	c.TellMost, c.Fronts = int(shape&16), 1+int(shape&16)/8
+	c.Fronts = 1 + int(shape&16)*6
 	c.Seed = seed
 	w := newWorld(t, c)
 	condition := func() Condition {
--- a/balance/front.go
+++ b/balance/front.go
@@ -25,11 +25,9 @@
 	MostTrips     int
 	MayProbe      bool
 	MayCancel     bool
-	TellMost      int  // positions in a message to the other fronts; 0: no messages
 	MostPause     Time // most that a turn-back may name as a time to come back; 0: it may name none
 	CrossPrice    float64
 	ProbePrice    float64
-	TellPrice     float64 // of a full message to one front for each job
 }
 
 // Need says how recent a profile's data must be.
@@ -149,12 +147,6 @@
 // NeverRan tells whether the ending proves that nothing was done.
 func (e Ending) NeverRan() bool { return e >= Behind && e <= Unsent }
 
-// Sighting is what one front tells others of a store.
-type Sighting struct {
-	Store uint32
-	Report
-}
-
 // Return is the result of one trip or probe.
 type Return struct {
 	Ending Ending
@@ -172,6 +164,5 @@
 	Probe(store uint32)
 	Wake(after Time)
 	Watch()
-	Tell(seen []Sighting) // to all other fronts
 	Log(text string)
 }
--- a/balance/helper_test.go
+++ b/balance/helper_test.go
@@ -289,7 +289,6 @@
 func (w *world) Probe(store uint32)         { w.note("probe %d", store); w.probes = append(w.probes, store) }
 func (w *world) Wake(after Time)            { w.wake = w.now + after }
 func (w *world) Watch()                     { w.note("watch"); w.watches++ }
-func (w *world) Tell(seen []Sighting)       { w.note("tell %v", seen) }
 func (w *world) Log(text string)            { w.note("log %s", text) }
 
 // out names a trip that is under way.
--- a/internal/simwire/charter.go
+++ b/internal/simwire/charter.go
@@ -13,9 +13,9 @@
 	var w struct {
 		Az       string
 		Ceilings struct {
-			MaxAttempts                          int
-			MaxRetryAfter                        int64
-			MayCancel, Peers, Probes, RetryAfter bool
+			MaxAttempts                   int
+			MaxRetryAfter                 int64
+			MayCancel, Probes, RetryAfter bool
 		}
 		Contract struct {
 			AnswerSlack, AskWithin, Cold, TipAfter int64
@@ -33,7 +33,7 @@
 			QuotaPerS float64
 		}
 		OverShareWorth float64
-		Prices         struct{ CrossZone, Peer, Probe float64 }
+		Prices         struct{ CrossZone, Probe float64 }
 		Profiles       []struct {
 			Aim, HardLimit, Window   int64
 			AimStretch               float64
@@ -58,14 +58,10 @@
 		FallMultiple: w.Contract.FallMultiple, FallSpan: w.Contract.TipAfter / microsPerTime,
 		MostTrips: w.Ceilings.MaxAttempts, MayProbe: w.Ceilings.Probes, MayCancel: w.Ceilings.MayCancel,
 		CrossPrice: w.Prices.CrossZone, ProbePrice: w.Prices.Probe,
-		TellPrice: w.Prices.Peer,
 	}
 	if w.Ceilings.RetryAfter {
 		c.MostPause = w.Ceilings.MaxRetryAfter / microsPerTime
 	}
-	if w.Ceilings.Peers && c.Fronts > 1 {
-		c.TellMost = letterMost / letterLine
-	}
 	if len(w.Profiles) == 0 {
 		return c, 0, fmt.Errorf("Profiles is missing or empty")
 	}
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -4,8 +4,6 @@
 
 import (
 	"bufio"
-	"encoding/binary"
-	"encoding/hex"
 	"fmt"
 	"io"
 	"strconv"
@@ -255,8 +253,7 @@
 		f.module.Streams(h.now, h.fields["Tid"])
 	case "WAKEUP":
 		f.module.Beat(h.now)
-	case "NOTE_FROM":
-		err = h.letter(f)
+	case "NOTE_FROM": // the module sends no messages
 	case "OUTCOME", "CHECK_RESULT":
 		err = h.result(f, word == "OUTCOME")
 	default:
@@ -268,31 +265,6 @@
 	return nil
 }
 
-// A message among fronts holds lines of a store's number (4 bytes), its position (7) and its role (1).
-const (
-	letterLine = 12
-	letterMost = 256
-)
-
-// letter reads a message. The network may cut one short, so what is left of a line at its end is passed over.
-func (h *host) letter(f *front) error {
-	if h.fields["Raw"] == "-" {
-		return nil
-	}
-	raw, err := hex.DecodeString(h.fields["Raw"])
-	if err != nil {
-		return fmt.Errorf("Raw: %w", err)
-	}
-	var seen []balance.Sighting
-	for ; len(raw) >= letterLine; raw = raw[letterLine:] {
-		v := binary.LittleEndian.Uint64(raw[4:])
-		seen = append(seen, balance.Sighting{Store: binary.LittleEndian.Uint32(raw),
-			Report: balance.Report{Position: balance.Time(v >> 8), Role: role(int64(v & 3))}})
-	}
-	f.module.Told(h.now, seen)
-	return nil
-}
-
 func (h *host) up(name string) error {
 	if name == "" {
 		return fmt.Errorf("UP: I is missing")
@@ -509,14 +481,4 @@
 	f.end()
 }
 
-func (f *front) Tell(seen []balance.Sighting) {
-	var data []byte
-	for _, s := range seen {
-		data = binary.LittleEndian.AppendUint32(data, s.Store)
-		data = binary.LittleEndian.AppendUint64(data, uint64(s.Position)<<8|uint64(s.Role))
-	}
-	f.start("ANNOUNCE").WriteString(" Dest=* Raw=" + hex.EncodeToString(data))
-	f.end()
-}
-
 func (f *front) Log(text string) { f.text("JOURNAL_LINE", text) }
