--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -236,6 +236,81 @@
 	}
 }
 
+// Hundreds of fronts with a trip each pushed a cold store over; what all send together is held against the rule.
+func TestManyFrontsBeforeAColdStore(t *testing.T) {
+	c := testCharter()
+	c.Fronts = 200
+	sent, warm := 0, Time(c.FallSpan/2)
+	for k := range c.Fronts {
+		c.Seed = uint64(k)*7919 + 1
+		w := newWorld(t, c)
+		w.list(ListCached, Member{Store: 1, Group: 9, Condition: Ready, Primary: true, Size: 1, Started: w.now})
+		for n := range 3 {
+			w.take(ask(fmt.Sprint("w", n), "once"))
+			w.pass(warm / 3)
+		}
+		sent += len(w.stores[1].sends)
+	}
+	if sent == 0 || sent > 16 {
+		t.Errorf("200 fronts with three held writes each sent a cold store %d in half a span", sent)
+	}
+}
+
+// A trip from each of many fronts crowds a store, so under a limit of one a front rests; good answers end that.
+func TestFrontsRestUnderOneTrip(t *testing.T) {
+	c := testCharter()
+	c.Fronts = 240
+	w := three(t, c)
+	sent := func(rounds int) int {
+		before := len(w.stores[1].sends)
+		for range rounds {
+			id := fmt.Sprint("w", w.now)
+			w.take(ask(id, "once"))
+			w.pass(second / 10)
+			for _, id := range w.order[max(0, len(w.order)-40):] {
+				if p := w.jobs[id]; len(p.trips) > 0 && p.trips[0].out {
+					w.back(id, 0, Return{Note: Report{Position: w.now, Role: Primary}})
+				}
+			}
+			w.hear(1, w.now, Primary)
+		}
+		return len(w.stores[1].sends) - before
+	}
+	if a, z := sent(10), sent(40); a > 3 || z < 30 {
+		t.Errorf("%d of 10 writes went in the first second, %d of 40 after good answers", a, z)
+	}
+}
+
+// A last try has all the time that is left, more than a first one; first tries were then turned back on arrival.
+func TestFirstTriesAreNotTakenForFurtherOnes(t *testing.T) {
+	w := three(t, testCharter())
+	for n := range 20 {
+		in := ask(fmt.Sprint("j", n), "any")
+		if in.Left = 4000; n%5 == 4 {
+			in.Left = 8000
+		}
+		w.take(in)
+		if j := w.b.jobs[w.b.jobOf[in.ID]]; (n%5 == 4) != (j.wanted < j.came) {
+			t.Errorf("job %d with %d left is wanted %d after it came", n, in.Left, j.wanted-j.came)
+		}
+	}
+}
+
+// All stores were listed as gone while they served; a drain that was told binds all the same.
+func TestListThatCallsAllGone(t *testing.T) {
+	c := testCharter()
+	c.OnlyDraining = true
+	w := three(t, c)
+	w.list(ListChanges, Member{Store: 3, Group: 9, Condition: Draining, Size: 1})
+	w.list(ListWhole, Member{Store: 1, Group: 9, Size: 1}, Member{Store: 2, Group: 9, Size: 1}, Member{Store: 3, Group: 9})
+	for n := range 9 {
+		w.take(ask(fmt.Sprint("r", n), "any"))
+	}
+	if w.at(t, "r0") == 3 || w.b.members[0].open == w.b.members[2].open {
+		t.Error("stores called gone ought to serve, the drained one ought not")
+	}
+}
+
 func TestProbesKeepToTheirPrice(t *testing.T) {
 	w := three(t, testCharter())
 	w.pass(20 * second)
