--- a/balance/balance.go
+++ b/balance/balance.go
@@ -57,6 +57,7 @@
 type group struct {
 	members []int32
 	primary int32   // -1: not known
+	sought  Time    // since when work has waited for one
 	held    []int32 // jobs that wait, the worthiest first
 	blind   bool    // every member is silent: then silence says nothing of a single one
 }
@@ -295,10 +296,10 @@
 }
 
 // probe asks a member for its position when nothing has shown it of late, sooner while a primary is sought.
-func (b *Balancer) probe(m *member, seeking bool) {
+func (b *Balancer) probe(m *member, sought Time) {
 	every, fresh := b.probeNow, max(m.refreshed, m.probed)
-	if seeking {
-		every, fresh = b.probeEvery/2, m.probed
+	if sought > 0 { // Danger: hundreds of fronts seeking a primary that is out of reach for long
+		every, fresh = max(b.probeEvery/2, (b.now-sought)/4), m.probed
 	} else if m.asked > 0 { // Danger: hundreds of fronts asking a dead store at a steady pace
 		every = min(max(b.probeEvery, m.probed-m.asked), b.probeNow)
 	}
@@ -749,7 +750,11 @@
 	warm := 0.0
 	for gi := range b.groups {
 		g := &b.groups[gi]
-		seeking := b.primary(g) < 0 && len(g.held) > 0
+		if b.primary(g) >= 0 || len(g.held) == 0 {
+			g.sought = 0
+		} else if g.sought == 0 {
+			g.sought = now
+		}
 		g.blind = true
 		for _, i := range g.members {
 			m := &b.members[i]
@@ -766,7 +771,7 @@
 				m.suspect = true
 				b.front.Log(fmt.Sprintf("store %d is suspected", m.store))
 			}
-			b.probe(m, seeking)
+			b.probe(m, g.sought)
 			g.blind = g.blind && (m.suspect || !m.open)
 		}
 	}
