--- a/balance/balance.go
+++ b/balance/balance.go
@@ -390,7 +390,7 @@
 		// What it lagged by when last heard it may lag by still. Where stores check reads that is enough.
 		reach := m.position + b.now - m.heard
 		past := m.position >= need || b.checks && m.heard > 0 && reach >= need
-		if soon := p.ExpectedTime / 10; !past && (m.heard > 0 && reach+soon < need || m.asked > 0 && b.now-m.asked > soon) {
+		if !past && m.heard > 0 && reach+p.ExpectedTime/10 < need {
 			continue
 		}
 		if !b.room(m, p.typical) {
@@ -424,7 +424,7 @@
 	if hope >= 0 && b.mayProbe && b.now-j.came < p.ExpectedTime/10 {
 		// Danger: with many fronts each has few answers, known positions grow old, and all reads spill to the
 		// primary. One that is likely past the need is asked, and says so before a tenth of the expected time.
-		if m := &b.members[hope]; m.asked == 0 && j.asks < 2 {
+		if m := &b.members[hope]; b.now-m.probed > b.probeEvery/2 && j.asks < 2 {
 			j.asks++
 			b.ask(m)
 		}
