--- a/balance/balance.go
+++ b/balance/balance.go
@@ -296,9 +296,9 @@
 }
 
 // probe asks a member for its position when nothing has shown it of late, sooner while a primary is sought.
-func (b *Balancer) probe(m *member, sought Time) {
+func (b *Balancer) probe(m *member, sought Time, waits bool) {
 	every, fresh := b.probeNow, max(m.refreshed, m.probed)
-	if sought > 0 { // Danger: hundreds of fronts seeking a primary that is out of reach for long
+	if sought > 0 && waits { // Danger: hundreds of fronts seeking a primary that is out of reach for long
 		every, fresh = max(b.probeEvery/2, (b.now-sought)/4), m.probed
 	} else if m.asked > 0 { // Danger: hundreds of fronts asking a dead store at a steady pace
 		every = min(max(b.probeEvery, m.probed-m.asked), b.probeNow)
@@ -750,9 +750,9 @@
 	warm := 0.0
 	for gi := range b.groups {
 		g := &b.groups[gi]
-		if b.primary(g) >= 0 || len(g.held) == 0 {
+		if b.primary(g) >= 0 {
 			g.sought = 0
-		} else if g.sought == 0 {
+		} else if g.sought == 0 && len(g.held) > 0 {
 			g.sought = now
 		}
 		g.blind = true
@@ -771,7 +771,7 @@
 				m.suspect = true
 				b.front.Log(fmt.Sprintf("store %d is suspected", m.store))
 			}
-			b.probe(m, g.sought)
+			b.probe(m, g.sought, len(g.held) > 0)
 			g.blind = g.blind && (m.suspect || !m.open)
 		}
 	}
