Hang idle connections up where connections are found scarce

Told by evidence: a store whose log moved on while it refused a connection lived all along. May hurt: a handshake for each trip for a cold time after a store that lived refused one connection.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -40,12 +40,13 @@
 	store                      uint32
 	group                      int32
 	far, open                  bool    // reaching it crosses places, at a price; the list lets new work go there
-	suspect, unreached         bool    // its silence is unusual; the last try to connect failed
+	suspect                    bool    // its silence is unusual
 	proven, scouted            bool    // its role as primary may be relied on; a write is out to prove it
 	inFlight, refusals         int     // trips; refusals and failures since the last delivery
 	shut, started              Time    // nothing new goes there until then; its last start, 0 when warm
 	limit, strain              float64 // trips in flight it takes in good time; answer times for the expected
 	size, budget               float64 // listed; typical time that may still be sent while it is cold
+	unreached                  Time    // when the last try to connect set out, if it failed
 	backAt, answered           Time    // when a trip last came back; when the newest of those delivered was sent
 	position, heard, refreshed Time    // the largest it has shown; when it was heard of, and by an answer
 	primaryAt, replicaAt       Time    // newest moments at which it surely was, and surely was not, the primary
@@ -99,7 +100,7 @@
 	probeEvery, probeNow       Time    // gap between probes of a member: as wished, and as the price allows
 	probesPerJob, jobRate      float64 // probes that the price allows; jobs taken in a beat, on average
 	taken, watchMiss           int     // jobs since the last beat; failed calls for the list in a row
-	watchAt, crowded           Time    // when to ask for the list next; overload last seen
+	watchAt, crowded, scarce   Time    // when to ask for the list next; overload, few connections last seen
 	spill                      float64 // odds that a read may spill
 	profiles                   []profile
 	customers                  map[string]*customer
@@ -126,7 +127,8 @@
 		mayCancel: c.MayCancel, priced: c.CrossPrice > 0, tightest: never, quickest: never,
 		profileOf: map[string]int32{}, customers: map[string]*customer{}, memberOf: map[uint32]int32{},
 		groupOf: map[uint64]int32{}, jobOf: map[string]int32{}, fences: make([]Time, 1<<fenceBits),
-		mostPause: c.MostPause, crowded: -never, spill: 1, watchAt: never, least: 3 / float64(max(c.Fronts, 1))}
+		mostPause: c.MostPause, crowded: -never, scarce: -never, spill: 1, watchAt: never,
+		least: 3 / float64(max(c.Fronts, 1))}
 	for i, p := range c.Profiles {
 		if p.Bound < 0 || p.ExpectedTime <= 0 || p.OuterLimit <= 0 || p.Window < 0 {
 			return nil, fmt.Errorf("charter: profile %q: bound, window or times out of range", p.Name)
@@ -285,10 +287,12 @@
 		m.vary += (max(off, -off) - m.vary) / 16
 	}
 	m.asked = 0
-	if m.unreached {
-		// A store that could not be reached may have started anew unannounced, and is then cold.
-		m.unreached, m.started = false, b.now
+	if m.unreached > 0 && m.position >= m.unreached {
+		b.scarce = b.now // its log moved on while it took no connection: it lived, and has none to spare
+	} else if m.unreached > 0 {
+		m.started = b.now // it may have started anew unannounced, and is then cold
 	}
+	m.unreached = 0
 	if m.suspect {
 		m.suspect = false
 		b.front.Log(fmt.Sprintf("store %d is back", m.store))
@@ -325,11 +329,13 @@
 		return
 	}
 	if m := &b.members[i]; r.Ending != Delivered && r.Ending != Crowded {
-		m.unreached, m.suspect = m.unreached || r.Ending == Unreached, true
+		if m.suspect = true; r.Ending == Unreached {
+			m.unreached = m.probed
+		}
 		return
 	}
-	b.alive(i)
 	b.learn(i, r.Load, 0)
+	b.alive(i)
 	b.release(b.members[i].group)
 }
 
@@ -615,7 +621,6 @@
 	j.spilled, j.barred = false, false
 	m.scouted = m.scouted && p.Need != Write
 	if r.Ending <= Crowded || r.Ending == Faulted { // the store itself has answered
-		b.alive(j.member)
 		note := r.Note
 		if p.Need == Write {
 			note.Position -= second / 1000 // a commit is told rounded up, a position must not be
@@ -623,6 +628,7 @@
 		m.proven = m.proven && note.Role != Replica || p.Need == Write && r.Ending == Delivered
 		b.learn(j.member, note, b.now)
 		b.learn(j.member, r.Load, 0)
+		b.alive(j.member)
 		if r.Note.Position > 0 {
 			m.refreshed = b.now
 		}
@@ -636,8 +642,9 @@
 		m.doubted = b.shun(m)
 	case r.Ending == Crowded || r.Ending == Unreached || r.Ending == Faulted || r.Ending == Severed:
 		m.shut = b.shun(m)
-		m.unreached = r.Ending == Unreached // a single lost connection is no restart
-		m.suspect = m.suspect || r.Ending == Unreached
+		if r.Ending == Unreached { // a single lost connection is no restart
+			m.suspect, m.unreached = true, j.sentAt
+		}
 	}
 	if r.Ending == Delivered {
 		if m.started == 0 {
@@ -655,6 +662,10 @@
 		m.answered = max(m.answered, j.sentAt)
 		p.typical += (float64(took) - p.typical) / 32
 	}
+	if m.inFlight == 0 && b.now-b.scarce < b.cold {
+		// Danger: where stores take few connections, those that fronts keep for later shut the other fronts out.
+		b.front.HangUp(m.store)
+	}
 	if gone || r.Ending == Behind || r.Ending == Unreached || r.Ending == Unsent {
 		return
 	}
--- a/balance/front.go
+++ b/balance/front.go
@@ -162,6 +162,7 @@
 	TurnBack(job string, pause Time)
 	WriteOff(job string)
 	Probe(store uint32)
+	HangUp(store uint32) // closes idle connections
 	Wake(after Time)
 	Watch()
 	Log(text string)
--- a/balance/helper_test.go
+++ b/balance/helper_test.go
@@ -287,6 +287,7 @@
 func (w *world) WriteOff(id string)         { w.note("write off %s", id); w.final(id) }
 func (w *world) Cancel(id string, trip int) { w.note("cancel %s %d", id, trip) }
 func (w *world) Probe(store uint32)         { w.note("probe %d", store); w.probes = append(w.probes, store) }
+func (w *world) HangUp(store uint32)        { w.note("hang up %d", store) }
 func (w *world) Wake(after Time)            { w.wake = w.now + after }
 func (w *world) Watch()                     { w.note("watch"); w.watches++ }
 func (w *world) Log(text string)            { w.note("log %s", text) }
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -470,6 +470,12 @@
 	f.end()
 }
 
+func (f *front) HangUp(store uint32) {
+	f.start("HANG_UP")
+	f.field(" Store=", int64(store))
+	f.end()
+}
+
 func (f *front) Wake(after balance.Time) {
 	f.start("SET_ALARM").WriteString(" Name=1")
 	f.field(" SleepFor=", after*microsPerTime)
