--- a/balance/balance.go
+++ b/balance/balance.go
@@ -37,22 +37,22 @@
 
 // member is what this front believes of one store.
 type member struct {
-	store                      uint32
-	group                      int32
-	far, open                  bool    // reaching it crosses places, at a price; the list lets new work go there
-	suspect                    bool    // its silence is unusual
-	proven, scouted            bool    // its role as primary may be relied on; a write is out to prove it
-	inFlight, refusals         int     // trips; refusals and failures since the last delivery
-	shut, started              Time    // nothing new goes there until then; its last start, 0 when warm
-	limit, strain              float64 // trips in flight it takes in good time; answer times for the expected
-	size, budget               float64 // listed; typical time that may still be sent while it is cold
-	unreached                  Time    // when the last try to connect set out, if it failed
-	backAt, answered           Time    // when a trip last came back; when the newest of those delivered was sent
-	position, heard, refreshed Time    // the largest it has shown; when it was heard of, and by an answer
-	primaryAt, replicaAt       Time    // newest moments at which it surely was, and surely was not, the primary
-	doubted, eased             Time    // claims from before do not count; when the limit was last cut
-	probed, asked              Time    // last probe; oldest without a sign of life since, 0: none
-	reply, vary                float64 // mean and spread of the gaps between a probe and a sign of life
+	store                uint32
+	group                int32
+	far, open            bool    // reaching it crosses places, at a price; the list lets new work go there
+	suspect              bool    // its silence is unusual
+	proven, scouted      bool    // its role as primary may be relied on; a write is out to prove it
+	inFlight, refusals   int     // trips; refusals and failures since the last delivery
+	shut, started        Time    // nothing new goes there until then; its last start, 0 when warm
+	limit, strain        float64 // trips in flight it takes in good time; answer times for the expected
+	size, budget         float64 // listed; typical time that may still be sent while it is cold
+	unreached            Time    // when the last try to connect set out, if it failed
+	backAt, answered     Time    // when a trip last came back; when the newest of those delivered was sent
+	position, heard      Time    // the largest it has shown, and when it was heard of
+	primaryAt, replicaAt Time    // newest moments at which it surely was, and surely was not, the primary
+	doubted, eased       Time    // claims from before do not count; when the limit was last cut
+	probed, asked        Time    // last probe; oldest without a sign of life since, 0: none
+	reply, vary          float64 // mean and spread of the gaps between a probe and a sign of life
 }
 
 type group struct {
@@ -60,7 +60,6 @@
 	primary int32   // -1: not known
 	sought  Time    // since when work has waited for one
 	held    []int32 // jobs that wait, the worthiest first
-	blind   bool    // every member is silent: then silence says nothing of a single one
 }
 
 // step is what a job does next; it is handed the result of the step before.
@@ -92,14 +91,13 @@
 	checks, carried            bool // stores check reads; reads carry the age of their fence
 	onlyDrains, priced         bool // being gone does not bind; crossings cost
 	mayProbe, mayCancel        bool
-	mostTrips                  int     // of a job
+	mostTrips, watchMiss       int     // trips of a job; failed calls for the list in a row
 	overShare                  float64 // credit past a customer's share, as a part of the usual
 	startShare, coldPart       float64 // capacity at a start; of what warm members are sent, a cold one's part
 	trickle, least             float64 // its rate where there is nothing to judge by; limit that a member keeps
 	tightest, quickest         Time    // shortest bound on the age of data, and expected time
 	probeEvery, probeNow       Time    // gap between probes of a member: as wished, and as the price allows
 	probesPerJob, jobRate      float64 // probes that the price allows; jobs taken in a beat, on average
-	taken, watchMiss           int     // jobs since the last beat; failed calls for the list in a row
 	watchAt, crowded, scarce   Time    // when to ask for the list next; overload, few connections last seen
 	spill                      float64 // odds that a read may spill
 	profiles                   []profile
@@ -150,8 +148,7 @@
 	b.trickle = 2 * float64(b.quickest) / float64(max(b.span, 1)) / float64(max(c.Fronts, 1))
 	b.probeEvery = max(min(b.tightest, b.quickest)/3, b.beat)
 	b.probeNow, b.probesPerJob = b.probeEvery, thrift/max(c.ProbePrice, thrift/10)
-	if !c.ListPushed {
-		// All fronts may be starting together: the first call is spread over an eighth of the allowed time.
+	if !c.ListPushed { // all fronts may be starting together, so the first call is spread
 		b.watchAt = now + b.chance(b.askWithin/8)
 	}
 	f.Wake(b.beat)
@@ -262,14 +259,14 @@
 }
 
 func (b *Balancer) primary(g *group) int32 {
-	if g.primary < 0 || !b.usable(&b.members[g.primary]) || b.members[g.primary].suspect {
+	if g.primary < 0 || !b.usable(&b.members[g.primary]) {
 		return -1
 	}
 	return g.primary
 }
 
 func (b *Balancer) usable(m *member) bool {
-	return m.open && b.now >= m.shut && (!m.suspect || b.groups[m.group].blind)
+	return m.open && b.now >= m.shut && !m.suspect
 }
 
 // shun tells until when to stay away from a member that refuses or fails: longer each time.
@@ -301,7 +298,7 @@
 
 // probe asks a member for its position when nothing has shown it of late, sooner while a primary is sought.
 func (b *Balancer) probe(m *member, sought Time, waits bool) {
-	every, fresh := b.probeNow, max(m.refreshed, m.probed)
+	every, fresh := b.probeNow, max(m.heard, m.probed)
 	if sought > 0 && waits { // Danger: hundreds of fronts seeking a primary that is out of reach for long
 		every, fresh = max(b.probeEvery/2, (b.now-sought)/4), m.probed
 	} else if m.asked > 0 { // Danger: hundreds of fronts asking a dead store at a steady pace
@@ -341,10 +338,8 @@
 
 // warmth is the part of its capacity that a member surely has.
 func (b *Balancer) warmth(m *member) float64 {
-	if m.started > 0 && b.now-m.started >= b.cold {
+	if m.started == 0 || b.now-m.started >= b.cold {
 		m.started = 0
-	}
-	if m.started == 0 {
 		return 1
 	}
 	return b.startShare + (1-b.startShare)*float64(max(b.now-m.started, 0))/float64(b.cold)
@@ -386,8 +381,7 @@
 	if p.Need == Bounded {
 		need = b.now - p.Bound
 	}
-	best, hope, full := int32(-1), int32(-1), false
-	var least, hopes float64
+	best, least, full := [2]int32{-1, -1}, [2]float64{}, false // known to be past the need; likely to be
 	for _, i := range g.members {
 		m := &b.members[i]
 		if i == g.primary && m.proven || !b.usable(m) {
@@ -414,23 +408,21 @@
 			// of them behind every bound. All fronts fill the same one first, so that the others stay fresh.
 			v = float64(m.store)
 		}
+		k := 0
 		if !past {
-			if hope < 0 || v < hopes {
-				hope, hopes = i, v
-			}
-			continue
+			k = 1
 		}
-		if best < 0 || v < least {
-			best, least = i, v
+		if best[k] < 0 || v < least[k] {
+			best[k], least[k] = i, v
 		}
 	}
-	if best >= 0 {
-		return best
+	if best[0] >= 0 {
+		return best[0]
 	}
-	if hope >= 0 && b.mayProbe && b.now-j.came < p.ExpectedTime/10 {
+	if best[1] >= 0 && b.mayProbe && b.now-j.came < p.ExpectedTime/10 {
 		// Danger: with many fronts each has few answers, known positions grow old, and all reads spill to the
 		// primary. One that is likely past the need is asked, and says so before a tenth of the expected time.
-		if m := &b.members[hope]; b.now-m.probed > b.probeEvery/2 && j.asks < 2 {
+		if m := &b.members[best[1]]; b.now-m.probed > b.probeEvery/2 && j.asks < 2 {
 			j.asks++
 			b.ask(m)
 		}
@@ -460,12 +452,11 @@
 
 func (b *Balancer) Take(now Time, in Job) error {
 	b.now = now
-	b.taken++
+	b.jobRate += float64(b.beat) / float64(second)
 	p, ok := b.profileOf[in.Profile]
 	if !ok {
 		return fmt.Errorf("job %s: profile %q is not in the charter", in.ID, in.Profile)
 	}
-	g := b.groupAt(in.Group)
 	if len(b.free) == 0 {
 		b.jobs = append(b.jobs, job{})
 		b.free = append(b.free, int32(len(b.jobs)-1))
@@ -474,7 +465,7 @@
 	b.free = b.free[:len(b.free)-1]
 	b.jobOf[in.ID] = i
 	j, pr := &b.jobs[i], &b.profiles[p]
-	*j = job{id: in.ID, profile: p, group: g, slot: -1, came: now, limit: now + in.Left}
+	*j = job{id: in.ID, profile: p, group: b.groupAt(in.Group), slot: -1, came: now, limit: now + in.Left}
 	j.wanted = now + min(pr.ExpectedTime+Time(pr.Stretch*float64(in.Work)), pr.OuterLimit)
 	if off := in.Left - pr.usual; max(off, -off) <= b.beat {
 		pr.votes = min(pr.votes+1, 16)
@@ -553,8 +544,7 @@
 func (b *Balancer) send(i, mi int32) {
 	j, m := &b.jobs[i], &b.members[mi]
 	p := &b.profiles[j.profile]
-	j.member, j.sentAt, j.out, j.lost = mi, b.now, true, false
-	j.sent++
+	j.member, j.sentAt, j.sent, j.out, j.lost = mi, b.now, j.sent+1, true, false
 	m.inFlight++
 	m.scouted = m.scouted || p.Need == Write && !m.proven
 	if m.started > 0 {
@@ -629,9 +619,6 @@
 		b.learn(j.member, note, b.now)
 		b.learn(j.member, r.Load, 0)
 		b.alive(j.member)
-		if r.Note.Position > 0 {
-			m.refreshed = b.now
-		}
 	}
 	switch {
 	case r.Ending == Delivered:
@@ -750,8 +737,7 @@
 func (b *Balancer) Beat(now Time) {
 	b.now = now
 	b.front.Wake(b.beat)
-	b.jobRate += (float64(b.taken) - b.jobRate) * float64(b.beat) / float64(second)
-	b.taken = 0
+	b.jobRate -= b.jobRate * float64(b.beat) / float64(second)
 	every := float64(len(b.members)) * float64(b.beat) / max(b.jobRate*b.probesPerJob, 1e-6)
 	b.probeNow = min(max(Time(every), b.probeEvery), b.cold)
 	if now >= b.watchAt {
@@ -766,7 +752,6 @@
 		} else if g.sought == 0 && len(g.held) > 0 {
 			g.sought = now
 		}
-		g.blind = true
 		for _, i := range g.members {
 			m := &b.members[i]
 			if m.started > 0 {
@@ -783,7 +768,6 @@
 				b.front.Log(fmt.Sprintf("store %d is suspected", m.store))
 			}
 			b.probe(m, g.sought, len(g.held) > 0)
-			g.blind = g.blind && (m.suspect || !m.open)
 		}
 	}
 	if warm > 0 {
@@ -814,7 +798,7 @@
 	case b.now >= j.limit-b.beat, j.held && (late || b.now+Time(p.typical/2) > j.limit):
 		b.giveUp(i)
 	case j.out && p.Repeat == Reissuable && b.mayCancel && b.mayGoAgain(j):
-		if j.lost || b.members[j.member].suspect && !b.groups[j.group].blind {
+		if j.lost || b.members[j.member].suspect {
 			b.front.Cancel(j.id, j.sent-1)
 		}
 	}
