--- a/balance/balance.go
+++ b/balance/balance.go
@@ -120,7 +120,7 @@
 	}
 	b := &Balancer{front: f, now: now, mwc: c.Seed ^ 0x9e3779b97f4a7c15, zone: c.Zone, overShare: c.OverShare,
 		checks: c.Checks, carried: c.FencesCarried, askWithin: c.AskWithin,
-		onlyDrains: c.OnlyDraining, startShare: c.StartShare, cold: c.Cold, coldPart: c.FallMultiple * 3 / 4,
+		onlyDrains: c.OnlyDraining, startShare: c.StartShare, cold: c.Cold, coldPart: c.FallMultiple,
 		span: c.FallSpan, mostTrips: max(c.MostTrips, 1), mayProbe: c.MayProbe,
 		mayCancel: c.MayCancel, priced: c.CrossPrice > 0, tightest: never, quickest: never,
 		profileOf: map[string]int32{}, customers: map[string]*customer{}, memberOf: map[uint32]int32{},
