--- a/balance/balance.go
+++ b/balance/balance.go
@@ -47,7 +47,8 @@
 	limit, strain        float64 // trips in flight it takes in good time; answer times for the expected
 	size, budget         float64 // listed; typical time that may still be sent while it is cold
 	unreached            Time    // when the last try to connect set out, if it failed
-	backAt, answered     Time    // when a trip last came back; when the newest of those delivered was sent
+	sentLast, sentBefore Time    // its last two trips
+	answered             Time    // when the newest of those delivered was sent
 	position, heard      Time    // the largest it has shown, and when it was heard of
 	primaryAt, replicaAt Time    // newest moments at which it surely was, and surely was not, the primary
 	doubted, eased       Time    // claims from before do not count; when the limit was last cut
@@ -348,8 +349,9 @@
 // room tells whether the member takes one more trip in good time.
 func (b *Balancer) room(m *member, trip float64) bool {
 	if m.started == 0 {
-		// Danger: hundreds of fronts with a trip each crowd a store. Under one trip a front rests between trips.
-		return float64(m.inFlight) < m.limit && (m.limit >= 1 || float64(b.now-m.backAt) >= trip*(1/m.limit-1))
+		// Danger: hundreds of fronts with a trip each crowd a store. Under one trip a front rests after every two.
+		return m.limit >= 1 && float64(m.inFlight) < m.limit ||
+			m.limit < 1 && m.inFlight < 2 && float64(b.now-m.sentBefore) >= 2*trip/m.limit
 	}
 	if m.inFlight > 0 && float64(m.inFlight) >= m.limit*min(1, 2*b.warmth(m)) {
 		return false
@@ -546,6 +548,7 @@
 	p := &b.profiles[j.profile]
 	j.member, j.sentAt, j.sent, j.out, j.lost = mi, b.now, j.sent+1, true, false
 	m.inFlight++
+	m.sentBefore, m.sentLast = m.sentLast, b.now
 	m.scouted = m.scouted || p.Need == Write && !m.proven
 	if m.started > 0 {
 		m.budget -= p.typical
@@ -598,7 +601,6 @@
 	if !j.lost {
 		m.inFlight--
 	}
-	m.backAt = b.now
 	took := b.now - j.sentAt
 	// Danger: answers that get lost on the way look like load, and a crowded store looks like lost answers. What
 	// tells them apart is that a later trip there has been answered.
