--- a/balance/balance.go
+++ b/balance/balance.go
@@ -347,11 +347,15 @@
 }
 
 // room tells whether the member takes one more trip in good time.
-func (b *Balancer) room(m *member, trip float64) bool {
+func (b *Balancer) room(m *member, p *profile) bool {
+	trip := p.typical
 	if m.started == 0 {
-		// Danger: hundreds of fronts with a trip each crowd a store. Under one trip a front rests after every two.
-		return m.limit >= 1 && float64(m.inFlight) < m.limit ||
-			m.limit < 1 && m.inFlight < 2 && float64(b.now-m.sentBefore) >= 2*trip/m.limit
+		if m.limit >= 1 || m.inFlight == 0 && float64(b.now-m.sentLast) >= trip/m.limit {
+			return float64(m.inFlight) < m.limit
+		}
+		// Danger: hundreds of fronts with a trip each crowd a store. Under one trip a front rests after each; what
+		// only a primary takes has nowhere else to go meanwhile, and rests after every two.
+		return p.Need >= Fresh && m.inFlight < 2 && float64(b.now-m.sentBefore) >= 2*trip/m.limit
 	}
 	if m.inFlight > 0 && float64(m.inFlight) >= m.limit*min(1, 2*b.warmth(m)) {
 		return false
@@ -373,7 +377,7 @@
 	if p.Need >= Fresh {
 		if primary < 0 || !b.members[primary].proven && (p.Need != Write || b.members[primary].scouted) {
 			return -1 // a denied primary takes one write; the rest follow once it is taken
-		} else if b.room(&b.members[primary], p.typical) {
+		} else if b.room(&b.members[primary], p) {
 			return primary
 		}
 		b.overload()
@@ -395,7 +399,7 @@
 		if !past && m.heard > 0 && reach+p.ExpectedTime/10 < need {
 			continue
 		}
-		if !b.room(m, p.typical) {
+		if !b.room(m, p) {
 			full = full || past
 			continue
 		}
@@ -430,7 +434,7 @@
 		}
 		return -1
 	}
-	if !j.barred && primary >= 0 && b.members[primary].proven && b.room(&b.members[primary], p.typical) {
+	if !j.barred && primary >= 0 && b.members[primary].proven && b.room(&b.members[primary], p) {
 		// Danger: where replicas lag, hundreds of fronts spill to the primary together, each too little to see
 		// it fill, and the writes drown. So a read spills by the odds that spilled ones came back in good time.
 		if j.spilled = b.odds(b.spill); j.spilled {
