--- a/balance/balance.go
+++ b/balance/balance.go
@@ -422,18 +422,14 @@
 	if best[0] >= 0 {
 		return best[0]
 	}
-	if x, waited := p.ExpectedTime, b.now-j.came; best[1] >= 0 && b.mayProbe {
+	if best[1] >= 0 && b.mayProbe && b.now-j.came < p.ExpectedTime/10 {
 		// Danger: with many fronts each has few answers, known positions grow old, and all reads spill to the
-		// primary. One that is likely past the need is asked, and says so before a tenth of the expected time;
-		// a read that may not spill asks on, since reports are old and a fresh fence shows in them only later.
-		early := waited < x/10 && j.asks < 2 || j.barred && j.asks < 5 && waited > Time(j.asks)*x/8
-		if m := &b.members[best[1]]; early && b.now-m.probed > b.probeEvery/2 {
+		// primary. One that is likely past the need is asked, and says so before a tenth of the expected time.
+		if m := &b.members[best[1]]; b.now-m.probed > b.probeEvery/2 && j.asks < 2 {
 			j.asks++
 			b.ask(m)
 		}
-		if waited < x/10 {
-			return -1
-		}
+		return -1
 	}
 	if !j.barred && primary >= 0 && b.members[primary].proven && b.room(&b.members[primary], p) {
 		// Danger: where replicas lag, hundreds of fronts spill to the primary together, each too little to see
