--- a/balance/balance.go
+++ b/balance/balance.go
@@ -27,7 +27,6 @@
 	stills  float64 // how often a replica's position stood still while it held one; feared until seen
 	usual   Time    // time that most clients' tries have left
 	votes   int     // tries in a row, on balance, that had it
-	spill   float64 // odds that a read may spill
 }
 
 // customer has a bucket of jobs within its share, a second's worth at most.
@@ -100,6 +99,7 @@
 	probeEvery, probeNow       Time    // gap between probes of a member: as wished, and as the price allows
 	probesPerJob, jobRate      float64 // probes that the price allows; jobs taken in a beat, on average
 	watchAt, crowded, scarce   Time    // when to ask for the list next; overload, few connections last seen
+	spill                      float64 // odds that a read may spill
 	profiles                   []profile
 	customers                  map[string]*customer
 	members                    []member
@@ -124,14 +124,14 @@
 		mayCancel: c.MayCancel, priced: c.CrossPrice > 0, tightest: never, quickest: never,
 		profileOf: map[string]int32{}, customers: map[string]*customer{}, memberOf: map[uint32]int32{},
 		groupOf: map[uint64]int32{}, jobOf: map[string]int32{}, fences: make([]Time, 1<<fenceBits),
-		mostPause: c.MostPause, crowded: -never, scarce: -never, watchAt: never,
+		mostPause: c.MostPause, crowded: -never, scarce: -never, spill: 1, watchAt: never,
 		least: 3 / float64(max(c.Fronts, 1))}
 	for i, p := range c.Profiles {
 		if p.Bound < 0 || p.ExpectedTime <= 0 || p.OuterLimit <= 0 || p.Window < 0 {
 			return nil, fmt.Errorf("charter: profile %q: bound, window or times out of range", p.Name)
 		}
 		b.profileOf[p.Name] = int32(i)
-		b.profiles = append(b.profiles, profile{Profile: p, typical: float64(p.ExpectedTime) / 4, stills: 1, spill: 1})
+		b.profiles = append(b.profiles, profile{Profile: p, typical: float64(p.ExpectedTime) / 4, stills: 1})
 		b.quickest = min(b.quickest, p.ExpectedTime)
 		if p.Need == Bounded {
 			b.tightest = min(b.tightest, p.Bound)
@@ -434,7 +434,7 @@
 	if !j.barred && primary >= 0 && b.members[primary].proven && b.room(&b.members[primary], p) {
 		// Danger: where replicas lag, hundreds of fronts spill to the primary together, each too little to see
 		// it fill, and the writes drown. So a read spills by the odds that spilled ones came back in good time.
-		if j.spilled = b.odds(p.spill); j.spilled {
+		if j.spilled = b.odds(b.spill); j.spilled {
 			return primary
 		}
 		j.barred = true
@@ -606,9 +606,9 @@
 	// tells them apart is that a later trip there has been answered.
 	gone := r.Ending == Severed || r.Ending >= Expired && j.sentAt < m.answered
 	if j.spilled && r.Ending == Delivered && took < p.ExpectedTime*3/4 {
-		p.spill = min(p.spill+1.0/16, 1)
+		b.spill = min(b.spill+1.0/16, 1)
 	} else if j.spilled && r.Ending != Behind && !gone {
-		p.spill = max(p.spill*3/4, 1.0/16)
+		b.spill = max(b.spill*3/4, 1.0/16)
 	}
 	j.spilled, j.barred = false, false
 	m.scouted = m.scouted && p.Need != Write
