--- a/balance/balance.go
+++ b/balance/balance.go
@@ -392,9 +392,8 @@
 		}
 		// What it lagged by when last heard it may lag by still. Where stores check reads that is enough.
 		reach := m.position + b.now - m.heard
-		lags := m.heard > 0 && reach+p.ExpectedTime/10 < need
-		past := m.position >= need || b.checks && !lags
-		if lags && !past {
+		past := m.position >= need || b.checks && m.heard > 0 && reach >= need
+		if !past && m.heard > 0 && reach+p.ExpectedTime/10 < need {
 			continue
 		}
 		if !b.room(m, p) {
