Probes spaced by their price without a cap

Cause: with 139 fronts one probe of each member in a cold time was still 0.7 probes a job. May hurt: a front with few jobs knows less before it asks.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -301,7 +301,7 @@
 	if sought > 0 && waits { // Danger: hundreds of fronts seeking a primary that is out of reach for long
 		every, fresh = max(b.probeEvery/2, (b.now-sought)/4), m.probed
 	} else if m.asked > 0 { // Danger: hundreds of fronts asking a dead store at a steady pace
-		every = min(max(b.probeEvery, m.probed-m.asked), b.probeNow)
+		every = min(max(b.probeEvery, m.probed-m.asked), b.probeNow, b.cold)
 	}
 	if !b.mayProbe || !m.open || b.now-fresh < every {
 		return
@@ -739,7 +739,7 @@
 	b.front.Wake(b.beat)
 	b.jobRate -= b.jobRate * float64(b.beat) / float64(second)
 	every := float64(len(b.members)) * float64(b.beat) / max(b.jobRate*b.probesPerJob, 1e-6)
-	b.probeNow = min(max(Time(every), b.probeEvery), b.cold)
+	b.probeNow = max(Time(every), b.probeEvery)
 	if now >= b.watchAt {
 		b.watchAt = now + b.askWithin/2
 		b.front.Watch()
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -315,7 +315,7 @@
 func TestProbesKeepToTheirPrice(t *testing.T) {
 	w := three(t, testCharter())
 	w.pass(20 * second)
-	if n := len(w.probes); n == 0 || n > 60 {
+	if n := len(w.probes); n > 3 {
 		t.Errorf("%d probes in 20 s without a job", n)
 	}
 	w.b.Probed(w.now, 2, Return{Load: Report{w.now + second, Replica}})
