--- /dev/null
+++ b/cmd/micatrack/serve.go
@@ -0,0 +1,163 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"math"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"micatrack/balance"
+	"micatrack/internal/charter"
+	"micatrack/internal/discovery"
+	"micatrack/internal/front"
+	"micatrack/internal/sock"
+)
+
+// orders is what a front is told at its start.
+type orders struct {
+	name, listen, discovery string
+	cores                   float64
+	memory                  int64 // bytes
+	sockets                 int
+	known                   front.List
+	version                 int64
+	charter                 balance.Charter
+	host                    charter.Host
+}
+
+// configuration reads the file; what is given beside it comes first.
+func configuration(path, listen, from string) (o orders, err error) {
+	if path == "" {
+		return o, fmt.Errorf("no configuration: give -config or GW_CONFIG")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return o, fmt.Errorf("configuration: %w", err)
+	}
+	var w struct {
+		Name, Listen, Discovery, Seed string
+		Limits                        struct {
+			Cores    float64
+			MemoryMB int64 `json:"memory_mb"`
+			Sockets  int
+		}
+		Known, Settings json.RawMessage
+	}
+	if err := json.Unmarshal(text, &w); err != nil {
+		return o, fmt.Errorf("configuration %s: %w", path, err)
+	}
+	if listen == "" {
+		listen = w.Listen
+	}
+	if from == "" {
+		from = w.Discovery
+	}
+	o = orders{name: w.Name, listen: listen, discovery: from, cores: w.Limits.Cores,
+		memory: w.Limits.MemoryMB << 20, sockets: w.Limits.Sockets, version: -1}
+	for _, a := range [...]struct{ key, addr string }{{"listen", listen}, {"discovery", from}} {
+		if _, _, err := net.SplitHostPort(a.addr); err != nil {
+			return o, fmt.Errorf("%s: %w", a.key, err)
+		}
+	}
+	if o.cores <= 0 || o.memory <= 0 || o.sockets <= 4*reserve {
+		return o, fmt.Errorf("limits: cores, memory_mb or sockets is missing or too small")
+	}
+	seed, err := strconv.ParseUint(w.Seed, 16, 64)
+	if err != nil {
+		return o, fmt.Errorf("seed: %w", err)
+	}
+	if len(w.Settings) == 0 {
+		return o, fmt.Errorf("settings: missing")
+	}
+	if o.charter, o.host, err = charter.Read(w.Settings); err != nil {
+		return o, fmt.Errorf("settings: %w", err)
+	}
+	if o.host.Dial <= 0 || o.host.Idle <= 0 {
+		return o, fmt.Errorf("settings: Ceilings.DialTimeout or Ceilings.ConnIdle is missing")
+	}
+	o.charter.Seed = seed
+	if len(w.Known) > 0 {
+		if o.version, o.known, err = discovery.Decode(w.Known); err != nil {
+			return o, fmt.Errorf("known: %w", err)
+		}
+	}
+	o.known.News = balance.ListCached
+	return o, nil
+}
+
+const (
+	reserve = 32                     // descriptors that are neither clients' nor stores'
+	linger  = 600 * time.Millisecond // after SIGTERM new connections are expected for that long
+	tick    = 100 * time.Microsecond // one front.Time
+)
+
+// clock reads the wall clock once and goes on monotonically. It is rounded up: a fence or an age that is
+// reckoned from it errs to the safe side.
+func clock() func() front.Time {
+	start := time.Now()
+	base := start.UnixNano()
+	return func() front.Time { return (base + int64(time.Since(start)) + int64(tick) - 1) / int64(tick) }
+}
+
+func serve(o orders) int {
+	// One processor more than cores: the poller sits in a system call most of the time, and the runtime takes
+	// a processor that does so back only after a while.
+	runtime.GOMAXPROCS(int(math.Ceil(o.cores)) + 1)
+	debug.SetMemoryLimit(o.memory * 3 / 4)
+	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("front", o.name)
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+
+	net, err := sock.Open(o.listen, o.sockets)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "micatrack: listen:", err)
+		return 1
+	}
+	now := clock()
+	watcher := discovery.Watch(o.discovery, o.version, net.Wake, log)
+	links := o.sockets - reserve
+	core, err := front.New(now(), o.charter, o.host,
+		front.Limits{Links: links, Clients: links / 2, Linger: int64(linger / tick)}, net, watcher.Ask, log)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "micatrack: settings:", err)
+		return 2
+	}
+	core.Tell(o.known)
+	if o.charter.ListPushed {
+		watcher.Ask()
+	}
+	var halt atomic.Bool
+	go func() {
+		<-stop
+		halt.Store(true)
+		net.Wake()
+	}()
+	log.Info("serving", "listen", net.Addr(), "discovery", o.discovery, "stores", len(o.known.Lines))
+	var lists []front.List
+	for deaf := false; !core.Done(); {
+		events := net.Gather(time.Duration(core.Next()-now()) * tick)
+		lists = watcher.Take(lists[:0])
+		for _, l := range lists {
+			core.Tell(l)
+		}
+		if halt.Load() {
+			core.Stop(now())
+		}
+		core.Step(now(), events)
+		if !deaf && core.Stopping() {
+			deaf = true
+			net.Deafen()
+		}
+	}
+	log.Info("stopped")
+	return 0
+}
--- a/internal/simwire/charter.go
+++ b/internal/charter/charter.go
@@ -1,4 +1,5 @@
-package simwire
+// Package charter reads the settings that a front is given at its start, for every host of the module.
+package charter
 
 import (
 	"encoding/json"
@@ -7,14 +8,23 @@
 	"micatrack/balance"
 )
 
-// readCharter turns the settings of the first message into the module's charter, and gives the clock time
-// from which positions count, in microseconds. Keys that it does not know are passed over.
-func readCharter(text string) (balance.Charter, int64, error) {
+const microsPerTime = 100 // the settings' microseconds in one balance.Time
+
+// Host is what the program round the module needs of the settings.
+type Host struct {
+	PositionZero int64        // microseconds from which the simulator's positions count
+	Dial, Idle   balance.Time // a connection comes up within Dial; a store closes one that stood idle for Idle
+	Reports      string       // where load reports come: "inline", "on_probe" or "off"
+}
+
+// Read turns the settings into the module's charter. Keys that it does not know are passed over.
+func Read(text []byte) (balance.Charter, Host, error) {
 	var w struct {
 		Az       string
 		Ceilings struct {
 			MaxAttempts                   int
 			MaxRetryAfter                 int64
+			ConnIdle, DialTimeout         int64
 			MayCancel, Probes, RetryAfter bool
 		}
 		Contract struct {
@@ -41,12 +51,15 @@
 			LateWorth, Worth         float64
 		}
 		RegistryMode string
+		Report       struct{ Source string }
 		ReplicasOfMe int
 		Round        int64
 	}
-	if err := json.Unmarshal([]byte(text), &w); err != nil {
-		return balance.Charter{}, 0, err
+	if err := json.Unmarshal(text, &w); err != nil {
+		return balance.Charter{}, Host{}, err
 	}
+	h := Host{PositionZero: w.Extra.PositionZero, Dial: w.Ceilings.DialTimeout / microsPerTime,
+		Idle: w.Ceilings.ConnIdle / microsPerTime, Reports: w.Report.Source}
 	c := balance.Charter{
 		Fronts: w.ReplicasOfMe, Zone: w.Az, Round: w.Round / microsPerTime,
 		OverShare:     w.OverShareWorth,
@@ -63,14 +76,14 @@
 		c.MostPause = w.Ceilings.MaxRetryAfter / microsPerTime
 	}
 	if len(w.Profiles) == 0 {
-		return c, 0, fmt.Errorf("Profiles is missing or empty")
+		return c, h, fmt.Errorf("Profiles is missing or empty")
 	}
 	if len(w.Extra.Freshness) != len(w.Profiles) {
-		return c, 0, fmt.Errorf("Extra.Freshness has %d entries for %d Profiles",
+		return c, h, fmt.Errorf("Extra.Freshness has %d entries for %d Profiles",
 			len(w.Extra.Freshness), len(w.Profiles))
 	}
 	if len(w.Extra.OldestData) != len(w.Profiles) {
-		return c, 0, fmt.Errorf("Extra.OldestData has %d entries for %d Profiles",
+		return c, h, fmt.Errorf("Extra.OldestData has %d entries for %d Profiles",
 			len(w.Extra.OldestData), len(w.Profiles))
 	}
 	needs := map[string]balance.Need{"any": balance.Any, "bounded": balance.Bounded, "session": balance.Session,
@@ -79,18 +92,18 @@
 		"once": balance.AtMostOnce}
 	for i, p := range w.Profiles {
 		if w.Extra.OldestData[i] < 0 {
-			return c, 0, fmt.Errorf("Extra.OldestData[%d] is negative", i)
+			return c, h, fmt.Errorf("Extra.OldestData[%d] is negative", i)
 		}
 		if p.Aim <= 0 || p.HardLimit <= 0 || p.Window < 0 {
-			return c, 0, fmt.Errorf("Profiles[%d]: Aim, HardLimit or Window is out of range", i)
+			return c, h, fmt.Errorf("Profiles[%d]: Aim, HardLimit or Window is out of range", i)
 		}
 		need, ok := needs[w.Extra.Freshness[i]]
 		if !ok {
-			return c, 0, fmt.Errorf("Extra.Freshness: %q is unknown", w.Extra.Freshness[i])
+			return c, h, fmt.Errorf("Extra.Freshness: %q is unknown", w.Extra.Freshness[i])
 		}
 		repeat, ok := repeats[p.Idempotency]
 		if !ok {
-			return c, 0, fmt.Errorf("Profiles[%d].Idempotency: %q is unknown", i, p.Idempotency)
+			return c, h, fmt.Errorf("Profiles[%d].Idempotency: %q is unknown", i, p.Idempotency)
 		}
 		c.Profiles = append(c.Profiles, balance.Profile{Name: p.Name, Need: need,
 			Bound: w.Extra.OldestData[i] / microsPerTime, Repeat: repeat, Anywhere: p.Group == "all",
@@ -100,5 +113,5 @@
 	for _, o := range w.Orgs {
 		c.Customers = append(c.Customers, balance.Customer{Name: o.Name, Quota: o.QuotaPerS})
 	}
-	return c, w.Extra.PositionZero, nil
+	return c, h, nil
 }
--- /dev/null
+++ b/internal/front/client.go
@@ -0,0 +1,290 @@
+package front
+
+import (
+	"strconv"
+
+	"micatrack/balance"
+	"micatrack/internal/pgwire"
+)
+
+// job is one request in hand. Its query stays in its client's ring until it is answered.
+type job struct {
+	id     string // its place in the slab, as the module knows it
+	client *client
+	query  pgwire.Statement
+	left   Time // as its client said, less what has passed since
+	came   Time
+	sent   int   // trips
+	trip   *conn // the one that is out on a connection
+	waits  bool  // the one that is out waits for a connection
+	store  uint32
+	owed   int  // results that the module has yet to hear of
+	final  bool // it has had its final answer, or needs none
+	busy   bool // the place is taken
+}
+
+// client is one connection of a client.
+type client struct {
+	link   Link
+	at     int // in Core.clients
+	next   func(cl *client, c *Core, in []byte) (used int)
+	job    int32 // in hand, or -1
+	held   int   // bytes of its query
+	skip   bool  // until the next Sync
+	ending bool
+}
+
+func (c *Core) accept(l Link, what What) {
+	cl := &client{link: l, at: len(c.clients), job: -1, next: (*client).greet}
+	l.Own(cl)
+	c.clients = append(c.clients, cl)
+	if len(c.clients) > c.limits.Clients || len(c.clients)+len(c.conns) > c.limits.Links && !c.spare() {
+		cl.next = (*client).decline
+	}
+	cl.notice(c, what)
+}
+
+func (cl *client) notice(c *Core, what What) {
+	if what&Readable != 0 && !cl.ending {
+		cl.read(c)
+	}
+	if what&Closed != 0 {
+		cl.gone(c)
+	}
+}
+
+// read takes one command after the other; while a job is in hand the rest waits in the ring.
+func (cl *client) read(c *Core) {
+	for cl.job < 0 && !cl.ending {
+		n := cl.next(cl, c, cl.link.Peek())
+		if n == 0 {
+			return
+		}
+		if cl.job >= 0 {
+			cl.held = n
+			return
+		}
+		cl.link.Discard(n)
+	}
+}
+
+// gone is the one place where a client's connection is given back.
+func (cl *client) gone(c *Core) {
+	if cl.at < 0 {
+		return
+	}
+	last := c.clients[len(c.clients)-1]
+	c.clients[cl.at], last.at = last, cl.at
+	c.clients = c.clients[:len(c.clients)-1]
+	cl.at, cl.ending = -1, true
+	cl.link.Own(nil)
+	if cl.job >= 0 {
+		j := &c.jobs[cl.job]
+		j.client, j.final = nil, true
+		c.leavers = append(c.leavers, cl.job)
+		cl.job = -1
+	}
+}
+
+func (cl *client) write(c *Core, p []byte) {
+	if cl.at < 0 {
+		return
+	}
+	if !cl.link.Write(p) { // it does not read what it is sent
+		cl.link.Close()
+		cl.gone(c)
+		return
+	}
+	c.dirty = append(c.dirty, cl.link)
+}
+
+// fatal ends a connection whose stream cannot be followed any more.
+func (cl *client) fatal(c *Core, code, text string) {
+	c.out = pgwire.AppendError(c.out[:0], "FATAL", code, text, "")
+	cl.write(c, c.out)
+	cl.finish(c)
+}
+
+func (cl *client) finish(c *Core) {
+	if cl.at >= 0 {
+		cl.ending = true
+		cl.link.Finish()
+	}
+}
+
+// decline reads as far as it must to tell a client that there is no room.
+func (cl *client) decline(c *Core, in []byte) int {
+	code, n, err := pgwire.Startup(in)
+	if err == nil && n > 0 && (code == pgwire.SSLReq || code == pgwire.GSSReq) {
+		cl.write(c, []byte{'N'})
+	} else if err != nil || n > 0 {
+		c.out = unroom(c.out[:0])
+		cl.write(c, c.out)
+		cl.finish(c)
+	}
+	return n
+}
+
+// greet reads the startup message.
+func (cl *client) greet(c *Core, in []byte) int {
+	code, n, err := pgwire.Startup(in)
+	switch {
+	case err != nil:
+		cl.fatal(c, pgwire.Violation, err.Error())
+	case n == 0:
+	case code == pgwire.SSLReq || code == pgwire.GSSReq:
+		cl.write(c, []byte{'N'})
+	case code == pgwire.CancelReq:
+		cl.finish(c)
+	case code>>16 != pgwire.Version>>16:
+		cl.fatal(c, pgwire.Unsupported, "only version 3 of the protocol is spoken here")
+	default:
+		c.out = pgwire.AppendWelcome(c.out[:0], code&0xffff)
+		cl.write(c, c.out)
+		cl.next = (*client).command
+	}
+	return n
+}
+
+// command reads one message between jobs.
+func (cl *client) command(c *Core, in []byte) int {
+	kind, body, n, err := pgwire.Message(in)
+	switch {
+	case err != nil:
+		cl.fatal(c, pgwire.Violation, err.Error())
+	case n == 0:
+	case kind == 'X':
+		cl.finish(c)
+	case cl.skip && kind != 'S':
+	case kind == 'S':
+		cl.skip = false
+		cl.write(c, pgwire.AppendReady(c.out[:0]))
+	case kind == 'Q':
+		cl.query(c, body)
+	case kind == 'd' || kind == 'c' || kind == 'f': // copy data that nothing waits for
+	case kind == 'P' || kind == 'B' || kind == 'D' || kind == 'E' || kind == 'C' || kind == 'H':
+		cl.skip = true
+		cl.write(c, pgwire.AppendError(c.out[:0], "ERROR", pgwire.Unsupported, "only simple queries are served", ""))
+	case kind == 'F':
+		cl.reject(c, pgwire.Unsupported, "function calls are not served")
+	default:
+		cl.fatal(c, pgwire.Violation, "unexpected message")
+	}
+	return n
+}
+
+// reject answers a command that is no job.
+func (cl *client) reject(c *Core, code, text string) {
+	c.out = pgwire.AppendError(c.out[:0], "ERROR", code, text, "")
+	cl.write(c, pgwire.AppendReady(c.out))
+}
+
+func (cl *client) query(c *Core, body []byte) {
+	text, rest, ok := pgwire.Text(body)
+	if !ok || len(rest) > 0 {
+		cl.fatal(c, pgwire.Violation, "malformed query message")
+		return
+	}
+	if blank(text) {
+		cl.write(c, pgwire.AppendReady(pgwire.AppendEmpty(c.out[:0])))
+		return
+	}
+	s, err := pgwire.Query(text)
+	if err != nil {
+		cl.reject(c, pgwire.Syntax, err.Error())
+		return
+	}
+	if _, ok := c.profiles[string(s.Profile)]; !ok {
+		cl.reject(c, pgwire.BadValue, "unknown class")
+		return
+	}
+	if len(c.groups) > 0 && !c.groups[s.Group] {
+		cl.reject(c, pgwire.NoDatabase, "unknown cluster")
+		return
+	}
+	if len(c.freeJobs) == 0 {
+		i := int32(len(c.jobs))
+		c.jobs = append(c.jobs, job{id: strconv.Itoa(int(i))})
+		c.freeJobs = append(c.freeJobs, i)
+	}
+	i := c.freeJobs[len(c.freeJobs)-1]
+	c.freeJobs = c.freeJobs[:len(c.freeJobs)-1]
+	c.inHand++
+	j := &c.jobs[i]
+	*j = job{id: j.id, client: cl, query: s, came: c.now, left: s.Left, busy: true}
+	cl.job = i
+	c.arrivals = append(c.arrivals, i)
+}
+
+func blank(text []byte) bool {
+	for _, b := range text {
+		if b != ' ' && b != '\t' && b != '\n' && b != '\r' && b != ';' {
+			return false
+		}
+	}
+	return true
+}
+
+// take hands a new job to the module.
+func (c *Core) take(i int32) {
+	j := &c.jobs[i]
+	if !j.busy || j.final { // its client left at once
+		return
+	}
+	s := &j.query
+	in := balance.Job{ID: j.id, Profile: string(s.Profile), Customer: string(s.Customer), Group: s.Group,
+		Left: j.left, Repeated: s.Repeated, WriteAge: -1}
+	if need := c.profiles[in.Profile]; need == balance.Write || need == balance.Session {
+		in.Session = string(s.Session)
+	}
+	if s.Carried {
+		// Positions are whole milliseconds and rounded up for commits, so one may lie ahead by less than that.
+		in.WriteAge = max(c.now-s.After, 0)
+	}
+	if err := c.module.Take(c.now, in); err != nil {
+		c.answer(i, pgwire.AppendError(c.out[:0], "ERROR", pgwire.BadValue, err.Error(), ""))
+	}
+}
+
+func (c *Core) turnBack(t task) {
+	detail := ""
+	if t.at >= perMilli {
+		detail = strconv.FormatInt(t.at/perMilli, 10)
+	}
+	c.answer(t.job, pgwire.AppendError(c.out[:0], "ERROR", pgwire.TooMany, "turned back, try again", detail))
+}
+
+func (c *Core) writeOff(t task) {
+	c.answer(t.job, pgwire.AppendError(c.out[:0], "ERROR", pgwire.Unresolved, "written off: not known to have run", ""))
+}
+
+// answer gives the job's final answer and lets its client's next command follow.
+func (c *Core) answer(i int32, text []byte) {
+	j := &c.jobs[i]
+	if !j.busy || j.final {
+		return
+	}
+	cl := j.client
+	j.final, j.client = true, nil
+	c.out = pgwire.AppendReady(text)
+	cl.job = -1
+	cl.link.Discard(cl.held)
+	cl.write(c, c.out)
+	if c.Stopping() && cl.at >= 0 {
+		cl.finish(c)
+	} else {
+		cl.read(c)
+	}
+	c.free(i)
+}
+
+// free is the one place where a job's place is given back: after its answer and the return of its last trip.
+func (c *Core) free(i int32) {
+	j := &c.jobs[i]
+	if !j.busy || !j.final || j.trip != nil || j.waits || j.owed > 0 {
+		return
+	}
+	*j = job{id: j.id}
+	c.inHand--
+	c.freeJobs = append(c.freeJobs, i)
+}
--- /dev/null
+++ b/internal/front/front.go
@@ -0,0 +1,313 @@
+// Package front is the router's core without I/O: it keeps jobs, trips and store connections, speaks the
+// protocol on links that it is handed, and asks the decision module (package balance) what to do. It decides
+// nothing by itself. One loop owns all of it: Step is given the time and what is ready, hands that to the
+// module in one go and carries out what comes back.
+package front
+
+import (
+	"fmt"
+	"log/slog"
+	"strconv"
+
+	"micatrack/balance"
+	"micatrack/internal/charter"
+	"micatrack/internal/pgwire"
+)
+
+// Time is in tenths of a millisecond since the Unix epoch, read once and then counted monotonically.
+type Time = balance.Time
+
+const perMilli = 10 // Times in a millisecond
+
+// Link is one socket. The core owns it from Dial or its Accepted event until it calls Close or Finish, or
+// hears that it is closed.
+type Link interface {
+	Peek() []byte        // all that came in and was not discarded
+	Discard(n int)       // drops its first bytes
+	Write(p []byte) bool // queues p whole; false: there is no room for it
+	Flush()              // hands what is queued to the system
+	Sent() int64         // bytes that the system has taken so far
+	Close()              // at once; what is still queued is dropped
+	Finish()             // closes once all that is queued is out
+	Owner() any          // what Own was told last
+	Own(owner any)
+}
+
+// Sockets opens connections. What is written on a link that is not up yet waits; Closed follows if it never
+// will be.
+type Sockets interface {
+	Dial(addr string) (Link, error)
+}
+
+// What tells what happened to a link; several may have at once.
+type What uint8
+
+const (
+	Accepted What = 1 << iota
+	Readable
+	Closed
+)
+
+// Event is one link with news.
+type Event struct {
+	Link Link
+	What What
+}
+
+// Line is one store of the list, with where this front reaches it. The core numbers the stores.
+type Line struct {
+	ID, Addr string
+	balance.Member
+}
+
+// List is what discovery told.
+type List struct {
+	News  balance.ListNews
+	Lines []Line
+}
+
+// Limits bounds what the core holds open.
+type Limits struct {
+	Links   int  // sockets of clients and stores together
+	Clients int  // of them at most
+	Linger  Time // after Stop, how long new connections are expected to keep coming
+}
+
+// task is something that the module asked for.
+type task struct {
+	do    func(c *Core, t task)
+	job   int32
+	trip  int
+	store uint32
+	at    Time
+}
+
+// back is a result that the module has yet to be handed.
+type back struct {
+	job   int32 // -1: of a probe
+	trip  int
+	store uint32
+	r     balance.Return
+}
+
+// Core is one front.
+type Core struct {
+	module   *balance.Balancer
+	sockets  Sockets
+	log      *slog.Logger
+	host     charter.Host
+	limits   Limits
+	profiles map[string]balance.Need
+	now      Time
+	wakeAt   Time
+	watch    func()
+	jobs     []job
+	freeJobs []int32
+	inHand   int
+	stores   []store
+	storeOf  map[string]uint32
+	groups   map[uint64]bool
+	clients  []*client
+	conns    []*conn
+	lists    []List
+	arrivals []int32
+	leavers  []int32
+	backs    []back
+	tasks    []task
+	dirty    []Link
+	out      []byte // scratch for what is being written
+	stopAt   Time   // 0: not stopping; from then on idle clients are hung up
+	logged   int    // lines in this second; more are dropped
+	loggedAt Time
+}
+
+// New starts a front. watch is called when the module asks discovery for changes.
+func New(now Time, c balance.Charter, h charter.Host, l Limits, s Sockets, watch func(),
+	log *slog.Logger) (*Core, error) {
+	f := &Core{sockets: s, log: log, host: h, limits: l, now: now, watch: watch,
+		profiles: map[string]balance.Need{}, storeOf: map[string]uint32{}, groups: map[uint64]bool{}}
+	for _, p := range c.Profiles {
+		f.profiles[p.Name] = p.Need
+	}
+	var err error
+	f.module, err = balance.New(now, c, f)
+	return f, err
+}
+
+// Tell queues what discovery told for the next Step.
+func (c *Core) Tell(l List) { c.lists = append(c.lists, l) }
+
+// Next is when Step must be called again even if nothing happens.
+func (c *Core) Next() Time { return c.wakeAt }
+
+// Stop begins the end: all that was taken is answered, and each client is hung up on between two jobs.
+func (c *Core) Stop(now Time) {
+	if c.stopAt == 0 {
+		c.stopAt = now + c.limits.Linger
+	}
+}
+
+// Done tells that Stop is complete: no client is left and no job in hand.
+func (c *Core) Done() bool { return c.Stopping() && len(c.clients) == 0 && c.inHand == 0 }
+
+// Stopping tells that new connections are no longer expected.
+func (c *Core) Stopping() bool { return c.stopAt > 0 && c.now >= c.stopAt }
+
+// Step is one turn of the loop.
+func (c *Core) Step(now Time, events []Event) {
+	c.now = now
+	for _, e := range events {
+		switch o := e.Link.Owner().(type) {
+		case *client:
+			o.notice(c, e.What)
+		case *conn:
+			o.notice(c, e.What)
+		default:
+			if e.What&Accepted != 0 {
+				c.accept(e.Link, e.What)
+			}
+		}
+	}
+	for _, l := range c.lists {
+		c.list(l)
+	}
+	c.lists = c.lists[:0]
+	beat := now >= c.wakeAt
+	if beat {
+		c.sweep()
+	}
+	for once := true; once || len(c.backs)+len(c.arrivals)+len(c.leavers) > 0; once = false {
+		for k := 0; k < len(c.backs); k++ {
+			c.handBack(c.backs[k])
+		}
+		c.backs = c.backs[:0]
+		for _, i := range c.leavers {
+			c.module.Left(now, c.jobs[i].id)
+			c.free(i)
+		}
+		c.leavers = c.leavers[:0]
+		for k := 0; k < len(c.arrivals); k++ {
+			c.take(c.arrivals[k])
+		}
+		c.arrivals = c.arrivals[:0]
+		if beat {
+			c.module.Beat(now)
+			beat = false
+		}
+		c.carryOut()
+	}
+	for _, l := range c.dirty {
+		l.Flush()
+	}
+	c.dirty = c.dirty[:0]
+}
+
+func (c *Core) carryOut() {
+	for k := 0; k < len(c.tasks); k++ {
+		c.tasks[k].do(c, c.tasks[k])
+	}
+	c.tasks = c.tasks[:0]
+}
+
+func (c *Core) handBack(b back) {
+	if b.job < 0 {
+		c.module.Probed(c.now, b.store, b.r)
+		return
+	}
+	j := &c.jobs[b.job]
+	j.owed--
+	b.r.Done = j.final
+	c.module.Returned(c.now, j.id, b.trip, b.store, b.r)
+	c.free(b.job)
+}
+
+// list hands a list on, with stores numbered in the order in which they were first named.
+func (c *Core) list(l List) {
+	members := make([]balance.Member, len(l.Lines))
+	named := make(map[uint32]bool, len(l.Lines))
+	for k := range l.Lines {
+		e := &l.Lines[k]
+		i, ok := c.storeOf[e.ID]
+		if !ok {
+			i = uint32(len(c.stores))
+			c.stores = append(c.stores, store{addr: e.Addr})
+			c.storeOf[e.ID] = i
+		}
+		s := &c.stores[i]
+		if e.Addr != "" && e.Addr != s.addr {
+			s.addr = e.Addr
+			c.hangUp(i)
+		}
+		if e.Condition == balance.Gone {
+			c.hangUp(i)
+		}
+		named[i], c.groups[e.Group] = true, true
+		members[k] = e.Member
+		members[k].Store = i
+	}
+	if l.News == balance.ListWhole {
+		for i := range c.stores {
+			if !named[uint32(i)] {
+				c.hangUp(uint32(i))
+			}
+		}
+	}
+	c.module.List(c.now, l.News, members)
+}
+
+// note logs a rare change; past a bound in each second lines are dropped, so that trouble cannot drown it.
+func (c *Core) note(text string, args ...any) {
+	if c.now-c.loggedAt >= 1000*perMilli {
+		c.loggedAt, c.logged = c.now, 0
+	}
+	if c.logged++; c.logged <= 20 {
+		c.log.Info(text, args...)
+	}
+}
+
+// The rest is balance.Front: what the module asks for waits until the module has seen all that is ready.
+
+func (c *Core) Send(id string, store uint32, until Time) {
+	c.tasks = append(c.tasks, task{do: (*Core).depart, job: place(id), store: store, at: until})
+}
+
+func (c *Core) Cancel(id string, trip int) {
+	c.tasks = append(c.tasks, task{do: (*Core).recall, job: place(id), trip: trip})
+}
+
+func (c *Core) TurnBack(id string, pause Time) {
+	c.tasks = append(c.tasks, task{do: (*Core).turnBack, job: place(id), at: pause})
+}
+
+func (c *Core) WriteOff(id string) {
+	c.tasks = append(c.tasks, task{do: (*Core).writeOff, job: place(id)})
+}
+
+func (c *Core) Probe(store uint32) {
+	c.tasks = append(c.tasks, task{do: (*Core).probe, store: store})
+}
+
+func (c *Core) HangUp(store uint32) {
+	c.tasks = append(c.tasks, task{do: func(c *Core, t task) { c.hangUp(t.store) }, store: store})
+}
+
+func (c *Core) Wake(after Time) { c.wakeAt = c.now + after }
+
+func (c *Core) Watch() { c.watch() }
+
+func (c *Core) Log(text string) { c.note(text) }
+
+// place gives the job's place in the slab, which its name among the module's jobs stands for.
+func place(id string) int32 {
+	n, _ := strconv.Atoi(id)
+	return int32(n)
+}
+
+func (c *Core) String() string {
+	return fmt.Sprintf("clients %d, store connections %d, jobs %d", len(c.clients), len(c.conns), c.inHand)
+}
+
+// unroom is what a client is told that finds no room; nothing of it was taken.
+func unroom(dst []byte) []byte {
+	return pgwire.AppendError(dst, "FATAL", pgwire.TooMany, "too many connections", "")
+}
--- /dev/null
+++ b/internal/front/store.go
@@ -0,0 +1,487 @@
+package front
+
+import (
+	"strconv"
+	"strings"
+
+	"micatrack/balance"
+	"micatrack/internal/pgwire"
+)
+
+// store is one member of the list.
+type store struct {
+	addr  string
+	idle  []*conn  // the newest last
+	waits []errand // trips and probes that wait for a connection, the oldest first
+}
+
+// errand is a trip, or a probe if it has no job, until a connection carries it.
+type errand struct {
+	job          int32 // -1: a probe
+	trip         int
+	since, until Time
+}
+
+// conn is one connection to a store.
+type conn struct {
+	link     Link
+	at       int // in Core.conns; -1: given back
+	store    uint32
+	next     func(s *conn, c *Core, kind byte, body []byte) (ok bool) // is handed the store's messages
+	ready    bool
+	idle     bool
+	since    Time // when it was dialled, sent on its way or fell idle
+	errand   errand
+	wrote    int64 // bytes written so far, the query's last among them
+	row      bool
+	told     bool   // CommandComplete has come
+	code     string // of the ErrorResponse that has come
+	from, to [3]int // the messages of the value in the link's ring
+	parts    int
+	read     int // bytes of the answer that were looked at
+	note     balance.Report
+	load     balance.Report
+	value    string // of a probe
+}
+
+// depart starts a trip.
+func (c *Core) depart(t task) {
+	j := &c.jobs[t.job]
+	trip := j.sent
+	j.sent++
+	if !j.busy || j.final || j.trip != nil || j.waits || int(t.store) >= len(c.stores) {
+		c.owe(back{t.job, trip, t.store, balance.Return{Ending: balance.Unsent}})
+		return
+	}
+	j.store = t.store
+	c.start(t.store, errand{job: t.job, trip: trip, since: c.now, until: t.at})
+}
+
+func (c *Core) probe(t task) {
+	c.start(t.store, errand{job: -1, since: c.now, until: c.now + c.host.Dial})
+}
+
+// start sends an errand off on the idle connection used last, or lets it wait for a new one.
+func (c *Core) start(i uint32, e errand) {
+	s := &c.stores[i]
+	if n := len(s.idle); n > 0 {
+		k := s.idle[n-1]
+		s.idle = s.idle[:n-1]
+		k.ride(c, e)
+		return
+	}
+	if len(c.clients)+len(c.conns) >= c.limits.Links && !c.spare() {
+		c.fail(i, e, balance.Unsent)
+		return
+	}
+	link, err := c.sockets.Dial(s.addr)
+	if err != nil {
+		c.note("no connection", "store", i, "addr", s.addr, "error", err.Error())
+		c.fail(i, e, balance.Unreached)
+		return
+	}
+	k := &conn{link: link, at: len(c.conns), store: i, since: c.now, next: (*conn).greeted}
+	link.Own(k)
+	c.conns = append(c.conns, k)
+	if e.job >= 0 {
+		c.jobs[e.job].waits = true
+	}
+	s.waits = append(s.waits, e)
+	k.write(c, pgwire.AppendStartup(c.out[:0], "web", "orders"))
+}
+
+// spare gives up the store connection that stood idle longest; false: there is none.
+func (c *Core) spare() bool {
+	var oldest *conn
+	for _, k := range c.conns {
+		if k.idle && (oldest == nil || k.since < oldest.since) {
+			oldest = k
+		}
+	}
+	if oldest != nil {
+		oldest.drop(c)
+	}
+	return oldest != nil
+}
+
+// fail ends an errand that was never written whole.
+func (c *Core) fail(i uint32, e errand, how balance.Ending) {
+	if e.job >= 0 {
+		c.jobs[e.job].waits = false
+	}
+	c.owe(back{e.job, e.trip, i, balance.Return{Ending: how}})
+}
+
+// ride writes the errand's query on a ready connection.
+func (k *conn) ride(c *Core, e errand) {
+	k.errand, k.idle, k.since = e, false, c.now
+	k.row, k.told, k.code, k.parts, k.read, k.value = false, false, "", 0, 0, ""
+	k.note, k.load = balance.Report{}, balance.Report{}
+	if e.job < 0 {
+		text := "SELECT 1"
+		if c.host.Reports == "inline" || c.host.Reports == "on_probe" {
+			text = "SHOW load"
+		}
+		c.out = pgwire.AppendSimple(c.out[:0], text)
+	} else {
+		j := &c.jobs[e.job]
+		j.waits, j.trip = false, k
+		text, _, _ := pgwire.Text(j.client.link.Peek()[5:])
+		c.out = j.query.AppendQuery(c.out[:0], text, max((e.until-c.now)/perMilli, 1))
+	}
+	k.next = (*conn).answered
+	k.write(c, c.out)
+}
+
+func (k *conn) write(c *Core, p []byte) {
+	k.wrote += int64(len(p))
+	if !k.link.Write(p) {
+		k.lost(c)
+		return
+	}
+	c.dirty = append(c.dirty, k.link)
+}
+
+func (k *conn) notice(c *Core, what What) {
+	if k.at < 0 {
+		return
+	}
+	if what&Readable != 0 && k.at >= 0 {
+		k.gather(c)
+	}
+	if what&Closed != 0 && k.at >= 0 {
+		k.lost(c)
+	}
+}
+
+// gather looks at the messages that have come in whole. What may be passed on stays in the ring.
+func (k *conn) gather(c *Core) {
+	in := k.link.Peek()
+	for k.at >= 0 {
+		kind, body, n, err := pgwire.Message(in[k.read:])
+		if err != nil || n > 0 && !k.next(k, c, kind, body) {
+			if k.ready {
+				k.code = "" // Danger: what came before something senseless proves nothing.
+			}
+			c.note("store connection closed", "store", k.store, "message", string(kind), "code", k.code)
+			k.lost(c)
+			return
+		}
+		if n == 0 {
+			return
+		}
+		k.read += n
+		if kind == 'Z' || k.idle { // all up to here has been used
+			k.link.Discard(k.read)
+			if k.read = 0; !k.idle {
+				k.settle(c)
+			}
+			in = k.link.Peek()
+		}
+	}
+}
+
+// greeted follows the connection's start up to its first ReadyForQuery.
+func (k *conn) greeted(c *Core, kind byte, body []byte) bool {
+	switch kind {
+	case 'R':
+		return len(body) == 4 && body[0]|body[1]|body[2]|body[3] == 0
+	case 'S', 'K', 'N', 'v':
+	case 'E':
+		k.code = pgwire.Code(body)
+		return false
+	case 'Z':
+		k.ready = true
+	default:
+		return false
+	}
+	return true
+}
+
+// settle makes a connection that has nothing to do carry the oldest errand, or lets it stand idle.
+func (k *conn) settle(c *Core) {
+	s := &c.stores[k.store]
+	for len(s.waits) > 0 {
+		e := s.waits[0]
+		s.waits = append(s.waits[:0], s.waits[1:]...)
+		if e.job < 0 || !c.jobs[e.job].final {
+			k.ride(c, e)
+			return
+		}
+		c.fail(k.store, e, balance.Unsent) // its client is gone
+	}
+	k.next, k.code = (*conn).rests, ""
+	k.idle, k.since = true, c.now
+	s.idle = append(s.idle, k)
+}
+
+// rests: a connection that nothing is asked on brings changed parameters and notices at most.
+func (k *conn) rests(c *Core, kind byte, body []byte) bool { return kind == 'S' || kind == 'N' }
+
+// answered gathers the answer to a query.
+func (k *conn) answered(c *Core, kind byte, body []byte) bool {
+	switch kind {
+	case 'T', 'D', 'C':
+		if k.code != "" || k.parts != strings.IndexByte("TDC", kind) {
+			return false
+		}
+		if kind == 'D' {
+			v, ok := pgwire.Value(body)
+			if !ok {
+				return false
+			}
+			if k.errand.job < 0 {
+				k.value = string(v)
+			}
+		}
+		k.from[k.parts], k.to[k.parts] = k.read, k.read+5+len(body)
+		k.parts++
+	case 'E':
+		k.code = pgwire.Code(body)
+		return k.code != ""
+	case 'S':
+		return k.learn(body)
+	case 'N':
+	case 'Z':
+		return k.complete(c)
+	default:
+		return false
+	}
+	return true
+}
+
+// learn takes what a store says of itself beside its answer.
+func (k *conn) learn(body []byte) bool {
+	name, rest, ok := pgwire.Text(body)
+	value, _, ok2 := pgwire.Text(rest)
+	if !ok || !ok2 {
+		return false
+	}
+	switch string(name) {
+	case "role":
+		k.note.Role = map[string]balance.Role{"primary": balance.Primary, "replica": balance.Replica}[string(value)]
+	case "applied_ms":
+		n, err := strconv.ParseInt(string(value), 10, 58)
+		if err != nil || n < 0 {
+			return false
+		}
+		k.note.Position = n * perMilli
+	case "load":
+		k.load, ok = report(string(value))
+	}
+	return ok
+}
+
+// report reads the values of a load report that the module goes by; a position counts in seconds there.
+func report(text string) (r balance.Report, ok bool) {
+	for text != "" {
+		pair, more, _ := strings.Cut(text, ",")
+		name, value, found := strings.Cut(strings.TrimSpace(pair), "=")
+		if !found {
+			return balance.Report{}, false
+		}
+		switch name {
+		case "x0":
+			whole, part, _ := strings.Cut(value, ".")
+			n, err := strconv.ParseInt(whole, 10, 40)
+			if err != nil || n < 0 {
+				return balance.Report{}, false
+			}
+			part = (part + "0000")[:4] // cut off, never rounded up
+			tenths, err := strconv.ParseUint(part, 10, 16)
+			if err != nil {
+				return balance.Report{}, false
+			}
+			r.Position = n*1000*perMilli + int64(tenths)
+		case "x1":
+			r.Role = balance.Replica
+			if v, err := strconv.ParseFloat(value, 64); err != nil {
+				return balance.Report{}, false
+			} else if v == 1 {
+				r.Role = balance.Primary
+			}
+		}
+		text = more
+	}
+	return r, true
+}
+
+// complete is the end of an answer: what it was to the module, and the value to the client.
+func (k *conn) complete(c *Core) bool {
+	e := k.errand
+	r := balance.Return{Note: k.note, Load: k.load}
+	switch {
+	case k.code == "" && k.parts == 3:
+		r.Ending = balance.Delivered
+	case k.code == "":
+		return false
+	default:
+		r.Ending = ending(k.code)
+	}
+	if e.job < 0 {
+		if r.Ending == balance.Delivered {
+			r.Load, _ = report(k.value)
+		}
+		c.end(k, e, r)
+		return true
+	}
+	if r.Ending == balance.Delivered && !c.jobs[e.job].final {
+		in := k.link.Peek()
+		c.out = c.out[:0]
+		for p := range k.parts {
+			c.out = append(c.out, in[k.from[p]:k.to[p]]...)
+		}
+	}
+	c.end(k, e, r)
+	if r.Ending == balance.Delivered {
+		c.answer(e.job, c.out)
+	}
+	return true
+}
+
+// ending tells what a store's error is to the module. What is not known never to have run may have.
+func ending(code string) balance.Ending {
+	switch code {
+	case pgwire.ReadOnly, pgwire.SnapTooOld:
+		return balance.Behind
+	case pgwire.TooMany, pgwire.CannotNow:
+		return balance.Crowded
+	}
+	return balance.Faulted
+}
+
+// lost ends what a connection carried when it broke, or when what came on it made no sense.
+func (k *conn) lost(c *Core) {
+	e, busy := k.errand, k.ready && !k.idle
+	whole := k.link.Sent() >= k.wrote
+	crowded := !k.ready && k.code == pgwire.TooMany
+	r := balance.Return{Ending: balance.Severed, Note: k.note, Load: k.load}
+	k.drop(c)
+	switch {
+	case !k.ready:
+		if s := &c.stores[k.store]; len(s.waits) > 0 {
+			e = s.waits[0]
+			s.waits = append(s.waits[:0], s.waits[1:]...)
+			how := balance.Unreached
+			if crowded {
+				how = balance.Crowded
+			}
+			c.fail(k.store, e, how)
+		}
+		return
+	case !busy:
+		return
+	case k.code != "":
+		r.Ending = ending(k.code)
+	case !whole:
+		r.Ending = balance.Unreached
+	}
+	c.end(k, e, r)
+}
+
+// owe keeps a result for the module.
+func (c *Core) owe(b back) {
+	if b.job >= 0 {
+		c.jobs[b.job].owed++
+	}
+	c.backs = append(c.backs, b)
+}
+
+func (c *Core) end(k *conn, e errand, r balance.Return) {
+	if e.job >= 0 {
+		c.jobs[e.job].trip = nil
+	}
+	c.owe(back{e.job, e.trip, k.store, r})
+}
+
+// drop is the one place where a store's connection is given back.
+func (k *conn) drop(c *Core) {
+	last := c.conns[len(c.conns)-1]
+	c.conns[k.at], last.at = last, k.at
+	c.conns = c.conns[:len(c.conns)-1]
+	k.at = -1
+	k.link.Own(nil)
+	k.link.Close()
+	if k.idle {
+		k.idle = false
+		s := &c.stores[k.store]
+		for n := range s.idle {
+			if s.idle[n] == k {
+				s.idle = append(s.idle[:n], s.idle[n+1:]...)
+				break
+			}
+		}
+	}
+}
+
+// recall gives up a trip: a connection that carries it is closed, so that no late answer is taken for another's.
+func (c *Core) recall(t task) {
+	j := &c.jobs[t.job]
+	if !j.busy || t.trip != j.sent-1 {
+		return
+	}
+	if j.waits {
+		s := &c.stores[j.store]
+		for n, e := range s.waits {
+			if e.job == t.job {
+				s.waits = append(s.waits[:n], s.waits[n+1:]...)
+				c.fail(j.store, e, balance.Recalled)
+				return
+			}
+		}
+	}
+	if k := j.trip; k != nil {
+		e := k.errand
+		k.drop(c)
+		c.end(k, e, balance.Return{Ending: balance.Recalled})
+	}
+}
+
+// hangUp closes the idle connections to a store.
+func (c *Core) hangUp(i uint32) {
+	for idle := c.stores[i].idle; len(idle) > 0; idle = c.stores[i].idle {
+		idle[len(idle)-1].drop(c)
+	}
+}
+
+// sweep ends all whose time is over.
+func (c *Core) sweep() {
+	for i := range c.stores {
+		s := &c.stores[i]
+		keep := s.waits[:0]
+		for _, e := range s.waits {
+			switch {
+			case c.now >= e.since+c.host.Dial:
+				c.fail(uint32(i), e, balance.Unreached)
+			case c.now >= e.until:
+				c.fail(uint32(i), e, balance.Unsent)
+			default:
+				keep = append(keep, e)
+			}
+		}
+		s.waits = keep
+	}
+	for n := len(c.conns) - 1; n >= 0; n-- {
+		k := c.conns[n]
+		switch {
+		case !k.ready && c.now >= k.since+c.host.Dial:
+			k.drop(c)
+		case k.idle && c.now >= k.since+c.host.Idle*3/4: // well before the store does
+			k.drop(c)
+		case k.ready && !k.idle && c.now >= k.errand.until:
+			e, r := k.errand, balance.Return{Ending: balance.Expired}
+			if k.link.Sent() < k.wrote {
+				r.Ending = balance.Unreached
+			}
+			k.drop(c)
+			c.end(k, e, r)
+		}
+	}
+	if c.Stopping() {
+		for n := len(c.clients) - 1; n >= 0; n-- {
+			if cl := c.clients[n]; cl.job < 0 && !cl.ending {
+				cl.finish(c)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/pgwire/pgwire.go
@@ -0,0 +1,289 @@
+// Package pgwire reads and writes version 3 of PostgreSQL's wire protocol, as far as simple queries need it.
+// Its parsers are incremental: they are given all that has come in so far and tell how much of it is a whole
+// message, or 0 if more is needed. All lengths are bounded.
+package pgwire
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"strconv"
+)
+
+const (
+	// MostValue is the longest value that is passed on.
+	MostValue = 64 << 10
+	// MostMessage bounds one message: a value in hex digits with its statement.
+	MostMessage = 2*MostValue + 16<<10
+	// MostStartup bounds a startup message, as PostgreSQL does.
+	MostStartup = 10000
+
+	Version   = 3 << 16
+	CancelReq = 1234<<16 | 5678
+	SSLReq    = 1234<<16 | 5679
+	GSSReq    = 1234<<16 | 5680
+
+	TooMany     = "53300" // the two that say that trying again is harmless
+	CannotNow   = "57P03"
+	ReadOnly    = "25006"
+	SnapTooOld  = "72000"
+	Unsupported = "0A000"
+	Violation   = "08P01"
+	Syntax      = "42601"
+	BadValue    = "22023"
+	NoDatabase  = "3D000"
+	Unresolved  = "08007" // whether it took effect is not known
+)
+
+var errLength = errors.New("message length is out of bounds")
+
+// Message takes one typed message off the front of buf: its kind, its body and the size of both with the header.
+func Message(buf []byte) (kind byte, body []byte, size int, err error) {
+	if len(buf) < 5 {
+		return 0, nil, 0, nil
+	}
+	n := int64(binary.BigEndian.Uint32(buf[1:]))
+	if n < 4 || n > MostMessage {
+		return 0, nil, 0, errLength
+	}
+	if size = int(n) + 1; len(buf) < size {
+		return 0, nil, 0, nil
+	}
+	return buf[0], buf[5:size], size, nil
+}
+
+// Startup takes a client's first message: the protocol version, or the code of a request.
+func Startup(buf []byte) (code uint32, size int, err error) {
+	if len(buf) < 4 {
+		return 0, 0, nil
+	}
+	n := int64(binary.BigEndian.Uint32(buf))
+	if n < 8 || n > MostStartup {
+		return 0, 0, errLength
+	}
+	if len(buf) < int(n) {
+		return 0, 0, nil
+	}
+	return binary.BigEndian.Uint32(buf[4:]), int(n), nil
+}
+
+// Text takes the zero-terminated string at the front of body.
+func Text(body []byte) (text, rest []byte, ok bool) {
+	i := bytes.IndexByte(body, 0)
+	if i < 0 {
+		return nil, nil, false
+	}
+	return body[:i], body[i+1:], true
+}
+
+// Code gives the SQLSTATE of an ErrorResponse, or nothing if it has none.
+func Code(body []byte) string {
+	for len(body) > 1 {
+		field := body[0]
+		text, rest, ok := Text(body[1:])
+		if !ok {
+			return ""
+		}
+		if field == 'C' {
+			return string(text)
+		}
+		body = rest
+	}
+	return ""
+}
+
+// Value gives the one column of a DataRow.
+func Value(body []byte) ([]byte, bool) {
+	if len(body) < 6 || binary.BigEndian.Uint16(body) != 1 {
+		return nil, false
+	}
+	n := int64(int32(binary.BigEndian.Uint32(body[2:])))
+	if n < 0 || n > MostValue || n != int64(len(body)-6) {
+		return nil, false
+	}
+	return body[6:], true
+}
+
+// Statement is a client's query with what its comment says. Its slices point into the query.
+type Statement struct {
+	ID, Profile, Customer, Key, Session []byte
+	Group                               uint64
+	Left                                int64 // tenths of a millisecond until the client stops waiting
+	After                               int64 // Unix tenths of a millisecond that the read has to see
+	Carried, Repeated                   bool  // After was given; a client's further try
+	leftAt, leftTo                      int   // where Left stands
+}
+
+// Query reads the comment and the quoted key of a query, which is all up to its terminating zero.
+func Query(text []byte) (s Statement, err error) {
+	if !bytes.HasPrefix(text, []byte("/*")) {
+		return s, errors.New("the statement has no leading comment")
+	}
+	end := bytes.Index(text, []byte("*/"))
+	if end < 0 {
+		return s, errors.New("the comment does not end")
+	}
+	at, group := 2, false
+	for at < end {
+		to := end
+		if i := bytes.IndexByte(text[at:end], ','); i >= 0 {
+			to = at + i
+		}
+		pair := bytes.TrimSpace(text[at:to])
+		name, value, ok := bytes.Cut(pair, []byte("="))
+		if !ok || len(value) == 0 {
+			return s, fmt.Errorf("the comment holds %.40q, which is no name=value", pair)
+		}
+		switch string(name) {
+		case "id":
+			s.ID = value
+		case "c":
+			s.Profile = value
+		case "t":
+			s.Customer = value
+		case "k":
+			s.Key = value
+		case "r":
+			s.Repeated = string(value) == "1"
+		case "d":
+			if s.Left, err = tenths(value); err != nil || s.Left <= 0 {
+				return s, fmt.Errorf("d is no time in milliseconds: %.20q", value)
+			}
+			s.leftAt = at + bytes.Index(text[at:to], value)
+			s.leftTo = s.leftAt + len(value)
+		case "cluster":
+			if s.Group, err = strconv.ParseUint(string(value), 10, 63); err != nil {
+				return s, fmt.Errorf("cluster is no number: %.20q", value)
+			}
+			group = true
+		case "after":
+			if s.After, err = tenths(value); err != nil {
+				return s, fmt.Errorf("after is no time in milliseconds: %.20q", value)
+			}
+			s.Carried = true
+		}
+		at = to + 1
+	}
+	switch {
+	case s.ID == nil:
+		return s, errors.New("the comment has no id")
+	case s.Profile == nil:
+		return s, errors.New("the comment has no c")
+	case s.leftTo == 0:
+		return s, errors.New("the comment has no d")
+	case !group:
+		return s, errors.New("the comment has no cluster")
+	}
+	rest := text[end+2:]
+	if i := bytes.IndexByte(rest, '\''); i >= 0 {
+		rest = rest[i+1:]
+		if i = bytes.IndexByte(rest, '\''); i >= 0 {
+			s.Session = rest[:i]
+		}
+	}
+	return s, nil
+}
+
+// tenths reads decimal milliseconds into tenths, rounded up: a fence must not come out looser.
+func tenths(v []byte) (int64, error) {
+	whole, part, dot := bytes.Cut(v, []byte("."))
+	n, err := strconv.ParseUint(string(whole), 10, 50)
+	if err != nil || dot && len(part) == 0 {
+		return 0, errors.New("no decimal number")
+	}
+	t := int64(n) * 10
+	for i, c := range part {
+		switch {
+		case c < '0' || c > '9':
+			return 0, errors.New("no decimal number")
+		case i == 0:
+			t += int64(c - '0')
+		case c > '0':
+			return t + 1, nil
+		}
+	}
+	return t, nil
+}
+
+// AppendQuery writes the statement with another time left, in whole milliseconds; all else stays as it is.
+func (s *Statement) AppendQuery(dst, text []byte, left int64) []byte {
+	at := len(dst)
+	dst = append(dst, 'Q', 0, 0, 0, 0)
+	dst = append(dst, text[:s.leftAt]...)
+	dst = strconv.AppendInt(dst, left, 10)
+	dst = append(dst, text[s.leftTo:]...)
+	return closed(append(dst, 0), at)
+}
+
+// closed fills in the length of the typed message that starts at at.
+func closed(dst []byte, at int) []byte {
+	binary.BigEndian.PutUint32(dst[at+1:], uint32(len(dst)-at-1))
+	return dst
+}
+
+// AppendSimple writes a plain query.
+func AppendSimple(dst []byte, text string) []byte {
+	at := len(dst)
+	dst = append(dst, 'Q', 0, 0, 0, 0)
+	dst = append(dst, text...)
+	return closed(append(dst, 0), at)
+}
+
+// AppendStartup writes a front's first message to a store.
+func AppendStartup(dst []byte, user, database string) []byte {
+	at := len(dst)
+	dst = append(dst, 0, 0, 0, 0)
+	dst = binary.BigEndian.AppendUint32(dst, Version)
+	for _, v := range [...]string{"user", user, "database", database} {
+		dst = append(append(dst, v...), 0)
+	}
+	dst = append(dst, 0)
+	binary.BigEndian.PutUint32(dst[at:], uint32(len(dst)-at))
+	return dst
+}
+
+// AppendWelcome answers a startup message: no password, the few parameters that clients look for, ready.
+func AppendWelcome(dst []byte, minor uint32) []byte {
+	if minor > 0 { // it is told that 3.0 is spoken here
+		dst = append(dst, 'v', 0, 0, 0, 12, 0, 0, 0, 0, 0, 0, 0, 0)
+	}
+	dst = append(dst, 'R', 0, 0, 0, 8, 0, 0, 0, 0)
+	for _, p := range [...][2]string{{"server_version", "15.0"}, {"server_encoding", "UTF8"},
+		{"client_encoding", "UTF8"}, {"DateStyle", "ISO, MDY"}, {"integer_datetimes", "on"},
+		{"standard_conforming_strings", "on"}} {
+		dst = AppendParameter(dst, p[0], p[1])
+	}
+	return AppendReady(dst)
+}
+
+// AppendParameter writes a ParameterStatus.
+func AppendParameter(dst []byte, name, value string) []byte {
+	at := len(dst)
+	dst = append(dst, 'S', 0, 0, 0, 0)
+	dst = append(append(dst, name...), 0)
+	dst = append(append(dst, value...), 0)
+	return closed(dst, at)
+}
+
+// AppendReady writes a ReadyForQuery outside a transaction.
+func AppendReady(dst []byte) []byte { return append(dst, 'Z', 0, 0, 0, 5, 'I') }
+
+// AppendEmpty writes the answer to an empty query.
+func AppendEmpty(dst []byte) []byte { return append(dst, 'I', 0, 0, 0, 4) }
+
+// AppendError writes an ErrorResponse; an empty detail is left out.
+func AppendError(dst []byte, severity, code, text, detail string) []byte {
+	at := len(dst)
+	dst = append(dst, 'E', 0, 0, 0, 0)
+	for _, f := range [...]struct {
+		field byte
+		text  string
+	}{{'S', severity}, {'V', severity}, {'C', code}, {'M', text}, {'D', detail}} {
+		if f.text != "" {
+			dst = append(dst, f.field)
+			dst = append(append(dst, f.text...), 0)
+		}
+	}
+	return closed(append(dst, 0), at)
+}
--- /dev/null
+++ b/internal/ring/ring.go
@@ -0,0 +1,89 @@
+// Package ring holds the buffer that stands at each direction of a connection. It starts empty, grows by
+// doubling up to its bound and lets its memory go once it is drained.
+package ring
+
+const first = 4 << 10
+
+// Buffer is a bounded ring of bytes. Its zero value with Most set is ready for use.
+type Buffer struct {
+	Most int // bytes that it may hold
+	buf  []byte
+	head int
+	size int
+}
+
+// Len tells how many bytes it holds.
+func (b *Buffer) Len() int { return b.size }
+
+// Space gives a piece of free room to write into, empty only if the ring holds as much as it may.
+func (b *Buffer) Space() []byte {
+	if b.size == len(b.buf) {
+		b.grow(b.size + 1)
+	}
+	if b.size == len(b.buf) {
+		return nil
+	}
+	tail := (b.head + b.size) % len(b.buf)
+	if tail < b.head {
+		return b.buf[tail:b.head]
+	}
+	return b.buf[tail:]
+}
+
+// Commit counts n bytes of the last Space as written.
+func (b *Buffer) Commit(n int) { b.size += n }
+
+// Append writes all of p, or nothing if it does not fit.
+func (b *Buffer) Append(p []byte) bool {
+	if b.size+len(p) > b.Most {
+		return false
+	}
+	b.grow(b.size + len(p))
+	for len(p) > 0 {
+		n := copy(b.Space(), p)
+		b.Commit(n)
+		p = p[n:]
+	}
+	return true
+}
+
+// Peek gives all that it holds in one piece, valid until the next Peek, Append or Discard.
+func (b *Buffer) Peek() []byte {
+	if b.head+b.size > len(b.buf) {
+		b.move(len(b.buf))
+	}
+	return b.buf[b.head : b.head+b.size]
+}
+
+// Discard drops the first n bytes.
+func (b *Buffer) Discard(n int) {
+	b.head += n
+	b.size -= n
+	if b.size == 0 {
+		b.head = 0
+		if len(b.buf) > first {
+			b.buf = nil
+		}
+	} else if b.head >= len(b.buf) {
+		b.head -= len(b.buf)
+	}
+}
+
+func (b *Buffer) grow(need int) {
+	if need <= len(b.buf) || len(b.buf) >= b.Most {
+		return
+	}
+	n := max(first, len(b.buf))
+	for n < need {
+		n *= 2
+	}
+	b.move(min(n, b.Most))
+}
+
+// move lays the content at the start of a new buffer; what was handed out of the old one stays as it is.
+func (b *Buffer) move(n int) {
+	to := make([]byte, n)
+	k := copy(to, b.buf[b.head:min(b.head+b.size, len(b.buf))])
+	copy(to[k:], b.buf[:b.size-k])
+	b.buf, b.head = to, 0
+}
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -10,6 +10,7 @@
 	"strings"
 
 	"micatrack/balance"
+	"micatrack/internal/charter"
 )
 
 const microsPerTime = 100 // the wire's microseconds in one balance.Time
@@ -273,13 +274,13 @@
 	if err != nil {
 		return fmt.Errorf("UP: Entropy: %w", err)
 	}
-	charter, zero, err := readCharter(h.fields["BootInfo"])
+	c, settings, err := charter.Read([]byte(h.fields["BootInfo"]))
 	if err != nil {
 		return fmt.Errorf("UP %s: BootInfo: %w", name, err)
 	}
-	charter.Seed = seed
-	f := &front{host: h, name: name, zero: zero, stores: map[uint32]bool{}}
-	if f.module, err = balance.New(h.now, charter, f); err != nil {
+	c.Seed = seed
+	f := &front{host: h, name: name, zero: settings.PositionZero, stores: map[uint32]bool{}}
+	if f.module, err = balance.New(h.now, c, f); err != nil {
 		return fmt.Errorf("UP %s: %w", name, err)
 	}
 	h.fronts[name] = f
--- /dev/null
+++ b/internal/sock/sock.go
@@ -0,0 +1,299 @@
+// Package sock gives the core its sockets, on lesismal/nbio. The library's one poller reads into each link's
+// ring; the loop takes what is ready by Gather. A link is closed by the core or by its peer, and its
+// descriptor is given back in nbio's close alone.
+package sock
+
+import (
+	"errors"
+	"net"
+	"net/netip"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/logging"
+
+	"micatrack/internal/front"
+	"micatrack/internal/pgwire"
+	"micatrack/internal/ring"
+)
+
+const (
+	mostRing  = pgwire.MostMessage + 4<<10
+	mostChunk = 32 << 10 // bytes handed to the library at a time
+)
+
+// Net holds the sockets of one front.
+type Net struct {
+	engine *nbio.Engine
+	listen net.Listener
+	mu     sync.Mutex
+	ready  []*Link
+	events []front.Event
+	wake   chan struct{}
+	timer  *time.Timer
+}
+
+// Link is one socket.
+type Link struct {
+	net    *Net
+	owner  any
+	conn   *nbio.Conn
+	mu     sync.Mutex // guards what follows but for sent
+	in     ring.Buffer
+	full   bool // the poller left bytes with the system, for want of room
+	closed bool
+	what   front.What // of an event not yet gathered; guarded by Net.mu
+	sent   atomic.Int64
+	// blocked: the system did not take all at once, so the loop is told when it takes more
+	blocked atomic.Bool
+	out     ring.Buffer // the loop's alone, as what follows
+	handed  int64       // bytes given to the library
+	ending  bool
+}
+
+// Open listens on addr and starts the poller.
+func Open(addr string, descriptors int) (*Net, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	logging.SetLevel(logging.LevelNone)
+	nbio.MaxOpenFiles = min(nbio.MaxOpenFiles, 2*descriptors+64) // it keeps a table of that length
+	n := &Net{listen: l, wake: make(chan struct{}, 1), timer: time.NewTimer(time.Hour)}
+	n.engine = nbio.NewEngine(nbio.Config{Network: "tcp", NPoller: 1, EpollMod: nbio.EPOLLET})
+	n.engine.OnRead(func(c *nbio.Conn) {
+		if l, ok := c.Session().(*Link); ok {
+			l.pump()
+		}
+	})
+	n.engine.OnWrittenSize(func(c *nbio.Conn, _ []byte, size int) {
+		if l, ok := c.Session().(*Link); ok {
+			l.sent.Add(int64(size))
+			if l.blocked.Load() {
+				n.report(l, 0)
+			}
+		}
+	})
+	n.engine.OnClose(func(c *nbio.Conn, _ error) {
+		if l, ok := c.Session().(*Link); ok {
+			l.gone()
+		}
+	})
+	if err := n.engine.Start(); err != nil {
+		l.Close()
+		return nil, err
+	}
+	go n.accept()
+	return n, nil
+}
+
+// Addr is where it listens.
+func (n *Net) Addr() string { return n.listen.Addr().String() }
+
+// Deafen stops listening.
+func (n *Net) Deafen() { n.listen.Close() }
+
+func (n *Net) accept() {
+	for {
+		c, err := n.listen.Accept()
+		if err == nil {
+			if l, err := n.add(c); err == nil {
+				n.report(l, front.Accepted)
+			}
+			continue
+		}
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		time.Sleep(10 * time.Millisecond) // out of descriptors: the backlog holds what comes meanwhile
+	}
+}
+
+// add puts a connection of the standard library under the poller, which takes its descriptor over.
+func (n *Net) add(c net.Conn) (*Link, error) {
+	nc, err := nbio.NBConn(c)
+	if err != nil {
+		c.Close()
+		return nil, err
+	}
+	l := &Link{net: n, conn: nc, in: ring.Buffer{Most: mostRing}, out: ring.Buffer{Most: mostRing}}
+	nc.SetSession(l)
+	nc.SetNoDelay(true)
+	_, err = n.engine.AddConn(nc) // on an error it closes the connection
+	return l, err
+}
+
+// Dial starts a connection. What is written meanwhile waits until it is up; Closed follows if it is refused.
+// One that never comes up is the core's to close: the library's own dial would leave it no handle for that,
+// and misreads IPv4 addresses besides (1.6.8 takes the first four bytes of the sixteen-byte form).
+func (n *Net) Dial(addr string) (front.Link, error) {
+	to, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		return nil, err
+	}
+	family, sa := syscall.AF_INET6, syscall.Sockaddr(&syscall.SockaddrInet6{Port: int(to.Port()), Addr: to.Addr().As16()})
+	if a := to.Addr().Unmap(); a.Is4() {
+		family, sa = syscall.AF_INET, &syscall.SockaddrInet4{Port: int(to.Port()), Addr: a.As4()}
+	}
+	fd, err := syscall.Socket(family, syscall.SOCK_STREAM|syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, err
+	}
+	file := os.NewFile(uintptr(fd), addr)
+	defer file.Close()
+	if err := syscall.Connect(fd, sa); err != nil && err != syscall.EINPROGRESS {
+		return nil, err
+	}
+	c, err := net.FileConn(file)
+	if err != nil {
+		return nil, err
+	}
+	l, err := n.add(c)
+	if err != nil {
+		return nil, err
+	}
+	return l, nil
+}
+
+// report notes that a link has news and wakes the loop.
+func (n *Net) report(l *Link, what front.What) {
+	n.mu.Lock()
+	if l.what == 0 {
+		n.ready = append(n.ready, l)
+	}
+	l.what |= what | queued
+	n.mu.Unlock()
+	select {
+	case n.wake <- struct{}{}:
+	default:
+	}
+}
+
+const queued front.What = 1 << 7
+
+// Wake makes Gather return.
+func (n *Net) Wake() {
+	select {
+	case n.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Gather waits until something is ready, for wait at most, and gives all that is.
+func (n *Net) Gather(wait time.Duration) []front.Event {
+	if wait > 0 {
+		n.timer.Reset(wait)
+		select {
+		case <-n.wake:
+		case <-n.timer.C:
+		}
+	} else {
+		select {
+		case <-n.wake:
+		default:
+		}
+	}
+	n.events = n.events[:0]
+	n.mu.Lock()
+	for k, l := range n.ready {
+		n.events = append(n.events, front.Event{Link: l, What: l.what &^ queued})
+		l.what = 0
+		n.ready[k] = nil
+	}
+	n.ready = n.ready[:0]
+	n.mu.Unlock()
+	for _, e := range n.events {
+		e.Link.Flush() // what waited for the system to take more
+	}
+	return n.events
+}
+
+// pump reads what the system holds into the ring, as far as there is room.
+func (l *Link) pump() {
+	l.mu.Lock()
+	got, failed := false, false
+	for !l.closed {
+		space := l.in.Space()
+		if l.full = len(space) == 0; l.full {
+			break
+		}
+		n, err := l.conn.Read(space)
+		if n > 0 {
+			l.in.Commit(n)
+			got = true
+			continue
+		}
+		if err == syscall.EINTR {
+			continue
+		}
+		failed = n == 0 || err != nil && err != syscall.EAGAIN
+		break
+	}
+	l.mu.Unlock()
+	if got {
+		l.net.report(l, front.Readable)
+	}
+	if failed {
+		l.conn.Close()
+	}
+}
+
+// gone is told once, by the library, when the descriptor has been given back.
+func (l *Link) gone() {
+	l.mu.Lock()
+	l.closed = true
+	l.mu.Unlock()
+	l.net.report(l, front.Closed)
+}
+
+func (l *Link) Owner() any    { return l.owner }
+func (l *Link) Own(owner any) { l.owner = owner }
+
+func (l *Link) Peek() []byte {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.in.Peek()
+}
+
+func (l *Link) Discard(n int) {
+	l.mu.Lock()
+	l.in.Discard(n)
+	again := l.full && n > 0
+	l.mu.Unlock()
+	if again {
+		l.pump()
+	}
+}
+
+func (l *Link) Write(p []byte) bool { return l.out.Append(p) }
+
+func (l *Link) Sent() int64 { return l.sent.Load() }
+
+// Flush hands the library a piece at a time, and the next only once the system has taken the last: what the
+// library holds unseen is bounded, and goes with the connection when it is closed.
+func (l *Link) Flush() {
+	for l.out.Len() > 0 && l.sent.Load() == l.handed {
+		p := l.out.Peek()
+		p = p[:min(len(p), mostChunk)]
+		l.handed += int64(len(p))
+		if _, err := l.conn.Write(p); err != nil {
+			return // it is closed, and says so
+		}
+		l.out.Discard(len(p))
+		l.blocked.Store(l.sent.Load() < l.handed)
+	}
+	if l.ending && l.out.Len() == 0 && l.sent.Load() == l.handed {
+		l.conn.Close()
+	}
+}
+
+func (l *Link) Finish() {
+	l.ending = true
+	l.Flush()
+}
+
+func (l *Link) Close() { l.conn.Close() }
