News of a fresh client connection waits until the loop has heard of it

Cause: the poller could report a first query as readable before the accepting goroutine had reported the connection; the core knew no owner, passed the news over, and the bytes lay in the ring until their time was up. Told from a parser's fault by the trips (0) and the times (connections' first queries only). The same race would have kept a client for ever whose close came first.

Lines at fault: internal/sock accept and report. Hurts nowhere: the news is merely put together.

--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -101,8 +101,8 @@
 	for {
 		c, err := n.listen.Accept()
 		if err == nil {
-			if l, err := n.add(c); err == nil {
-				n.report(l, front.Accepted)
+			if l, err := n.add(c, front.Accepted); err == nil {
+				n.queue(l)
 			}
 			continue
 		}
@@ -114,13 +114,15 @@
 }
 
 // add puts a connection of the standard library under the poller, which takes its descriptor over.
-func (n *Net) add(c net.Conn) (*Link, error) {
+// Danger: the poller may read from it, or see it closed, before the loop has heard of it. With what set from
+// the start that news waits for queue.
+func (n *Net) add(c net.Conn, what front.What) (*Link, error) {
 	nc, err := nbio.NBConn(c)
 	if err != nil {
 		c.Close()
 		return nil, err
 	}
-	l := &Link{net: n, conn: nc, in: ring.Buffer{Most: mostRing}, out: ring.Buffer{Most: mostRing}}
+	l := &Link{net: n, conn: nc, what: what, in: ring.Buffer{Most: mostRing}, out: ring.Buffer{Most: mostRing}}
 	nc.SetSession(l)
 	nc.SetNoDelay(true)
 	_, err = n.engine.AddConn(nc) // on an error it closes the connection
@@ -152,7 +154,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l, err := n.add(c)
+	l, err := n.add(c, 0)
 	if err != nil {
 		return nil, err
 	}
@@ -162,17 +164,21 @@
 // report notes that a link has news and wakes the loop.
 func (n *Net) report(l *Link, what front.What) {
 	n.mu.Lock()
-	if l.what == 0 {
-		n.ready = append(n.ready, l)
-	}
+	fresh := l.what == 0
 	l.what |= what | queued
 	n.mu.Unlock()
-	select {
-	case n.wake <- struct{}{}:
-	default:
+	if fresh {
+		n.queue(l)
 	}
 }
 
+func (n *Net) queue(l *Link) {
+	n.mu.Lock()
+	n.ready = append(n.ready, l)
+	n.mu.Unlock()
+	n.Wake()
+}
+
 const queued front.What = 1 << 7
 
 // Wake makes Gather return.
