--- a/cmd/micatrack/serve.go
+++ b/cmd/micatrack/serve.go
@@ -117,7 +117,7 @@
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 
-	net, err := sock.Open(o.listen, o.sockets)
+	net, err := sock.Open(o.listen, o.sockets, o.memory/4)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "micatrack: listen:", err)
 		return 1
--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -25,17 +25,23 @@
 
 // client is one connection of a client.
 type client struct {
-	link   Link
-	at     int // in Core.clients
-	next   func(cl *client, c *Core, in []byte) (used int)
-	job    int32 // in hand, or -1
-	held   int   // bytes of its query
-	skip   bool  // until the next Sync
-	ending bool
+	link    Link
+	at      int // in Core.clients
+	next    func(cl *client, c *Core, in []byte) (used int)
+	came    Time
+	job     int32 // in hand, or -1
+	held    int   // bytes of its query
+	skip    bool  // until the next Sync
+	ending  bool
+	greeted bool
 }
 
 func (c *Core) accept(l Link, what What) {
-	cl := &client{link: l, at: len(c.clients), job: -1, next: (*client).greet}
+	if len(c.clients) >= c.limits.Links { // those that are being declined fill all that there is
+		l.Close()
+		return
+	}
+	cl := &client{link: l, at: len(c.clients), job: -1, next: (*client).greet, came: c.now}
 	l.Own(cl)
 	c.clients = append(c.clients, cl)
 	if len(c.clients) > c.limits.Clients || len(c.clients)+len(c.conns) > c.limits.Links && !c.spare() {
@@ -58,6 +64,9 @@
 	for cl.job < 0 && !cl.ending {
 		n := cl.next(cl, c, cl.link.Peek())
 		if n == 0 {
+			if cl.link.Full() && !cl.ending { // a long message, and all rings together may not grow any more
+				cl.fatal(c, pgwire.TooMany, "out of memory")
+			}
 			return
 		}
 		if cl.job >= 0 {
@@ -118,9 +127,7 @@
 	if err == nil && n > 0 && (code == pgwire.SSLReq || code == pgwire.GSSReq) {
 		cl.write(c, []byte{'N'})
 	} else if err != nil || n > 0 {
-		c.out = unroom(c.out[:0])
-		cl.write(c, c.out)
-		cl.finish(c)
+		cl.fatal(c, pgwire.TooMany, "too many connections")
 	}
 	return n
 }
@@ -141,7 +148,7 @@
 	default:
 		c.out = pgwire.AppendWelcome(c.out[:0], code&0xffff)
 		cl.write(c, c.out)
-		cl.next = (*client).command
+		cl.next, cl.greeted = (*client).command, true
 	}
 	return n
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -11,7 +11,6 @@
 
 	"micatrack/balance"
 	"micatrack/internal/charter"
-	"micatrack/internal/pgwire"
 )
 
 // Time is in tenths of a millisecond since the Unix epoch, read once and then counted monotonically.
@@ -24,6 +23,7 @@
 type Link interface {
 	Peek() []byte        // all that came in and was not discarded
 	Discard(n int)       // drops its first bytes
+	Full() bool          // there is no room for more to come in
 	Write(p []byte) bool // queues p whole; false: there is no room for it
 	Flush()              // hands what is queued to the system
 	Sent() int64         // bytes that the system has taken so far
@@ -98,6 +98,7 @@
 	host     charter.Host
 	limits   Limits
 	profiles map[string]balance.Need
+	longest  Time // of the profiles' outer limits
 	now      Time
 	wakeAt   Time
 	watch    func()
@@ -128,6 +129,7 @@
 		profiles: map[string]balance.Need{}, storeOf: map[string]uint32{}, groups: map[uint64]bool{}}
 	for _, p := range c.Profiles {
 		f.profiles[p.Name] = p.Need
+		f.longest = max(f.longest, p.OuterLimit)
 	}
 	var err error
 	f.module, err = balance.New(now, c, f)
@@ -306,8 +308,3 @@
 func (c *Core) String() string {
 	return fmt.Sprintf("clients %d, store connections %d, jobs %d", len(c.clients), len(c.conns), c.inHand)
 }
-
-// unroom is what a client is told that finds no room; nothing of it was taken.
-func unroom(dst []byte) []byte {
-	return pgwire.AppendError(dst, "FATAL", pgwire.TooMany, "too many connections", "")
-}
--- /dev/null
+++ b/internal/front/front_test.go
@@ -0,0 +1,524 @@
+package front
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"strings"
+	"testing"
+
+	"micatrack/balance"
+	"micatrack/internal/charter"
+	"micatrack/internal/pgwire"
+)
+
+// wire is a link whose other end is the test.
+type wire struct {
+	in, out          []byte
+	taken, stuck     int // bytes looked at by the test; bytes that the system has not taken
+	owner            any
+	closed, finished bool
+}
+
+func (w *wire) Peek() []byte        { return w.in }
+func (w *wire) Discard(n int)       { w.in = w.in[n:] }
+func (w *wire) Full() bool          { return false }
+func (w *wire) Write(p []byte) bool { w.out = append(w.out, p...); return true }
+func (w *wire) Flush()              {}
+func (w *wire) Sent() int64         { return int64(w.taken + len(w.out) - w.stuck) }
+func (w *wire) Close()              { w.closed = true }
+func (w *wire) Finish()             { w.finished = true }
+func (w *wire) Owner() any          { return w.owner }
+func (w *wire) Own(o any)           { w.owner = o }
+
+func (w *wire) take() string {
+	s := string(w.out)
+	w.taken += len(s)
+	w.out = w.out[:0]
+	return s
+}
+
+// stage is a core with one group of one store, its primary, unless a test lists more.
+type stage struct {
+	t     *testing.T
+	core  *Core
+	now   Time
+	dials []*wire
+	deny  error
+}
+
+func (s *stage) Dial(string) (Link, error) {
+	if s.deny != nil {
+		return nil, s.deny
+	}
+	w := &wire{}
+	s.dials = append(s.dials, w)
+	return w, nil
+}
+
+const second = 1000 * perMilli
+
+func newStage(t *testing.T, links int) *stage {
+	s := &stage{t: t, now: 17672256000000}
+	c := balance.Charter{Seed: 7, Fronts: 1, Round: 50, FencesCarried: true, ListPushed: true, AskWithin: 100000,
+		AnswerSlack: 200, StartShare: 0.2, Cold: 100000, FallMultiple: 3, FallSpan: 15000, MostTrips: 4,
+		MayProbe: true, MayCancel: true, ProbePrice: 0.01, MostPause: 10000, Profiles: []balance.Profile{
+			{Name: "any", ExpectedTime: 3000, OuterLimit: 12000, Credit: 1},
+			{Name: "session", Need: balance.Session, ExpectedTime: 3000, OuterLimit: 12000, Credit: 1},
+			{Name: "once", Need: balance.Write, Repeat: balance.AtMostOnce, ExpectedTime: 6000, OuterLimit: 30000,
+				Credit: 4, LateCredit: 0.5}}}
+	h := charter.Host{Dial: 2500, Idle: 300000, Reports: "on_probe"}
+	var err error
+	s.core, err = New(s.now, c, h, Limits{Links: links, Clients: links - 2, Linger: second / 2}, s, func() {},
+		slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.core.Tell(List{News: balance.ListWhole, Lines: []Line{{ID: "s", Addr: "127.0.0.1:1", Member: balance.Member{
+		Group: 3, Condition: balance.Ready, Primary: true, Size: 1}}}})
+	s.core.Step(s.now, nil)
+	return s
+}
+
+func (s *stage) step(events ...Event) {
+	s.now++
+	s.core.Step(s.now, events)
+}
+
+// pass lets time go by in the steps that the core asks for.
+func (s *stage) pass(span Time) {
+	for end := s.now + span; s.now < end; {
+		s.now = min(max(s.core.Next(), s.now+1), end)
+		s.core.Step(s.now, nil)
+	}
+}
+
+func (s *stage) say(w *wire, text ...string) {
+	w.in = append(w.in, strings.Join(text, "")...)
+	s.step(Event{w, Readable})
+}
+
+func (s *stage) client() *wire {
+	w := &wire{in: pgwire.AppendStartup(nil, "web", "orders")}
+	s.step(Event{w, Accepted | Readable})
+	if got := w.take(); !strings.HasPrefix(got, "R") || !strings.HasSuffix(got, ready) {
+		s.t.Fatalf("welcome %q", got)
+	}
+	return w
+}
+
+// store answers the start of the newest connection.
+func (s *stage) store() *wire {
+	if len(s.dials) == 0 {
+		s.t.Fatal("no store was dialled")
+	}
+	w := s.dials[len(s.dials)-1]
+	w.take()
+	s.say(w, "R\x00\x00\x00\x08\x00\x00\x00\x00", ready)
+	return w
+}
+
+func (s *stage) idle(clients int) {
+	s.t.Helper()
+	c := s.core
+	if c.inHand != 0 || len(c.clients) != clients || len(c.backs)+len(c.tasks)+len(c.arrivals) != 0 {
+		s.t.Errorf("not all is given back: %v", c)
+	}
+	for i := range c.jobs {
+		if j := &c.jobs[i]; j.busy || j.owed != 0 {
+			s.t.Errorf("job %d is still taken", i)
+		}
+	}
+	for i := range c.stores {
+		if len(c.stores[i].waits) != 0 {
+			s.t.Errorf("store %d: errands wait", i)
+		}
+	}
+}
+
+const ready = "Z\x00\x00\x00\x05I"
+
+func ask(profile string, n int) string {
+	return string(pgwire.AppendSimple(nil, fmt.Sprintf("/* id=%d,c=%s,d=1000,cluster=3 */ SELECT 'k'", n, profile)))
+}
+
+func failed(code string) string { return string(pgwire.AppendError(nil, "ERROR", code, "m", "")) }
+
+func status(name, value string) string { return string(pgwire.AppendParameter(nil, name, value)) }
+
+var value = "T\x00\x00\x00\x0a\x00\x01p\x00\x00\x00" + "D\x00\x00\x00\x0c\x00\x01\x00\x00\x00\x02ab" +
+	"C\x00\x00\x00\x0dSELECT 1\x00"
+
+// code gives the SQLSTATE of an answer that is one error and ready, or "value" for the store's value.
+func code(t *testing.T, answer string) string {
+	t.Helper()
+	if answer == value+ready {
+		return "value"
+	}
+	kind, body, n, err := pgwire.Message([]byte(answer))
+	if kind != 'E' || err != nil || answer[n:] != ready && answer[n:] != "" {
+		t.Errorf("answer %q", answer)
+		return ""
+	}
+	return pgwire.Code(body)
+}
+
+// TestOutcomes: what each answer of a store is to a job that may run again and to one that may not.
+func TestOutcomes(t *testing.T) {
+	for _, c := range []struct {
+		name, answer string
+		what         What
+		stuck        bool
+		read, write  string // the client's answer; "trip": the job goes on instead
+	}{
+		{"value", value + status("role", "primary") + ready, 0, false, "value", "value"},
+		{"behind", failed("72000") + ready, 0, false, "trip", "trip"},
+		{"crowded", failed("53300") + ready, 0, false, "trip", "trip"},
+		{"fault", failed("XX000") + ready, 0, false, "trip", "08007"},
+		{"unknown error", failed("22012") + ready, 0, false, "trip", "08007"},
+		{"fatal and gone", failed("53300"), Closed, false, "trip", "trip"},
+		{"broken after it was written", "", Closed, false, "trip", "08007"},
+		{"broken before it was written", "", Closed, true, "trip", "trip"},
+		{"broken in the value", value[:20], Closed, false, "trip", "08007"},
+		{"value without its end", value, Closed, false, "trip", "08007"},
+		{"no row", value[:11] + "C\x00\x00\x00\x0dSELECT 0\x00" + ready, 0, false, "trip", "08007"},
+		{"two rows", value[:11] + value[11:24] + value[11:24] + ready, 0, false, "trip", "08007"},
+		{"refusal after a row", value[:24] + failed("53300") + ready, 0, false, "trip", "08007"},
+		{"sense lost after a refusal", failed("53300") + "?\x00\x00\x00\x04", 0, false, "trip", "08007"},
+		{"note that is no number", value + status("applied_ms", "soon") + ready, 0, false, "trip", "08007"},
+		{"length out of bounds", "D\xff\xff\xff\xff", 0, false, "trip", "08007"},
+	} {
+		for profile, want := range map[string]string{"any": c.read, "once": c.write} {
+			s := newStage(t, 20)
+			cl := s.client()
+			s.say(cl, ask(profile, 1))
+			st := s.store()
+			if !strings.Contains(string(st.out), "id=1,") {
+				t.Fatalf("%s: store was sent %q", c.name, st.out)
+			}
+			if c.stuck {
+				st.stuck = 1
+			}
+			st.in = append(st.in, c.answer...)
+			s.step(Event{st, Readable | c.what})
+			if want == "trip" {
+				if len(cl.out) > 0 {
+					t.Errorf("%s, %s: answered %q", c.name, profile, cl.out)
+				}
+				s.pass(2 * second) // it goes again, which then is not answered, or ends as what never ran
+				again := s.dials[len(s.dials)-1] != st || strings.Count(string(st.out), "id=1,") > 1
+				if got := code(t, cl.take()); got != pgwire.TooMany && !(again && got == pgwire.Unresolved) {
+					t.Errorf("%s, %s: ended with %s", c.name, profile, got)
+				}
+			} else if got := code(t, cl.take()); got != want {
+				t.Errorf("%s, %s: answered %s, want %s", c.name, profile, got, want)
+			}
+			s.step(Event{cl, Closed})
+			s.pass(second)
+			s.idle(0)
+		}
+	}
+}
+
+func TestClientsInput(t *testing.T) {
+	empty := string(pgwire.AppendSimple(nil, " ; "))
+	for _, c := range []struct{ name, in, want string }{
+		{"empty query", empty, "I\x00\x00\x00\x04" + ready},
+		{"no comment", string(pgwire.AppendSimple(nil, "SELECT 1")), "42601"},
+		{"unknown class", ask("none", 1), "22023"},
+		{"unknown cluster", strings.Replace(ask("any", 1), "cluster=3", "cluster=4", 1), "3D000"},
+		{"prepared", "P\x00\x00\x00\x08\x00\x00\x00\x00B\x00\x00\x00\x04S\x00\x00\x00\x04", "0A000"},
+		{"function call", "F\x00\x00\x00\x04", "0A000"},
+		{"unknown message", "?\x00\x00\x00\x04", "08P01 end"},
+		{"oversized", "Q\x7f\xff\xff\xff", "08P01 end"},
+		{"no end of text", "Q\x00\x00\x00\x05a", "08P01 end"},
+		{"terminate", "X\x00\x00\x00\x04", " end"},
+	} {
+		for _, piece := range []int{1, 7, 1 << 20} {
+			s := newStage(t, 20)
+			cl := s.client()
+			for in := c.in; in != ""; in = in[min(piece, len(in)):] {
+				s.say(cl, in[:min(piece, len(in))])
+			}
+			got := cl.take()
+			if got != c.want && got != "" {
+				got = code(t, got)
+			}
+			if cl.finished {
+				got += " end"
+			}
+			if got != c.want {
+				t.Errorf("%s in pieces of %d: %q, want %q", c.name, piece, got, c.want)
+			}
+			if !cl.finished {
+				s.say(cl, empty)
+				if cl.take() != "I\x00\x00\x00\x04"+ready {
+					t.Errorf("%s: the connection cannot be used any more", c.name)
+				}
+			}
+			s.step(Event{cl, Closed})
+			s.idle(0)
+		}
+	}
+}
+
+func TestStartOfAClient(t *testing.T) {
+	ssl := "\x00\x00\x00\x08\x04\xd2\x16\x2f"
+	start := string(pgwire.AppendStartup(nil, "web", "orders"))
+	for _, c := range []struct{ name, in, want string }{
+		{"SSL asked for", ssl + start, "NR"},
+		{"query right behind", start + ask("any", 1), "R"},
+		{"version 2", "\x00\x00\x00\x08\x00\x02\x00\x00", "E"},
+		{"version 3.2", strings.Replace(start, "\x00\x03\x00\x00", "\x00\x03\x00\x02", 1), "v"},
+		{"cancel request", "\x00\x00\x00\x10\x04\xd2\x16\x2e\x00\x00\x00\x00\x00\x00\x00\x00", ""},
+		{"nonsense", "GET / HTTP/1.1\r\n\r\n", "E"},
+	} {
+		s := newStage(t, 20)
+		w := &wire{}
+		s.step(Event{w, Accepted})
+		for i := range c.in {
+			s.say(w, c.in[i:i+1])
+		}
+		if got := w.take(); !strings.HasPrefix(got, c.want) || c.want == "" && got != "" {
+			t.Errorf("%s: %q", c.name, got)
+		}
+		s.step(Event{w, Closed})
+		s.pass(2 * second)
+		s.idle(0)
+	}
+}
+
+// TestQueriesInARow: answers keep the order, the second waits for the first, and each is passed on unchanged.
+func TestQueriesInARow(t *testing.T) {
+	s := newStage(t, 20)
+	cl := s.client()
+	s.say(cl, ask("any", 1), ask("any", 2))
+	st := s.store()
+	if sent := st.take(); !strings.Contains(sent, "id=1,c=any,d=999,") || strings.Contains(sent, "id=2") {
+		t.Fatalf("store was sent %q", sent)
+	}
+	for i := range value + ready {
+		s.say(st, (value + ready)[i:i+1])
+	}
+	if got := cl.take(); got != value+ready {
+		t.Fatalf("answer %q", got)
+	}
+	if sent := st.take(); !strings.Contains(sent, "id=2") || len(s.dials) != 1 {
+		t.Fatalf("store was sent %q on %d connections", sent, len(s.dials))
+	}
+	s.say(st, value, ready)
+	s.step(Event{cl, Closed})
+	s.idle(0)
+}
+
+// TestLateAnswer: a trip that was given up takes its connection along, so what comes late is nobody's answer.
+func TestLateAnswer(t *testing.T) {
+	s := newStage(t, 20)
+	cl := s.client()
+	s.say(cl, ask("any", 1))
+	st := s.store()
+	s.step(Event{cl, Closed})
+	if !st.closed {
+		t.Fatal("the trip of a client that left is still out")
+	}
+	next := s.client()
+	s.say(next, ask("any", 2))
+	s.say(st, value, ready)
+	if next.take() != "" {
+		t.Fatal("a late answer was taken for another job's")
+	}
+	s.say(s.store(), value, ready)
+	if got := next.take(); got != value+ready {
+		t.Fatalf("answer %q", got)
+	}
+	s.step(Event{next, Closed})
+	s.idle(0)
+}
+
+func TestClientLeavesWhileItsTripWaits(t *testing.T) {
+	s := newStage(t, 20)
+	cl := s.client()
+	s.say(cl, ask("any", 1))
+	s.dials[0].in = []byte("R\x00\x00\x00\x08\x00\x00\x00\x00" + ready)
+	s.step(Event{s.dials[0], Readable}, Event{cl, Closed}) // both at once, either way round
+	s.idle(0)
+	cl = s.client()
+	s.say(cl, ask("any", 2))
+	s.step(Event{cl, Closed}, Event{s.dials[0], Closed})
+	s.pass(second)
+	s.idle(0)
+}
+
+func TestConnectionsThatDoNotComeUp(t *testing.T) {
+	for name, fail := range map[string]func(s *stage){
+		"refused":   func(s *stage) { s.step(Event{s.dials[0], Closed}) },
+		"turned":    func(s *stage) { s.say(s.dials[0], failed("53300")) },
+		"no sense":  func(s *stage) { s.say(s.dials[0], "T\x00\x00\x00\x04") },
+		"silent":    func(s *stage) { s.pass(3000) },
+		"password":  func(s *stage) { s.say(s.dials[0], "R\x00\x00\x00\x08\x00\x00\x00\x03") },
+		"dial fail": func(s *stage) {},
+	} {
+		s := newStage(t, 20)
+		if name == "dial fail" {
+			s.deny = errors.New("no route")
+		}
+		cl := s.client()
+		s.say(cl, ask("once", 1))
+		fail(s)
+		s.deny = errors.New("no route")
+		s.pass(2 * second)
+		if got := code(t, cl.take()); got != pgwire.TooMany { // it never ran, so trying again is harmless
+			t.Errorf("%s: answered %s", name, got)
+		}
+		s.step(Event{cl, Closed})
+		s.pass(second)
+		if s.idle(0); len(s.core.conns) != 0 {
+			t.Errorf("%s: %v", name, s.core)
+		}
+	}
+}
+
+// TestDescriptors: an idle store connection yields to a client or to another store; past that work is turned
+// back, and a client past the bound is told so.
+func TestDescriptors(t *testing.T) {
+	s := newStage(t, 5)
+	a, b, c := s.client(), s.client(), s.client()
+	for _, cl := range []*wire{a, b, c} {
+		s.say(cl, ask("any", 1))
+	}
+	if len(s.dials) != 2 {
+		t.Fatalf("%d connections where 2 have room", len(s.dials))
+	}
+	if got := code(t, c.take()); got != pgwire.TooMany {
+		t.Fatalf("the third job: %s", got)
+	}
+	for _, st := range s.dials {
+		s.say(st, "R\x00\x00\x00\x08\x00\x00\x00\x00", ready)
+		s.say(st, value, ready)
+	}
+	d := &wire{in: append(pgwire.AppendStartup(nil, "web", "orders"), ask("any", 1)...)}
+	s.step(Event{d, Accepted | Readable})
+	if got := code(t, d.take()); got != pgwire.TooMany || !d.finished {
+		t.Fatalf("a client past the bound: %s", got)
+	}
+	if len(s.core.conns) > 2 {
+		t.Fatalf("%d store connections", len(s.core.conns))
+	}
+	for _, cl := range []*wire{a, b, c, d} {
+		s.step(Event{cl, Closed})
+	}
+	s.idle(0)
+	s.pass(40 * second)
+	if len(s.core.conns) != 0 {
+		t.Errorf("%d connections stand idle for longer than a store lets them", len(s.core.conns))
+	}
+}
+
+func TestStopAnswersAllThatWasTaken(t *testing.T) {
+	s := newStage(t, 20)
+	busy, idle := s.client(), s.client()
+	s.say(busy, ask("once", 1))
+	st := s.store()
+	s.core.Stop(s.now)
+	late := s.client() // new ones keep coming for a while
+	s.say(late, ask("any", 2))
+	s.say(s.store(), value, ready)
+	if got := late.take(); got != value+ready {
+		t.Fatalf("a job taken after the signal: %q", got)
+	}
+	s.pass(second * 6 / 10)
+	if !idle.finished || !late.finished || busy.finished || s.core.Done() {
+		t.Fatal("idle clients are hung up on, busy ones are not")
+	}
+	s.say(st, value, ready)
+	if got := busy.take(); got != value+ready || !busy.finished {
+		t.Fatalf("a job in hand: %q", got)
+	}
+	for _, cl := range []*wire{busy, idle, late} {
+		s.step(Event{cl, Closed})
+	}
+	if s.idle(0); !s.core.Done() {
+		t.Fatal("not done")
+	}
+}
+
+func TestStoresThatMoveOrGo(t *testing.T) {
+	s := newStage(t, 20)
+	cl := s.client()
+	s.say(cl, ask("any", 1))
+	st := s.store()
+	s.say(st, value, ready)
+	line := Line{ID: "s", Addr: "127.0.0.1:2", Member: balance.Member{Group: 3, Condition: balance.Ready, Primary: true}}
+	s.core.Tell(List{News: balance.ListChanges, Lines: []Line{line}})
+	if s.step(); !st.closed {
+		t.Error("an idle connection to the old address is kept")
+	}
+	s.say(cl, ask("any", 2))
+	s.say(s.store(), value, ready)
+	s.core.Tell(List{News: balance.ListWhole})
+	if s.step(); !s.dials[1].closed {
+		t.Error("an idle connection to a store that is gone is kept")
+	}
+	if got := cl.take(); got != value+ready+value+ready {
+		t.Errorf("answers %q", got)
+	}
+	s.step(Event{cl, Closed})
+	s.idle(0)
+}
+
+func TestReports(t *testing.T) {
+	for text, want := range map[string]balance.Report{
+		"x0=1767225600.12349,x1=1,inflight=3": {Position: 17672256001234, Role: balance.Primary},
+		"x1=0, x0=1767225600":                 {Position: 17672256000000, Role: balance.Replica},
+		"inflight=7,util=0.61":                {},
+	} {
+		if got, ok := report(text); !ok || got != want {
+			t.Errorf("%s: %+v %v", text, got, ok)
+		}
+	}
+	for _, text := range []string{"x0", "x0=-3", "x0=1.2e9", "x0=1.x", "x1=primary", "x0=99999999999999"} {
+		if got, ok := report(text); ok {
+			t.Errorf("%s: taken as %+v", text, got)
+		}
+	}
+}
+
+// FuzzBytes: whatever clients and stores send, nothing panics and all is given back.
+func FuzzBytes(f *testing.F) {
+	f.Add([]byte(ask("any", 1)), []byte(value+ready))
+	f.Add([]byte(ask("once", 1)+ask("any", 2)), []byte(failed("25006")+status("role", "replica")+ready))
+	f.Add([]byte("P\x00\x00\x00\x04S\x00\x00\x00\x04"), []byte("Z\x00\x00\x00\x05IZ\x00\x00\x00\x05I"))
+	f.Add([]byte(ask("any", 1)), []byte(value[:24]+"S\x00\x00\x00\x05a"))
+	f.Fuzz(func(t *testing.T, client, store []byte) {
+		s := newStage(t, 20)
+		cl := s.client()
+		for i := range client {
+			s.say(cl, string(client[i:i+1]))
+		}
+		if len(s.dials) > 0 {
+			st := s.store()
+			for i := range store {
+				if !st.closed {
+					s.say(st, string(store[i:i+1]))
+				}
+			}
+		}
+		s.step(Event{cl, Closed})
+		s.pass(2 * second)
+		s.idle(0)
+	})
+}
+
+func TestLogIsBounded(t *testing.T) {
+	var out bytes.Buffer
+	s := newStage(t, 20)
+	s.core.log = slog.New(slog.NewTextHandler(&out, nil))
+	for range 1000 {
+		s.core.Log("trouble")
+	}
+	if n := strings.Count(out.String(), "\n"); n == 0 || n > 20 {
+		t.Errorf("%d lines in a moment", n)
+	}
+}
--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -168,6 +168,9 @@
 			return
 		}
 		if n == 0 {
+			if k.link.Full() { // more than a value may be, or all rings together may not grow any more
+				k.lost(c)
+			}
 			return
 		}
 		k.read += n
@@ -315,6 +318,8 @@
 		r.Ending = balance.Delivered
 	case k.code == "":
 		return false
+	case k.parts > 0: // a refusal after part of an answer is none
+		r.Ending = balance.Faulted
 	default:
 		r.Ending = ending(k.code)
 	}
@@ -354,7 +359,6 @@
 func (k *conn) lost(c *Core) {
 	e, busy := k.errand, k.ready && !k.idle
 	whole := k.link.Sent() >= k.wrote
-	crowded := !k.ready && k.code == pgwire.TooMany
 	r := balance.Return{Ending: balance.Severed, Note: k.note, Load: k.load}
 	k.drop(c)
 	switch {
@@ -362,16 +366,12 @@
 		if s := &c.stores[k.store]; len(s.waits) > 0 {
 			e = s.waits[0]
 			s.waits = append(s.waits[:0], s.waits[1:]...)
-			how := balance.Unreached
-			if crowded {
-				how = balance.Crowded
-			}
-			c.fail(k.store, e, how)
+			c.fail(k.store, e, balance.Unreached) // also when the store says that it has too many
 		}
 		return
 	case !busy:
 		return
-	case k.code != "":
+	case k.code != "" && k.parts == 0:
 		r.Ending = ending(k.code)
 	case !whole:
 		r.Ending = balance.Unreached
@@ -477,11 +477,10 @@
 			c.end(k, e, r)
 		}
 	}
-	if c.Stopping() {
-		for n := len(c.clients) - 1; n >= 0; n-- {
-			if cl := c.clients[n]; cl.job < 0 && !cl.ending {
-				cl.finish(c)
-			}
+	for n := len(c.clients) - 1; n >= 0; n-- {
+		cl := c.clients[n]
+		if cl.job < 0 && !cl.ending && (c.Stopping() || !cl.greeted && c.now >= cl.came+c.longest) {
+			cl.finish(c)
 		}
 	}
 }
--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -8,6 +8,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 )
 
@@ -115,6 +116,8 @@
 	leftAt, leftTo                      int   // where Left stands
 }
 
+var names = [...]string{"id", "c", "t", "k", "r", "d", "cluster", "after"}
+
 // Query reads the comment and the quoted key of a query, which is all up to its terminating zero.
 func Query(text []byte) (s Statement, err error) {
 	if !bytes.HasPrefix(text, []byte("/*")) {
@@ -124,7 +127,7 @@
 	if end < 0 {
 		return s, errors.New("the comment does not end")
 	}
-	at, group := 2, false
+	at, group, seen := 2, false, 0
 	for at < end {
 		to := end
 		if i := bytes.IndexByte(text[at:end], ','); i >= 0 {
@@ -135,6 +138,12 @@
 		if !ok || len(value) == 0 {
 			return s, fmt.Errorf("the comment holds %.40q, which is no name=value", pair)
 		}
+		if i := slices.Index(names[:], string(name)); i >= 0 {
+			if seen&(1<<i) != 0 {
+				return s, fmt.Errorf("the comment holds %s twice", name)
+			}
+			seen |= 1 << i
+		}
 		switch string(name) {
 		case "id":
 			s.ID = value
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -2,14 +2,17 @@
 // doubling up to its bound and lets its memory go once it is drained.
 package ring
 
+import "sync/atomic"
+
 const first = 4 << 10
 
 // Buffer is a bounded ring of bytes. Its zero value with Most set is ready for use.
 type Buffer struct {
-	Most int // bytes that it may hold
-	buf  []byte
-	head int
-	size int
+	Most   int           // bytes that it may hold
+	Budget *atomic.Int64 // bytes that all rings together may grow by past their first size; nil: any
+	buf    []byte
+	head   int
+	size   int
 }
 
 // Len tells how many bytes it holds.
@@ -38,7 +41,9 @@
 	if b.size+len(p) > b.Most {
 		return false
 	}
-	b.grow(b.size + len(p))
+	if b.grow(b.size + len(p)); b.size+len(p) > len(b.buf) {
+		return false
+	}
 	for len(p) > 0 {
 		n := copy(b.Space(), p)
 		b.Commit(n)
@@ -62,7 +67,7 @@
 	if b.size == 0 {
 		b.head = 0
 		if len(b.buf) > first {
-			b.buf = nil
+			b.Free()
 		}
 	} else if b.head >= len(b.buf) {
 		b.head -= len(b.buf)
@@ -77,7 +82,23 @@
 	for n < need {
 		n *= 2
 	}
-	b.move(min(n, b.Most))
+	n = min(n, b.Most)
+	if b.Budget != nil && n > first {
+		more := int64(n - max(len(b.buf), first))
+		if b.Budget.Add(-more) < 0 {
+			b.Budget.Add(more)
+			return
+		}
+	}
+	b.move(n)
+}
+
+// Free drops what it holds and gives its memory back.
+func (b *Buffer) Free() {
+	if b.Budget != nil && len(b.buf) > first {
+		b.Budget.Add(int64(len(b.buf) - first))
+	}
+	b.buf, b.head, b.size = nil, 0, 0
 }
 
 // move lays the content at the start of a new buffer; what was handed out of the old one stays as it is.
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -31,10 +31,12 @@
 	engine *nbio.Engine
 	listen net.Listener
 	mu     sync.Mutex
+	links  map[*nbio.Conn]*Link // what the library knows as connections
 	ready  []*Link
 	events []front.Event
 	wake   chan struct{}
 	timer  *time.Timer
+	budget atomic.Int64 // bytes that the rings may still grow by
 }
 
 // Link is one socket.
@@ -55,23 +57,24 @@
 	ending  bool
 }
 
-// Open listens on addr and starts the poller.
-func Open(addr string, descriptors int) (*Net, error) {
+// Open listens on addr and starts the poller. All rings together grow by no more than memory bytes.
+func Open(addr string, descriptors int, memory int64) (*Net, error) {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
 	logging.SetLevel(logging.LevelNone)
 	nbio.MaxOpenFiles = min(nbio.MaxOpenFiles, 2*descriptors+64) // it keeps a table of that length
-	n := &Net{listen: l, wake: make(chan struct{}, 1), timer: time.NewTimer(time.Hour)}
+	n := &Net{listen: l, links: map[*nbio.Conn]*Link{}, wake: make(chan struct{}, 1), timer: time.NewTimer(time.Hour)}
+	n.budget.Store(memory)
 	n.engine = nbio.NewEngine(nbio.Config{Network: "tcp", NPoller: 1, EpollMod: nbio.EPOLLET})
 	n.engine.OnRead(func(c *nbio.Conn) {
-		if l, ok := c.Session().(*Link); ok {
+		if l := n.of(c); l != nil {
 			l.pump()
 		}
 	})
 	n.engine.OnWrittenSize(func(c *nbio.Conn, _ []byte, size int) {
-		if l, ok := c.Session().(*Link); ok {
+		if l := n.of(c); l != nil {
 			l.sent.Add(int64(size))
 			if l.blocked.Load() {
 				n.report(l, 0)
@@ -79,7 +82,10 @@
 		}
 	})
 	n.engine.OnClose(func(c *nbio.Conn, _ error) {
-		if l, ok := c.Session().(*Link); ok {
+		if l := n.of(c); l != nil {
+			n.mu.Lock()
+			delete(n.links, c)
+			n.mu.Unlock()
 			l.gone()
 		}
 	})
@@ -91,6 +97,12 @@
 	return n, nil
 }
 
+func (n *Net) of(c *nbio.Conn) *Link {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.links[c]
+}
+
 // Addr is where it listens.
 func (n *Net) Addr() string { return n.listen.Addr().String() }
 
@@ -122,8 +134,11 @@
 		c.Close()
 		return nil, err
 	}
-	l := &Link{net: n, conn: nc, what: what, in: ring.Buffer{Most: mostRing}, out: ring.Buffer{Most: mostRing}}
-	nc.SetSession(l)
+	l := &Link{net: n, conn: nc, what: what, in: ring.Buffer{Most: mostRing, Budget: &n.budget},
+		out: ring.Buffer{Most: mostRing, Budget: &n.budget}}
+	n.mu.Lock()
+	n.links[nc] = l
+	n.mu.Unlock()
 	nc.SetNoDelay(true)
 	_, err = n.engine.AddConn(nc) // on an error it closes the connection
 	return l, err
@@ -203,6 +218,11 @@
 		default:
 		}
 	}
+	for _, e := range n.events {
+		if e.What&front.Closed != 0 { // the core has seen the last of it
+			e.Link.(*Link).release()
+		}
+	}
 	n.events = n.events[:0]
 	n.mu.Lock()
 	for k, l := range n.ready {
@@ -239,6 +259,7 @@
 		failed = n == 0 || err != nil && err != syscall.EAGAIN
 		break
 	}
+	got = got || l.full
 	l.mu.Unlock()
 	if got {
 		l.net.report(l, front.Readable)
@@ -256,6 +277,21 @@
 	l.net.report(l, front.Closed)
 }
 
+// release is the one place where a link's rings are given back.
+func (l *Link) release() {
+	l.mu.Lock()
+	l.in.Free()
+	l.mu.Unlock()
+	l.out.Free()
+}
+
+// Full tells that bytes wait with the system for want of room here.
+func (l *Link) Full() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.full
+}
+
 func (l *Link) Owner() any    { return l.owner }
 func (l *Link) Own(owner any) { l.owner = owner }
 
