A probe that finds no descriptor waits for a connection and blames no store

Thought through, then shown by a test: a front out of descriptors told the module that its probe had not left, and the module took the store for silent (Probed); with none left for long all stores would have been unusable.

Hurts where a store is silent while descriptors run out: it is suspected only by its trips' age then.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -325,7 +325,7 @@
 		return
 	}
 	if m := &b.members[i]; r.Ending != Delivered && r.Ending != Crowded {
-		if m.suspect = true; r.Ending == Unreached {
+		if m.suspect = m.suspect || r.Ending != Unsent; r.Ending == Unreached {
 			m.unreached = m.probed
 		}
 		return
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -324,6 +324,24 @@
 	}
 }
 
+func TestProbeThatNeverLeftBlamesNoStore(t *testing.T) {
+	w := three(t, testCharter())
+	for _, store := range w.ids {
+		w.b.Probed(w.now, store, Return{Ending: Unsent})
+	}
+	w.take(ask("a", "any"))
+	if w.held("a") {
+		t.Error("a front that could not ask takes its stores for silent")
+	}
+	for _, store := range w.ids {
+		w.b.Probed(w.now, store, Return{Ending: Expired})
+	}
+	w.take(ask("b", "any"))
+	if !w.held("b") {
+		t.Error("stores that did not answer are still used")
+	}
+}
+
 func TestWatchIsRenewed(t *testing.T) {
 	c := testCharter()
 	c.ListPushed = false
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -562,6 +562,28 @@
 	}
 }
 
+// TestProbeWithoutADescriptor: it waits for a connection to fall free, and else says nothing of the store.
+func TestProbeWithoutADescriptor(t *testing.T) {
+	s := newStage(t, 4, true)
+	a, b := s.client(), s.client()
+	s.say(a, ask("once", 1))
+	st := s.store()
+	s.core.limits.Links = 3
+	s.core.Probe(0)
+	if s.pass(3000); len(s.dials) != 1 || len(s.core.stores[0].waits) != 0 {
+		t.Fatalf("%d connections, %d errands wait", len(s.dials), len(s.core.stores[0].waits))
+	}
+	s.say(b, ask("any", 2)) // it is tried, and turned back for want of a descriptor
+	if got := code(t, b.take()); got != pgwire.TooMany {
+		t.Errorf("the store is taken for silent: %q", got)
+	}
+	s.core.Probe(0)
+	s.step()
+	if s.say(st, value, ready); !strings.Contains(string(st.out), "SHOW load") {
+		t.Errorf("the connection that fell free does not carry the probe: %q", st.out)
+	}
+}
+
 func TestQueryInPiecesAcrossTheEnd(t *testing.T) {
 	s := newStage(t, 20)
 	cl, stuck := s.client(), s.client()
--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -20,6 +20,7 @@
 	job          int32 // -1: a probe
 	trip         int
 	since, until Time
+	dialled      bool
 }
 
 // conn is one connection to a store.
@@ -71,6 +72,10 @@
 		return
 	}
 	if len(c.clients)+len(c.conns) >= c.limits.Links && !c.spare() {
+		if e.job < 0 { // it can wait for a connection to fall free
+			s.waits = append(s.waits, e)
+			return
+		}
 		c.fail(i, e, balance.Unsent)
 		return
 	}
@@ -80,6 +85,7 @@
 		c.fail(i, e, balance.Unreached)
 		return
 	}
+	e.dialled = true
 	k := &conn{link: link, at: len(c.conns), store: i, since: c.now, next: (*conn).greeted}
 	link.Own(k)
 	c.conns = append(c.conns, k)
@@ -450,9 +456,9 @@
 		keep := s.waits[:0]
 		for _, e := range s.waits {
 			switch {
-			case c.now >= e.since+c.host.Dial:
+			case e.dialled && c.now >= e.since+c.host.Dial:
 				c.fail(uint32(i), e, balance.Unreached)
-			case c.now >= e.until:
+			case c.now >= e.until: // Danger: a front that has no descriptor left must not blame the store.
 				c.fail(uint32(i), e, balance.Unsent)
 			default:
 				keep = append(keep, e)
