A connection that was in use while its store moved is not used again

Thought through, then shown by a test: a connection busy at the moment of an address change fell idle afterwards and carried jobs to the old address (settle). It is closed now, and what waits for it dials anew. The test fails with the guard broken.

--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -472,11 +472,20 @@
 	}
 	s.say(cl, ask("any", 2))
 	s.say(s.store(), value, ready)
+	line.Addr = "127.0.0.1:3"
+	s.say(cl, ask("any", 3))
+	s.core.Tell(List{News: balance.ListChanges, Lines: []Line{line}})
+	s.step()
+	if s.say(s.dials[1], value, ready); !s.dials[1].closed {
+		t.Error("a connection that was in use while its store moved is kept")
+	}
+	s.say(cl, ask("any", 4))
+	s.say(s.store(), value, ready)
 	s.core.Tell(List{News: balance.ListWhole})
-	if s.step(); !s.dials[1].closed {
+	if s.step(); !s.dials[2].closed {
 		t.Error("an idle connection to a store that is gone is kept")
 	}
-	if got := cl.take(); got != value+ready+value+ready {
+	if got := cl.take(); got != strings.Repeat(value+ready, 4) {
 		t.Errorf("answers %q", got)
 	}
 	s.step(Event{cl, Closed})
--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -28,6 +28,7 @@
 	link     Link
 	at       int // in Core.conns; -1: given back
 	store    uint32
+	addr     string                                                   // that it was dialled at
 	next     func(s *conn, c *Core, kind byte, body []byte) (ok bool) // is handed the store's messages
 	ready    bool
 	idle     bool
@@ -86,7 +87,7 @@
 		return
 	}
 	e.dialled = true
-	k := &conn{link: link, at: len(c.conns), store: i, since: c.now, next: (*conn).greeted}
+	k := &conn{link: link, at: len(c.conns), store: i, addr: s.addr, since: c.now, next: (*conn).greeted}
 	link.Own(k)
 	c.conns = append(c.conns, k)
 	if e.job >= 0 {
@@ -210,6 +211,15 @@
 // settle makes a connection that has nothing to do carry the oldest errand, or lets it stand idle.
 func (k *conn) settle(c *Core) {
 	s := &c.stores[k.store]
+	if k.addr != s.addr { // the store has moved meanwhile
+		k.drop(c)
+		if len(s.waits) > 0 {
+			e := s.waits[0]
+			s.waits = append(s.waits[:0], s.waits[1:]...)
+			c.start(k.store, e)
+		}
+		return
+	}
 	for len(s.waits) > 0 {
 		e := s.waits[0]
 		s.waits = append(s.waits[:0], s.waits[1:]...)
