--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -83,12 +83,13 @@
 	mu      sync.Mutex
 	told    []front.List
 	version int64 // -1: the whole list is asked for
+	silence time.Duration
 }
 
 // Watch starts a watcher that knows the list up to version; it opens nothing before Ask.
 func Watch(addr string, version int64, wake func(), log *slog.Logger) *Watcher {
 	w := &Watcher{url: "http://" + addr + "/api/targets", wake: wake, log: log, ask: make(chan struct{}, 1),
-		version: version}
+		version: version, silence: silence}
 	go w.run()
 	return w
 }
@@ -134,7 +135,7 @@
 func (w *Watcher) follow(client *http.Client) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	watchdog := time.AfterFunc(silence, cancel)
+	watchdog := time.AfterFunc(w.silence, cancel)
 	defer watchdog.Stop()
 	url, whole := w.url+"?follow=1", w.version < 0
 	if !whole {
@@ -155,7 +156,7 @@
 	lines := bufio.NewScanner(resp.Body)
 	lines.Buffer(nil, mostLine)
 	for lines.Scan() {
-		watchdog.Reset(silence)
+		watchdog.Reset(w.silence)
 		line := bytes.TrimSpace(lines.Bytes())
 		if len(line) == 0 {
 			continue
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -99,3 +99,41 @@
 		t.Error("a watch was opened that nobody asked for")
 	}
 }
+
+// TestSilentWatch: one that says nothing for three of its own beats is broken, with or without an answer before.
+func TestSilentWatch(t *testing.T) {
+	end := make(chan struct{})
+	first := make(chan struct{}, 1)
+	first <- struct{}{}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-first:
+			io.WriteString(w, list(5, true, line)+"\n")
+			http.NewResponseController(w).Flush()
+		default:
+		}
+		<-end
+	}))
+	defer server.Close()
+	defer close(end)
+	told := make(chan struct{}, 9)
+	w := Watch(strings.TrimPrefix(server.URL, "http://"), 4, func() { told <- struct{}{} },
+		slog.New(slog.NewTextHandler(io.Discard, nil)))
+	w.silence = 200 * time.Millisecond // nothing is open yet
+	for _, want := range [][]balance.ListNews{{balance.ListWhole, balance.ListFailed}, {balance.ListFailed}} {
+		w.Ask()
+		for _, n := range want {
+			select {
+			case <-told:
+			case <-time.After(20 * time.Second):
+				t.Fatal("nothing is told")
+			}
+			w.mu.Lock()
+			if got := w.told[0].News; got != n {
+				t.Errorf("told %d, want %d", got, n)
+			}
+			w.told = w.told[1:]
+			w.mu.Unlock()
+		}
+	}
+}
