SIGHUP reads the configuration again and follows discovery to its new address

Checked: nothing caught the signal (serve.go, signal.Notify), and the address would have been kept anyway: the variable GW_DISCOVERY came before the file, and Watch fixed its address at the start (discovery.go, Watch). Change: SIGHUP reads the file again; a new discovery address ends the watch that stands and opens the next at once, asking for the whole list. The environment now comes last, since it cannot follow a file. All else in the file waits for the next start and is logged; a faulty file changes nothing. May hurt: a start whose environment and file differ now goes by the file.

--- a/cmd/micatrack/main.go
+++ b/cmd/micatrack/main.go
@@ -55,9 +55,8 @@
 func start(name string, args []string) int {
 	flags := flag.NewFlagSet("micatrack "+name, flag.ContinueOnError)
 	path := flags.String("config", os.Getenv("GW_CONFIG"), "configuration file, JSON (or GW_CONFIG)")
-	listen := flags.String("listen", os.Getenv("GW_LISTEN"), "address for clients (or GW_LISTEN, or the configuration)")
-	discovery := flags.String("discovery", os.Getenv("GW_DISCOVERY"),
-		"address of discovery (or GW_DISCOVERY, or the configuration)")
+	listen := flags.String("listen", "", "address for clients (or the configuration, or GW_LISTEN)")
+	discovery := flags.String("discovery", "", "address of discovery (or the configuration, or GW_DISCOVERY)")
 	if err := flags.Parse(args); err == flag.ErrHelp {
 		return 0
 	} else if err != nil {
@@ -67,7 +66,8 @@
 		fmt.Fprintf(os.Stderr, "micatrack %s: unexpected argument %q\n", name, flags.Arg(0))
 		return 2
 	}
-	o, err := configuration(*path, *listen, *discovery)
+	read := func() (orders, error) { return configuration(*path, *listen, *discovery) }
+	o, err := read()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "micatrack:", err)
 		return 2
@@ -77,5 +77,5 @@
 			o.name, o.listen, o.discovery, len(o.charter.Profiles), len(o.known.Lines))
 		return 0
 	}
-	return serve(o)
+	return serve(o, read)
 }
--- a/cmd/micatrack/main_test.go
+++ b/cmd/micatrack/main_test.go
@@ -235,7 +235,8 @@
 func (w *world) start() *exec.Cmd {
 	w.t.Helper()
 	cmd := exec.Command(program, "serve", "-config", w.config)
-	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "GORACE=halt_on_error=1 exitcode=66"}
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "GORACE=halt_on_error=1 exitcode=66",
+		"GW_DISCOVERY=" + strings.TrimPrefix(w.http.URL, "http://")}
 	log, err := cmd.StderrPipe()
 	if err != nil {
 		w.t.Fatal(err)
@@ -446,6 +447,45 @@
 	}
 }
 
+// TestReload: SIGHUP moves the watch to the address that the file now names, though the environment still names
+// the old one; a file that cannot be read changes nothing; jobs go on all the while.
+func TestReload(t *testing.T) {
+	w := newWorld(t, "primary", "replica")
+	cmd := w.start()
+	cl := w.client()
+	asked := make(chan struct{}, 99)
+	other := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		asked <- struct{}{}
+		if since := r.URL.Query().Get("since"); since != "" {
+			t.Errorf("another discovery is asked since %s", since)
+		}
+		w.discovery(rw, r)
+	}))
+	t.Cleanup(func() { other.CloseClientConnections(); go other.Close() })
+	whole, _ := os.ReadFile(w.config)
+	moved := bytes.ReplaceAll(whole, []byte(w.http.URL[len("http://"):]), []byte(other.URL[len("http://"):]))
+	hup := func(text []byte) {
+		os.WriteFile(w.config, text, 0o600)
+		cmd.Process.Signal(syscall.SIGHUP)
+		for range 20 {
+			cl.want("any", "value")
+		}
+	}
+	hup(whole[:len(whole)/2])
+	hup(moved)
+	select {
+	case <-asked:
+	case <-time.After(outer):
+		t.Fatal("the new discovery is not asked")
+	}
+	w.http.CloseClientConnections()
+	hup(moved)
+	cmd.Process.Signal(syscall.SIGTERM)
+	if err := cmd.Wait(); err != nil || len(asked) > 0 {
+		t.Errorf("it ends with %v, after %d more calls", err, len(asked))
+	}
+}
+
 func TestKilledAndStartedAgain(t *testing.T) {
 	w := newWorld(t, "primary", "replica")
 	first := w.start()
--- a/cmd/micatrack/serve.go
+++ b/cmd/micatrack/serve.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"log/slog"
@@ -8,6 +9,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime"
 	"runtime/debug"
 	"strconv"
@@ -34,7 +36,8 @@
 	host                    charter.Host
 }
 
-// configuration reads the file; what is given beside it comes first.
+// configuration reads the file. What flags name comes first; the environment fills in what is named nowhere
+// else, for it cannot follow a file that is replaced while the program runs.
 func configuration(path, listen, from string) (o orders, err error) {
 	if path == "" {
 		return o, fmt.Errorf("no configuration: give -config or GW_CONFIG")
@@ -55,12 +58,8 @@
 	if err := json.Unmarshal(text, &w); err != nil {
 		return o, fmt.Errorf("configuration %s: %w", path, err)
 	}
-	if listen == "" {
-		listen = w.Listen
-	}
-	if from == "" {
-		from = w.Discovery
-	}
+	listen = cmp.Or(listen, w.Listen, os.Getenv("GW_LISTEN"))
+	from = cmp.Or(from, w.Discovery, os.Getenv("GW_DISCOVERY"))
 	o = orders{name: w.Name, listen: listen, discovery: from, cores: w.Limits.Cores,
 		memory: w.Limits.MemoryMB << 20, sockets: w.Limits.Sockets, version: -1}
 	for _, a := range [...]struct{ key, addr string }{{"listen", listen}, {"discovery", from}} {
@@ -108,14 +107,33 @@
 	return func() front.Time { return (base + int64(time.Since(start)) + int64(tick) - 1) / int64(tick) }
 }
 
-func serve(o orders) int {
+// reload reads the configuration again. Discovery is followed to another address; what else has changed waits
+// for the next start. A faulty file changes nothing.
+func reload(o *orders, read func() (orders, error), move func(addr string), log *slog.Logger) {
+	fresh, err := read()
+	if err != nil {
+		log.Error("configuration not taken", "error", err.Error())
+		return
+	}
+	log.Info("configuration read again", "discovery", fresh.discovery)
+	if fresh.discovery != o.discovery {
+		o.discovery = fresh.discovery
+		move(fresh.discovery)
+	}
+	fresh.known, fresh.version, fresh.charter.Seed = o.known, o.version, o.charter.Seed
+	if !reflect.DeepEqual(fresh, *o) {
+		log.Warn("more than discovery has changed; the rest waits for the next start")
+	}
+}
+
+func serve(o orders, read func() (orders, error)) int {
 	// One processor more than cores: the poller sits in a system call most of the time, and the runtime takes
 	// a processor that does so back only after a while.
 	runtime.GOMAXPROCS(int(math.Ceil(o.cores)) + 1)
 	debug.SetMemoryLimit(o.memory * 3 / 4)
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("front", o.name)
 	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 
 	net, err := sock.Open(o.listen, o.sockets, o.memory/4)
 	if err != nil {
@@ -135,11 +153,16 @@
 	if o.charter.ListPushed {
 		watcher.Ask()
 	}
-	var halt atomic.Bool
+	var halt, again atomic.Bool
 	go func() {
-		<-stop
-		halt.Store(true)
-		net.Wake()
+		for s := range stop {
+			if s == syscall.SIGHUP {
+				again.Store(true)
+			} else {
+				halt.Store(true)
+			}
+			net.Wake()
+		}
 	}()
 	log.Info("serving", "listen", net.Addr(), "discovery", o.discovery, "stores", len(o.known.Lines))
 	var lists []front.List
@@ -152,6 +175,9 @@
 		if halt.Load() {
 			core.Stop(now())
 		}
+		if again.CompareAndSwap(true, false) {
+			reload(&o, read, watcher.Move, log)
+		}
 		core.Step(now(), events)
 		if !deaf && core.Stopping() {
 			deaf = true
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -76,20 +76,22 @@
 
 // Watcher follows the list. Its one goroutine lives as long as the process.
 type Watcher struct {
-	url     string
 	wake    func()
 	log     *slog.Logger
 	ask     chan struct{}
+	silence time.Duration
+	version int64 // -1: the whole list is asked for; run's alone
 	mu      sync.Mutex
+	url     string // and what follows is guarded by mu
+	moved   bool   // since the last watch was opened
+	end     func() // of the watch that stands
 	told    []front.List
-	version int64 // -1: the whole list is asked for
-	silence time.Duration
 }
 
 // Watch starts a watcher that knows the list up to version; it opens nothing before Ask.
 func Watch(addr string, version int64, wake func(), log *slog.Logger) *Watcher {
 	w := &Watcher{url: "http://" + addr + "/api/targets", wake: wake, log: log, ask: make(chan struct{}, 1),
-		version: version, silence: silence}
+		version: version, silence: silence, end: func() {}}
 	go w.run()
 	return w
 }
@@ -111,6 +113,15 @@
 	return into
 }
 
+// Move follows the list at another address from now on, whether or not the old one still speaks.
+func (w *Watcher) Move(addr string) {
+	w.mu.Lock()
+	w.url, w.moved = "http://"+addr+"/api/targets", true
+	w.end()
+	w.Ask()
+	w.mu.Unlock()
+}
+
 func (w *Watcher) tell(l front.List) {
 	w.mu.Lock()
 	w.told = append(w.told, l)
@@ -122,11 +133,19 @@
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
 	for range w.ask {
 		err := w.follow(client)
-		w.log.Warn("watch of the list broke", "error", err.Error())
-		select { // what was asked for while it stood is answered by its end
-		case <-w.ask:
-		default:
+		w.mu.Lock()
+		moved := w.moved
+		if !moved {
+			select { // what was asked for while it stood is answered by its end
+			case <-w.ask:
+			default:
+			}
+		}
+		w.mu.Unlock()
+		if moved { // nothing has failed, and Move has asked for the next one
+			continue
 		}
+		w.log.Warn("watch of the list broke", "error", err.Error())
 		w.tell(front.List{News: balance.ListFailed})
 	}
 }
@@ -137,7 +156,13 @@
 	defer cancel()
 	watchdog := time.AfterFunc(w.silence, cancel)
 	defer watchdog.Stop()
+	w.mu.Lock()
+	if w.moved {
+		w.moved, w.version = false, -1 // Danger: another discovery need not count as this one did.
+	}
+	w.end = cancel
 	url, whole := w.url+"?follow=1", w.version < 0
+	w.mu.Unlock()
 	if !whole {
 		url += fmt.Sprintf("&since=%d", w.version)
 	}
