Clients that keep a connection and ask nothing yield it where there is no room

Checked: 1,248 clients ask once and keep their connection for good; client.go, accept declined every client past the bound, and nothing ever took a connection back from one that asks nothing. Ruled out: the module's limits, cold budgets and primaries (the probe showed room), memory (7 of 48 MB). Change: past the bound the client that was silent longest yields, if it asked nothing for 2 s (a quarter of that before its greeting), has no job in hand and no part of a query sent. It is closed without an error, so that a query that crosses the close is sent again by its client. May hurt: a client that sends less often than every 2 s must connect again where connections are short.

--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -28,7 +28,7 @@
 	link    Link
 	at      int // in Core.clients
 	next    func(cl *client, c *Core, in []byte) (used int)
-	came    Time
+	since   Time  // when it came, or was last answered
 	job     int32 // in hand, or -1
 	held    int   // bytes of its query
 	skip    bool  // until the next Sync
@@ -41,15 +41,40 @@
 		l.Close()
 		return
 	}
-	cl := &client{link: l, at: len(c.clients), job: -1, next: (*client).greet, came: c.now}
+	cl := &client{link: l, at: len(c.clients), job: -1, next: (*client).greet, since: c.now}
 	l.Own(cl)
 	c.clients = append(c.clients, cl)
-	if len(c.clients) > c.limits.Clients || len(c.clients)+len(c.conns) > c.limits.Links && !c.spare() {
+	if len(c.clients) > c.limits.Clients && !c.evict() || len(c.clients)+len(c.conns) > c.limits.Links && !c.spare() {
 		cl.next = (*client).decline
 	}
 	cl.notice(c, what)
 }
 
+// evict hangs up on the client that has asked nothing for longest; false: all have asked of late.
+// Danger: clients that ask once and keep their connections for good would shut all others out. One that has
+// not even greeted counts its silence fourfold.
+func (c *Core) evict() bool {
+	var idlest *client
+	longest := c.limits.Rest
+	for _, cl := range c.clients {
+		idle := c.now - cl.since
+		if !cl.greeted {
+			idle *= 4
+		}
+		if idle >= longest && cl.idle() {
+			idlest, longest = cl, idle
+		}
+	}
+	if idlest != nil {
+		idlest.link.Close()
+		idlest.gone(c)
+	}
+	return idlest != nil
+}
+
+// idle: nothing of a command has come.
+func (cl *client) idle() bool { return cl.job < 0 && !cl.ending && len(cl.link.Peek()) == 0 }
+
 func (cl *client) notice(c *Core, what What) {
 	if what&Readable != 0 && !cl.ending {
 		cl.read(c)
@@ -274,7 +299,7 @@
 	cl := j.client
 	j.final, j.client = true, nil
 	c.out = pgwire.AppendReady(text)
-	cl.job = -1
+	cl.job, cl.since = -1, c.now
 	cl.link.Discard(cl.held)
 	cl.write(c, c.out)
 	if c.Stopping() && cl.at >= 0 {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -72,7 +72,7 @@
 				Credit: 4, LateCredit: 0.5}}}
 	h := charter.Host{Dial: 2500, Idle: 300000, Reports: "on_probe"}
 	var err error
-	s.core, err = New(s.now, c, h, Limits{Links: links, Clients: links - 2, Linger: second / 2}, s, func() {},
+	s.core, err = New(s.now, c, h, Limits{Links: links, Clients: links - 2, Rest: 2 * second, Linger: second / 2}, s, func() {},
 		slog.New(slog.NewTextHandler(io.Discard, nil)))
 	if err != nil {
 		t.Fatal(err)
@@ -417,6 +417,43 @@
 	s.idle(0)
 }
 
+// TestClientsThatKeepTheirConnections: past the bound the one that asked nothing for longest yields, unless it has
+// asked of late, is in the middle of a query, or has a job in hand.
+func TestClientsThatKeepTheirConnections(t *testing.T) {
+	s := newStage(t, 6, true)
+	busy, half, old, young := s.client(), s.client(), s.client(), s.client()
+	s.say(busy, ask("any", 1))
+	s.say(half, ask("any", 2)[:30])
+	come := func(want string) *wire {
+		t.Helper()
+		w := &wire{in: pgwire.AppendStartup(nil, "web", "orders")}
+		s.step(Event{w, Accepted | Readable})
+		if got := w.take(); got[:1] != want {
+			t.Fatalf("it is told %q, want %s", got, want)
+		}
+		return w
+	}
+	s.pass(second)
+	s.say(young, string(pgwire.AppendSimple(nil, "")), ask("any", 3))
+	s.say(s.store(), value, ready)
+	s.step(Event{come("E"), Closed})
+	if s.pass(second); old.closed {
+		t.Fatal("hung up on without need")
+	}
+	come("R")
+	if !old.closed || young.closed || half.closed || busy.closed {
+		t.Errorf("closed: %v %v %v %v", old.closed, young.closed, half.closed, busy.closed)
+	}
+	silent := &wire{}
+	s.core.limits.Clients++
+	s.step(Event{silent, Accepted})
+	s.pass(second * 6 / 10)
+	come("R")
+	if !silent.closed || young.closed {
+		t.Error("one that never greeted does not yield first")
+	}
+}
+
 func TestIdleConnectionsEndBeforeTheStoreEndsThem(t *testing.T) {
 	s := newStage(t, 20, true)
 	cl := s.client()
--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -509,7 +509,7 @@
 		cl := c.clients[n]
 		// At the end a query that has come in part is waited for; its client sends the rest without knowing.
 		over := c.Stopping() && (len(cl.link.Peek()) == 0 || c.now >= c.stopAt+c.longest)
-		if cl.job < 0 && !cl.ending && (over || !cl.greeted && c.now >= cl.came+c.longest) {
+		if cl.job < 0 && !cl.ending && (over || !cl.greeted && c.now >= cl.since+c.longest) {
 			cl.finish(c)
 		}
 	}
