Answers of any length that a part of the memory holds are passed on

Change: a message of a store, and the ring on its way to the client, may have a 64th of the memory limit, all rings together a quarter as before; a client's own messages stay at 144 KiB. A client for whose answer memory is short is told so and not hung up on, which would lose the job. May hurt: sixteen longest answers at a time fill the rings' memory; then answers count as severed.

--- a/cmd/micatrack/serve.go
+++ b/cmd/micatrack/serve.go
@@ -21,6 +21,7 @@
 	"micatrack/internal/charter"
 	"micatrack/internal/discovery"
 	"micatrack/internal/front"
+	"micatrack/internal/pgwire"
 	"micatrack/internal/sock"
 )
 
@@ -136,7 +137,8 @@
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 
-	net, err := sock.Open(o.listen, o.sockets, o.memory/4)
+	answer := max(pgwire.MostQuery, int(o.memory/64)) // the rings' share of memory holds sixteen
+	net, err := sock.Open(o.listen, o.sockets, o.memory/4, answer)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "micatrack: listen:", err)
 		return 1
@@ -145,7 +147,7 @@
 	watcher := discovery.Watch(o.discovery, o.version, net.Wake, log)
 	links := o.sockets - reserve
 	core, err := front.New(now(), o.charter, o.host,
-		front.Limits{Links: links, Clients: links / 2, Rest: int64(rest / tick), Linger: int64(linger / tick)}, net, watcher.Ask, log)
+		front.Limits{Links: links, Clients: links / 2, Answer: answer, Rest: int64(rest / tick), Linger: int64(linger / tick)}, net, watcher.Ask, log)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "micatrack: settings:", err)
 		return 2
--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -180,7 +180,7 @@
 
 // command reads one message between jobs.
 func (cl *client) command(c *Core, in []byte) int {
-	kind, body, n, err := pgwire.Message(in)
+	kind, body, n, err := pgwire.Message(in, pgwire.MostQuery)
 	switch {
 	case err != nil:
 		cl.fatal(c, pgwire.Violation, err.Error())
@@ -301,7 +301,12 @@
 	c.out = pgwire.AppendReady(text)
 	cl.job, cl.since = -1, c.now
 	cl.link.Discard(cl.held)
-	cl.write(c, c.out)
+	if cl.at >= 0 && !cl.link.Write(c.out) { // Danger: a job is lost if its client is hung up on for want of room here.
+		c.out = pgwire.AppendError(c.out[:0], "ERROR", pgwire.Unresolved, "written off: no memory for the answer", "")
+		cl.write(c, pgwire.AppendReady(c.out))
+	} else if cl.at >= 0 {
+		c.dirty = append(c.dirty, cl.link)
+	}
 	if c.Stopping() && cl.at >= 0 {
 		cl.finish(c)
 	} else {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -70,6 +70,7 @@
 type Limits struct {
 	Links   int  // sockets of clients and stores together
 	Clients int  // of them at most
+	Answer  int  // bytes of one message of a store
 	Rest    Time // a client that asked nothing for that long may be hung up on to make room
 	Linger  Time // after Stop, how long new connections are expected to keep coming
 }
--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -165,7 +165,7 @@
 func (k *conn) gather(c *Core) {
 	in := k.link.Peek()
 	for k.at >= 0 {
-		kind, body, n, err := pgwire.Message(in[k.read:])
+		kind, body, n, err := pgwire.Message(in[k.read:], c.limits.Answer)
 		if err != nil || n > 0 && !k.next(k, c, kind, body) {
 			if k.ready {
 				k.code = "" // Danger: what came before something senseless proves nothing.
--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -13,10 +13,9 @@
 )
 
 const (
-	// MostValue is the longest value that is passed on.
-	MostValue = 64 << 10
-	// MostMessage bounds one message: a value in hex digits with its statement.
-	MostMessage = 2*MostValue + 16<<10
+	// MostQuery bounds one message of a client: a value of 64 KiB in hex digits with its statement. An answer
+	// may be longer; how long it may be depends on the memory that there is.
+	MostQuery = 2*64<<10 + 16<<10
 	// MostStartup bounds a startup message, as PostgreSQL does.
 	MostStartup = 10000
 
@@ -40,12 +39,13 @@
 var errLength = errors.New("message length is out of bounds")
 
 // Message takes one typed message off the front of buf: its kind, its body and the size of both with the header.
-func Message(buf []byte) (kind byte, body []byte, size int, err error) {
+// most bounds the length that it says it has.
+func Message(buf []byte, most int) (kind byte, body []byte, size int, err error) {
 	if len(buf) < 5 {
 		return 0, nil, 0, nil
 	}
 	n := int64(binary.BigEndian.Uint32(buf[1:]))
-	if n < 4 || n > MostMessage {
+	if n < 4 || n > int64(most) {
 		return 0, nil, 0, errLength
 	}
 	if size = int(n) + 1; len(buf) < size {
@@ -100,7 +100,7 @@
 		return nil, false
 	}
 	n := int64(int32(binary.BigEndian.Uint32(body[2:])))
-	if n < 0 || n > MostValue || n != int64(len(body)-6) {
+	if n < 0 || n != int64(len(body)-6) {
 		return nil, false
 	}
 	return body[6:], true
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -22,7 +22,7 @@
 )
 
 const (
-	mostRing  = pgwire.MostMessage + 4<<10
+	spare     = 4 << 10  // of a ring, beside the longest message
 	mostChunk = 32 << 10 // bytes handed to the library at a time
 )
 
@@ -36,6 +36,7 @@
 	events []front.Event
 	wake   chan struct{}
 	timer  *time.Timer
+	answer int          // longest message of a store
 	budget atomic.Int64 // bytes that the rings may still grow by
 }
 
@@ -57,15 +58,16 @@
 	ending  bool
 }
 
-// Open listens on addr and starts the poller. All rings together grow by no more than memory bytes.
-func Open(addr string, descriptors int, memory int64) (*Net, error) {
+// Open listens on addr and starts the poller. All rings together grow by no more than memory bytes; the one
+// that a store fills, and the one that empties to a client, hold an answer of that many bytes.
+func Open(addr string, descriptors int, memory int64, answer int) (*Net, error) {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
 	logging.SetLevel(logging.LevelNone)
 	nbio.MaxOpenFiles = min(nbio.MaxOpenFiles, 2*descriptors+64) // it keeps a table of that length
-	n := &Net{listen: l, links: map[*nbio.Conn]*Link{}, wake: make(chan struct{}, 1), timer: time.NewTimer(time.Hour)}
+	n := &Net{listen: l, answer: answer, links: map[*nbio.Conn]*Link{}, wake: make(chan struct{}, 1), timer: time.NewTimer(time.Hour)}
 	n.budget.Store(memory)
 	n.engine = nbio.NewEngine(nbio.Config{Network: "tcp", NPoller: 1, EpollMod: nbio.EPOLLET})
 	n.engine.OnRead(func(c *nbio.Conn) {
@@ -113,7 +115,7 @@
 	for {
 		c, err := n.listen.Accept()
 		if err == nil {
-			if l, err := n.add(c, front.Accepted); err == nil {
+			if l, err := n.add(c, front.Accepted, pgwire.MostQuery, n.answer); err == nil {
 				n.queue(l)
 			}
 			continue
@@ -128,14 +130,14 @@
 // add puts a connection of the standard library under the poller, which takes its descriptor over.
 // Danger: the poller may read from it, or see it closed, before the loop has heard of it. With what set from
 // the start that news waits for queue.
-func (n *Net) add(c net.Conn, what front.What) (*Link, error) {
+func (n *Net) add(c net.Conn, what front.What, in, out int) (*Link, error) {
 	nc, err := nbio.NBConn(c)
 	if err != nil {
 		c.Close()
 		return nil, err
 	}
-	l := &Link{net: n, conn: nc, what: what, in: ring.Buffer{Most: mostRing, Budget: &n.budget},
-		out: ring.Buffer{Most: mostRing, Budget: &n.budget}}
+	l := &Link{net: n, conn: nc, what: what, in: ring.Buffer{Most: in + spare, Budget: &n.budget},
+		out: ring.Buffer{Most: out + spare, Budget: &n.budget}}
 	n.mu.Lock()
 	n.links[nc] = l
 	n.mu.Unlock()
@@ -169,7 +171,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l, err := n.add(c, 0)
+	l, err := n.add(c, 0, n.answer, pgwire.MostQuery)
 	if err != nil {
 		return nil, err
 	}
