--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -257,9 +257,9 @@
 	}
 	s.say(cl, ask("any", 3))
 	cl.most = 1000
-	s.pass(500)
+	s.pass(second / 2)
 	if s.say(s.store(), long(2000), ready); cl.closed || code(t, cl.take()) != pgwire.Unresolved {
-		t.Errorf("a client without room for its answer: %q, %d dials", cl.out, len(s.dials))
+		t.Error("a client without room for its answer is not told")
 	}
 	s.step(Event{cl, Closed})
 	s.idle(0)
