Nothing that stands behind an answer is taken for the next one's

Checked: store.go, gather let settle put the next waiting trip on the connection before it had looked at the rest of what had come, so a second copy answered the trip that came next; start did the same with an idle connection whose news the loop had not heard. Change: after ReadyForQuery a connection is spent; it is used again only once nothing stands behind the answer, and an idle one is looked at once more before it is used. What waited for it gets another connection. A load value that cannot be read says nothing and no longer spoils the answer beside it. May hurt: a store that sends its notices in pieces after ReadyForQuery costs a connection each time.

--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -32,6 +32,7 @@
 	next     func(s *conn, c *Core, kind byte, body []byte) (ok bool) // is handed the store's messages
 	ready    bool
 	idle     bool
+	spent    bool // its answer is complete, and it has not been put to use again
 	since    Time // when it was dialled, sent on its way or fell idle
 	errand   errand
 	wrote    int64 // bytes written so far, the query's last among them
@@ -66,8 +67,14 @@
 // start sends an errand off on the idle connection used last, or lets it wait for a new one.
 func (c *Core) start(i uint32, e errand) {
 	s := &c.stores[i]
-	if n := len(s.idle); n > 0 {
+	for n := len(s.idle); n > 0; n = len(s.idle) {
 		k := s.idle[n-1]
+		if k.gather(c); k.at < 0 || len(k.link.Peek()) > 0 {
+			if k.at >= 0 {
+				k.drop(c)
+			}
+			continue // it brought what nobody asked for
+		}
 		s.idle = s.idle[:n-1]
 		k.ride(c, e)
 		return
@@ -121,7 +128,7 @@
 
 // ride writes the errand's query on a ready connection.
 func (k *conn) ride(c *Core, e errand) {
-	k.errand, k.idle, k.since = e, false, c.now
+	k.errand, k.idle, k.spent, k.since = e, false, false, c.now
 	k.row, k.told, k.code, k.parts, k.read, k.value = false, false, "", 0, 0, ""
 	k.note, k.load = balance.Report{}, balance.Report{}
 	if e.job < 0 {
@@ -175,16 +182,19 @@
 			return
 		}
 		if n == 0 {
-			if k.link.Full() { // more than a value may be, or all rings together may not grow any more
+			if k.spent && len(in) == 0 {
+				k.settle(c)
+			} else if k.link.Full() { // more than a value may be, or all rings together may not grow any more
 				k.lost(c)
 			}
 			return
 		}
 		k.read += n
-		if kind == 'Z' || k.idle { // all up to here has been used
+		if kind == 'Z' || k.idle || k.spent { // all up to here has been used
 			k.link.Discard(k.read)
-			if k.read = 0; !k.idle {
-				k.settle(c)
+			if k.read = 0; !k.idle && !k.spent {
+				// Danger: what stands behind the end of an answer would be taken for the next one's.
+				k.spent, k.next = true, (*conn).rests
 			}
 			in = k.link.Peek()
 		}
@@ -213,11 +223,7 @@
 	s := &c.stores[k.store]
 	if k.addr != s.addr { // the store has moved meanwhile
 		k.drop(c)
-		if len(s.waits) > 0 {
-			e := s.waits[0]
-			s.waits = append(s.waits[:0], s.waits[1:]...)
-			c.start(k.store, e)
-		}
+		c.resume(k.store)
 		return
 	}
 	for len(s.waits) > 0 {
@@ -230,10 +236,19 @@
 		c.fail(k.store, e, balance.Unsent) // its client is gone
 	}
 	k.next, k.code = (*conn).rests, ""
-	k.idle, k.since = true, c.now
+	k.idle, k.spent, k.since = true, false, c.now
 	s.idle = append(s.idle, k)
 }
 
+// resume starts the oldest errand that waits anew: the connection that would have carried it is no more.
+func (c *Core) resume(i uint32) {
+	if s := &c.stores[i]; len(s.waits) > 0 {
+		e := s.waits[0]
+		s.waits = append(s.waits[:0], s.waits[1:]...)
+		c.start(i, e)
+	}
+}
+
 // rests: a connection that nothing is asked on brings changed parameters and notices at most.
 func (k *conn) rests(c *Core, kind byte, body []byte) bool { return kind == 'S' || kind == 'N' }
 
@@ -285,8 +300,8 @@
 			return false
 		}
 		k.note.Position = n * perMilli
-	case "load":
-		k.load, ok = report(string(value))
+	case "load": // Danger: one that cannot be read says nothing, and spoils no answer that has run.
+		k.load, _ = report(string(value))
 	}
 	return ok
 }
@@ -373,7 +388,7 @@
 
 // lost ends what a connection carried when it broke, or when what came on it made no sense.
 func (k *conn) lost(c *Core) {
-	e, busy := k.errand, k.ready && !k.idle
+	e, busy := k.errand, k.ready && !k.idle && !k.spent
 	r := balance.Return{Ending: balance.Severed, Note: k.note, Load: k.load}
 	k.drop(c) // Danger: until it is closed the system may take the rest of a query, so Sent counts only then.
 	switch {
@@ -384,6 +399,9 @@
 			c.fail(k.store, e, balance.Unreached) // also when the store says that it has too many
 		}
 		return
+	case k.spent:
+		c.resume(k.store)
+		return
 	case !busy:
 		return
 	case k.code != "" && k.parts == 0:
@@ -484,6 +502,9 @@
 			k.drop(c)
 		case k.idle && c.now >= k.since+c.host.Idle*3/4: // well before the store does
 			k.drop(c)
+		case k.spent: // the beginning of something stands behind its answer
+			k.drop(c)
+			c.resume(k.store)
 		case k.ready && !k.idle && c.now >= k.errand.until:
 			e, r := k.errand, balance.Return{Ending: balance.Expired}
 			k.drop(c)
