Stores replaced for good leave no trace in any table

Change: a new member takes the place of one that the list dropped and that was not heard of for a cold time, with no trip out there; the module says so by Forget, and the core gives back the number with all that hangs on it. A number is not used again before that, so nothing that comes late counts for another store. May hurt: where being gone does not bind, a store that the list dropped and that was not heard of for a cold time is forgotten as soon as a new one comes.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -1,14 +1,15 @@
 // Package balance holds every decision of the router, for one front.
 //
-// How it is called: New is handed the Charter once; List, Take, Returned, Probed, Left, Streams, Beat
-// follow as things happen, one at a time, each with the present moment. The module acts through the Front
-// that New was given. Those types, and what a front can do, are in front.go. Fronts share nothing.
+// New is handed the Charter once; List, Take, Returned, Probed, Left, Streams, Beat follow as things happen,
+// one at a time, each with the present moment. The module acts through the Front that New was given.
 // The mechanism is pgpilot's: a session has a fence, the log position of its last write; a read goes to the
 // least busy replica known to have passed what it needs, else to the primary. See docs/design.md.
 package balance
 
 import (
+	"cmp"
 	"fmt"
+	"hash/fnv"
 	"math"
 	"slices"
 	"sort"
@@ -38,8 +39,7 @@
 type member struct {
 	store                uint32
 	group                int32
-	far, open            bool    // reaching it crosses places, at a price; the list lets new work go there
-	suspect              bool    // its silence is unusual
+	far, open, suspect   bool    // reaching it crosses places; the list lets new work go there; unusually silent
 	proven, scouted      bool    // its role as primary may be relied on; a write is out to prove it
 	inFlight, refusals   int     // trips; refusals and failures since the last delivery
 	shut, started        Time    // nothing new goes there until then; its last start, 0 when warm
@@ -51,7 +51,7 @@
 	position, heard      Time    // the largest it has shown, and when it was heard of
 	primaryAt, replicaAt Time    // newest moments at which it surely was, and surely was not, the primary
 	doubted, eased       Time    // claims from before do not count; when the limit was last cut
-	probed, asked        Time    // last probe; oldest without a sign of life since, 0: none
+	probed, asked, gone  Time    // last probe; oldest without a sign of life since, 0: none; the list dropped it
 	reply, vary          float64 // mean and spread of the gaps between a probe and a sign of life
 }
 
@@ -66,20 +66,18 @@
 type step func(b *Balancer, i int32, r Return)
 
 type job struct {
-	id               string
-	profile, group   int32
-	slot             int32   // of its session's fence; -1: none
-	rank             float64 // credit for the work, as it came in
-	fence, came      Time
-	wanted, limit    Time  // its expected time is up; the client's time is up
-	member           int32 // where its last trip went: a job has one out at a time
-	sentAt, ranAt    Time  // when; when the first trip was sent that may have run
-	sent, asks       int   // trips; probes sent for it
-	further          int   // trips that came back without proof that they never ran
-	out, ended, held bool  // a trip is out
-	lost             bool  // it is so long out that it no longer counts as work in hand
-	spilled, barred  bool  // a read's trip went to the primary; it may not go there
-	next             step
+	id                     string
+	profile, group         int32
+	slot                   int32   // of its session's fence; -1: none
+	rank                   float64 // credit for the work, as it came in
+	fence, came            Time
+	wanted, limit          Time  // its expected time is up; the client's time is up
+	member                 int32 // where its last trip went: a job has one out at a time
+	sentAt, ranAt          Time  // when; when the first trip was sent that may have run
+	sent, asks, further    int   // trips; probes sent for it; trips that came back and may have run
+	ended, held, out, lost bool  // out: a trip is; lost: so long that it no longer counts as work in hand
+	spilled, barred        bool  // a read's trip went to the primary; it may not go there
+	next                   step
 }
 
 type Balancer struct {
@@ -92,14 +90,13 @@
 	onlyDrains, priced         bool // being gone does not bind; crossings cost
 	mayProbe, mayCancel        bool
 	mostTrips, watchMiss       int     // trips of a job; failed calls for the list in a row
-	overShare                  float64 // credit past a customer's share, as a part of the usual
+	overShare, spill           float64 // credit past a customer's share, as part of the usual; odds of a spill
 	startShare, coldPart       float64 // capacity at a start; of what warm members are sent, a cold one's part
 	trickle, least             float64 // its rate where there is nothing to judge by; limit that a member keeps
 	tightest, quickest         Time    // shortest bound on the age of data, and expected time
 	probeEvery, probeNow       Time    // gap between probes of a member: as wished, and as the price allows
 	probesPerJob, jobRate      float64 // probes that the price allows; jobs taken in a beat, on average
 	watchAt, crowded, scarce   Time    // when to ask for the list next; overload, few connections last seen
-	spill                      float64 // odds that a read may spill
 	profiles                   []profile
 	customers                  map[string]*customer
 	members                    []member
@@ -118,14 +115,13 @@
 		return nil, fmt.Errorf("charter: no profiles")
 	}
 	b := &Balancer{front: f, now: now, mwc: c.Seed ^ 0x9e3779b97f4a7c15, zone: c.Zone, overShare: c.OverShare,
-		checks: c.Checks, carried: c.FencesCarried, askWithin: c.AskWithin,
-		onlyDrains: c.OnlyDraining, startShare: c.StartShare, cold: c.Cold, coldPart: c.FallMultiple,
-		span: c.FallSpan, mostTrips: max(c.MostTrips, 1), mayProbe: c.MayProbe,
-		mayCancel: c.MayCancel, priced: c.CrossPrice > 0, tightest: never, quickest: never,
+		checks: c.Checks, carried: c.FencesCarried, askWithin: c.AskWithin, onlyDrains: c.OnlyDraining,
+		startShare: c.StartShare, cold: c.Cold, coldPart: c.FallMultiple, span: c.FallSpan,
+		mostTrips: max(c.MostTrips, 1), mayProbe: c.MayProbe, mayCancel: c.MayCancel, priced: c.CrossPrice > 0,
 		profileOf: map[string]int32{}, customers: map[string]*customer{}, memberOf: map[uint32]int32{},
 		groupOf: map[uint64]int32{}, jobOf: map[string]int32{}, fences: make([]Time, 1<<fenceBits),
-		mostPause: c.MostPause, crowded: -never, scarce: -never, spill: 1, watchAt: never,
-		least: 3 / float64(max(c.Fronts, 1))}
+		mostPause: c.MostPause, crowded: -never, scarce: -never, spill: 1, watchAt: never, tightest: never,
+		quickest: never, least: 3 / float64(max(c.Fronts, 1))}
 	for i, p := range c.Profiles {
 		if p.Bound < 0 || p.ExpectedTime <= 0 || p.OuterLimit <= 0 || p.Window < 0 {
 			return nil, fmt.Errorf("charter: profile %q: bound, window or times out of range", p.Name)
@@ -177,6 +173,7 @@
 	if news != ListChanges {
 		for i := range b.members {
 			b.members[i].open = b.members[i].open && b.onlyDrains
+			b.members[i].gone = min(b.members[i].gone, b.now)
 		}
 	}
 	for i := range list {
@@ -194,22 +191,45 @@
 	return g
 }
 
+// slot gives a new member its place: that of one gone and unheard for a cold time, with nothing out, or another.
+// Danger: where stores are replaced for good, tables would fill with them and each would thin out the probes.
+func (b *Balancer) slot() int32 {
+	for k := range b.members {
+		m, i := &b.members[k], int32(k)
+		if b.now-max(m.gone, m.heard, m.answered) < b.cold ||
+			slices.ContainsFunc(b.jobs, func(j job) bool { return j.out && j.member == i }) {
+			continue
+		}
+		g := &b.groups[m.group]
+		g.members = slices.DeleteFunc(g.members, func(k int32) bool { return k == i })
+		if g.primary == i {
+			g.primary = -1
+		}
+		delete(b.memberOf, m.store)
+		b.front.Forget(m.store)
+		return i
+	}
+	b.members = append(b.members, member{})
+	return int32(len(b.members) - 1)
+}
+
 func (b *Balancer) entry(e *Member) {
 	i, known := b.memberOf[e.Store]
 	if !known {
 		g := b.groupAt(e.Group)
-		i = int32(len(b.members))
+		i = b.slot()
 		b.memberOf[e.Store] = i
-		b.members = append(b.members, member{store: e.Store, group: g, limit: min(8, 8*b.least),
-			reply: float64(b.beat), vary: float64(b.beat), probed: b.now - b.chance(b.cold),
-			far: b.priced && e.Zone != b.zone, size: 1, proven: true})
+		b.members[i] = member{store: e.Store, group: g, limit: min(8, 8*b.least), reply: float64(b.beat),
+			vary: float64(b.beat), probed: b.now - b.chance(b.cold), far: b.priced && e.Zone != b.zone,
+			size: 1, proven: true}
 		b.groups[g].members = append(b.groups[g].members, i)
 	}
 	m := &b.members[i]
-	m.open = e.Condition == Ready || e.Condition == Gone && b.onlyDrains && (m.open || !known)
-	if e.Size > 0 {
-		m.size = e.Size
+	if m.gone = never; e.Condition == Gone {
+		m.gone = b.now
 	}
+	m.open = e.Condition == Ready || e.Condition == Gone && b.onlyDrains && (m.open || !known)
+	m.size = cmp.Or(max(e.Size, 0), m.size)
 	if e.Started > m.started && b.now-e.Started < b.cold {
 		m.started = e.Started
 	}
@@ -240,8 +260,7 @@
 	if at <= max(m.replicaAt, m.doubted) {
 		return
 	}
-	m.proven = m.proven || at > m.replicaAt+2*second
-	m.primaryAt = max(m.primaryAt, at)
+	m.proven, m.primaryAt = m.proven || at > m.replicaAt+2*second, max(m.primaryAt, at)
 	if g.primary != i && (g.primary < 0 || b.members[g.primary].primaryAt < at) {
 		g.primary = i
 		b.front.Log(fmt.Sprintf("primary of group %d is store %d", m.group, m.store))
@@ -282,13 +301,12 @@
 		m.reply += off / 16
 		m.vary += (max(off, -off) - m.vary) / 16
 	}
-	m.asked = 0
 	if m.unreached > 0 && m.position >= m.unreached {
 		b.scarce = b.now // its log moved on while it took no connection: it lived, and has none to spare
 	} else if m.unreached > 0 {
 		m.started = b.now // it may have started anew unannounced, and is then cold
 	}
-	m.unreached = 0
+	m.asked, m.unreached = 0, 0
 	if m.suspect {
 		m.suspect = false
 		b.front.Log(fmt.Sprintf("store %d is back", m.store))
@@ -357,8 +375,7 @@
 	if m.inFlight > 0 && float64(m.inFlight) >= m.limit*min(1, 2*b.warmth(m)) {
 		return false
 	}
-	// Danger: hundreds of fronts with a trip each are far over what it stands. A part of a trip saved up is
-	// a chance of a whole one, and is spent whether won or lost.
+	// Danger: a trip each from hundreds of fronts is too much. A part saved up is a chance, spent won or lost.
 	if m.budget < p.typical && !b.odds(m.budget/p.typical) {
 		m.budget = min(m.budget, 0)
 		return false
@@ -400,15 +417,13 @@
 			full = full || past
 			continue
 		}
-		// How busy, for what it can do. Danger: a front with few trips finds nearly all idle, and without chance
-		// all fronts choose alike; the draw gives idle members work by what they can do.
+		// How busy, for what it can do. Danger: fronts with few trips find all idle, and all choose alike.
 		v := (float64(m.inFlight) - math.Log(float64(b.chance(1<<20)+1)/(1<<20))) / (m.size * b.warmth(m))
 		if m.far {
 			v *= 2 // a crossing is paid for, so the own place may be somewhat busier
 		}
 		if p.stills > 0.5 && p.ExpectedTime > 2*b.tightest {
-			// Danger: long jobs that keep a replica from applying the log, spread by the least busy rule, keep all
-			// of them behind every bound. All fronts fill the same one first, so that the others stay fresh.
+			// Danger: long jobs that stop the log, spread, keep all replicas behind. All fronts fill one first.
 			v = float64(m.store)
 		}
 		k := 0
@@ -423,8 +438,7 @@
 		return best[0]
 	}
 	if best[1] >= 0 && b.mayProbe && b.now-j.came < p.ExpectedTime/10 {
-		// Danger: with many fronts each has few answers, known positions grow old, and all reads spill to the
-		// primary. One that is likely past the need is asked, and says so before a tenth of the expected time.
+		// Danger: each of many fronts has few answers, positions grow old, reads spill. So a likely one is asked.
 		if m := &b.members[best[1]]; b.now-m.probed > b.probeEvery/2 && j.asks < 2 {
 			j.asks++
 			b.ask(m)
@@ -475,16 +489,13 @@
 	} else if pr.votes--; pr.votes < 0 {
 		pr.usual, pr.votes = in.Left, 1
 	} else {
-		// A try with less time left than most, or with all that is left, is a client's further one: its first
-		// came that much earlier. Danger: the longest ever seen is no measure, a last try may have the most.
+		// With less time left than most it is a client's further try. Danger: the longest ever seen is no measure.
 		j.wanted -= max(pr.OuterLimit-in.Left, 0)
 	}
 	if in.Session != "" {
-		h := uint32(2166136261) // FNV-1a
-		for k := range len(in.Session) {
-			h = (h ^ uint32(in.Session[k])) * 16777619
-		}
-		j.slot = int32(h >> (32 - fenceBits))
+		h := fnv.New32a()
+		h.Write([]byte(in.Session))
+		j.slot = int32(h.Sum32() >> (32 - fenceBits))
 	}
 	if pr.Need == Session && !b.carried && j.slot >= 0 {
 		j.fence = b.fences[j.slot]
@@ -495,10 +506,8 @@
 	if q := b.customers[in.Customer]; q != nil {
 		q.bucket = min(q.bucket+q.perTime*float64(now-q.filled), q.perTime*float64(second))
 		q.filled = now
-		if q.bucket >= 1 {
-			q.bucket--
-		} else {
-			j.rank *= b.overShare
+		if q.bucket--; q.bucket < 0 {
+			q.bucket, j.rank = q.bucket+1, j.rank*b.overShare
 		}
 	}
 	b.place(i)
@@ -527,18 +536,15 @@
 		j := &b.jobs[i]
 		if !j.held || j.group != gi {
 			continue // it went or ended meanwhile
-		}
-		if !b.mayRepeat(j) { // Danger: what may have run must not wait here past the time of its repeats.
+		} else if !b.mayRepeat(j) { // Danger: what may have run must not wait here past the time of its repeats.
 			b.giveUp(i)
-			continue
-		}
-		if m := b.choose(j); m >= 0 {
+		} else if m := b.choose(j); m >= 0 {
 			j.held = false
 			b.send(i, m)
-			continue
+		} else {
+			g.held[keep] = i
+			keep++
 		}
-		g.held[keep] = i
-		keep++
 	}
 	g.held = g.held[:keep]
 }
@@ -548,8 +554,7 @@
 	p := &b.profiles[j.profile]
 	j.member, j.sentAt, j.sent, j.out, j.lost = mi, b.now, j.sent+1, true, false
 	m.inFlight++
-	m.sentBefore, m.sentLast = m.sentLast, b.now
-	m.scouted = m.scouted || p.Need == Write && !m.proven
+	m.sentBefore, m.sentLast, m.scouted = m.sentLast, b.now, m.scouted || p.Need == Write && !m.proven
 	if m.started > 0 {
 		m.budget -= p.typical
 	}
@@ -602,16 +607,14 @@
 	}
 	m.backAt = b.now
 	took := b.now - j.sentAt
-	// Danger: answers that get lost on the way look like load, and a crowded store looks like lost answers. What
-	// tells them apart is that a later trip there has been answered.
+	// Danger: lost answers look like load, and load like lost answers. A later trip answered there tells.
 	gone := r.Ending == Severed || r.Ending >= Expired && j.sentAt < m.answered
 	if j.spilled && r.Ending == Delivered && took < p.ExpectedTime*3/4 {
 		b.spill = min(b.spill+1.0/16, 1)
 	} else if j.spilled && r.Ending != Behind && !gone {
 		b.spill = max(b.spill*3/4, 1.0/16)
 	}
-	j.spilled, j.barred = false, false
-	m.scouted = m.scouted && p.Need != Write
+	j.spilled, j.barred, m.scouted = false, false, m.scouted && p.Need != Write
 	if r.Ending <= Crowded || r.Ending == Faulted { // the store itself has answered
 		note := r.Note
 		if p.Need == Write {
@@ -755,8 +758,7 @@
 		for _, i := range g.members {
 			m := &b.members[i]
 			if m.started > 0 {
-				// Danger: all fronts together push a cold store over. Each front gives it its part of what it
-				// sends to warm ones of like size, within the allowed multiple.
+				// Danger: all fronts push a cold store over. Each sends it its part of what like warm ones are sent.
 				rate := max(b.flow*m.size*b.warmth(m)*b.coldPart, b.trickle)
 				m.budget = min(m.budget+rate*float64(b.beat), rate*float64(b.span)/2)
 			} else if m.open {
@@ -793,13 +795,12 @@
 		j.lost = true
 		b.members[j.member].inFlight--
 	}
+	stuck := j.out && (j.lost || b.members[j.member].suspect)
 	late := p.LateCredit == 0 && b.now+Time(p.typical) > j.wanted
 	switch {
 	case b.now >= j.limit-b.beat, j.held && (late || b.now+Time(p.typical/2) > j.limit):
 		b.giveUp(i)
-	case j.out && p.Repeat == Reissuable && b.mayCancel && b.mayGoAgain(j):
-		if j.lost || b.members[j.member].suspect {
-			b.front.Cancel(j.id, j.sent-1)
-		}
+	case stuck && p.Repeat == Reissuable && b.mayCancel && b.mayGoAgain(j):
+		b.front.Cancel(j.id, j.sent-1)
 	}
 }
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -312,6 +312,32 @@
 	}
 }
 
+// TestStoresReplacedForGood: one gone for a cold time leaves no trace, and the new one has nothing of it.
+func TestStoresReplacedForGood(t *testing.T) {
+	for _, onlyDrains := range []bool{false, true} {
+		c := testCharter()
+		c.OnlyDraining = onlyDrains
+		w := newWorld(t, c)
+		last := Member{}
+		for n := range uint32(60) {
+			m := Member{Store: n, Group: 9, Zone: "a", Condition: Ready, Primary: true, Size: 1}
+			w.list(ListChanges, m)
+			if last.Condition = Gone; n > 0 {
+				w.list(ListChanges, last)
+			}
+			last = m
+			w.pass(c.Cold / 2)
+		}
+		if len(w.b.members) > 6 || len(w.b.memberOf) > 6 || len(w.b.groups[0].members) > 6 {
+			t.Errorf("%d members, %d known, %d in the group", len(w.b.members), len(w.b.memberOf), len(w.b.groups[0].members))
+		}
+		w.hear(last.Store, w.now, Primary)
+		if w.take(ask("once", "once")); len(w.jobs["once"].trips) != 1 || w.jobs["once"].trips[0].store != last.Store {
+			t.Errorf("a write went to %+v", w.jobs["once"].trips)
+		}
+	}
+}
+
 func TestProbesKeepToTheirPrice(t *testing.T) {
 	w := three(t, testCharter())
 	w.pass(20 * second)
@@ -395,8 +421,10 @@
 	c.Fronts, c.Seed = 1+int(shape&16)*6, seed
 	w := newWorld(t, c)
 	conditions := []Condition{Ready, Ready, Ready, Ready, Ready, Ready, Ready, Draining, Gone}
+	base := 100
 	member := func(i int) Member {
-		m := Member{Store: uint32(100 + i), Group: uint64(i % 2), Zone: "a", Condition: conditions[r.IntN(9)],
+		i += base
+		m := Member{Store: uint32(i), Group: uint64(i % 2), Zone: "a", Condition: conditions[r.IntN(9)],
 			Primary: r.IntN(4) == 0, Size: 1 + float64(i%3)}
 		if r.IntN(4) == 0 {
 			m.Started = w.now - Time(r.IntN(120000))
@@ -443,6 +471,7 @@
 		case k < 15 && len(w.ids) > 0:
 			w.hear(w.ids[r.IntN(len(w.ids))], w.now-Time(r.IntN(4000)), Role(r.IntN(3)))
 		case k == 15 && r.IntN(4) == 0:
+			base += r.IntN(4) / 3 * 2 // some are replaced for good
 			whole(ListWhole)
 		case k == 15:
 			w.list(ListChanges, member(r.IntN(9)))
--- a/balance/front.go
+++ b/balance/front.go
@@ -163,6 +163,7 @@
 	WriteOff(job string)
 	Probe(store uint32)
 	HangUp(store uint32) // closes idle connections
+	Forget(store uint32) // the module no longer knows it; its number may be another's from now on
 	Wake(after Time)
 	Watch()
 	Log(text string)
--- a/balance/helper_test.go
+++ b/balance/helper_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -276,6 +277,22 @@
 func (w *world) Watch()                     { w.note("watch"); w.watches++ }
 func (w *world) Log(text string)            { w.note("log %s", text) }
 
+func (w *world) Forget(store uint32) {
+	w.note("forget %d", store)
+	if k := w.stores[store]; k == nil || k.open && !w.charter.OnlyDraining {
+		w.broken("forget", "store %d is in use", store)
+	}
+	for id, p := range w.jobs {
+		for _, s := range p.trips {
+			if s.out && s.store == store {
+				w.broken("forget", "a trip of %s is out at store %d", id, store)
+			}
+		}
+	}
+	delete(w.stores, store)
+	w.ids = slices.DeleteFunc(w.ids, func(id uint32) bool { return id == store })
+}
+
 // out names a trip that is under way.
 func (w *world) out(r *rand.Rand) (string, int, bool) {
 	for range 20 {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -94,34 +94,35 @@
 
 // Core is one front.
 type Core struct {
-	module   *balance.Balancer
-	sockets  Sockets
-	log      *slog.Logger
-	host     charter.Host
-	limits   Limits
-	profiles map[string]balance.Need
-	longest  Time // of the profiles' outer limits
-	now      Time
-	wakeAt   Time
-	watch    func()
-	jobs     []job
-	freeJobs []int32
-	inHand   int
-	stores   []store
-	storeOf  map[string]uint32
-	groups   map[uint64]bool
-	clients  []*client
-	conns    []*conn
-	lists    []List
-	arrivals []int32
-	leavers  []int32
-	backs    []back
-	tasks    []task
-	dirty    []Link
-	out      []byte // scratch for what is being written
-	stopAt   Time   // 0: not stopping; from then on idle clients are hung up
-	logged   int    // lines in this second; more are dropped
-	loggedAt Time
+	module     *balance.Balancer
+	sockets    Sockets
+	log        *slog.Logger
+	host       charter.Host
+	limits     Limits
+	profiles   map[string]balance.Need
+	longest    Time // of the profiles' outer limits
+	now        Time
+	wakeAt     Time
+	watch      func()
+	jobs       []job
+	freeJobs   []int32
+	inHand     int
+	stores     []store
+	storeOf    map[string]uint32
+	freeStores []uint32
+	groups     map[uint64]bool
+	clients    []*client
+	conns      []*conn
+	lists      []List
+	arrivals   []int32
+	leavers    []int32
+	backs      []back
+	tasks      []task
+	dirty      []Link
+	out        []byte // scratch for what is being written
+	stopAt     Time   // 0: not stopping; from then on idle clients are hung up
+	logged     int    // lines in this second; more are dropped
+	loggedAt   Time
 }
 
 // New starts a front. watch is called when the module asks discovery for changes.
@@ -225,7 +226,7 @@
 	c.free(b.job)
 }
 
-// list hands a list on, with stores numbered in the order in which they were first named.
+// list hands a list on, with the stores numbered.
 func (c *Core) list(l List) {
 	members := make([]balance.Member, len(l.Lines))
 	named := make(map[uint32]bool, len(l.Lines))
@@ -233,8 +234,13 @@
 		e := &l.Lines[k]
 		i, ok := c.storeOf[e.ID]
 		if !ok {
-			i = uint32(len(c.stores))
-			c.stores = append(c.stores, store{addr: e.Addr})
+			if len(c.freeStores) == 0 {
+				c.freeStores = append(c.freeStores, uint32(len(c.stores)))
+				c.stores = append(c.stores, store{})
+			}
+			i = c.freeStores[len(c.freeStores)-1]
+			c.freeStores = c.freeStores[:len(c.freeStores)-1]
+			c.stores[i] = store{id: e.ID, addr: e.Addr}
 			c.storeOf[e.ID] = i
 		}
 		s := &c.stores[i]
@@ -257,6 +263,9 @@
 		}
 	}
 	c.module.List(c.now, l.News, members)
+	for i := range named { // in any order: what was forgotten and named again in one go has been taken up anew
+		c.stores[i].forgotten = false
+	}
 }
 
 // note logs a rare change; past a bound in each second lines are dropped, so that trouble cannot drown it.
@@ -295,6 +304,11 @@
 	c.tasks = append(c.tasks, task{do: func(c *Core, t task) { c.hangUp(t.store) }, store: store})
 }
 
+func (c *Core) Forget(store uint32) {
+	c.stores[store].forgotten = true
+	c.tasks = append(c.tasks, task{do: (*Core).forget, store: store})
+}
+
 func (c *Core) Wake(after Time) { c.wakeAt = c.now + after }
 
 func (c *Core) Watch() { c.watch() }
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -603,6 +603,44 @@
 	s.idle(0)
 }
 
+// TestStoresReplacedForGood: a number is given back with all that hangs on it, and what comes late of the old
+// store counts for nobody.
+func TestStoresReplacedForGood(t *testing.T) {
+	s := newStage(t, 20)
+	cl := s.client()
+	line := Line{ID: "s", Addr: "127.0.0.1:1", Member: balance.Member{Group: 3, Condition: balance.Ready, Primary: true, Size: 1}}
+	for n := range 40 {
+		old := line
+		line.ID, old.Condition = fmt.Sprint("s", n), balance.Gone
+		s.core.Tell(List{News: balance.ListChanges, Lines: []Line{line, old}})
+		s.step()
+		s.core.Probe(s.core.storeOf[old.ID]) // is under way to the old store, and not answered
+		s.pass(6 * second)
+	}
+	if n := len(s.core.stores); n > 6 || len(s.core.storeOf) > 6 {
+		t.Errorf("%d places for stores, %d known", n, len(s.core.storeOf))
+	}
+	for _, w := range s.dials {
+		if k, ok := w.owner.(*conn); ok && !w.closed && s.core.stores[k.store].addr != k.addr {
+			t.Error("a connection hangs on a store that is no more")
+		}
+	}
+	s.say(cl, ask("any", 1))
+	s.say(s.store(), value, ready)
+	if got := cl.take(); got != value+ready {
+		t.Errorf("answer %q", got)
+	}
+	// Forgotten and named again in one go: the number stays, and so does what hangs on it.
+	i := s.core.storeOf[line.ID]
+	s.core.Forget(i)
+	s.core.Tell(List{News: balance.ListChanges, Lines: []Line{line}})
+	if s.step(); s.core.storeOf[line.ID] != i || s.core.stores[i].id != line.ID {
+		t.Error("a store that is named again has lost its number")
+	}
+	s.step(Event{cl, Closed})
+	s.idle(0)
+}
+
 func TestReports(t *testing.T) {
 	for text, want := range map[string]balance.Report{
 		"x0=1767225600.12349,x1=1,inflight=3": {Position: 17672256001234, Role: balance.Primary},
--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 
@@ -10,9 +11,11 @@
 
 // store is one member of the list.
 type store struct {
-	addr  string
-	idle  []*conn  // the newest last
-	waits []errand // trips and probes that wait for a connection, the oldest first
+	id        string
+	forgotten bool // by the module; its place is free from the next turn on
+	addr      string
+	idle      []*conn  // the newest last
+	waits     []errand // trips and probes that wait for a connection, the oldest first
 }
 
 // errand is a trip, or a probe if it has no job, until a connection carries it.
@@ -477,6 +480,30 @@
 	}
 }
 
+// forget is the one place where a store's number is given back.
+// Danger: nothing that still comes of the old store may count for the one that has the number next.
+func (c *Core) forget(t task) {
+	s := &c.stores[t.store]
+	if !s.forgotten || s.id == "" {
+		return
+	}
+	for n := len(c.conns) - 1; n >= 0; n-- {
+		if k := c.conns[n]; k.store == t.store {
+			k.drop(c)
+			if k.ready && !k.idle && !k.spent {
+				c.end(k, k.errand, balance.Return{Ending: balance.Severed})
+			}
+		}
+	}
+	for _, e := range s.waits {
+		c.fail(t.store, e, balance.Unsent)
+	}
+	c.backs = slices.DeleteFunc(c.backs, func(b back) bool { return b.job < 0 && b.store == t.store })
+	delete(c.storeOf, s.id)
+	*s = store{}
+	c.freeStores = append(c.freeStores, t.store)
+}
+
 // sweep ends all whose time is over.
 func (c *Core) sweep() {
 	for i := range c.stores {
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -477,6 +477,9 @@
 	f.end()
 }
 
+// Forget: numbers on the simulator's wire are its own, and name one store for the whole day.
+func (f *front) Forget(uint32) {}
+
 func (f *front) Wake(after balance.Time) {
 	f.start("SET_ALARM").WriteString(" Name=1")
 	f.field(" SleepFor=", after*microsPerTime)
