An answer on a connection from before a lost one shows that its store lived on

The log is full of stores that are back. Checked: 49 new connections were reset by stores that had not restarted. balance.go, alive took one failed connect with the log behind it for an unannounced start, and with the log past it for a store with few connections, which hung up idle connections after each trip and so led to more connects. Change: a return says since when the connection that brought it has stood. One from before the failed connect proves that the store did not start anew; that it takes few is then believed from the second refusal on. May hurt: a process that hands its old connections over to a cold successor.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -294,16 +294,19 @@
 	return b.now + min(b.beat<<m.refusals, b.quickest)
 }
 
-func (b *Balancer) alive(i int32) {
+// alive: the member has answered, on a connection that has stood since then.
+func (b *Balancer) alive(i int32, since Time) {
 	m := &b.members[i]
 	if m.asked > 0 && !m.suspect {
 		off := float64(b.now-m.asked) - m.reply
 		m.reply += off / 16
 		m.vary += (max(off, -off) - m.vary) / 16
 	}
-	if m.unreached > 0 && m.position >= m.unreached {
-		b.scarce = b.now // its log moved on while it took no connection: it lived, and has none to spare
-	} else if m.unreached > 0 {
+	switch lived := since > 0 && since < m.unreached; {
+	case m.unreached == 0 || lived && m.refusals < 2: // Danger: one lost connection is no restart.
+	case lived || m.position >= m.unreached:
+		b.scarce = b.now // it, or its log, went on while it took no connection: it lived, and has none to spare
+	default:
 		m.started = b.now // it may have started anew unannounced, and is then cold
 	}
 	m.asked, m.unreached = 0, 0
@@ -329,10 +332,7 @@
 }
 
 func (b *Balancer) ask(m *member) {
-	m.probed = b.now
-	if m.asked == 0 {
-		m.asked = b.now
-	}
+	m.probed, m.asked = b.now, cmp.Or(m.asked, b.now)
 	b.front.Probe(m.store)
 }
 
@@ -349,7 +349,7 @@
 		return
 	}
 	b.learn(i, r.Load, 0)
-	b.alive(i)
+	b.alive(i, r.Since)
 	b.release(b.members[i].group)
 }
 
@@ -578,10 +578,7 @@
 	j.out = false
 	b.grade(j, r)
 	if !r.Ending.NeverRan() {
-		j.further++
-		if j.ranAt == 0 {
-			j.ranAt = j.sentAt
-		}
+		j.further, j.ranAt = j.further+1, cmp.Or(j.ranAt, j.sentAt)
 	}
 	if r.Done {
 		j.held, j.ended = false, true
@@ -623,7 +620,7 @@
 		m.proven = m.proven && note.Role != Replica || p.Need == Write && r.Ending == Delivered
 		b.learn(j.member, note, b.now)
 		b.learn(j.member, r.Load, 0)
-		b.alive(j.member)
+		b.alive(j.member, r.Since)
 	}
 	switch {
 	case r.Ending == Delivered:
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -220,6 +220,35 @@
 }
 
 // Lagging replicas sent all reads to the primary, however late it answered.
+// TestLostConnectionsAreNoRestart: a connection from before that still answers shows that the store lived on; that
+// it takes few connections is believed only if it refused more than one.
+func TestLostConnectionsAreNoRestart(t *testing.T) {
+	for _, c := range []struct {
+		refused      int
+		kept         bool
+		scarce, anew bool
+	}{{1, true, false, false}, {1, false, false, true}, {3, true, true, false}} {
+		w := three(t, testCharter())
+		m, up := &w.b.members[0], w.now
+		w.pass(200)
+		for n := range c.refused {
+			id := fmt.Sprint("w", n)
+			m.shut, m.suspect = 0, false
+			w.take(ask(id, "once"))
+			w.back(id, 0, Return{Ending: Unreached})
+			w.b.Left(w.now, id)
+		}
+		w.pass(100)
+		if !c.kept {
+			up = w.now
+		}
+		w.b.Probed(w.now, 1, Return{Load: Report{Position: w.now - 2000, Role: Primary}, Since: up})
+		if anew, scarce := m.started > 0, w.b.scarce > 0; anew != c.anew || scarce != c.scarce {
+			t.Errorf("%+v: taken for a new start %v, for one with few connections %v", c, anew, scarce)
+		}
+	}
+}
+
 func TestReadsSpillByTheirOdds(t *testing.T) {
 	w := three(t, testCharter())
 	spilled := 0
--- a/balance/front.go
+++ b/balance/front.go
@@ -152,6 +152,7 @@
 	Ending Ending
 	Note   Report // of the very moment of the answer
 	Load   Report // as old as the member's own report
+	Since  Time   // when the connection that brought the answer came up; 0: not told
 	Done   bool   // the job has had its final answer
 }
 
--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -36,6 +36,7 @@
 	ready    bool
 	idle     bool
 	spent    bool // its answer is complete, and it has not been put to use again
+	up       Time // when it came up
 	since    Time // when it was dialled, sent on its way or fell idle
 	errand   errand
 	wrote    int64 // bytes written so far, the query's last among them
@@ -214,7 +215,7 @@
 		k.code = pgwire.Code(body)
 		return false
 	case 'Z':
-		k.ready = true
+		k.ready, k.up = true, c.now
 	default:
 		return false
 	}
@@ -346,7 +347,7 @@
 // complete is the end of an answer: what it was to the module, and the value to the client.
 func (k *conn) complete(c *Core) bool {
 	e := k.errand
-	r := balance.Return{Note: k.note, Load: k.load}
+	r := balance.Return{Note: k.note, Load: k.load, Since: k.up}
 	switch {
 	case k.code == "" && k.parts == 3:
 		r.Ending = balance.Delivered
@@ -392,7 +393,7 @@
 // lost ends what a connection carried when it broke, or when what came on it made no sense.
 func (k *conn) lost(c *Core) {
 	e, busy := k.errand, k.ready && !k.idle && !k.spent
-	r := balance.Return{Ending: balance.Severed, Note: k.note, Load: k.load}
+	r := balance.Return{Ending: balance.Severed, Note: k.note, Load: k.load, Since: k.up}
 	k.drop(c) // Danger: until it is closed the system may take the rest of a query, so Sent counts only then.
 	switch {
 	case !k.ready:
