A connection that has just brought an answer rests for a moment

Ruled out: closes that the poller misses (nbio closes on RDHUP). Change: of the idle connections that have rested for 2 ms the newest is used, else the one that rested longest. May hurt: a front whose jobs come within 2 ms of each other keeps a connection or two more.

--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -696,6 +696,29 @@
 	}
 }
 
+// TestConnectionsRest: one that has just brought an answer is left alone while another is there; later the newest
+// is used.
+func TestConnectionsRest(t *testing.T) {
+	s := newStage(t, 20, true)
+	a, b := s.client(), s.client()
+	s.say(a, ask("any", 1))
+	s.say(b, ask("any", 2))
+	for _, st := range s.dials {
+		s.say(st, "R\x00\x00\x00\x08\x00\x00\x00\x00", ready)
+	}
+	s.say(s.dials[0], value, ready)
+	s.pass(50)
+	s.say(s.dials[1], value, ready)
+	for n := 3; n < 5; n++ {
+		s.dials[0].take()
+		if s.say(a, ask("any", n)); s.dials[0].take() == "" {
+			t.Errorf("job %d went to another connection", n)
+		}
+		s.say(s.dials[0], value, ready)
+		s.pass(50)
+	}
+}
+
 // TestSilentStore: what stood idle while a probe was not answered is not used any more.
 func TestSilentStore(t *testing.T) {
 	s := newStage(t, 20, true)
@@ -708,6 +731,7 @@
 	for _, st := range s.dials {
 		s.say(st, value, ready)
 	}
+	s.pass(50)
 	idle := len(s.core.stores[0].idle)
 	s.core.Probe(0)
 	s.step()
--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -9,6 +9,8 @@
 	"micatrack/internal/pgwire"
 )
 
+const breath = 2 * perMilli // what a store does right behind an answer is heard by then
+
 // store is one member of the list.
 type store struct {
 	id        string
@@ -71,15 +73,21 @@
 // start sends an errand off on the idle connection used last, or lets it wait for a new one.
 func (c *Core) start(i uint32, e errand) {
 	s := &c.stores[i]
-	for n := len(s.idle); n > 0; n = len(s.idle) {
-		k := s.idle[n-1]
+	for len(s.idle) > 0 {
+		// Danger: some stores close right behind an answer, and what is sent before that is heard is lost.
+		// So of those that have rested for a moment the newest is used, else the one that has rested longest.
+		n := len(s.idle) - 1
+		for n > 0 && c.now-s.idle[n].since < breath {
+			n--
+		}
+		k := s.idle[n]
 		if k.gather(c); k.at < 0 || len(k.link.Peek()) > 0 {
 			if k.at >= 0 {
 				k.drop(c)
 			}
 			continue // it brought what nobody asked for
 		}
-		s.idle = s.idle[:n-1]
+		s.idle = append(s.idle[:n], s.idle[n+1:]...)
 		k.ride(c, e)
 		return
 	}
