Two further trips, and one that broke off at once is free even under overload

Checked: balance.go, mayGoAgain allowed fewer than two trips that came back and may have run, that is one further trip, not the two of the house's custom; and a connection that broke off at once counted as a trip that had cost the store time, though no answer could have come by then. Change: up to two further trips while no overload is seen; a severed trip that took under an eighth of its profile's typical time is not counted as further, only as one that may have run (rule 2 is as it was). May hurt: a store that takes queries and breaks off at once is tried up to the most trips of a job.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -562,9 +562,9 @@
 	b.front.Send(j.id, m.store, j.limit)
 }
 
-// mayGoAgain: no further trips while overload is seen, up to two otherwise.
-func (b *Balancer) mayGoAgain(j *job) bool {
-	return j.sent < b.mostTrips && j.further < 2 && b.now-b.crowded > 2*b.quickest
+// mayGoAgain: no further trips while overload is seen, up to two otherwise. What cost no store any time is free.
+func (b *Balancer) mayGoAgain(j *job, further int) bool {
+	return j.sent < b.mostTrips && (further == 0 || further <= 2 && b.now-b.crowded > 2*b.quickest)
 }
 
 func (b *Balancer) Returned(now Time, id string, n int, store uint32, r Return) {
@@ -578,7 +578,10 @@
 	j.out = false
 	b.grade(j, r)
 	if !r.Ending.NeverRan() {
-		j.further, j.ranAt = j.further+1, cmp.Or(j.ranAt, j.sentAt)
+		j.ranAt = cmp.Or(j.ranAt, j.sentAt)
+		if r.Ending != Severed || float64(now-j.sentAt) > b.profiles[j.profile].typical/8 {
+			j.further++ // it may have cost the store time; what breaks off far sooner has not
+		}
 	}
 	if r.Done {
 		j.held, j.ended = false, true
@@ -694,7 +697,7 @@
 	case p.Repeat == Numbered && b.now+b.beat >= j.ranAt+p.Window:
 		return false // Danger: past its window a repeat is not dropped. Trips never leave the job's group.
 	}
-	return b.mayGoAgain(j)
+	return b.mayGoAgain(j, j.further)
 }
 
 // giveUp gives the final answer of a job that will not be delivered, at once.
@@ -797,7 +800,7 @@
 	switch {
 	case b.now >= j.limit-b.beat, j.held && (late || b.now+Time(p.typical/2) > j.limit):
 		b.giveUp(i)
-	case stuck && p.Repeat == Reissuable && b.mayCancel && b.mayGoAgain(j):
+	case stuck && p.Repeat == Reissuable && b.mayCancel && b.mayGoAgain(j, j.further+1):
 		b.front.Cancel(j.id, j.sent-1)
 	}
 }
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -249,6 +249,34 @@
 	}
 }
 
+// TestFurtherTrips: two, and under overload none, but what broke off far sooner than an answer comes is free.
+func TestFurtherTrips(t *testing.T) {
+	for _, c := range []struct {
+		crowded bool
+		took    Time
+		trips   int
+	}{{false, 500, 3}, {true, 500, 1}, {true, 1, 6}} {
+		w := three(t, testCharter())
+		if c.crowded {
+			w.b.overload()
+		}
+		p := w.take(ask("any", "any"))
+		for p.final == 0 {
+			w.pass(c.took)
+			w.back("any", len(p.trips)-1, Return{Ending: Severed})
+			for p.final == 0 && !p.trips[len(p.trips)-1].out {
+				for i := range w.b.members {
+					w.b.members[i].shut, w.b.members[i].position = 0, w.now
+				}
+				w.b.release(0)
+			}
+		}
+		if len(p.trips) != c.trips {
+			t.Errorf("%+v: %d trips", c, len(p.trips))
+		}
+	}
+}
+
 func TestReadsSpillByTheirOdds(t *testing.T) {
 	w := three(t, testCharter())
 	spilled := 0
