--- a/cmd/micatrack/serve.go
+++ b/cmd/micatrack/serve.go
@@ -97,7 +97,7 @@
 const (
 	reserve = 24                     // descriptors that are neither clients' nor stores'
 	rest    = 2 * time.Second        // a client that asked nothing for that long yields where there is no room
-	linger  = 600 * time.Millisecond // after SIGTERM new connections are expected for that long
+	grace   = 600 * time.Millisecond // SIGKILL follows SIGTERM no sooner than this after the longest outer limit
 	tick    = 100 * time.Microsecond // one front.Time
 )
 
@@ -147,7 +147,7 @@
 	watcher := discovery.Watch(o.discovery, o.version, net.Wake, log)
 	links := o.sockets - reserve
 	core, err := front.New(now(), o.charter, o.host,
-		front.Limits{Links: links, Clients: links / 2, Answer: answer, Rest: int64(rest / tick), Linger: int64(linger / tick)}, net, watcher.Ask, log)
+		front.Limits{Links: links, Clients: links / 2, Answer: answer, Rest: int64(rest / tick), Grace: int64(grace / tick)}, net, watcher.Ask, log)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "micatrack: settings:", err)
 		return 2
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -72,7 +72,7 @@
 	Clients int  // of them at most
 	Answer  int  // bytes of one message of a store
 	Rest    Time // a client that asked nothing for that long may be hung up on to make room
-	Linger  Time // after Stop, how long new connections are expected to keep coming
+	Grace   Time // from Stop to the end by force, beside the longest outer limit
 }
 
 // task is something that the module asked for.
@@ -121,6 +121,7 @@
 	dirty      []Link
 	out        []byte // scratch for what is being written
 	stopAt     Time   // 0: not stopping; from then on idle clients are hung up
+	endAt      Time   // by then all must be answered
 	logged     int    // lines in this second; more are dropped
 	loggedAt   Time
 }
@@ -145,10 +146,12 @@
 // Next is when Step must be called again even if nothing happens.
 func (c *Core) Next() Time { return c.wakeAt }
 
-// Stop begins the end: all that was taken is answered, and each client is hung up on between two jobs.
+// Stop begins the end. Clients are served on for most of the time that there is, for where they would go
+// another front may be ending as well. Then each is hung up on between two jobs, and all that was taken is
+// answered before the front is ended by force.
 func (c *Core) Stop(now Time) {
 	if c.stopAt == 0 {
-		c.stopAt = now + c.limits.Linger
+		c.stopAt, c.endAt = now+c.longest*3/4, now+c.longest+c.limits.Grace
 	}
 }
 
--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -565,7 +565,7 @@
 	for n := len(c.clients) - 1; n >= 0; n-- {
 		cl := c.clients[n]
 		// At the end a query that has come in part is waited for; its client sends the rest without knowing.
-		over := c.Stopping() && (len(cl.link.Peek()) == 0 || c.now >= c.stopAt+c.longest)
+		over := c.Stopping() && (len(cl.link.Peek()) == 0 || c.now >= c.endAt)
 		if cl.job < 0 && !cl.ending && (over || !cl.greeted && c.now >= cl.since+c.longest) {
 			cl.finish(c)
 		}
