--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -44,18 +44,18 @@
 	cl := &client{link: l, at: len(c.clients), job: -1, next: (*client).greet, since: c.now}
 	l.Own(cl)
 	c.clients = append(c.clients, cl)
-	if len(c.clients) > c.limits.Clients && !c.evict(c.limits.Rest) || len(c.clients)+len(c.conns) > c.limits.Links && !c.spare() {
+	if len(c.clients) > c.limits.Clients && !c.evict() || len(c.clients)+len(c.conns) > c.limits.Links && !c.spare() {
 		cl.next = (*client).decline
 	}
 	cl.notice(c, what)
 }
 
-// evict hangs up on the client that has asked nothing for longest; false: all have asked within rest.
+// evict hangs up on the client that has asked nothing for longest; false: all have asked of late.
 // Danger: clients that ask once and keep their connections for good would shut all others out. One that has
 // not even greeted counts its silence fourfold.
-func (c *Core) evict(rest Time) bool {
+func (c *Core) evict() bool {
 	var idlest *client
-	longest := rest
+	longest := c.limits.Rest
 	for _, cl := range c.clients {
 		idle := c.now - cl.since
 		if !cl.greeted {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -121,7 +121,6 @@
 	dirty      []Link
 	out        []byte // scratch for what is being written
 	stopAt     Time   // 0: not stopping; from then on idle clients are hung up
-	leaving    int    // clients at Stop
 	endAt      Time   // by then all must be answered
 	logged     int    // lines in this second; more are dropped
 	loggedAt   Time
@@ -147,13 +146,12 @@
 // Next is when Step must be called again even if nothing happens.
 func (c *Core) Next() Time { return c.wakeAt }
 
-// Stop begins the end. For most of the time that there is clients are served on, and hung up on a few at a time,
-// those first that ask least: they cannot all go elsewhere at once, and another front may be ending as well.
-// Then the rest is hung up on, each between two jobs, and all is answered before the front is ended by force.
+// Stop begins the end. Clients are served on for most of the time that there is, for where they would go
+// another front may be ending as well. Then each is hung up on between two jobs, and all that was taken is
+// answered before the front is ended by force.
 func (c *Core) Stop(now Time) {
 	if c.stopAt == 0 {
 		c.stopAt, c.endAt = now+c.longest*3/4, now+c.longest+c.limits.Grace
-		c.leaving = len(c.clients)
 	}
 }
 
--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -562,11 +562,6 @@
 			}
 		}
 	}
-	for left := Time(c.leaving) * (c.stopAt - c.now); c.stopAt > 0 && Time(len(c.clients)-1)*c.longest*3/4 >= left; {
-		if !c.evict(c.limits.Rest / 4) {
-			break
-		}
-	}
 	for n := len(c.clients) - 1; n >= 0; n-- {
 		cl := c.clients[n]
 		// At the end a query that has come in part is waited for; its client sends the rest without knowing.
