What stands beside an answer and cannot be read spoils it no more

Checked: store.go, learn ended the connection for it, though the answer was whole and had run. Change: such a value says nothing. Where fences are remembered, a write whose position was not told counts as written now, which errs to the safe side (balance.go, grade); before it would have left the fence where it was. May hurt: where fences are remembered and stores tell no positions, reads behind a write go to the primary.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -191,7 +191,7 @@
 	return g
 }
 
-// slot gives a new member its place: that of one gone and unheard for a cold time, with nothing out, or another.
+// slot gives a new member its place: that of one gone and unheard for a cold time, nothing out, or another.
 // Danger: where stores are replaced for good, tables would fill with them and each would thin out the probes.
 func (b *Balancer) slot() int32 {
 	for k := range b.members {
@@ -562,7 +562,7 @@
 	b.front.Send(j.id, m.store, j.limit)
 }
 
-// mayGoAgain: no further trips while overload is seen, up to two otherwise. What cost no store any time is free.
+// mayGoAgain: no further trips while overload is seen, up to two otherwise. What cost no store time is free.
 func (b *Balancer) mayGoAgain(j *job, further int) bool {
 	return j.sent < b.mostTrips && (further == 0 || further <= 2 && b.now-b.crowded > 2*b.quickest)
 }
@@ -643,7 +643,7 @@
 			b.doneWarm += p.typical // Danger: what overloaded members are sent is no measure of what one can do.
 		}
 		if p.Need == Write && j.slot >= 0 && !j.ended {
-			b.fences[j.slot] = max(b.fences[j.slot], r.Note.Position)
+			b.fences[j.slot] = max(b.fences[j.slot], cmp.Or(r.Note.Position, b.now)) // untold: it lies before now
 		}
 		if p.Need == Any && r.Note.Role == Replica && 2*took > b.tightest {
 			p.stills -= p.stills / 8
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -108,6 +108,14 @@
 	if got := w.at(t, "r"); got != 2 {
 		t.Errorf("read went to %d, 2 has just passed the fence", got)
 	}
+	write.ID, read.ID = "w2", "r2" // its answer does not say where it lies
+	w.take(write)
+	w.pass(100)
+	w.hear(2, w.now-10, Replica)
+	w.back("w2", 0, Return{})
+	if w.take(read); !w.held("r2") {
+		t.Error("a write whose position was not told is taken for none")
+	}
 }
 
 // A store that turns all away at once looked the least busy and drew every job.
--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -297,6 +297,7 @@
 }
 
 // learn takes what a store says of itself beside its answer.
+// Danger: a value that cannot be read says nothing, and must not spoil an answer that has run.
 func (k *conn) learn(body []byte) bool {
 	name, rest, ok := pgwire.Text(body)
 	value, _, ok2 := pgwire.Text(rest)
@@ -309,13 +310,13 @@
 	case "applied_ms":
 		n, err := strconv.ParseInt(string(value), 10, 58)
 		if err != nil || n < 0 {
-			return false
+			n = 0
 		}
 		k.note.Position = n * perMilli
-	case "load": // Danger: one that cannot be read says nothing, and spoils no answer that has run.
+	case "load":
 		k.load, _ = report(string(value))
 	}
-	return ok
+	return true
 }
 
 // report reads the values of a load report that the module goes by; a position counts in seconds there.
