An id that is in hand is refused at the door

Change: a query whose id is that of a job in hand here gets error 42710 and its connection stays usable. May hurt: a client that sends its query again under the same id while the first is still in hand.

--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"bytes"
 	"strconv"
 
 	"micatrack/balance"
@@ -234,6 +235,13 @@
 		cl.reject(c, pgwire.NoDatabase, "unknown cluster")
 		return
 	}
+	for k := range c.jobs {
+		if j := &c.jobs[k]; j.busy && !j.final && bytes.Equal(j.query.ID, s.ID) {
+			// Danger: a store would turn one of the two away or break off, and count as crowded or broken for it.
+			cl.reject(c, pgwire.Duplicate, "a request with this id is in hand")
+			return
+		}
+	}
 	if len(c.freeJobs) == 0 {
 		i := int32(len(c.jobs))
 		c.jobs = append(c.jobs, job{id: strconv.Itoa(int(i))})
--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -33,6 +33,7 @@
 	Syntax      = "42601"
 	BadValue    = "22023"
 	NoDatabase  = "3D000"
+	Duplicate   = "42710"
 	Unresolved  = "08007" // whether it took effect is not known
 )
 
