Clients are accepted only while descriptors are left for dials

Read in sock.go: accept took in what came without a bound until the loop could turn it away, and store.go, start took a dial that found no descriptor for a store out of reach. Change: past the limit less 16 the backlog holds what comes; a dial without a descriptor counts as one that never left the front, and a probe waits, as where the core's own bound is reached. May hurt: a client waits in the backlog where it was told before that there is no room.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -5,6 +5,7 @@
 package front
 
 import (
+	"errors"
 	"fmt"
 	"log/slog"
 	"strconv"
@@ -33,6 +34,9 @@
 	Own(owner any)
 }
 
+// NoRoom: no descriptor is left for a connection, which is no fault of the store's.
+var NoRoom = errors.New("no descriptor is left")
+
 // Sockets opens connections. What is written on a link that is not up yet waits; Closed follows if it never
 // will be.
 type Sockets interface {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -789,7 +789,7 @@
 	a, b := s.client(), s.client()
 	s.say(a, ask("once", 1))
 	st := s.store()
-	s.core.limits.Links = 3
+	s.deny = NoRoom
 	s.core.Probe(0)
 	if s.pass(3000); len(s.dials) != 1 || len(s.core.stores[0].waits) != 0 {
 		t.Fatalf("%d connections, %d errands wait", len(s.dials), len(s.core.stores[0].waits))
--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -91,16 +91,19 @@
 		k.ride(c, e)
 		return
 	}
-	if len(c.clients)+len(c.conns) >= c.limits.Links && !c.spare() {
+	var link Link
+	err := NoRoom
+	if len(c.clients)+len(c.conns) < c.limits.Links || c.spare() {
+		link, err = c.sockets.Dial(s.addr)
+	}
+	if err == NoRoom {
 		if e.job < 0 { // it can wait for a connection to fall free
 			s.waits = append(s.waits, e)
 			return
 		}
 		c.fail(i, e, balance.Unsent)
 		return
-	}
-	link, err := c.sockets.Dial(s.addr)
-	if err != nil {
+	} else if err != nil {
 		c.note("no connection", "store", i, "addr", s.addr, "error", err.Error())
 		c.fail(i, e, balance.Unreached)
 		return
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -24,6 +24,7 @@
 const (
 	spare     = 4 << 10  // of a ring, beside the longest message
 	mostChunk = 32 << 10 // bytes handed to the library at a time
+	reserve   = 16       // descriptors that no link has: poller, listener, discovery, log, a dial in the making
 )
 
 // Net holds the sockets of one front.
@@ -37,6 +38,7 @@
 	wake   chan struct{}
 	timer  *time.Timer
 	answer int          // longest message of a store
+	most   int          // links past which none is accepted
 	budget atomic.Int64 // bytes that the rings may still grow by
 }
 
@@ -67,7 +69,8 @@
 	}
 	logging.SetLevel(logging.LevelNone)
 	nbio.MaxOpenFiles = min(nbio.MaxOpenFiles, 2*descriptors+64) // it keeps a table of that length
-	n := &Net{listen: l, answer: answer, links: map[*nbio.Conn]*Link{}, wake: make(chan struct{}, 1), timer: time.NewTimer(time.Hour)}
+	n := &Net{listen: l, answer: answer, most: descriptors - reserve, links: map[*nbio.Conn]*Link{},
+		wake: make(chan struct{}, 1), timer: time.NewTimer(time.Hour)}
 	n.budget.Store(memory)
 	n.engine = nbio.NewEngine(nbio.Config{Network: "tcp", NPoller: 1, EpollMod: nbio.EPOLLET})
 	n.engine.OnRead(func(c *nbio.Conn) {
@@ -111,8 +114,14 @@
 // Deafen stops listening.
 func (n *Net) Deafen() { n.listen.Close() }
 
+// accept takes connections in while there is room; the backlog holds what comes meanwhile.
+// Danger: clients that connect by hundreds at once would take the descriptors that dials need before the loop
+// can turn any of them away.
 func (n *Net) accept() {
 	for {
+		for n.full() {
+			time.Sleep(time.Millisecond)
+		}
 		c, err := n.listen.Accept()
 		if err == nil {
 			if l, err := n.add(c, front.Accepted, pgwire.MostQuery, n.answer); err == nil {
@@ -123,10 +132,16 @@
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
-		time.Sleep(10 * time.Millisecond) // out of descriptors: the backlog holds what comes meanwhile
+		time.Sleep(10 * time.Millisecond) // out of descriptors all the same
 	}
 }
 
+func (n *Net) full() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.links) >= n.most
+}
+
 // add puts a connection of the standard library under the poller, which takes its descriptor over.
 // Danger: the poller may read from it, or see it closed, before the loop has heard of it. With what set from
 // the start that news waits for queue.
@@ -159,7 +174,9 @@
 		family, sa = syscall.AF_INET, &syscall.SockaddrInet4{Port: int(to.Port()), Addr: a.As4()}
 	}
 	fd, err := syscall.Socket(family, syscall.SOCK_STREAM|syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC, 0)
-	if err != nil {
+	if err == syscall.EMFILE || err == syscall.ENFILE {
+		return nil, front.NoRoom
+	} else if err != nil {
 		return nil, err
 	}
 	file := os.NewFile(uintptr(fd), addr)
--- a/internal/sock/sock_test.go
+++ b/internal/sock/sock_test.go
@@ -34,6 +34,40 @@
 	return n
 }
 
+// TestCrowdAtTheDoor: no more are accepted than there is room for, and the rest comes in as room is made.
+func TestCrowdAtTheDoor(t *testing.T) {
+	n, err := Open("127.0.0.1:0", reserve+3, 1<<20, 144<<10)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer n.Deafen()
+	for range 10 {
+		c, err := net.Dial("tcp", n.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+	}
+	end := time.Now().Add(20 * time.Second)
+	for came := 0; came < 10 && time.Now().Before(end); {
+		time.Sleep(2 * time.Millisecond)
+		n.mu.Lock()
+		if len(n.links) > 3 {
+			t.Fatalf("%d links where 3 have room", len(n.links))
+		}
+		n.mu.Unlock()
+		for _, e := range n.Gather(time.Second) {
+			if e.What&front.Accepted != 0 {
+				came++
+				e.Link.Close()
+			}
+		}
+	}
+	if time.Now().After(end) {
+		t.Error("not all came in")
+	}
+}
+
 func TestSlowReaderGetsAllBeforeTheEnd(t *testing.T) {
 	n := open(t)
 	c, err := net.Dial("tcp", n.Addr())
