--- a/balance/balance.go
+++ b/balance/balance.go
@@ -795,9 +795,7 @@
 		j.lost = true
 		b.members[j.member].inFlight--
 	}
-	// Past three times the typical it is unusual; it is called back while another trip can still be in time.
-	unusual := float64(b.now-j.sentAt) > 3*p.typical && b.now < j.wanted && b.now+Time(3*p.typical) > j.wanted
-	stuck := j.out && (j.lost || unusual || b.members[j.member].suspect)
+	stuck := j.out && (j.lost || b.members[j.member].suspect)
 	late := p.LateCredit == 0 && b.now+Time(p.typical) > j.wanted
 	switch {
 	case b.now >= j.limit-b.beat, j.held && (late || b.now+Time(p.typical/2) > j.limit):
