Idle client connections are given back the sooner the less room there is

Checked: clients by state, what they were told and how often each connection was asked on: each request came on a connection of its own, which stood idle for 1 to 2.5 s; all that clients may hold were held so. client.go, accept made room only once this front's own half of the descriptors was full, which never came. Ruled out: the module (it gave up no job), stores (none suspected), memory, descriptors (274 of 384). Change: while half of the room for clients is taken, those idle for 2 s are hung up on; from five to six eighths the sooner the less room there is. A client that says anything, an empty query too, is not idle. May hurt: where room is short a client whose connections are idle for moments must connect again.

--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -29,7 +29,7 @@
 	link    Link
 	at      int // in Core.clients
 	next    func(cl *client, c *Core, in []byte) (used int)
-	since   Time  // when it came, or was last answered
+	since   Time  // when it came, or last said something or was answered
 	job     int32 // in hand, or -1
 	held    int   // bytes of its query
 	skip    bool  // until the next Sync
@@ -45,18 +45,18 @@
 	cl := &client{link: l, at: len(c.clients), job: -1, next: (*client).greet, since: c.now}
 	l.Own(cl)
 	c.clients = append(c.clients, cl)
-	if len(c.clients) > c.limits.Clients && !c.evict() || len(c.clients)+len(c.conns) > c.limits.Links && !c.spare() {
+	if len(c.clients) > c.limits.Clients && !c.evict(0) || len(c.clients)+len(c.conns) > c.limits.Links && !c.spare() {
 		cl.next = (*client).decline
 	}
 	cl.notice(c, what)
 }
 
-// evict hangs up on the client that has asked nothing for longest; false: all have asked of late.
+// evict hangs up on the client that has asked nothing for longest; false: all have asked within rest.
 // Danger: clients that ask once and keep their connections for good would shut all others out. One that has
 // not even greeted counts its silence fourfold.
-func (c *Core) evict() bool {
+func (c *Core) evict(rest Time) bool {
 	var idlest *client
-	longest := c.limits.Rest
+	longest := max(rest, breath)
 	for _, cl := range c.clients {
 		idle := c.now - cl.since
 		if !cl.greeted {
@@ -100,6 +100,7 @@
 			return
 		}
 		cl.link.Discard(n)
+		cl.since = c.now
 	}
 }
 
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -510,41 +510,47 @@
 	s.idle(0)
 }
 
-// TestClientsThatKeepTheirConnections: past the bound the one that asked nothing for longest yields, unless it has
-// asked of late, is in the middle of a query, or has a job in hand.
+// TestClientsThatKeepTheirConnections: where room is short those yield that asked nothing for longest, after a rest
+// that is the shorter the less room there is; never in the middle of a query, nor with a job in hand.
 func TestClientsThatKeepTheirConnections(t *testing.T) {
-	s := newStage(t, 6, true)
+	s := newStage(t, 40, true)
 	busy, half, old, young := s.client(), s.client(), s.client(), s.client()
-	s.say(busy, ask("any", 1))
+	s.say(busy, strings.Replace(ask("once", 1), "d=1000", "d=30000", 1))
 	s.say(half, ask("any", 2)[:30])
-	come := func(want string) *wire {
+	s.pass(2 * second)
+	empty := string(pgwire.AppendSimple(nil, ""))
+	s.say(young, empty)
+	closed := func(old1, young1 bool) {
 		t.Helper()
-		w := &wire{in: pgwire.AppendStartup(nil, "web", "orders")}
-		s.step(Event{w, Accepted | Readable})
-		if got := w.take(); got[:1] != want {
-			t.Fatalf("it is told %q, want %s", got, want)
+		if old.closed != old1 || young.closed != young1 || half.closed || busy.closed {
+			t.Fatalf("closed: old %v, young %v, half %v, busy %v", old.closed, young.closed, half.closed, busy.closed)
 		}
-		return w
 	}
 	s.pass(second)
-	s.say(young, string(pgwire.AppendSimple(nil, "")), ask("any", 3))
-	s.say(s.store(), value, ready)
-	s.step(Event{come("E"), Closed})
-	if s.pass(second); old.closed {
-		t.Fatal("hung up on without need")
-	}
-	come("R")
-	if !old.closed || young.closed || half.closed || busy.closed {
-		t.Errorf("closed: %v %v %v %v", old.closed, young.closed, half.closed, busy.closed)
-	}
+	closed(false, false)
+	s.core.limits.Clients = 7
+	s.pass(second / 2)
+	closed(true, false)
 	silent := &wire{}
-	s.core.limits.Clients++
+	s.core.limits.Clients = 6
+	s.say(young, empty)
 	s.step(Event{silent, Accepted})
-	s.pass(second * 6 / 10)
-	come("R")
-	if !silent.closed || young.closed {
+	s.pass(second / 3)
+	if silent.closed {
+		t.Error("one that has not greeted yet is not waited for")
+	}
+	s.pass(second / 3)
+	if closed(true, false); !silent.closed {
 		t.Error("one that never greeted does not yield first")
 	}
+	s.core.limits.Clients = 3
+	s.pass(second / 10)
+	closed(true, true)
+	s.core.limits.Clients = 2
+	late := &wire{in: pgwire.AppendStartup(nil, "web", "orders")}
+	if s.step(Event{late, Accepted | Readable}); code(t, late.take()) != pgwire.TooMany {
+		t.Error("none can yield, yet one more is taken in")
+	}
 }
 
 func TestIdleConnectionsEndBeforeTheStoreEndsThem(t *testing.T) {
@@ -790,6 +796,7 @@
 	s.say(a, ask("once", 1))
 	st := s.store()
 	s.deny = NoRoom
+	s.core.limits.Clients = 20
 	s.core.Probe(0)
 	if s.pass(3000); len(s.dials) != 1 || len(s.core.stores[0].waits) != 0 {
 		t.Fatalf("%d connections, %d errands wait", len(s.dials), len(s.core.stores[0].waits))
--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -566,6 +566,14 @@
 			}
 		}
 	}
+	// Danger: what many clients share among them, they may run out of before this front does. Connections that
+	// none of them asks on are given back while half of the room for clients is taken; from five to six eighths
+	// the sooner the less there is.
+	for n, all := len(c.clients), c.limits.Clients; n > all/2; n = len(c.clients) {
+		if !c.evict(c.limits.Rest * Time(max(min(6*all-8*n, all), 0)) / Time(all)) {
+			break
+		}
+	}
 	for n := len(c.clients) - 1; n >= 0; n-- {
 		cl := c.clients[n]
 		// At the end a query that has come in part is waited for; its client sends the rest without knowing.
