After a watch breaks the first call for the list follows almost at once

Checked: the fronts' logs: each time the watch had ended in the middle of a line half a second before (14.27 s, send at 14.78 s). balance.go, List asked again only after 0.3 to 0.9 s; a drain binds within 0.5 s. Ruled out: the parser (the line was cut off), the silence watchdog (6 s, once), drained stores used by the core. Change: the first call comes within 60 ms, the next ones four times as late each (0.16, 0.6, 2.5 s) and spread. May hurt: fronts whose discovery dies for all of them call once almost together before they spread.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -161,10 +161,10 @@
 func (b *Balancer) List(now Time, news ListNews, list []Member) {
 	b.now = now
 	if news == ListFailed {
-		// Fronts that failed together must not call again together: longer waits each time, and spread.
-		b.watchMiss = min(b.watchMiss+1, 3)
-		wait := b.askWithin / 32 << b.watchMiss
-		b.watchAt = now + wait/2 + b.chance(wait)
+		// Danger: a drain told meanwhile binds within its grace, so the first call follows almost at once. But
+		// fronts that failed together must not call again together: far longer waits each time, and spread.
+		wait := b.askWithin / 256 << (2 * b.watchMiss)
+		b.watchMiss, b.watchAt = min(b.watchMiss+1, 3), now+wait/2+b.chance(wait)
 		return
 	}
 	if news != ListCached {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -443,6 +443,18 @@
 	if w.watches != 2 {
 		t.Errorf("%d calls after one failed", w.watches)
 	}
+	w.list(ListWhole, Member{Store: 1, Group: 9, Zone: "a", Condition: Ready, Primary: true, Size: 1})
+	before := w.watches
+	w.b.List(w.now, ListFailed, nil)
+	if w.pass(c.AskWithin / 100); w.watches != before+1 { // a tenth of a second here
+		t.Error("the first call after a watch broke does not follow at once")
+	}
+	for range 3 {
+		w.b.List(w.now, ListFailed, nil)
+	}
+	if w.pass(c.AskWithin / 32); w.watches != before+1 {
+		t.Error("calls that fail are not spaced")
+	}
 }
 
 func TestCharterRefused(t *testing.T) {
