Command line on cobra and the operators' file with its schema, all off

Need: the subsystems to come want settings that the platform's configuration has no place for, and a command line that can grow. cobra serves the command line; flags keep working with one dash, variables and statuses stay. The operators' file is checked against a JSON Schema by santhosh-tekuri/jsonschema; a fault is told with file, path and what was expected.

--- a/cmd/micatrack/main.go
+++ b/cmd/micatrack/main.go
@@ -2,40 +2,120 @@
 package main
 
 import (
-	"flag"
+	"errors"
 	"fmt"
+	"io"
 	"os"
 	"runtime/debug"
+	"strings"
+
+	"github.com/spf13/cobra"
 )
 
-const usage = `usage: micatrack COMMAND [flags]
+func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
+
+// exit carries the status that the program ends with, where that is not 2.
+type exit struct {
+	status int
+	error
+}
 
-  serve    route queries until SIGTERM
-  check    read the configuration, say what is in it, and end
-  version  print the version
+// run carries out a command line and gives the status to end with: 2 for what it was told wrong.
+func run(args []string, out, errs io.Writer) int {
+	root := commands()
+	root.SetArgs(doubled(args))
+	root.SetOut(out)
+	root.SetErr(errs)
+	err := root.Execute()
+	if err == nil {
+		return 0
+	}
+	fmt.Fprintln(errs, "micatrack:", err)
+	var f exit
+	if errors.As(err, &f) {
+		return f.status
+	}
+	return 2
+}
 
-micatrack COMMAND -h tells a command's flags.
-`
+// doubled lets flags be given with one dash too, as they were before there were two: -config as --config.
+func doubled(args []string) []string {
+	args = append([]string(nil), args...)
+	for i, a := range args {
+		if a == "--" {
+			break
+		}
+		if len(a) > 2 && a[0] == '-' && a[1] != '-' {
+			args[i] = "-" + a
+		}
+	}
+	return args
+}
 
-func main() { os.Exit(run(os.Args[1:])) }
+func commands() *cobra.Command {
+	root := &cobra.Command{Use: "micatrack", Short: "A query router for sharded, replicated databases",
+		SilenceUsage: true, SilenceErrors: true, Args: cobra.ArbitraryArgs,
+		RunE: func(c *cobra.Command, args []string) error {
+			if len(args) > 0 {
+				return fmt.Errorf("unknown command %q; see micatrack --help", args[0])
+			}
+			return fmt.Errorf("no command given\n%s", c.UsageString())
+		}}
+	version := &cobra.Command{Use: "version", Short: "Print the version", Args: unexpected,
+		Run: func(c *cobra.Command, _ []string) { fmt.Fprintln(c.OutOrStdout(), "micatrack", version()) }}
+	root.AddCommand(version,
+		fronted("serve", "Route queries until SIGTERM", func(_ *cobra.Command, o orders, read reader) error {
+			return serve(o, read)
+		}),
+		fronted("check", "Read the configuration and the operators' file, say what is in them, and end",
+			func(c *cobra.Command, o orders, _ reader) error {
+				fmt.Fprintf(c.OutOrStdout(), "%s: listens on %s, discovery at %s, %d profiles, %d stores known, on: %s\n",
+					o.name, o.listen, o.discovery, len(o.charter.Profiles), len(o.known.Lines), o.on())
+				return nil
+			}))
+	return root
+}
 
-func run(args []string) int {
-	if len(args) == 0 {
-		fmt.Fprint(os.Stderr, usage)
-		return 2
+func unexpected(_ *cobra.Command, args []string) error {
+	if len(args) > 0 {
+		return fmt.Errorf("unexpected argument %q", args[0])
 	}
-	switch args[0] {
-	case "serve", "check":
-		return start(args[0], args[1:])
-	case "version":
-		fmt.Println("micatrack", version())
-		return 0
-	case "-h", "-help", "--help", "help":
-		fmt.Print(usage)
-		return 0
+	return nil
+}
+
+// reader reads the configuration anew, from where the command line has it.
+type reader func() (orders, error)
+
+// fronted is a command that takes a front's configuration.
+func fronted(name, short string, do func(c *cobra.Command, o orders, read reader) error) *cobra.Command {
+	var path, listen, discovery, operators string
+	c := &cobra.Command{Use: name, Short: short, Args: unexpected}
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		read := func() (orders, error) { return configuration(path, listen, discovery, operators) }
+		o, err := read()
+		if err != nil {
+			return err
+		}
+		return do(c, o, read)
 	}
-	fmt.Fprintf(os.Stderr, "micatrack: unknown command %q\n%s", args[0], usage)
-	return 2
+	c.Flags().StringVar(&path, "config", os.Getenv("GW_CONFIG"), "configuration file, JSON (or GW_CONFIG)")
+	c.Flags().StringVar(&listen, "listen", "", "address for clients (or the configuration, or GW_LISTEN)")
+	c.Flags().StringVar(&discovery, "discovery", "", "address of discovery (or the configuration, or GW_DISCOVERY)")
+	c.Flags().StringVar(&operators, "operators", os.Getenv("MICATRACK_OPERATORS"),
+		"the operators' file, JSON (or MICATRACK_OPERATORS); without it all that it could switch on is off")
+	return c
+}
+
+// on names the subsystems that the operators have switched on.
+func (o *orders) on() string {
+	var names []string
+	if o.operators.Door.On {
+		names = append(names, "door")
+	}
+	if len(names) == 0 {
+		return "nothing more"
+	}
+	return strings.Join(names, ", ")
 }
 
 func version() string {
@@ -51,31 +131,3 @@
 	}
 	return v + " " + info.GoVersion
 }
-
-func start(name string, args []string) int {
-	flags := flag.NewFlagSet("micatrack "+name, flag.ContinueOnError)
-	path := flags.String("config", os.Getenv("GW_CONFIG"), "configuration file, JSON (or GW_CONFIG)")
-	listen := flags.String("listen", "", "address for clients (or the configuration, or GW_LISTEN)")
-	discovery := flags.String("discovery", "", "address of discovery (or the configuration, or GW_DISCOVERY)")
-	if err := flags.Parse(args); err == flag.ErrHelp {
-		return 0
-	} else if err != nil {
-		return 2
-	}
-	if flags.NArg() > 0 {
-		fmt.Fprintf(os.Stderr, "micatrack %s: unexpected argument %q\n", name, flags.Arg(0))
-		return 2
-	}
-	read := func() (orders, error) { return configuration(*path, *listen, *discovery) }
-	o, err := read()
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "micatrack:", err)
-		return 2
-	}
-	if name == "check" {
-		fmt.Printf("%s: listens on %s, discovery at %s, %d profiles, %d stores known\n",
-			o.name, o.listen, o.discovery, len(o.charter.Profiles), len(o.known.Lines))
-		return 0
-	}
-	return serve(o, read)
-}
--- a/cmd/micatrack/main_test.go
+++ b/cmd/micatrack/main_test.go
@@ -520,7 +520,7 @@
 		status int
 		say    string
 	}{
-		{nil, 2, "usage"},
+		{nil, 2, "Usage"},
 		{[]string{"route"}, 2, `unknown command "route"`},
 		{[]string{"-h"}, 0, "serve"},
 		{[]string{"serve", "-h"}, 0, "-config"},
@@ -536,6 +536,12 @@
 		{[]string{"serve", "-config", write(strings.Replace(string(whole), `"seed":"`, `"seed":"x`, 1))}, 2, "seed"},
 		{[]string{"serve", "-config", write(strings.Replace(string(whole), `"state":"active"`, `"state":"odd"`, 1))}, 2, "known"},
 		{[]string{"serve", "-config", write(strings.Replace(string(whole), `"session"`, `"odd"`, 1))}, 2, "Extra.Freshness"},
+		{[]string{"check", "-config", w.config, "-operators", "../../deploy/operators.json"}, 0, "on: nothing more"},
+		{[]string{"check", "--config=" + w.config, "--operators", write(`{"door":{"on":true}}`)}, 0, "on: door"},
+		{[]string{"check", "-config", w.config, "-operators", write(`{"door":{"on":1}}`)}, 2, "/door/on: got number, want boolean"},
+		{[]string{"serve", "-config", w.config, "-operators", write(`{"gate":{}}`)}, 2, "/gate: unknown key"},
+		{[]string{"serve", "-config", w.config, "-operators", "/nonexistent"}, 2, "/nonexistent"},
+		{[]string{"completion", "bash"}, 0, "micatrack"},
 		{[]string{"serve", "-config", w.config}, 1, "listen"},
 	} {
 		cmd := exec.Command(program, c.args...)
--- a/cmd/micatrack/serve.go
+++ b/cmd/micatrack/serve.go
@@ -21,6 +21,7 @@
 	"micatrack/internal/charter"
 	"micatrack/internal/discovery"
 	"micatrack/internal/front"
+	"micatrack/internal/operators"
 	"micatrack/internal/pgwire"
 	"micatrack/internal/sock"
 )
@@ -35,14 +36,19 @@
 	version                 int64
 	charter                 balance.Charter
 	host                    charter.Host
+	operators               operators.Orders
 }
 
 // configuration reads the file. What flags name comes first; the environment fills in what is named nowhere
 // else, for it cannot follow a file that is replaced while the program runs.
-func configuration(path, listen, from string) (o orders, err error) {
+func configuration(path, listen, from, switches string) (o orders, err error) {
 	if path == "" {
 		return o, fmt.Errorf("no configuration: give -config or GW_CONFIG")
 	}
+	on, err := operators.Read(switches)
+	if err != nil {
+		return o, err
+	}
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return o, fmt.Errorf("configuration: %w", err)
@@ -62,7 +68,7 @@
 	listen = cmp.Or(listen, w.Listen, os.Getenv("GW_LISTEN"))
 	from = cmp.Or(from, w.Discovery, os.Getenv("GW_DISCOVERY"))
 	o = orders{name: w.Name, listen: listen, discovery: from, cores: w.Limits.Cores,
-		memory: w.Limits.MemoryMB << 20, sockets: w.Limits.Sockets, version: -1}
+		memory: w.Limits.MemoryMB << 20, sockets: w.Limits.Sockets, version: -1, operators: on}
 	for _, a := range [...]struct{ key, addr string }{{"listen", listen}, {"discovery", from}} {
 		if _, _, err := net.SplitHostPort(a.addr); err != nil {
 			return o, fmt.Errorf("%s: %w", a.key, err)
@@ -111,7 +117,7 @@
 
 // reload reads the configuration again. Discovery is followed to another address; what else has changed waits
 // for the next start. A faulty file changes nothing.
-func reload(o *orders, read func() (orders, error), move func(addr string), log *slog.Logger) {
+func reload(o *orders, read reader, move func(addr string), log *slog.Logger) {
 	fresh, err := read()
 	if err != nil {
 		log.Error("configuration not taken", "error", err.Error())
@@ -128,7 +134,8 @@
 	}
 }
 
-func serve(o orders, read func() (orders, error)) int {
+// serve runs a front until it is told to stop; the error says why it could not begin.
+func serve(o orders, read reader) error {
 	// One processor more than cores: the poller sits in a system call most of the time, and the runtime takes
 	// a processor that does so back only after a while.
 	runtime.GOMAXPROCS(int(math.Ceil(o.cores)) + 1)
@@ -140,8 +147,7 @@
 	answer := max(pgwire.MostQuery, int(o.memory/64)) // the rings' share of memory holds sixteen
 	net, err := sock.Open(o.listen, o.sockets, o.memory/4, answer)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "micatrack: listen:", err)
-		return 1
+		return exit{1, fmt.Errorf("listen: %w", err)}
 	}
 	now := clock()
 	watcher := discovery.Watch(o.discovery, o.version, net.Wake, log)
@@ -149,8 +155,7 @@
 	core, err := front.New(now(), o.charter, o.host,
 		front.Limits{Links: links, Clients: links / 2, Answer: answer, Rest: int64(rest / tick), Grace: int64(grace / tick)}, net, watcher.Ask, log)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "micatrack: settings:", err)
-		return 2
+		return fmt.Errorf("settings: %w", err)
 	}
 	core.Tell(o.known)
 	if o.charter.ListPushed {
@@ -188,5 +193,5 @@
 		}
 	}
 	log.Info("stopped")
-	return 0
+	return nil
 }
--- /dev/null
+++ b/internal/operators/operators.go
@@ -0,0 +1,134 @@
+// Package operators reads the operators' own file: which subsystems are on, and their bounds. It is checked
+// against the JSON Schema in deploy before anything is taken from it.
+package operators
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/santhosh-tekuri/jsonschema/v6"
+	"github.com/santhosh-tekuri/jsonschema/v6/kind"
+	"golang.org/x/text/language"
+	"golang.org/x/text/message"
+
+	"micatrack/deploy"
+)
+
+// Orders is what the operators have switched on. The zero value has everything off.
+type Orders struct {
+	Door Door
+}
+
+// Door bounds the fair queues at the point of entry.
+type Door struct {
+	On        bool
+	Jobs      int     // that wait at once, at most
+	Kilobytes int     // of their statements, at most
+	Customers int     // with a place of their own, beside those that the settings name
+	Places    int     // hashed, shared by all others
+	Strangers float64 // weight of all others, as a part of what those with a place weigh together
+	Further   float64 // further tries admitted for each first try
+}
+
+// Read reads the file at path; without a path everything is off. An error names the file, the path of the key
+// and what was expected there.
+func Read(path string) (Orders, error) {
+	if path == "" {
+		return Orders{}, nil
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Orders{}, fmt.Errorf("operators' file: %w", err)
+	}
+	o, err := Parse(text)
+	if err != nil {
+		return Orders{}, fmt.Errorf("operators' file %s: %w", path, err)
+	}
+	return o, nil
+}
+
+// Parse reads the file's text.
+func Parse(text []byte) (Orders, error) {
+	value, err := jsonschema.UnmarshalJSON(bytes.NewReader(text))
+	if err != nil {
+		return Orders{}, fmt.Errorf("/: no JSON: %w", err)
+	}
+	schema, defaults, err := compiled()
+	if err != nil {
+		return Orders{}, err
+	}
+	if err := schema.Validate(value); err != nil {
+		return Orders{}, explain(err)
+	}
+	o := defaults
+	if err := json.Unmarshal(text, &o); err != nil {
+		return Orders{}, err
+	}
+	return o, nil
+}
+
+// compiled gives the schema and the values that it names as defaults, which stand nowhere else.
+func compiled() (*jsonschema.Schema, Orders, error) {
+	var o Orders
+	document, err := jsonschema.UnmarshalJSON(bytes.NewReader(deploy.Schema))
+	if err != nil {
+		return nil, o, err
+	}
+	c := jsonschema.NewCompiler()
+	if err := c.AddResource("micatrack:operators", document); err != nil {
+		return nil, o, err
+	}
+	s, err := c.Compile("micatrack:operators")
+	if err != nil {
+		return nil, o, err
+	}
+	parts := map[string]map[string]any{}
+	for part, p := range s.Properties {
+		for key, q := range p.Properties {
+			if q.Default != nil {
+				if parts[part] == nil {
+					parts[part] = map[string]any{}
+				}
+				parts[part][key] = *q.Default
+			}
+		}
+	}
+	text, err := json.Marshal(parts)
+	if err != nil {
+		return nil, o, err
+	}
+	return s, o, json.Unmarshal(text, &o)
+}
+
+// explain gives one line for the faults of a file: where each is and what was expected.
+func explain(err error) error {
+	var fault *jsonschema.ValidationError
+	if !errors.As(err, &fault) {
+		return err
+	}
+	printer := message.NewPrinter(language.English)
+	var lines []string
+	var walk func(e *jsonschema.ValidationError)
+	walk = func(e *jsonschema.ValidationError) {
+		for _, c := range e.Causes {
+			walk(c)
+		}
+		if len(e.Causes) > 0 {
+			return
+		}
+		at := "/" + strings.Join(e.InstanceLocation, "/")
+		if unknown, ok := e.ErrorKind.(*kind.AdditionalProperties); ok {
+			for _, name := range unknown.Properties {
+				lines = append(lines, fmt.Sprintf("%s: unknown key", strings.TrimSuffix(at, "/")+"/"+name))
+			}
+			return
+		}
+		lines = append(lines, fmt.Sprintf("%s: %s", at, e.ErrorKind.LocalizedString(printer)))
+	}
+	walk(fault)
+	return errors.New(strings.Join(lines, "; "))
+}
