--- a/balance/balance.go
+++ b/balance/balance.go
@@ -13,6 +13,8 @@
 	"math"
 	"slices"
 	"sort"
+
+	"micatrack/internal/mwc"
 )
 
 const (
@@ -26,8 +28,26 @@
 	Profile
 	typical float64 // how long a trip of it takes of late
 	stills  float64 // how often a replica's position stood still while it held one; feared until seen
-	usual   Time    // time that most clients' tries have left
-	votes   int     // tries in a row, on balance, that had it
+	tries   Tries
+}
+
+// Tries tells a client's further try by the time that it has left.
+type Tries struct {
+	usual Time // that most clients' tries have left
+	votes int  // tries in a row, on balance, that had it
+}
+
+// Further takes one try with the time it had left when it came: with less than most have it is a further one.
+// Danger: the longest time ever seen is no measure.
+func (t *Tries) Further(left, slack Time) bool {
+	if off := left - t.usual; max(off, -off) <= slack {
+		t.votes = min(t.votes+1, 16)
+	} else if t.votes--; t.votes < 0 {
+		t.usual, t.votes = left, 1
+	} else {
+		return true
+	}
+	return false
 }
 
 // customer has a bucket of jobs within its share, a second's worth at most.
@@ -84,7 +104,7 @@
 	front                      Front
 	now, beat, cold            Time
 	mostPause, askWithin, span Time
-	mwc                        uint64
+	mwc                        mwc.Source
 	zone                       string
 	checks, carried            bool // stores check reads; reads carry the age of their fence
 	onlyDrains, priced         bool // being gone does not bind; crossings cost
@@ -114,7 +134,7 @@
 	if len(c.Profiles) == 0 {
 		return nil, fmt.Errorf("charter: no profiles")
 	}
-	b := &Balancer{front: f, now: now, mwc: c.Seed ^ 0x9e3779b97f4a7c15, zone: c.Zone, overShare: c.OverShare,
+	b := &Balancer{front: f, now: now, mwc: mwc.New(c.Seed), zone: c.Zone, overShare: c.OverShare,
 		checks: c.Checks, carried: c.FencesCarried, askWithin: c.AskWithin, onlyDrains: c.OnlyDraining,
 		startShare: c.StartShare, cold: c.Cold, coldPart: c.FallMultiple, span: c.FallSpan,
 		mostTrips: max(c.MostTrips, 1), mayProbe: c.MayProbe, mayCancel: c.MayCancel, priced: c.CrossPrice > 0,
@@ -151,10 +171,7 @@
 }
 
 // chance draws from 0 to n-1 with a multiply-with-carry generator.
-func (b *Balancer) chance(n Time) Time {
-	b.mwc = (b.mwc&0xffffffff)*4294957665 + b.mwc>>32
-	return Time(uint64(uint32(b.mwc)) * uint64(max(n, 1)) >> 32)
-}
+func (b *Balancer) chance(n Time) Time { return b.mwc.Below(n) }
 
 func (b *Balancer) odds(part float64) bool { return float64(b.chance(1<<20)) < part*(1<<20) }
 
@@ -483,14 +500,9 @@
 	b.jobOf[in.ID] = i
 	j, pr := &b.jobs[i], &b.profiles[p]
 	*j = job{id: in.ID, profile: p, group: b.groupAt(in.Group), slot: -1, came: now, limit: now + in.Left}
-	j.wanted = now + min(pr.ExpectedTime+Time(pr.Stretch*float64(in.Work)), pr.OuterLimit)
-	if off := in.Left - pr.usual; max(off, -off) <= b.beat {
-		pr.votes = min(pr.votes+1, 16)
-	} else if pr.votes--; pr.votes < 0 {
-		pr.usual, pr.votes = in.Left, 1
-	} else {
-		// With less time left than most it is a client's further try. Danger: the longest ever seen is no measure.
-		j.wanted -= max(pr.OuterLimit-in.Left, 0)
+	j.wanted = now - in.Waited + min(pr.ExpectedTime+Time(pr.Stretch*float64(in.Work)), pr.OuterLimit)
+	if pr.tries.Further(in.Left+in.Waited, b.beat) {
+		j.wanted -= max(pr.OuterLimit-in.Left-in.Waited, 0)
 	}
 	if in.Session != "" {
 		h := fnv.New32a()
--- a/balance/front.go
+++ b/balance/front.go
@@ -110,6 +110,7 @@
 	Group    uint64
 	Work     Time // that it is expected to take; 0: not told
 	Left     Time // until the client gives this try up
+	Waited   Time // since it came in, before the module was handed it
 	Repeated bool // known to be a client's further try
 	WriteAge Time // age of the session's last write, rounded down; below 0: none, or not told
 }
