Door: fair queues by customer and client before the decision module, off by default

Need: in the busy season one marketplace's surge crowds out the others; the module ranks by credit alone. The package door queues jobs by start-time fair queueing over customers, keeps what the module holds down to one job beside its trips while jobs wait, turns back what cannot make it at its customer's share, and books promised times in a calendar of that share. The core lets jobs through it where the operators' file says so.

--- a/cmd/micatrack/serve.go
+++ b/cmd/micatrack/serve.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"micatrack/balance"
+	"micatrack/door"
 	"micatrack/internal/charter"
 	"micatrack/internal/discovery"
 	"micatrack/internal/front"
@@ -152,8 +153,12 @@
 	now := clock()
 	watcher := discovery.Watch(o.discovery, o.version, net.Wake, log)
 	links := o.sockets - reserve
-	core, err := front.New(now(), o.charter, o.host,
-		front.Limits{Links: links, Clients: links / 2, Answer: answer, Rest: int64(rest / tick), Grace: int64(grace / tick)}, net, watcher.Ask, log)
+	limits := front.Limits{Links: links, Clients: links / 2, Answer: answer, Rest: int64(rest / tick), Grace: int64(grace / tick)}
+	if d := o.operators.Door; d.On {
+		limits.Door = &door.Bounds{Jobs: d.Jobs, Bytes: d.Kilobytes << 10, Customers: d.Customers, Places: d.Places,
+			Strangers: d.Strangers, Further: d.Further}
+	}
+	core, err := front.New(now(), o.charter, o.host, limits, net, watcher.Ask, log)
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -5,6 +5,7 @@
 	"strconv"
 
 	"micatrack/balance"
+	"micatrack/door"
 	"micatrack/internal/pgwire"
 )
 
@@ -13,6 +14,7 @@
 	id     string // its place in the slab, as the module knows it
 	client *client
 	query  pgwire.Statement
+	kind   int  // its profile, as the charter numbers them
 	left   Time // as its client said, less what has passed since
 	came   Time
 	sent   int   // trips
@@ -28,6 +30,7 @@
 type client struct {
 	link    Link
 	at      int // in Core.clients
+	serial  uint64
 	next    func(cl *client, c *Core, in []byte) (used int)
 	since   Time  // when it came, or last said something or was answered
 	job     int32 // in hand, or -1
@@ -42,7 +45,8 @@
 		l.Close()
 		return
 	}
-	cl := &client{link: l, at: len(c.clients), job: -1, next: (*client).greet, since: c.now}
+	c.serial++
+	cl := &client{link: l, at: len(c.clients), serial: c.serial, job: -1, next: (*client).greet, since: c.now}
 	l.Own(cl)
 	c.clients = append(c.clients, cl)
 	if len(c.clients) > c.limits.Clients && !c.evict(0) || len(c.clients)+len(c.conns) > c.limits.Links && !c.spare() {
@@ -228,7 +232,8 @@
 		cl.reject(c, pgwire.Syntax, err.Error())
 		return
 	}
-	if _, ok := c.profiles[string(s.Profile)]; !ok {
+	kind, ok := c.profiles[string(s.Profile)]
+	if !ok {
 		cl.reject(c, pgwire.BadValue, "unknown class")
 		return
 	}
@@ -252,7 +257,7 @@
 	c.freeJobs = c.freeJobs[:len(c.freeJobs)-1]
 	c.inHand++
 	j := &c.jobs[i]
-	*j = job{id: j.id, client: cl, query: s, came: c.now, left: s.Left, busy: true}
+	*j = job{id: j.id, client: cl, query: s, kind: kind, came: c.now, left: s.Left, busy: true}
 	cl.job = i
 	c.arrivals = append(c.arrivals, i)
 }
@@ -266,16 +271,31 @@
 	return true
 }
 
-// take hands a new job to the module.
-func (c *Core) take(i int32) {
+// arrive hands a new job to the door, or to the module where there is none.
+func (c *Core) arrive(i int32) {
 	j := &c.jobs[i]
-	if !j.busy || j.final { // its client left at once
-		return
+	switch {
+	case !j.busy || j.final: // its client left at once
+	case c.door == nil:
+		c.take(i)
+	default:
+		mark := j.query.Key
+		if len(mark) == 0 {
+			mark = j.query.Session
+		}
+		c.door.Arrive(c.now, door.Arrival{Job: i, Profile: j.kind, Customer: j.query.Customer, Client: j.client.serial,
+			Mark: mark, Group: j.query.Group, Left: j.left, Repeated: j.query.Repeated, Bytes: len(j.client.link.Peek())})
 	}
+}
+
+// take hands a job to the module.
+func (c *Core) take(i int32) {
+	j := &c.jobs[i]
 	s := &j.query
+	waited := c.now - j.came
 	in := balance.Job{ID: j.id, Profile: string(s.Profile), Customer: string(s.Customer), Group: s.Group,
-		Left: j.left, Repeated: s.Repeated, WriteAge: -1}
-	if need := c.profiles[in.Profile]; need == balance.Write || need == balance.Session {
+		Left: j.left - waited, Waited: waited, Repeated: s.Repeated, WriteAge: -1}
+	if need := c.needs[j.kind]; need == balance.Write || need == balance.Session {
 		in.Session = string(s.Session)
 	}
 	if s.Carried {
@@ -308,6 +328,9 @@
 	if !j.busy || j.final {
 		return
 	}
+	if c.door != nil {
+		c.door.Ended(c.now, i)
+	}
 	cl := j.client
 	j.final, j.client = true, nil
 	c.out = pgwire.AppendReady(text)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -11,6 +11,7 @@
 	"strconv"
 
 	"micatrack/balance"
+	"micatrack/door"
 	"micatrack/internal/charter"
 )
 
@@ -72,11 +73,12 @@
 
 // Limits bounds what the core holds open.
 type Limits struct {
-	Links   int  // sockets of clients and stores together
-	Clients int  // of them at most
-	Answer  int  // bytes of one message of a store
-	Rest    Time // a client that asked nothing for that long may be hung up on to make room
-	Grace   Time // from Stop to the end by force, beside the longest outer limit
+	Links   int          // sockets of clients and stores together
+	Clients int          // of them at most
+	Answer  int          // bytes of one message of a store
+	Rest    Time         // a client that asked nothing for that long may be hung up on to make room
+	Grace   Time         // from Stop to the end by force, beside the longest outer limit
+	Door    *door.Bounds // nil: jobs go straight to the module
 }
 
 // task is something that the module asked for.
@@ -99,11 +101,13 @@
 // Core is one front.
 type Core struct {
 	module     *balance.Balancer
+	door       *door.Door // nil: there is none
 	sockets    Sockets
 	log        *slog.Logger
 	host       charter.Host
 	limits     Limits
-	profiles   map[string]balance.Need
+	profiles   map[string]int // as the charter numbers them
+	needs      []balance.Need
 	longest    Time // of the profiles' outer limits
 	now        Time
 	wakeAt     Time
@@ -116,6 +120,7 @@
 	freeStores []uint32
 	groups     map[uint64]bool
 	clients    []*client
+	serial     uint64 // of the newest client
 	conns      []*conn
 	lists      []List
 	arrivals   []int32
@@ -134,13 +139,16 @@
 func New(now Time, c balance.Charter, h charter.Host, l Limits, s Sockets, watch func(),
 	log *slog.Logger) (*Core, error) {
 	f := &Core{sockets: s, log: log, host: h, limits: l, now: now, watch: watch,
-		profiles: map[string]balance.Need{}, storeOf: map[string]uint32{}, groups: map[uint64]bool{}}
-	for _, p := range c.Profiles {
-		f.profiles[p.Name] = p.Need
+		profiles: map[string]int{}, storeOf: map[string]uint32{}, groups: map[uint64]bool{}}
+	for i, p := range c.Profiles {
+		f.profiles[p.Name] = i
+		f.needs = append(f.needs, p.Need)
 		f.longest = max(f.longest, p.OuterLimit)
 	}
 	var err error
-	f.module, err = balance.New(now, c, f)
+	if f.module, err = balance.New(now, c, f); err == nil && l.Door != nil {
+		f.door, err = door.New(now, c, *l.Door, gate{f})
+	}
 	return f, err
 }
 
@@ -188,25 +196,33 @@
 	if beat {
 		c.sweep()
 	}
-	for once := true; once || len(c.backs)+len(c.arrivals)+len(c.leavers) > 0; once = false {
+	for once := true; once || len(c.backs)+len(c.arrivals)+len(c.leavers)+len(c.tasks) > 0; once = false {
 		for k := 0; k < len(c.backs); k++ {
 			c.handBack(c.backs[k])
 		}
 		c.backs = c.backs[:0]
 		for _, i := range c.leavers {
+			if c.door != nil {
+				c.door.Ended(now, i)
+			}
 			c.module.Left(now, c.jobs[i].id)
 			c.free(i)
 		}
 		c.leavers = c.leavers[:0]
 		for k := 0; k < len(c.arrivals); k++ {
-			c.take(c.arrivals[k])
+			c.arrive(c.arrivals[k])
 		}
 		c.arrivals = c.arrivals[:0]
 		if beat {
 			c.module.Beat(now)
+			if c.door != nil {
+				c.door.Beat(now)
+			}
 			beat = false
 		}
+		c.open()
 		c.carryOut()
+		c.open() // what was answered has made room
 	}
 	for _, l := range c.dirty {
 		l.Flush()
@@ -214,6 +230,22 @@
 	c.dirty = c.dirty[:0]
 }
 
+// open has the door let in what there is room for.
+func (c *Core) open() {
+	if c.door != nil {
+		c.door.Turn(c.now)
+	}
+}
+
+// gate is what the core does for the door.
+type gate struct{ c *Core }
+
+func (g gate) LetIn(job int32) { g.c.take(job) }
+func (g gate) Log(text string) { g.c.note(text) }
+func (g gate) TurnBack(job int32, pause Time) {
+	g.c.tasks = append(g.c.tasks, task{do: (*Core).turnBack, job: job, at: pause})
+}
+
 func (c *Core) carryOut() {
 	for k := 0; k < len(c.tasks); k++ {
 		c.tasks[k].do(c, c.tasks[k])
@@ -288,6 +320,9 @@
 // The rest is balance.Front: what the module asks for waits until the module has seen all that is ready.
 
 func (c *Core) Send(id string, store uint32, until Time) {
+	if c.door != nil {
+		c.door.Sent(c.now, place(id))
+	}
 	c.tasks = append(c.tasks, task{do: (*Core).depart, job: place(id), store: store, at: until})
 }
 
@@ -296,6 +331,9 @@
 }
 
 func (c *Core) TurnBack(id string, pause Time) {
+	if c.door != nil {
+		pause = c.door.Promise(c.now, place(id), pause)
+	}
 	c.tasks = append(c.tasks, task{do: (*Core).turnBack, job: place(id), at: pause})
 }
 
--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -432,6 +432,9 @@
 func (c *Core) owe(b back) {
 	if b.job >= 0 {
 		c.jobs[b.job].owed++
+		if c.door != nil {
+			c.door.Back(c.now, b.job, b.r.Ending == balance.Delivered)
+		}
 	}
 	c.backs = append(c.backs, b)
 }
