--- a/door/door.go
+++ b/door/door.go
@@ -261,7 +261,7 @@
 		f.tries--
 	}
 	t.until = d.now + p.patience(t.class, a.Left)
-	if d.now+Time(l.wait(d, f, d.weigh(l, place), t.class)) > t.until {
+	if d.now+Time(l.wait(d, f, d.weigh(l, place), t.class, a.Client)) > t.until {
 		d.turnBack(a.Job)
 		return
 	}
--- a/door/lane.go
+++ b/door/lane.go
@@ -195,13 +195,25 @@
 	return work
 }
 
+// before is the work that is served before a client's next job if each of those that wait has an equal part.
+// Danger: by the whole queue, one client that keeps it full would have the others turned away.
+func (f *flow) before(client uint64) float64 {
+	n := 0.0
+	for _, s := range f.seats {
+		if s > f.v {
+			n++
+		}
+	}
+	return max(f.seats[client%clients]-f.v, 0) * n
+}
+
 // wait is how long a job of the customer would wait, by what is ahead of it at its customer's share. Until that
 // has been learned nothing is known, and the job is let wait.
-func (l *lane) wait(d *Door, f *flow, weight float64, c class) float64 {
+func (l *lane) wait(d *Door, f *flow, weight float64, c class, client uint64) float64 {
 	if l.sure < d.quickest/4 || l.pace <= 0 {
 		return 0
 	}
-	ahead := f.queued(c)
+	ahead := min(f.queued(c), f.before(client))
 	if c != told { // what was booked is ahead of all that was not
 		ahead += float64(f.calendar.due())
 	}
--- /dev/null
+++ b/internal/bolt/message.go
@@ -0,0 +1,304 @@
+package bolt
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+)
+
+// What is the tag of a message.
+type What byte
+
+const (
+	Hello     What = 0x01
+	Goodbye   What = 0x02
+	Reset     What = 0x0f
+	Run       What = 0x10
+	BeginTx   What = 0x11
+	Commit    What = 0x12
+	Rollback  What = 0x13
+	Discard   What = 0x2f
+	Pull      What = 0x3f
+	Telemetry What = 0x54
+	Route     What = 0x66
+	Logon     What = 0x6a
+	Logoff    What = 0x6b
+
+	Success What = 0x70
+	Record  What = 0x71
+	Ignored What = 0x7e
+	Failure What = 0x7f
+)
+
+func (w What) String() string {
+	for _, n := range [...]struct {
+		what What
+		name string
+	}{{Hello, "HELLO"}, {Goodbye, "GOODBYE"}, {Reset, "RESET"}, {Run, "RUN"}, {BeginTx, "BEGIN"}, {Commit, "COMMIT"},
+		{Rollback, "ROLLBACK"}, {Discard, "DISCARD"}, {Pull, "PULL"}, {Telemetry, "TELEMETRY"}, {Route, "ROUTE"}, {Logon, "LOGON"},
+		{Logoff, "LOGOFF"}, {Success, "SUCCESS"}, {Record, "RECORD"}, {Ignored, "IGNORED"}, {Failure, "FAILURE"}} {
+		if n.what == w {
+			return n.name
+		}
+	}
+	return "message 0x" + strconv.FormatUint(uint64(w), 16)
+}
+
+// Request is a client's message. Its slices point into the message's body.
+type Request struct {
+	What       What
+	Query      []byte // of RUN
+	Parameters []byte // of RUN, packed as they came
+	Extra      Extra  // of RUN and BEGIN
+	Many       int64  // of PULL and DISCARD: how many records, below 0: all
+	Result     int64  // of PULL and DISCARD: which of the transaction's results, below 0: the last
+	Routing    []byte // of ROUTE: the context, packed
+	Agent      []byte // of HELLO: what the client calls itself
+}
+
+// Extra is what RUN and BEGIN say beside a statement.
+type Extra struct {
+	Bookmarks []byte // packed list; nil: none
+	Timeout   int64  // milliseconds; 0: not said
+	Reads     bool   // access mode "r"
+	Database  []byte
+	Metadata  []byte // packed map; nil: none
+}
+
+var errFields = errors.New("a message with another number of fields")
+
+// fields is how many each request has.
+func (w What) fields() int {
+	switch w {
+	case Hello, BeginTx, Discard, Pull, Telemetry, Logon:
+		return 1
+	case Goodbye, Reset, Commit, Rollback, Logoff:
+		return 0
+	case Run, Route:
+		return 3
+	}
+	return -1
+}
+
+// ReadRequest reads a client's message.
+func ReadRequest(body []byte) (r Request, err error) {
+	v := Unpack(body)
+	tag, n := v.Struct()
+	r = Request{What: What(tag), Result: -1, Many: -1}
+	if v.Err() != nil {
+		return r, v.Err()
+	}
+	switch want := r.What.fields(); {
+	case want < 0:
+		return r, fmt.Errorf("%v is no request", r.What)
+	case n != want:
+		return r, fmt.Errorf("%v: %w", r.What, errFields)
+	}
+	switch r.What {
+	case Hello:
+		r.hello(&v)
+	case Run:
+		r.Query = v.String()
+		if v.Kind() != Map {
+			v.fail(errKind)
+		}
+		r.Parameters = v.Skip()
+		r.Extra.read(&v)
+	case BeginTx:
+		r.Extra.read(&v)
+	case Pull, Discard:
+		r.pull(&v)
+	case Route:
+		r.Routing = v.Skip()
+		r.Extra.Bookmarks = v.Skip()
+		r.Extra.read(&v)
+	case Logon:
+		pairs(&v, func([]byte) { v.Skip() })
+	case Telemetry:
+		v.Int()
+	}
+	if v.Err() == nil && len(v.Left()) > 0 {
+		return r, fmt.Errorf("%v: bytes behind its end", r.What)
+	}
+	if v.Err() != nil {
+		return r, fmt.Errorf("%v: %w", r.What, v.Err())
+	}
+	return r, nil
+}
+
+// pairs reads a map; each is told a key and has to take its value.
+func pairs(v *Values, each func(key []byte)) {
+	for n := v.Map(); n > 0 && v.Err() == nil; n-- {
+		if key := v.String(); v.Err() == nil {
+			each(key)
+		}
+	}
+}
+
+func (r *Request) hello(v *Values) {
+	pairs(v, func(key []byte) {
+		if string(key) == "user_agent" {
+			r.Agent = v.String()
+		} else {
+			v.Skip()
+		}
+	})
+}
+
+func (r *Request) pull(v *Values) {
+	pairs(v, func(key []byte) {
+		switch string(key) {
+		case "n":
+			r.Many = v.Int()
+		case "qid":
+			r.Result = v.Int()
+		default:
+			v.Skip()
+		}
+	})
+	if r.Many == 0 || r.Many < -1 || r.Result < -1 {
+		v.fail(errors.New("n or qid is out of range"))
+	}
+}
+
+func (e *Extra) read(v *Values) {
+	pairs(v, func(key []byte) {
+		if v.Kind() == Null { // as if it were not there
+			v.Skip()
+			return
+		}
+		switch string(key) {
+		case "bookmarks":
+			if v.Kind() != List {
+				v.fail(errKind)
+			}
+			e.Bookmarks = v.Skip()
+		case "tx_timeout":
+			if e.Timeout = v.Int(); e.Timeout < 0 {
+				v.fail(errors.New("tx_timeout is negative"))
+			}
+		case "tx_metadata":
+			if v.Kind() != Map {
+				v.fail(errKind)
+			}
+			e.Metadata = v.Skip()
+		case "mode":
+			switch mode := v.String(); string(mode) {
+			case "r":
+				e.Reads = true
+			case "w":
+			default:
+				v.fail(errors.New("mode is neither r nor w"))
+			}
+		case "db":
+			e.Database = v.String()
+		default:
+			v.Skip()
+		}
+	})
+}
+
+// Answer is a server's message. Its slices point into the message's body.
+type Answer struct {
+	What    What
+	Fields  []byte // of SUCCESS: the metadata, packed; of RECORD: the list, packed
+	Code    []byte // of FAILURE
+	Message []byte
+	More    bool // SUCCESS of PULL or DISCARD: there is more
+}
+
+// ReadAnswer reads a server's message.
+func ReadAnswer(body []byte) (a Answer, err error) {
+	v := Unpack(body)
+	tag, n := v.Struct()
+	a.What = What(tag)
+	want := 1
+	if a.What == Ignored {
+		want = 0
+	}
+	switch {
+	case v.Err() != nil:
+		return a, v.Err()
+	case a.What < Success || a.What != Success && a.What != Record && a.What != Ignored && a.What != Failure:
+		return a, fmt.Errorf("%v is no answer", a.What)
+	case n != want && !(a.What == Ignored && n == 1): // some servers say why
+		return a, fmt.Errorf("%v: %w", a.What, errFields)
+	}
+	rest := v.Left()
+	switch a.What {
+	case Success:
+		pairs(&v, func(key []byte) {
+			if string(key) == "has_more" {
+				a.More = v.Bool()
+			} else {
+				v.Skip()
+			}
+		})
+		a.Fields = rest
+	case Record:
+		if v.Kind() != List {
+			v.fail(errKind)
+		}
+		a.Fields = v.Skip()
+	case Ignored:
+		if n == 1 {
+			v.Skip()
+		}
+	case Failure: // from 5.7 on the code has another key
+		pairs(&v, func(key []byte) {
+			switch string(key) {
+			case "code", "neo4j_code":
+				a.Code = v.String()
+			case "message":
+				a.Message = v.String()
+			default:
+				v.Skip()
+			}
+		})
+		if v.Err() == nil && len(a.Code) == 0 {
+			v.fail(errors.New("it has no code"))
+		}
+	}
+	if v.Err() == nil && len(v.Left()) > 0 {
+		return a, fmt.Errorf("%v: bytes behind its end", a.What)
+	}
+	if v.Err() != nil {
+		return a, fmt.Errorf("%v: %w", a.What, v.Err())
+	}
+	return a, nil
+}
+
+// AppendFailure writes a FAILURE in the form of that version, with the class of its status where the version has one.
+func AppendFailure(dst []byte, v Version, code, text string) []byte {
+	dst, at := Begin(dst)
+	dst = AppendStruct(dst, byte(Failure), 1)
+	if v.Major() < 5 || v.Major() == 5 && v.Minor() < 7 {
+		dst = AppendMap(dst, 2)
+		return End(AppendPair(AppendPair(dst, "code", code), "message", text), at)
+	}
+	dst = AppendMap(dst, 5)
+	dst = AppendPair(dst, "neo4j_code", code)
+	dst = AppendPair(dst, "message", text)
+	dst = AppendPair(dst, "gql_status", "50N42") // general processing exception
+	dst = AppendPair(dst, "description", "error: general processing exception - unexpected error. "+text)
+	dst = AppendMap(AppendString(dst, "diagnostic_record"), 3)
+	dst = AppendPair(dst, "OPERATION", "")
+	dst = AppendPair(dst, "OPERATION_CODE", "0")
+	return End(AppendPair(dst, "CURRENT_SCHEMA", "/"), at)
+}
+
+// AppendSuccess writes a SUCCESS whose metadata holds n pairs, which pairs appends.
+func AppendSuccess(dst []byte, n int, pairs func(dst []byte) []byte) []byte {
+	dst, at := Begin(dst)
+	dst = AppendMap(AppendStruct(dst, byte(Success), 1), n)
+	if pairs != nil {
+		dst = pairs(dst)
+	}
+	return End(dst, at)
+}
+
+// AppendBare writes a message without fields.
+func AppendBare(dst []byte, w What) []byte {
+	dst, at := Begin(dst)
+	return End(AppendStruct(dst, byte(w), 0), at)
+}
--- /dev/null
+++ b/internal/bolt/pack.go
@@ -0,0 +1,293 @@
+package bolt
+
+import (
+	"encoding/binary"
+	"errors"
+	"math"
+)
+
+// Kind is what a PackStream value is.
+type Kind uint8
+
+const (
+	None Kind = iota // nothing is left
+	Null
+	Bool
+	Int
+	Float
+	Bytes
+	String
+	List
+	Map
+	Struct
+	Faulty
+)
+
+var (
+	errShort = errors.New("a value ends too early")
+	errKind  = errors.New("a value of another kind was expected")
+	errByte  = errors.New("a byte that begins no value")
+)
+
+// Values reads PackStream values one after the other. What it gives points into the message. After an error it gives
+// nothing more, and Err tells it.
+type Values struct {
+	buf []byte
+	err error
+}
+
+// Unpack reads the values of a message's body.
+func Unpack(body []byte) Values { return Values{buf: body} }
+
+// Err tells the first fault.
+func (v *Values) Err() error { return v.err }
+
+// Left is what has not been read.
+func (v *Values) Left() []byte { return v.buf }
+
+func (v *Values) fail(err error) {
+	if v.err == nil {
+		v.err = err
+	}
+	v.buf = nil
+}
+
+// Kind tells what comes next without taking it.
+func (v *Values) Kind() Kind {
+	if len(v.buf) == 0 {
+		return None
+	}
+	switch m := v.buf[0]; {
+	case m <= 0x7f || m >= 0xf0 || m >= 0xc8 && m <= 0xcb:
+		return Int
+	case m <= 0x8f || m >= 0xd0 && m <= 0xd2:
+		return String
+	case m <= 0x9f || m >= 0xd4 && m <= 0xd6:
+		return List
+	case m <= 0xaf || m >= 0xd8 && m <= 0xda:
+		return Map
+	case m <= 0xbf:
+		return Struct
+	case m == 0xc0:
+		return Null
+	case m == 0xc1:
+		return Float
+	case m <= 0xc3:
+		return Bool
+	case m >= 0xcc && m <= 0xce:
+		return Bytes
+	}
+	return Faulty
+}
+
+// head takes a marker and the size or number behind it: n bytes, entries or fields, or the number itself.
+func (v *Values) head() (k Kind, n int64) {
+	k = v.Kind()
+	if k == None {
+		v.fail(errShort)
+		return Faulty, 0
+	}
+	m := v.buf[0]
+	width := 0 // bytes of the size or number
+	switch {
+	case k == Faulty:
+		v.fail(errByte)
+		return Faulty, 0
+	case k == Int && (m <= 0x7f || m >= 0xf0):
+		n = int64(int8(m))
+	case k == Int:
+		width = 1 << (m - 0xc8)
+	case k == Float:
+		width = 8
+	case k == Bool:
+		n = int64(m & 1)
+	case k == Bytes:
+		width = 1 << (m - 0xcc)
+	case m >= 0x80 && m <= 0xbf:
+		n = int64(m & 0x0f)
+	case k == String:
+		width = 1 << (m - 0xd0)
+	case k == List:
+		width = 1 << (m - 0xd4)
+	case k == Map:
+		width = 1 << (m - 0xd8)
+	}
+	if len(v.buf) < 1+width {
+		v.fail(errShort)
+		return Faulty, 0
+	}
+	switch b := v.buf[1:]; width {
+	case 1:
+		n = int64(b[0])
+	case 2:
+		n = int64(binary.BigEndian.Uint16(b))
+	case 4:
+		n = int64(binary.BigEndian.Uint32(b))
+	case 8:
+		n = int64(binary.BigEndian.Uint64(b))
+	}
+	if k == Int && width > 0 && width < 8 { // sizes have no sign, numbers have
+		shift := 64 - 8*width
+		n = n << shift >> shift
+	}
+	v.buf = v.buf[1+width:]
+	return k, n
+}
+
+// want takes the head of a value of that kind.
+func (v *Values) want(k Kind) int64 {
+	got, n := v.head()
+	if got != k {
+		v.fail(errKind)
+		return 0
+	}
+	return n
+}
+
+// Int takes a whole number.
+func (v *Values) Int() int64 { return v.want(Int) }
+
+// Bool takes a truth value.
+func (v *Values) Bool() bool { return v.want(Bool) != 0 }
+
+// Float takes a floating-point number.
+func (v *Values) Float() float64 { return math.Float64frombits(uint64(v.want(Float))) }
+
+func (v *Values) bytes(n int64) []byte {
+	if n < 0 || n > int64(len(v.buf)) {
+		v.fail(errShort)
+		return nil
+	}
+	b := v.buf[:n:n]
+	v.buf = v.buf[n:]
+	return b
+}
+
+// String takes a string.
+func (v *Values) String() []byte { return v.bytes(v.want(String)) }
+
+// Bytes takes a string of bytes.
+func (v *Values) Bytes() []byte { return v.bytes(v.want(Bytes)) }
+
+// count checks that n things of at least so many bytes each can still follow.
+func (v *Values) count(n, each int64) int {
+	if n < 0 || n > int64(len(v.buf))/each {
+		v.fail(errShort)
+		return 0
+	}
+	return int(n)
+}
+
+// List takes the head of a list and gives how many entries follow.
+func (v *Values) List() int { return v.count(v.want(List), 1) }
+
+// Map takes the head of a map and gives how many pairs of a string and a value follow.
+func (v *Values) Map() int { return v.count(v.want(Map), 2) }
+
+// Struct takes the head of a structure: its tag, and how many fields follow.
+func (v *Values) Struct() (tag byte, fields int) {
+	n := v.want(Struct)
+	if v.err != nil || len(v.buf) == 0 {
+		v.fail(errShort)
+		return 0, 0
+	}
+	tag = v.buf[0]
+	v.buf = v.buf[1:]
+	return tag, v.count(n, 1)
+}
+
+// Skip takes a value of any kind with all that is in it, and gives its bytes. It goes no deeper than the message is
+// long, and keeps no stack: it counts what is still to come.
+func (v *Values) Skip() []byte {
+	start := v.buf
+	for left := int64(1); left > 0 && v.err == nil; left-- {
+		switch k, n := v.head(); k {
+		case String, Bytes:
+			v.bytes(n)
+		case List:
+			left += n
+		case Map:
+			left += 2 * n
+		case Struct:
+			if v.bytes(1); v.err == nil {
+				left += n
+			}
+		}
+		if left-1 > int64(len(v.buf)) {
+			v.fail(errShort)
+		}
+	}
+	if v.err != nil {
+		return nil
+	}
+	return start[:len(start)-len(v.buf)]
+}
+
+// AppendNull writes the value that there is none.
+func AppendNull(dst []byte) []byte { return append(dst, 0xc0) }
+
+// AppendBool writes a truth value.
+func AppendBool(dst []byte, b bool) []byte {
+	if b {
+		return append(dst, 0xc3)
+	}
+	return append(dst, 0xc2)
+}
+
+// AppendInt writes a whole number in the shortest form.
+func AppendInt(dst []byte, n int64) []byte {
+	switch {
+	case n >= -16 && n <= 127:
+		return append(dst, byte(n))
+	case n == int64(int8(n)):
+		return append(dst, 0xc8, byte(n))
+	case n == int64(int16(n)):
+		return binary.BigEndian.AppendUint16(append(dst, 0xc9), uint16(n))
+	case n == int64(int32(n)):
+		return binary.BigEndian.AppendUint32(append(dst, 0xca), uint32(n))
+	}
+	return binary.BigEndian.AppendUint64(append(dst, 0xcb), uint64(n))
+}
+
+// AppendFloat writes a floating-point number.
+func AppendFloat(dst []byte, f float64) []byte {
+	return binary.BigEndian.AppendUint64(append(dst, 0xc1), math.Float64bits(f))
+}
+
+// appendSize writes a marker with a size: tiny|n for small ones where there is such a form, else one of three from
+// wide on.
+func appendSize(dst []byte, tiny, wide byte, n int) []byte {
+	switch {
+	case n < 16 && tiny != 0:
+		return append(dst, tiny|byte(n))
+	case n < 1<<8:
+		return append(dst, wide, byte(n))
+	case n < 1<<16:
+		return binary.BigEndian.AppendUint16(append(dst, wide+1), uint16(n))
+	}
+	return binary.BigEndian.AppendUint32(append(dst, wide+2), uint32(n))
+}
+
+// AppendString writes a string.
+func AppendString[T string | []byte](dst []byte, s T) []byte {
+	return append(appendSize(dst, 0x80, 0xd0, len(s)), s...)
+}
+
+// AppendBytes writes a string of bytes.
+func AppendBytes(dst, b []byte) []byte { return append(appendSize(dst, 0, 0xcc, len(b)), b...) }
+
+// AppendList writes the head of a list of n entries.
+func AppendList(dst []byte, n int) []byte { return appendSize(dst, 0x90, 0xd4, n) }
+
+// AppendMap writes the head of a map of n pairs.
+func AppendMap(dst []byte, n int) []byte { return appendSize(dst, 0xa0, 0xd8, n) }
+
+// AppendStruct writes the head of a structure of up to 15 fields.
+func AppendStruct(dst []byte, tag byte, fields int) []byte {
+	return append(dst, 0xb0|byte(fields&15), tag)
+}
+
+// AppendPair writes a key and a string for a map.
+func AppendPair(dst []byte, key, value string) []byte {
+	return AppendString(AppendString(dst, key), value)
+}
--- /dev/null
+++ b/internal/bolt/state.go
@@ -0,0 +1,101 @@
+package bolt
+
+// State is where a connection stands, as the specification's server states have it.
+type State uint8
+
+const (
+	Authentication State = iota // from 5.1 on: HELLO was taken, LOGON is awaited; before: HELLO is awaited
+	Negotiation                 // from 5.1 on: HELLO is awaited
+	Ready
+	Streaming
+	TxReady
+	TxStreaming
+	Failed
+	Interrupted
+	Defunct
+)
+
+// Start is where a connection stands after the handshake.
+func Start(v Version) State {
+	if logsOn(v) {
+		return Negotiation
+	}
+	return Authentication
+}
+
+// logsOn tells whether that version has messages of its own for logging on.
+func logsOn(v Version) bool { return v.Major() > 5 || v.Major() == 5 && v.Minor() >= 1 }
+
+// Takes tells what becomes of a request in that state: carried out, ignored, or senseless, after which the connection
+// is defunct.
+func (s State) Takes(v Version, w What) (carried, ignored bool) {
+	switch {
+	case w == Goodbye:
+		return s != Defunct, false
+	case s == Defunct:
+		return false, false
+	case w == Reset:
+		return s >= Ready, false
+	case s == Failed || s == Interrupted:
+		return false, w.fields() >= 0 && w != Hello && w != Logon
+	case w == Telemetry:
+		return s == Ready && (v.Major() > 5 || v.Major() == 5 && v.Minor() >= 4), false
+	case w == Logon || w == Logoff:
+		return logsOn(v) && (w == Logon && s == Authentication || w == Logoff && s == Ready), false
+	}
+	switch s {
+	case Negotiation:
+		return w == Hello, false
+	case Authentication:
+		return w == Hello && !logsOn(v), false
+	case Ready:
+		return w == Run || w == BeginTx || w == Route, false
+	case Streaming:
+		return w == Pull || w == Discard, false
+	case TxReady:
+		return w == Run || w == Commit || w == Rollback, false
+	case TxStreaming:
+		return w == Run || w == Pull || w == Discard || w == Commit || w == Rollback, false
+	}
+	return false, false
+}
+
+// After gives the state behind a request that was carried out: how it ended, whether its result has more records, and
+// how many results of the transaction are open then.
+func (s State) After(w What, ok, more bool, open int) State {
+	switch {
+	case w == Goodbye:
+		return Defunct
+	case !ok && (w == Reset || w == Hello || w == Logon):
+		return Defunct
+	case !ok:
+		return Failed
+	}
+	switch w {
+	case Hello:
+		if s == Negotiation {
+			return Authentication
+		}
+		return Ready
+	case Logon, Reset, Commit, Rollback:
+		return Ready
+	case Logoff:
+		return Authentication
+	case BeginTx:
+		return TxReady
+	case Run:
+		if s == Ready {
+			return Streaming
+		}
+		return TxStreaming
+	case Pull, Discard:
+		switch {
+		case more || s == TxStreaming && open > 0:
+			return s
+		case s == Streaming:
+			return Ready
+		}
+		return TxReady
+	}
+	return s
+}
