Stand-in of a Bolt store with its group's ledger and the rule checker over it

Need: Bolt's rule checks want servers whose own record tells what ran. A group has a log, a primary, lagging replicas, a window for repeats and drains; the checker holds its ledger against what clients were told. An unmodified neo4j-go-driver speaks to the stand-in: auto-commit, results in pieces, a transient failure and its own repeat, bookmarks, a replica behind.

--- /dev/null
+++ b/internal/standin/bolt.go
@@ -0,0 +1,358 @@
+package standin
+
+import (
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"micatrack/internal/bolt"
+)
+
+// Bolt is a store that speaks Bolt. A statement that begins with CREATE, MERGE, SET or DELETE writes, any other
+// reads. "RETURN range(1, N)" has N records; any other statement has one, its job's id.
+type Bolt struct {
+	Name  string
+	group *Group
+	l     net.Listener
+
+	mu     sync.Mutex
+	conns  map[net.Conn]bool
+	before func(job string, w bolt.What) Act // what happens instead of an answer, if anything
+	takes  time.Duration                     // a statement
+	full   bool                              // turns everything away unseen
+	closed bool
+}
+
+// Act is what a store does with a message instead of answering it rightly.
+type Act uint8
+
+const (
+	Answer  Act = iota // as it should
+	Hang               // says nothing more on this connection
+	Refuse             // turns it away unseen
+	Break              // closes without carrying it out
+	RunLost            // carries it out and closes
+	Spoil              // carries it out and answers nonsense
+)
+
+// NewBolt starts a store of a group on a loopback address.
+func NewBolt(name string, g *Group) (*Bolt, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	b := &Bolt{Name: name, group: g, l: l, conns: map[net.Conn]bool{}}
+	go b.accept()
+	return b, nil
+}
+
+// Addr is where it listens.
+func (b *Bolt) Addr() string { return b.l.Addr().String() }
+
+// Does sets what happens to messages; nil: all are answered.
+func (b *Bolt) Does(f func(job string, w bolt.What) Act) { b.mu.Lock(); b.before = f; b.mu.Unlock() }
+
+// Takes sets how long a statement takes.
+func (b *Bolt) Takes(d time.Duration) { b.mu.Lock(); b.takes = d; b.mu.Unlock() }
+
+// Full has the store turn everything away unseen, or no more.
+func (b *Bolt) Full(full bool) { b.mu.Lock(); b.full = full; b.mu.Unlock() }
+
+// Close stops it: connections break, and new ones are refused.
+func (b *Bolt) Close() {
+	b.l.Close()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.closed = true
+	for c := range b.conns {
+		c.Close()
+	}
+}
+
+func (b *Bolt) accept() {
+	for {
+		c, err := b.l.Accept()
+		if err != nil {
+			return
+		}
+		b.mu.Lock()
+		if b.closed {
+			c.Close()
+		} else {
+			b.conns[c] = true
+		}
+		b.mu.Unlock()
+		go (&serving{b: b, c: c, r: bolt.Reader{Most: 1 << 20}}).serve()
+	}
+}
+
+// serving is one connection.
+type serving struct {
+	b       *Bolt
+	c       net.Conn
+	in      []byte
+	r       bolt.Reader
+	v       bolt.Version
+	state   bolt.State
+	job     string // of the open result or transaction
+	mark    string
+	after   int64
+	writes  bool // the transaction holds a write
+	records int  // that are left to be pulled
+	open    int
+	out     []byte
+}
+
+// more reads until take has taken something; false: the connection is over.
+func (s *serving) more(take func() (size int, err error)) bool {
+	buf := make([]byte, 16<<10)
+	for {
+		n, err := take()
+		if err != nil {
+			return false
+		}
+		if n > 0 {
+			s.in = s.in[:copy(s.in, s.in[n:])]
+			return true
+		}
+		got, err := s.c.Read(buf)
+		if err != nil {
+			return false
+		}
+		s.in = append(s.in, buf[:got]...)
+	}
+}
+
+func (s *serving) serve() {
+	defer func() {
+		s.c.Close()
+		s.b.mu.Lock()
+		delete(s.b.conns, s.c)
+		s.b.mu.Unlock()
+	}()
+	if !s.more(func() (n int, err error) { s.v, n, err = bolt.Handshake(s.in); return n, err }) {
+		return
+	}
+	if s.v == bolt.Manifest {
+		s.c.Write(bolt.AppendManifest(nil))
+		if !s.more(func() (n int, err error) { s.v, n, err = bolt.Chosen(s.in); return n, err }) {
+			return
+		}
+	} else if s.c.Write(bolt.AppendVersion(nil, s.v)); s.v == 0 {
+		return
+	}
+	s.state = bolt.Start(s.v)
+	for {
+		going := true
+		if !s.more(func() (int, error) {
+			body, n, err := s.r.Next(s.in)
+			if n > 0 && len(body) > 0 {
+				going = s.take(body)
+			}
+			return n, err
+		}) || !going {
+			return
+		}
+		if _, err := s.c.Write(s.out); err != nil {
+			return
+		}
+		s.out = s.out[:0]
+	}
+}
+
+func (s *serving) fail(w bolt.What, code, text string) bool {
+	s.out = bolt.AppendFailure(s.out, s.v, code, text)
+	s.state = s.state.After(w, false, false, 0)
+	return s.state != bolt.Defunct
+}
+
+// take carries one message out; false: the connection ends.
+func (s *serving) take(body []byte) bool {
+	r, err := bolt.ReadRequest(body)
+	if err != nil {
+		s.out = bolt.AppendFailure(s.out, s.v, bolt.Format, err.Error())
+		s.c.Write(s.out)
+		return false
+	}
+	carried, ignored := s.state.Takes(s.v, r.What)
+	if ignored {
+		s.out = bolt.AppendBare(s.out, bolt.Ignored)
+		return true
+	}
+	if !carried {
+		s.out = bolt.AppendFailure(s.out, s.v, bolt.Invalid, "unexpected "+r.What.String())
+		s.c.Write(s.out)
+		return false
+	}
+	if (r.What == bolt.Run || r.What == bolt.BeginTx) && s.state == bolt.Ready {
+		if r.What == bolt.Run && string(r.Query) == "CALL micatrack.report()" { // a probe
+			s.records, s.job, s.writes = 1, s.report(), false
+			s.state = s.state.After(r.What, true, false, 1)
+			s.out = bolt.AppendSuccess(s.out, 1, fields)
+			return true
+		}
+		t, err := r.Extra.Terms()
+		if err == bolt.FaultyBookmark {
+			return s.fail(r.What, bolt.BadBookmark, err.Error())
+		}
+		if err != nil {
+			return s.fail(r.What, bolt.Invalid, err.Error())
+		}
+		s.job, s.mark, s.after, s.writes, s.records, s.open = string(t.ID), string(t.Mark), t.After, false, 0, 0
+	}
+	act := Answer
+	s.b.mu.Lock()
+	before, takes, full := s.b.before, s.b.takes, s.b.full
+	s.b.mu.Unlock()
+	if before != nil {
+		act = before(s.job, r.What)
+	}
+	switch {
+	case act == Hang:
+		time.Sleep(time.Minute)
+		return false
+	case act == Break:
+		return false
+	case act == Refuse, full && (r.What == bolt.Run || r.What == bolt.BeginTx):
+		return s.fail(r.What, bolt.Unavailable, "the store is full")
+	}
+	if r.What == bolt.Run {
+		time.Sleep(takes)
+	}
+	going := s.carry(r)
+	switch act {
+	case RunLost:
+		return false
+	case Spoil:
+		s.out = append(s.out[:0], "\x00\x03\xff\xff\xff\x00\x00"...)
+	}
+	return going
+}
+
+func fields(dst []byte) []byte {
+	return bolt.AppendString(bolt.AppendList(bolt.AppendString(dst, "fields"), 1), "value")
+}
+
+func (s *serving) report() string {
+	p := s.b.group.Position(s.b.Name)
+	primary, _ := s.b.group.Primary()
+	role := "0"
+	if primary == s.b.Name {
+		role = "1"
+	}
+	return "x0=" + strconv.FormatFloat(float64(p)/10_000, 'f', 4, 64) + ",x1=" + role
+}
+
+func writes(query string) bool {
+	for _, w := range []string{"CREATE", "MERGE", "SET", "DELETE"} {
+		if strings.HasPrefix(query, w) {
+			return true
+		}
+	}
+	return false
+}
+
+// carry does what the message asks for.
+func (s *serving) carry(r bolt.Request) bool {
+	was := s.state
+	switch r.What {
+	case bolt.Hello:
+		s.out = bolt.AppendSuccess(s.out, 2, func(b []byte) []byte {
+			return bolt.AppendPair(bolt.AppendPair(b, "server", "Neo4j/5.0.0"), "connection_id", "bolt-1")
+		})
+	case bolt.Goodbye:
+		return false
+	case bolt.Run:
+		if writes(string(r.Query)) {
+			if primary, _ := s.b.group.Primary(); primary != s.b.Name {
+				return s.fail(r.What, bolt.NotALeader, "this is no primary")
+			}
+			s.writes = true
+		}
+		s.records = 1
+		if n, ok := strings.CutPrefix(string(r.Query), "RETURN range(1, "); ok {
+			s.records, _ = strconv.Atoi(strings.TrimSuffix(n, ")"))
+		}
+		if was == bolt.Ready && !s.writes || was != bolt.Ready && !writes(string(r.Query)) {
+			if _, ok := s.b.group.Read(s.b.Name, s.job, s.after); !ok {
+				return s.fail(r.What, bolt.BehindMark, "this store has not come so far")
+			}
+		}
+		if was == bolt.Ready && s.writes {
+			position, ok := s.b.group.Write(s.b.Name, s.job, s.mark)
+			if !ok {
+				return s.fail(r.What, bolt.NotALeader, "this is no primary")
+			}
+			s.after = position
+		}
+		s.open++
+		s.out = bolt.AppendSuccess(s.out, 1, fields)
+	case bolt.Pull, bolt.Discard:
+		n := s.records
+		if r.Many > 0 {
+			n = min(n, int(r.Many))
+		}
+		for i := range n {
+			if r.What == bolt.Pull {
+				var at int
+				s.out, at = bolt.Begin(s.out)
+				s.out = bolt.AppendList(bolt.AppendStruct(s.out, byte(bolt.Record), 1), 1)
+				s.out = bolt.End(bolt.AppendString(s.out, s.job), at)
+			}
+			if i%1024 == 1023 { // a large result goes out as it is made
+				if _, err := s.c.Write(s.out); err != nil {
+					return false
+				}
+				s.out = s.out[:0]
+			}
+		}
+		if s.records -= n; s.records > 0 {
+			s.out = bolt.AppendSuccess(s.out, 1, func(b []byte) []byte { return bolt.AppendBool(bolt.AppendString(b, "has_more"), true) })
+			s.state = s.state.After(r.What, true, true, s.open)
+			return true
+		}
+		s.open--
+		s.out = s.summary(s.out, was == bolt.Streaming)
+	case bolt.Commit:
+		if s.writes {
+			position, ok := s.b.group.Write(s.b.Name, s.job, s.mark)
+			if !ok {
+				return s.fail(r.What, bolt.NotALeader, "this is no primary any more")
+			}
+			s.after = position
+		}
+		s.out = s.summary(s.out, true)
+	case bolt.Route:
+		s.out = bolt.AppendFailure(s.out, s.v, bolt.Invalid, "stores do not route")
+		s.state = bolt.Failed
+		return true
+	default:
+		s.out = bolt.AppendSuccess(s.out, 0, nil)
+	}
+	s.state = s.state.After(r.What, true, false, max(s.open, 0))
+	return true
+}
+
+// summary ends a result or a transaction: what the store says of itself, and the bookmark where something was
+// committed.
+func (s *serving) summary(dst []byte, ended bool) []byte {
+	primary, _ := s.b.group.Primary()
+	role := "replica"
+	if primary == s.b.Name {
+		role = "primary"
+	}
+	n := 2
+	if ended && s.writes {
+		n++
+	}
+	return bolt.AppendSuccess(dst, n, func(b []byte) []byte {
+		b = bolt.AppendPair(b, "role", role)
+		b = bolt.AppendInt(bolt.AppendString(b, "applied_ms"), s.b.group.Position(s.b.Name)/10)
+		if ended && s.writes {
+			b = bolt.AppendString(bolt.AppendString(b, "bookmark"), bolt.AppendBookmark(nil, s.b.group.ID, s.after))
+		}
+		return b
+	})
+}
--- /dev/null
+++ b/internal/standin/bolt_test.go
@@ -0,0 +1,137 @@
+package standin
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/neo4j/neo4j-go-driver/v5/neo4j"
+	"github.com/neo4j/neo4j-go-driver/v5/neo4j/config"
+
+	"micatrack/internal/bolt"
+)
+
+func terms(id, profile string) func(*neo4j.TransactionConfig) {
+	return func(c *neo4j.TransactionConfig) {
+		neo4j.WithTxTimeout(time.Second)(c)
+		neo4j.WithTxMetadata(map[string]any{"id": id, "c": profile, "t": "acme", "cluster": 1})(c)
+	}
+}
+
+// TestRealDriver: an unmodified driver speaks to the stand-in: auto-commit, transactions, bookmarks, results pulled in
+// pieces, a failure and a reset behind it, and a write at a replica.
+func TestRealDriver(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	g := NewGroup(1, 3*time.Second, "primary", "replica")
+	p, err := NewBolt("primary", g)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Close()
+	r, err := NewBolt("replica", g)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Close()
+	open := func(addr string) neo4j.DriverWithContext {
+		d, err := neo4j.NewDriverWithContext("bolt://"+addr, neo4j.NoAuth(), func(c *config.Config) {
+			c.FetchSize = 100
+			c.MaxTransactionRetryTime = 2 * time.Second
+			c.TelemetryDisabled = true
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { d.Close(ctx) })
+		return d
+	}
+	primary, replica := open(p.Addr()), open(r.Addr())
+	s := primary.NewSession(ctx, neo4j.SessionConfig{})
+	defer s.Close(ctx)
+	res, err := s.Run(ctx, "RETURN range(1, 1000)", nil, terms("a", "read"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if records, err := res.Collect(ctx); err != nil || len(records) != 1000 || records[999].Values[0] != "a" {
+		t.Fatalf("%d records, %v", len(records), err)
+	}
+	calls := 0
+	got, err := s.ExecuteWrite(ctx, func(tx neo4j.ManagedTransaction) (any, error) {
+		if calls++; calls == 1 { // a transient failure, and the driver's own repeat behind it
+			p.Does(func(job string, w bolt.What) Act {
+				if w == bolt.Run {
+					return Refuse
+				}
+				return Answer
+			})
+			defer p.Does(nil)
+		}
+		res, err := tx.Run(ctx, "CREATE (n)", nil)
+		if err != nil {
+			return nil, err
+		}
+		rec, err := res.Single(ctx)
+		if err != nil {
+			return nil, err
+		}
+		return rec.Values[0], nil
+	}, terms("b", "save"))
+	if err != nil || got != "b" {
+		t.Fatalf("%v, %v after %d calls", got, err, calls)
+	}
+	marks := s.LastBookmarks()
+	if len(marks) != 1 {
+		t.Fatalf("bookmarks %v", marks)
+	}
+	group, position, err := bolt.ReadBookmark([]byte(marks[0]))
+	if err != nil || group != 1 {
+		t.Fatalf("bookmark %s: %v", marks[0], err)
+	}
+	g.Lag("replica", 300*time.Millisecond)
+	behind := replica.NewSession(ctx, neo4j.SessionConfig{Bookmarks: marks, AccessMode: neo4j.AccessModeRead})
+	defer behind.Close(ctx)
+	began := time.Now()
+	if _, err := behind.ExecuteRead(ctx, func(tx neo4j.ManagedTransaction) (any, error) {
+		res, err := tx.Run(ctx, "RETURN 1", nil)
+		if err != nil {
+			return nil, err
+		}
+		return res.Consume(ctx)
+	}, terms("c", "mine")); err != nil {
+		t.Errorf("a read that waits for its bookmark: %v", err)
+	}
+	if time.Since(began) < 100*time.Millisecond {
+		t.Error("a replica that is behind has answered")
+	}
+	if _, err := replica.NewSession(ctx, neo4j.SessionConfig{}).Run(ctx, "CREATE (n)", nil, terms("d", "save")); err == nil {
+		t.Error("a replica takes a write")
+	}
+	told := []Told{{Job: "a", Delivered: true}, {Job: "b", Write: true, Delivered: true}, {Job: "c", Delivered: true, After: position},
+		{Job: "d", Write: true, Back: true}}
+	if broken := g.Check(told, time.Second); broken != nil {
+		t.Errorf("%v in %+v", broken, g.Ledger())
+	}
+}
+
+// TestCheckBites: each rule that is broken is told.
+func TestCheckBites(t *testing.T) {
+	g := NewGroup(1, time.Hour, "p", "r")
+	g.Write("p", "twice", "")
+	g.Write("p", "twice", "")
+	g.Write("p", "first", "m")
+	g.Write("p", "second", "m")
+	g.Lag("r", time.Hour)
+	stale, _ := g.Read("r", "stale", 0)
+	g.Drain("r")
+	time.Sleep(2 * time.Millisecond)
+	g.Read("r", "late", 0)
+	broken := g.Check([]Told{{Job: "ghost", Delivered: true}, {Job: "twice", Write: true, Back: true}, {Job: "stale", Delivered: true, After: stale + 1},
+		{Job: "stale", Delivered: true}}, time.Millisecond)
+	if len(broken) != 6 {
+		t.Errorf("%d: %q", len(broken), broken)
+	}
+	if _, ok := g.Write("r", "x", ""); ok {
+		t.Error("a replica takes a write")
+	}
+}
--- /dev/null
+++ b/internal/standin/group.go
@@ -0,0 +1,198 @@
+// Package standin holds stand-ins of the servers that a front speaks to, for tests and for trying the program out:
+// what they are asked runs against a group's ledger, from which rules are checked, and not from what a front believes.
+package standin
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+// Entry is one thing that a store did.
+type Entry struct {
+	At       time.Time
+	Store    string
+	Job      string // its id, or its mark where it has none
+	Mark     string
+	Write    bool
+	Dropped  bool  // a repeat that was told from its mark and not run again
+	Position int64 // Unix tenths of a millisecond: of the commit, or that a read has seen
+}
+
+// Group is a primary and its replicas: one log, and how far each has applied it.
+type Group struct {
+	ID uint64
+
+	mu      sync.Mutex
+	primary string
+	lags    map[string]time.Duration
+	ledger  []Entry
+	marks   map[string]Entry // writes by mark, for as long as repeats are dropped
+	window  time.Duration
+	last    int64
+	drains  map[string]time.Time
+	epoch   int
+}
+
+// NewGroup makes a group whose first store is the primary; window is for how long a repeat is dropped.
+func NewGroup(id uint64, window time.Duration, stores ...string) *Group {
+	g := &Group{ID: id, window: window, lags: map[string]time.Duration{}, marks: map[string]Entry{}, drains: map[string]time.Time{}}
+	for i, s := range stores {
+		if i == 0 {
+			g.primary = s
+		}
+		g.lags[s] = 0
+	}
+	return g
+}
+
+func tenths(t time.Time) int64 { return t.UnixNano() / 100_000 }
+
+// Lag has a replica apply the log that much later.
+func (g *Group) Lag(store string, by time.Duration) {
+	g.mu.Lock()
+	g.lags[store] = by
+	g.mu.Unlock()
+}
+
+// Promote makes another store the primary. What ran on the old one before stands; what is asked of it from now on as
+// a write is turned away.
+func (g *Group) Promote(store string) {
+	g.mu.Lock()
+	g.primary, g.epoch = store, g.epoch+1
+	g.mu.Unlock()
+}
+
+// Drain notes when a front was told that a store drains.
+func (g *Group) Drain(store string) {
+	g.mu.Lock()
+	g.drains[store] = time.Now()
+	g.mu.Unlock()
+}
+
+// Primary tells who it is, and how often that has changed.
+func (g *Group) Primary() (store string, epoch int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.primary, g.epoch
+}
+
+// applied is how far a store has the log; the lock is held.
+func (g *Group) applied(store string, now time.Time) int64 {
+	if store == g.primary {
+		return tenths(now)
+	}
+	return tenths(now.Add(-g.lags[store]))
+}
+
+// Position is how far a store has the log now.
+func (g *Group) Position(store string) int64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.applied(store, time.Now())
+}
+
+// Read notes a read and tells what it has seen; false: the store is behind what it has to see, and did nothing.
+func (g *Group) Read(store, job string, after int64) (position int64, ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	if position = g.applied(store, now); position < after {
+		return position, false
+	}
+	g.ledger = append(g.ledger, Entry{At: now, Store: store, Job: job, Position: position})
+	return position, true
+}
+
+// Write commits a write and tells its position; false: this store is not the primary, and did nothing. A repeat of a
+// mark inside the window is not run again, and has the first one's position.
+func (g *Group) Write(store, job, mark string) (position int64, ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if store != g.primary {
+		return 0, false
+	}
+	now := time.Now()
+	e := Entry{At: now, Store: store, Job: job, Mark: mark, Write: true}
+	if first, seen := g.marks[mark]; seen && mark != "" && now.Sub(first.At) < g.window {
+		e.Dropped, e.Position = true, first.Position
+	} else {
+		g.last = max(tenths(now), g.last+1)
+		e.Position = g.last
+		if mark != "" {
+			g.marks[mark] = e
+		}
+	}
+	g.ledger = append(g.ledger, e)
+	return e.Position, true
+}
+
+// Ledger gives all that the group's stores did, the oldest first.
+func (g *Group) Ledger() []Entry {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return append([]Entry(nil), g.ledger...)
+}
+
+// Told is what a client of the front was told in the end, for Check.
+type Told struct {
+	Job       string
+	Mark      string // numbered
+	Write     bool
+	Repeats   bool // a client tried it again after a turn-back: the tries are one job
+	Delivered bool
+	Back      bool  // turned back: it must not have run
+	After     int64 // a read had to see it
+}
+
+// Check holds the ledger against what clients were told and gives the broken rules: an effect twice, a turn-back of
+// what ran, a delivery of what did not, a stale read, and work begun at a store after its drain's grace.
+func (g *Group) Check(answers []Told, grace time.Duration) (broken []string) {
+	ran, effects := map[string][]Entry{}, map[string]int{}
+	for _, e := range g.Ledger() {
+		ran[e.Job] = append(ran[e.Job], e)
+		if e.Write && !e.Dropped {
+			if e.Mark != "" {
+				effects["mark "+e.Mark]++
+			} else {
+				effects["job "+e.Job]++
+			}
+		}
+		g.mu.Lock()
+		told, drains := g.drains[e.Store]
+		g.mu.Unlock()
+		if drains && e.At.Sub(told) > grace {
+			broken = append(broken, fmt.Sprintf("%s ran at %s %v after its drain was told", e.Job, e.Store, e.At.Sub(told)))
+		}
+	}
+	for _, e := range g.Ledger() { // in the ledger's order
+		key := "job " + e.Job
+		if e.Mark != "" {
+			key = "mark " + e.Mark
+		}
+		if n := effects[key]; n > 1 {
+			broken = append(broken, fmt.Sprintf("%s had its effect %d times", key, n))
+			delete(effects, key)
+		}
+	}
+	seen := map[string]bool{}
+	for _, a := range answers {
+		if seen[a.Job] {
+			broken = append(broken, a.Job+" was answered twice")
+		}
+		seen[a.Job] = true
+		entries := ran[a.Job]
+		switch {
+		case a.Delivered && len(entries) == 0:
+			broken = append(broken, a.Job+" was delivered and never ran")
+		case a.Back && a.Write && a.Mark == "" && len(entries) > 0:
+			broken = append(broken, a.Job+" ran and was turned back")
+		}
+		if a.Delivered && !a.Write && len(entries) > 0 {
+			if e := entries[len(entries)-1]; e.Position < a.After {
+				broken = append(broken, fmt.Sprintf("%s was answered from %d and had to see %d", a.Job, e.Position, a.After))
+			}
+		}
+	}
+	return broken
+}
