--- a/internal/bolt/bolt_test.go
+++ b/internal/bolt/bolt_test.go
@@ -174,7 +174,7 @@
 	}
 	got, err := r.Extra.Terms()
 	if err != nil || string(got.Profile) != "basket" || string(got.Customer) != "acme" || got.Group != 3 || got.Left != 2500 || got.After != 700 ||
-		!got.Repeated || !got.Reads {
+		!got.Repeated || !got.Carried {
 		t.Errorf("%+v, %v", got, err)
 	}
 	for name, extra := range map[string]func(dst []byte) []byte{
--- a/internal/bolt/terms.go
+++ b/internal/bolt/terms.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"strconv"
+
+	"micatrack/internal/request"
 )
 
 // Status codes that are given or understood. What drivers do on each is the specification's: a transient one is tried
@@ -45,16 +47,6 @@
 	return MayHaveRun
 }
 
-// Terms is what a request says of the job that it is, beside its statement. Its slices point into the message.
-type Terms struct {
-	ID, Profile, Customer, Mark, Session []byte
-	Group                                uint64
-	Left                                 int64 // tenths of a millisecond until the client stops waiting
-	After                                int64 // Unix tenths of a millisecond that a read has to see; 0: nothing told
-	Repeated                             bool
-	Reads                                bool
-}
-
 // FaultyBookmark: a bookmark that cannot be read, which no read may pass over.
 var FaultyBookmark = errors.New("a bookmark was not handed out here")
 
@@ -65,8 +57,8 @@
 //	tx_timeout                   how long the client will wait
 //	mode                         "r": the job writes nothing
 //	bookmarks                    the newest of the group is what a read has to see
-func (e *Extra) Terms() (t Terms, err error) {
-	t.Reads, t.Left = e.Reads, e.Timeout*10
+func (e *Extra) Terms() (t request.Terms, err error) {
+	t.Left = e.Timeout * 10
 	group := e.Database
 	if e.Metadata != nil {
 		v := Unpack(e.Metadata)
@@ -79,7 +71,7 @@
 			case "t":
 				t.Customer = v.String()
 			case "k":
-				t.Mark = v.String()
+				t.Key = v.String()
 			case "s":
 				t.Session = v.String()
 			case "r":
@@ -111,6 +103,7 @@
 	}
 	if e.Bookmarks != nil {
 		t.After, err = newest(e.Bookmarks, t.Group)
+		t.Carried = t.After > 0
 	}
 	return t, err
 }
--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -7,13 +7,36 @@
 	"micatrack/balance"
 	"micatrack/door"
 	"micatrack/internal/pgwire"
+	"micatrack/internal/request"
+)
+
+// speech is how one protocol puts to its clients what the core has to say. It keeps nothing.
+type speech interface {
+	greet(cl *client, c *Core, in []byte) (used int)   // the first step of a connection
+	decline(cl *client, c *Core, in []byte) (used int) // the same where there is no room for it
+	overflow(cl *client, c *Core)                      // ends a connection whose message has no room
+	turnedBack(dst []byte, pause Time) []byte          // the final answers, whole
+	writtenOff(dst []byte, why string) []byte
+	faulty(dst []byte, f fault, why string) []byte
+}
+
+// fault is what is wrong with a request.
+type fault uint8
+
+const (
+	sound fault = iota
+	unreadable
+	noProfile
+	noGroup
+	inHand // its id is another job's
 )
 
 // job is one request in hand. Its query stays in its client's ring until it is answered.
 type job struct {
 	id     string // its place in the slab, as the module knows it
 	client *client
-	query  pgwire.Statement
+	terms  request.Terms
+	cut    pgwire.Cut
 	kind   int  // its profile, as the charter numbers them
 	left   Time // as its client said, less what has passed since
 	came   Time
@@ -31,6 +54,7 @@
 	link    Link
 	at      int // in Core.clients
 	serial  uint64
+	speech  speech
 	next    func(cl *client, c *Core, in []byte) (used int)
 	since   Time  // when it came, or last said something or was answered
 	job     int32 // in hand, or -1
@@ -46,11 +70,12 @@
 		return
 	}
 	c.serial++
-	cl := &client{link: l, at: len(c.clients), serial: c.serial, job: -1, next: (*client).greet, since: c.now}
+	cl := &client{link: l, at: len(c.clients), serial: c.serial, speech: postgres{}, job: -1, since: c.now}
+	cl.next = cl.speech.greet
 	l.Own(cl)
 	c.clients = append(c.clients, cl)
 	if len(c.clients) > c.limits.Clients && !c.evict(0) || len(c.clients)+len(c.conns) > c.limits.Links && !c.spare() {
-		cl.next = (*client).decline
+		cl.next = cl.speech.decline
 	}
 	cl.notice(c, what)
 }
@@ -95,7 +120,7 @@
 		n := cl.next(cl, c, cl.link.Peek())
 		if n == 0 {
 			if cl.link.Full() && !cl.ending { // a long message, and all rings together may not grow any more
-				cl.fatal(c, pgwire.TooMany, "out of memory")
+				cl.speech.overflow(cl, c)
 			}
 			return
 		}
@@ -138,13 +163,6 @@
 	c.dirty = append(c.dirty, cl.link)
 }
 
-// fatal ends a connection whose stream cannot be followed any more.
-func (cl *client) fatal(c *Core, code, text string) {
-	c.out = pgwire.AppendError(c.out[:0], "FATAL", code, text, "")
-	cl.write(c, c.out)
-	cl.finish(c)
-}
-
 func (cl *client) finish(c *Core) {
 	if cl.at >= 0 {
 		cl.ending = true
@@ -152,100 +170,19 @@
 	}
 }
 
-// decline reads as far as it must to tell a client that there is no room.
-func (cl *client) decline(c *Core, in []byte) int {
-	code, n, err := pgwire.Startup(in)
-	if err == nil && n > 0 && (code == pgwire.SSLReq || code == pgwire.GSSReq) {
-		cl.write(c, []byte{'N'})
-	} else if err != nil || n > 0 {
-		cl.fatal(c, pgwire.TooMany, "too many connections")
-	}
-	return n
-}
-
-// greet reads the startup message.
-func (cl *client) greet(c *Core, in []byte) int {
-	code, n, err := pgwire.Startup(in)
-	switch {
-	case err != nil:
-		cl.fatal(c, pgwire.Violation, err.Error())
-	case n == 0:
-	case code == pgwire.SSLReq || code == pgwire.GSSReq:
-		cl.write(c, []byte{'N'})
-	case code == pgwire.CancelReq:
-		cl.finish(c)
-	case code>>16 != pgwire.Version>>16:
-		cl.fatal(c, pgwire.Unsupported, "only version 3 of the protocol is spoken here")
-	default:
-		c.out = pgwire.AppendWelcome(c.out[:0], code&0xffff)
-		cl.write(c, c.out)
-		cl.next, cl.greeted = (*client).command, true
-	}
-	return n
-}
-
-// command reads one message between jobs.
-func (cl *client) command(c *Core, in []byte) int {
-	kind, body, n, err := pgwire.Message(in, pgwire.MostQuery)
-	switch {
-	case err != nil:
-		cl.fatal(c, pgwire.Violation, err.Error())
-	case n == 0:
-	case kind == 'X':
-		cl.finish(c)
-	case cl.skip && kind != 'S':
-	case kind == 'S':
-		cl.skip = false
-		cl.write(c, pgwire.AppendReady(c.out[:0]))
-	case kind == 'Q':
-		cl.query(c, body)
-	case kind == 'd' || kind == 'c' || kind == 'f': // copy data that nothing waits for
-	case kind == 'P' || kind == 'B' || kind == 'D' || kind == 'E' || kind == 'C' || kind == 'H':
-		cl.skip = true
-		cl.write(c, pgwire.AppendError(c.out[:0], "ERROR", pgwire.Unsupported, "only simple queries are served", ""))
-	case kind == 'F':
-		cl.reject(c, pgwire.Unsupported, "function calls are not served")
-	default:
-		cl.fatal(c, pgwire.Violation, "unexpected message")
-	}
-	return n
-}
-
-// reject answers a command that is no job.
-func (cl *client) reject(c *Core, code, text string) {
-	c.out = pgwire.AppendError(c.out[:0], "ERROR", code, text, "")
-	cl.write(c, pgwire.AppendReady(c.out))
-}
-
-func (cl *client) query(c *Core, body []byte) {
-	text, rest, ok := pgwire.Text(body)
-	if !ok || len(rest) > 0 {
-		cl.fatal(c, pgwire.Violation, "malformed query message")
-		return
-	}
-	if blank(text) {
-		cl.write(c, pgwire.AppendReady(pgwire.AppendEmpty(c.out[:0])))
-		return
-	}
-	s, err := pgwire.Query(text)
-	if err != nil {
-		cl.reject(c, pgwire.Syntax, err.Error())
-		return
-	}
-	kind, ok := c.profiles[string(s.Profile)]
+// begin makes a job of a request, or tells what is wrong with it.
+func (cl *client) begin(c *Core, t request.Terms, cut pgwire.Cut) (f fault, why string) {
+	kind, ok := c.profiles[string(t.Profile)]
 	if !ok {
-		cl.reject(c, pgwire.BadValue, "unknown class")
-		return
+		return noProfile, "unknown class"
 	}
-	if len(c.groups) > 0 && !c.groups[s.Group] {
-		cl.reject(c, pgwire.NoDatabase, "unknown cluster")
-		return
+	if len(c.groups) > 0 && !c.groups[t.Group] {
+		return noGroup, "unknown cluster"
 	}
 	for k := range c.jobs {
-		if j := &c.jobs[k]; j.busy && !j.final && bytes.Equal(j.query.ID, s.ID) {
+		if j := &c.jobs[k]; j.busy && !j.final && bytes.Equal(j.terms.ID, t.ID) {
 			// Danger: a store would turn one of the two away or break off, and count as crowded or broken for it.
-			cl.reject(c, pgwire.Duplicate, "a request with this id is in hand")
-			return
+			return inHand, "a request with this id is in hand"
 		}
 	}
 	if len(c.freeJobs) == 0 {
@@ -257,18 +194,10 @@
 	c.freeJobs = c.freeJobs[:len(c.freeJobs)-1]
 	c.inHand++
 	j := &c.jobs[i]
-	*j = job{id: j.id, client: cl, query: s, kind: kind, came: c.now, left: s.Left, busy: true}
+	*j = job{id: j.id, client: cl, terms: t, cut: cut, kind: kind, came: c.now, left: t.Left, busy: true}
 	cl.job = i
 	c.arrivals = append(c.arrivals, i)
-}
-
-func blank(text []byte) bool {
-	for _, b := range text {
-		if b != ' ' && b != '\t' && b != '\n' && b != '\r' && b != ';' {
-			return false
-		}
-	}
-	return true
+	return sound, ""
 }
 
 // arrive hands a new job to the door, or to the module where there is none.
@@ -279,19 +208,19 @@
 	case c.door == nil:
 		c.take(i)
 	default:
-		mark := j.query.Key
+		mark := j.terms.Key
 		if len(mark) == 0 {
-			mark = j.query.Session
+			mark = j.terms.Session
 		}
-		c.door.Arrive(c.now, door.Arrival{Job: i, Profile: j.kind, Customer: j.query.Customer, Client: j.client.serial,
-			Mark: mark, Group: j.query.Group, Left: j.left, Repeated: j.query.Repeated, Bytes: len(j.client.link.Peek())})
+		c.door.Arrive(c.now, door.Arrival{Job: i, Profile: j.kind, Customer: j.terms.Customer, Client: j.client.serial,
+			Mark: mark, Group: j.terms.Group, Left: j.left, Repeated: j.terms.Repeated, Bytes: len(j.client.link.Peek())})
 	}
 }
 
 // take hands a job to the module.
 func (c *Core) take(i int32) {
 	j := &c.jobs[i]
-	s := &j.query
+	s := &j.terms
 	waited := c.now - j.came
 	in := balance.Job{ID: j.id, Profile: string(s.Profile), Customer: string(s.Customer), Group: s.Group,
 		Left: j.left - waited, Waited: waited, Repeated: s.Repeated, WriteAge: -1}
@@ -306,23 +235,23 @@
 		in.Left = min(in.Left, c.endAt-c.now)
 	}
 	if err := c.module.Take(c.now, in); err != nil {
-		c.answer(i, pgwire.AppendError(c.out[:0], "ERROR", pgwire.BadValue, err.Error(), ""))
+		c.answer(i, j.client.speech.faulty(c.out[:0], noProfile, err.Error()))
 	}
 }
 
 func (c *Core) turnBack(t task) {
-	detail := ""
-	if t.at >= perMilli {
-		detail = strconv.FormatInt(t.at/perMilli, 10)
+	if cl := c.jobs[t.job].client; cl != nil {
+		c.answer(t.job, cl.speech.turnedBack(c.out[:0], t.at))
 	}
-	c.answer(t.job, pgwire.AppendError(c.out[:0], "ERROR", pgwire.TooMany, "turned back, try again", detail))
 }
 
 func (c *Core) writeOff(t task) {
-	c.answer(t.job, pgwire.AppendError(c.out[:0], "ERROR", pgwire.Unresolved, "written off: not known to have run", ""))
+	if cl := c.jobs[t.job].client; cl != nil {
+		c.answer(t.job, cl.speech.writtenOff(c.out[:0], "not known to have run"))
+	}
 }
 
-// answer gives the job's final answer and lets its client's next command follow.
+// answer gives the job's final answer, text, and lets its client's next command follow.
 func (c *Core) answer(i int32, text []byte) {
 	j := &c.jobs[i]
 	if !j.busy || j.final {
@@ -333,12 +262,11 @@
 	}
 	cl := j.client
 	j.final, j.client = true, nil
-	c.out = pgwire.AppendReady(text)
+	c.out = text
 	cl.job, cl.since = -1, c.now
 	cl.link.Discard(cl.held)
 	if cl.at >= 0 && !cl.link.Write(c.out) { // Danger: a job is lost if its client is hung up on for want of room here.
-		c.out = pgwire.AppendError(c.out[:0], "ERROR", pgwire.Unresolved, "written off: no memory for the answer", "")
-		cl.write(c, pgwire.AppendReady(c.out))
+		cl.write(c, cl.speech.writtenOff(c.out[:0], "no memory for the answer"))
 	} else if cl.at >= 0 {
 		c.dirty = append(c.dirty, cl.link)
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -279,7 +279,7 @@
 			}
 			i = c.freeStores[len(c.freeStores)-1]
 			c.freeStores = c.freeStores[:len(c.freeStores)-1]
-			c.stores[i] = store{id: e.ID, addr: e.Addr}
+			c.stores[i] = store{id: e.ID, addr: e.Addr, dialect: postgres{}}
 			c.storeOf[e.ID] = i
 		}
 		s := &c.stores[i]
--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -2,20 +2,30 @@
 
 import (
 	"slices"
-	"strconv"
-	"strings"
 
 	"micatrack/balance"
-	"micatrack/internal/pgwire"
 )
 
 const breath = 2 * perMilli // what a store does right behind an answer is heard by then
 
+// dialect is how one protocol puts to its stores what the core asks of them. It keeps nothing.
+type dialect interface {
+	hail(dst []byte) []byte                    // what a new connection begins with
+	trip(dst []byte, j *job, left Time) []byte // a job's request, with the time that is left
+	probe(dst []byte, c *Core) []byte          // the question for a store's report
+	gather(k *conn, c *Core)                   // looks at what has come in
+	rises(k *conn)                             // sets the next step of a connection that comes up,
+	asked(k *conn)                             // of one that something was asked on,
+	idles(k *conn)                             // and of one that nothing was
+	ending(code string) balance.Ending         // what a store's error proves
+}
+
 // store is one member of the list.
 type store struct {
 	id        string
 	forgotten bool // by the module; its place is free from the next turn on
 	addr      string
+	dialect   dialect
 	idle      []*conn  // the newest last
 	waits     []errand // trips and probes that wait for a connection, the oldest first
 }
@@ -33,6 +43,7 @@
 	link     Link
 	at       int // in Core.conns; -1: given back
 	store    uint32
+	dialect  dialect
 	addr     string                                                   // that it was dialled at
 	next     func(s *conn, c *Core, kind byte, body []byte) (ok bool) // is handed the store's messages
 	ready    bool
@@ -81,7 +92,7 @@
 			n--
 		}
 		k := s.idle[n]
-		if k.gather(c); k.at < 0 || len(k.link.Peek()) > 0 {
+		if k.dialect.gather(k, c); k.at < 0 || len(k.link.Peek()) > 0 {
 			if k.at >= 0 {
 				k.drop(c)
 			}
@@ -109,14 +120,15 @@
 		return
 	}
 	e.dialled = true
-	k := &conn{link: link, at: len(c.conns), store: i, addr: s.addr, since: c.now, next: (*conn).greeted}
+	k := &conn{link: link, at: len(c.conns), store: i, addr: s.addr, since: c.now, dialect: c.stores[i].dialect}
+	k.dialect.rises(k)
 	link.Own(k)
 	c.conns = append(c.conns, k)
 	if e.job >= 0 {
 		c.jobs[e.job].waits = true
 	}
 	s.waits = append(s.waits, e)
-	k.write(c, pgwire.AppendStartup(c.out[:0], "web", "orders"))
+	k.write(c, k.dialect.hail(c.out[:0]))
 }
 
 // spare gives up the store connection that stood idle longest; false: there is none.
@@ -147,18 +159,13 @@
 	k.row, k.told, k.code, k.parts, k.read, k.value = false, false, "", 0, 0, ""
 	k.note, k.load = balance.Report{}, balance.Report{}
 	if e.job < 0 {
-		text := "SELECT 1"
-		if c.host.Reports == "inline" || c.host.Reports == "on_probe" {
-			text = "SHOW load"
-		}
-		c.out = pgwire.AppendSimple(c.out[:0], text)
+		c.out = k.dialect.probe(c.out[:0], c)
 	} else {
 		j := &c.jobs[e.job]
 		j.waits, j.trip = false, k
-		text, _, _ := pgwire.Text(j.client.link.Peek()[5:])
-		c.out = j.query.AppendQuery(c.out[:0], text, max((e.until-c.now)/perMilli, 1))
+		c.out = k.dialect.trip(c.out[:0], j, e.until-c.now)
 	}
-	k.next = (*conn).answered
+	k.dialect.asked(k)
 	k.write(c, c.out)
 }
 
@@ -176,63 +183,13 @@
 		return
 	}
 	if what&Readable != 0 && k.at >= 0 {
-		k.gather(c)
+		k.dialect.gather(k, c)
 	}
 	if what&Closed != 0 && k.at >= 0 {
 		k.lost(c)
 	}
 }
 
-// gather looks at the messages that have come in whole. What may be passed on stays in the ring.
-func (k *conn) gather(c *Core) {
-	in := k.link.Peek()
-	for k.at >= 0 {
-		kind, body, n, err := pgwire.Message(in[k.read:], c.limits.Answer)
-		if err != nil || n > 0 && !k.next(k, c, kind, body) {
-			if k.ready {
-				k.code = "" // Danger: what came before something senseless proves nothing.
-			}
-			c.note("store connection closed", "store", k.store, "message", string(kind), "code", k.code)
-			k.lost(c)
-			return
-		}
-		if n == 0 {
-			if k.spent && len(in) == 0 {
-				k.settle(c)
-			} else if k.link.Full() { // more than a value may be, or all rings together may not grow any more
-				k.lost(c)
-			}
-			return
-		}
-		k.read += n
-		if kind == 'Z' || k.idle || k.spent { // all up to here has been used
-			k.link.Discard(k.read)
-			if k.read = 0; !k.idle && !k.spent {
-				// Danger: what stands behind the end of an answer would be taken for the next one's.
-				k.spent, k.next = true, (*conn).rests
-			}
-			in = k.link.Peek()
-		}
-	}
-}
-
-// greeted follows the connection's start up to its first ReadyForQuery.
-func (k *conn) greeted(c *Core, kind byte, body []byte) bool {
-	switch kind {
-	case 'R':
-		return len(body) == 4 && body[0]|body[1]|body[2]|body[3] == 0
-	case 'S', 'K', 'N', 'v':
-	case 'E':
-		k.code = pgwire.Code(body)
-		return false
-	case 'Z':
-		k.ready, k.up = true, c.now
-	default:
-		return false
-	}
-	return true
-}
-
 // settle makes a connection that has nothing to do carry the oldest errand, or lets it stand idle.
 func (k *conn) settle(c *Core) {
 	s := &c.stores[k.store]
@@ -250,7 +207,8 @@
 		}
 		c.fail(k.store, e, balance.Unsent) // its client is gone
 	}
-	k.next, k.code = (*conn).rests, ""
+	k.dialect.idles(k)
+	k.code = ""
 	k.idle, k.spent, k.since = true, false, c.now
 	s.idle = append(s.idle, k)
 }
@@ -264,144 +222,6 @@
 	}
 }
 
-// rests: a connection that nothing is asked on brings changed parameters and notices at most.
-func (k *conn) rests(c *Core, kind byte, body []byte) bool { return kind == 'S' || kind == 'N' }
-
-// answered gathers the answer to a query.
-func (k *conn) answered(c *Core, kind byte, body []byte) bool {
-	switch kind {
-	case 'T', 'D', 'C':
-		if k.code != "" || k.parts != strings.IndexByte("TDC", kind) {
-			return false
-		}
-		if kind == 'D' {
-			v, ok := pgwire.Value(body)
-			if !ok {
-				return false
-			}
-			if k.errand.job < 0 {
-				k.value = string(v)
-			}
-		}
-		k.from[k.parts], k.to[k.parts] = k.read, k.read+5+len(body)
-		k.parts++
-	case 'E':
-		k.code = pgwire.Code(body)
-		return k.code != ""
-	case 'S':
-		return k.learn(body)
-	case 'N':
-	case 'Z':
-		return k.complete(c)
-	default:
-		return false
-	}
-	return true
-}
-
-// learn takes what a store says of itself beside its answer.
-// Danger: a value that cannot be read says nothing, and must not spoil an answer that has run.
-func (k *conn) learn(body []byte) bool {
-	name, rest, ok := pgwire.Text(body)
-	value, _, ok2 := pgwire.Text(rest)
-	if !ok || !ok2 {
-		return false
-	}
-	switch string(name) {
-	case "role":
-		k.note.Role = map[string]balance.Role{"primary": balance.Primary, "replica": balance.Replica}[string(value)]
-	case "applied_ms":
-		n, err := strconv.ParseInt(string(value), 10, 58)
-		if err != nil || n < 0 {
-			n = 0
-		}
-		k.note.Position = n * perMilli
-	case "load":
-		k.load, _ = report(string(value))
-	}
-	return true
-}
-
-// report reads the values of a load report that the module goes by; a position counts in seconds there.
-func report(text string) (r balance.Report, ok bool) {
-	for text != "" {
-		pair, more, _ := strings.Cut(text, ",")
-		name, value, found := strings.Cut(strings.TrimSpace(pair), "=")
-		if !found {
-			return balance.Report{}, false
-		}
-		switch name {
-		case "x0":
-			whole, part, _ := strings.Cut(value, ".")
-			n, err := strconv.ParseInt(whole, 10, 40)
-			if err != nil || n < 0 {
-				return balance.Report{}, false
-			}
-			part = (part + "0000")[:4] // cut off, never rounded up
-			tenths, err := strconv.ParseUint(part, 10, 16)
-			if err != nil {
-				return balance.Report{}, false
-			}
-			r.Position = n*1000*perMilli + int64(tenths)
-		case "x1":
-			r.Role = balance.Replica
-			if v, err := strconv.ParseFloat(value, 64); err != nil {
-				return balance.Report{}, false
-			} else if v == 1 {
-				r.Role = balance.Primary
-			}
-		}
-		text = more
-	}
-	return r, true
-}
-
-// complete is the end of an answer: what it was to the module, and the value to the client.
-func (k *conn) complete(c *Core) bool {
-	e := k.errand
-	r := balance.Return{Note: k.note, Load: k.load, Since: k.up}
-	switch {
-	case k.code == "" && k.parts == 3:
-		r.Ending = balance.Delivered
-	case k.code == "":
-		return false
-	case k.parts > 0: // a refusal after part of an answer is none
-		r.Ending = balance.Faulted
-	default:
-		r.Ending = ending(k.code)
-	}
-	if e.job < 0 {
-		if r.Ending == balance.Delivered {
-			r.Load, _ = report(k.value)
-		}
-		c.end(k, e, r)
-		return true
-	}
-	if r.Ending == balance.Delivered && !c.jobs[e.job].final {
-		in := k.link.Peek()
-		c.out = c.out[:0]
-		for p := range k.parts {
-			c.out = append(c.out, in[k.from[p]:k.to[p]]...)
-		}
-	}
-	c.end(k, e, r)
-	if r.Ending == balance.Delivered {
-		c.answer(e.job, c.out)
-	}
-	return true
-}
-
-// ending tells what a store's error is to the module. What is not known never to have run may have.
-func ending(code string) balance.Ending {
-	switch code {
-	case pgwire.ReadOnly, pgwire.SnapTooOld:
-		return balance.Behind
-	case pgwire.TooMany, pgwire.CannotNow:
-		return balance.Crowded
-	}
-	return balance.Faulted
-}
-
 // lost ends what a connection carried when it broke, or when what came on it made no sense.
 func (k *conn) lost(c *Core) {
 	e, busy := k.errand, k.ready && !k.idle && !k.spent
@@ -421,7 +241,7 @@
 	case !busy:
 		return
 	case k.code != "" && k.parts == 0:
-		r.Ending = ending(k.code)
+		r.Ending = k.dialect.ending(k.code)
 	case k.link.Sent() < k.wrote:
 		r.Ending = balance.Unreached
 	}
--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -10,6 +10,8 @@
 	"fmt"
 	"slices"
 	"strconv"
+
+	"micatrack/internal/request"
 )
 
 const (
@@ -109,14 +111,13 @@
 
 // Statement is a client's query with what its comment says. Its slices point into the query.
 type Statement struct {
-	ID, Profile, Customer, Key, Session []byte
-	Group                               uint64
-	Left                                int64 // tenths of a millisecond until the client stops waiting
-	After                               int64 // Unix tenths of a millisecond that the read has to see
-	Carried, Repeated                   bool  // After was given; a client's further try
-	leftAt, leftTo                      int   // where Left stands
+	request.Terms
+	Cut
 }
 
+// Cut is where in a query the time left stands.
+type Cut struct{ at, to int }
+
 var names = [...]string{"id", "c", "t", "k", "r", "d", "cluster", "after"}
 
 // Query reads the comment and the quoted key of a query, which is all up to its terminating zero.
@@ -160,8 +161,8 @@
 			if s.Left, err = tenths(value); err != nil || s.Left <= 0 {
 				return s, fmt.Errorf("d is no time in milliseconds: %.20q", value)
 			}
-			s.leftAt = at + bytes.Index(text[at:to], value)
-			s.leftTo = s.leftAt + len(value)
+			s.Cut.at = at + bytes.Index(text[at:to], value)
+			s.Cut.to = s.Cut.at + len(value)
 		case "cluster":
 			if s.Group, err = strconv.ParseUint(string(value), 10, 63); err != nil {
 				return s, fmt.Errorf("cluster is no number: %.20q", value)
@@ -180,7 +181,7 @@
 		return s, errors.New("the comment has no id")
 	case s.Profile == nil:
 		return s, errors.New("the comment has no c")
-	case s.leftTo == 0:
+	case s.Cut.to == 0:
 		return s, errors.New("the comment has no d")
 	case !group:
 		return s, errors.New("the comment has no cluster")
@@ -217,12 +218,12 @@
 }
 
 // AppendQuery writes the statement with another time left, in whole milliseconds; all else stays as it is.
-func (s *Statement) AppendQuery(dst, text []byte, left int64) []byte {
+func (c Cut) AppendQuery(dst, text []byte, left int64) []byte {
 	at := len(dst)
 	dst = append(dst, 'Q', 0, 0, 0, 0)
-	dst = append(dst, text[:s.leftAt]...)
+	dst = append(dst, text[:c.at]...)
 	dst = strconv.AppendInt(dst, left, 10)
-	dst = append(dst, text[s.leftTo:]...)
+	dst = append(dst, text[c.to:]...)
 	return closed(append(dst, 0), at)
 }
 
--- a/internal/standin/bolt_test.go
+++ b/internal/standin/bolt_test.go
@@ -24,6 +24,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
 	g := NewGroup(1, 3*time.Second, "primary", "replica")
+	g.Lag("replica", 300*time.Millisecond)
 	p, err := NewBolt("primary", g)
 	if err != nil {
 		t.Fatal(err)
@@ -88,7 +89,6 @@
 	if err != nil || group != 1 {
 		t.Fatalf("bookmark %s: %v", marks[0], err)
 	}
-	g.Lag("replica", 300*time.Millisecond)
 	behind := replica.NewSession(ctx, neo4j.SessionConfig{Bookmarks: marks, AccessMode: neo4j.AccessModeRead})
 	defer behind.Close(ctx)
 	began := time.Now()
--- a/internal/standin/group.go
+++ b/internal/standin/group.go
@@ -26,6 +26,7 @@
 	mu      sync.Mutex
 	primary string
 	lags    map[string]time.Duration
+	reached map[string]int64 // how far each had come when its lag or role last changed: a log is never undone
 	ledger  []Entry
 	marks   map[string]Entry // writes by mark, for as long as repeats are dropped
 	window  time.Duration
@@ -36,7 +37,7 @@
 
 // NewGroup makes a group whose first store is the primary; window is for how long a repeat is dropped.
 func NewGroup(id uint64, window time.Duration, stores ...string) *Group {
-	g := &Group{ID: id, window: window, lags: map[string]time.Duration{}, marks: map[string]Entry{}, drains: map[string]time.Time{}}
+	g := &Group{ID: id, window: window, lags: map[string]time.Duration{}, reached: map[string]int64{}, marks: map[string]Entry{}, drains: map[string]time.Time{}}
 	for i, s := range stores {
 		if i == 0 {
 			g.primary = s
@@ -51,6 +52,7 @@
 // Lag has a replica apply the log that much later.
 func (g *Group) Lag(store string, by time.Duration) {
 	g.mu.Lock()
+	g.reached[store] = g.applied(store, time.Now())
 	g.lags[store] = by
 	g.mu.Unlock()
 }
@@ -59,6 +61,7 @@
 // a write is turned away.
 func (g *Group) Promote(store string) {
 	g.mu.Lock()
+	g.reached[g.primary] = g.applied(g.primary, time.Now())
 	g.primary, g.epoch = store, g.epoch+1
 	g.mu.Unlock()
 }
@@ -82,7 +85,7 @@
 	if store == g.primary {
 		return tenths(now)
 	}
-	return tenths(now.Add(-g.lags[store]))
+	return max(tenths(now.Add(-g.lags[store])), g.reached[store])
 }
 
 // Position is how far a store has the log now.
--- /dev/null
+++ b/internal/standin/postgres.go
@@ -0,0 +1,203 @@
+package standin
+
+import (
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"micatrack/internal/pgwire"
+)
+
+// Postgres is a store that speaks PostgreSQL's protocol, simple queries only. INSERT writes, any other statement reads;
+// the value is the job's id.
+type Postgres struct {
+	Name  string
+	group *Group
+	l     net.Listener
+
+	mu     sync.Mutex
+	conns  map[net.Conn]bool
+	before func(job string) Act
+	takes  time.Duration
+	closed bool
+}
+
+// NewPostgres starts a store of a group on a loopback address.
+func NewPostgres(name string, g *Group) (*Postgres, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &Postgres{Name: name, group: g, l: l, conns: map[net.Conn]bool{}}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			p.mu.Lock()
+			if p.closed {
+				c.Close()
+			} else {
+				p.conns[c] = true
+			}
+			p.mu.Unlock()
+			go p.serve(c)
+		}
+	}()
+	return p, nil
+}
+
+// Addr is where it listens.
+func (p *Postgres) Addr() string { return p.l.Addr().String() }
+
+// Does sets what happens to jobs; nil: all are answered. It may be called from any connection.
+func (p *Postgres) Does(f func(job string) Act) { p.mu.Lock(); p.before = f; p.mu.Unlock() }
+
+// Takes sets how long a job takes.
+func (p *Postgres) Takes(d time.Duration) { p.mu.Lock(); p.takes = d; p.mu.Unlock() }
+
+// Sever breaks all connections that there are.
+func (p *Postgres) Sever() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	}
+}
+
+// Close stops it for good.
+func (p *Postgres) Close() {
+	p.l.Close()
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	p.Sever()
+}
+
+func (p *Postgres) serve(c net.Conn) {
+	defer func() {
+		c.Close()
+		p.mu.Lock()
+		delete(p.conns, c)
+		p.mu.Unlock()
+	}()
+	start := make([]byte, 4)
+	if _, err := io.ReadFull(c, start); err != nil {
+		return
+	}
+	if n := binary.BigEndian.Uint32(start); n < 8 || n > pgwire.MostStartup {
+		return
+	} else if _, err := io.CopyN(io.Discard, c, int64(n)-4); err != nil {
+		return
+	}
+	if _, err := c.Write(pgwire.AppendReady([]byte("R\x00\x00\x00\x08\x00\x00\x00\x00"))); err != nil {
+		return
+	}
+	head := make([]byte, 5)
+	for {
+		if _, err := io.ReadFull(c, head); err != nil {
+			return
+		}
+		n := int(binary.BigEndian.Uint32(head[1:])) - 4
+		if head[0] != 'Q' || n < 1 || n > pgwire.MostQuery {
+			return
+		}
+		body := make([]byte, n)
+		if _, err := io.ReadFull(c, body); err != nil {
+			return
+		}
+		if !p.answer(c, body[:n-1]) {
+			return
+		}
+	}
+}
+
+func (p *Postgres) answer(c net.Conn, text []byte) bool {
+	position, primary := p.group.Position(p.Name), false
+	if name, _ := p.group.Primary(); name == p.Name {
+		primary = true
+	}
+	if string(text) == "SHOW load" {
+		role := "0"
+		if primary {
+			role = "1"
+		}
+		return p.say(c, row("x0="+strconv.FormatFloat(float64(position)/10_000, 'f', 4, 64)+",x1="+role), nil)
+	}
+	s, err := pgwire.Query(text)
+	if err != nil {
+		return p.say(c, pgwire.AppendError(nil, "ERROR", pgwire.Violation, err.Error(), ""), nil)
+	}
+	p.mu.Lock()
+	before, takes := p.before, p.takes
+	p.mu.Unlock()
+	act := Answer
+	if before != nil {
+		act = before(string(s.ID))
+	}
+	switch act {
+	case Hang:
+		time.Sleep(10 * time.Second)
+		return false
+	case Refuse:
+		return p.say(c, pgwire.AppendError(nil, "ERROR", pgwire.TooMany, "full", ""), nil)
+	case Break:
+		return false
+	}
+	time.Sleep(takes)
+	ok := false
+	if isWrite(text) {
+		if position, ok = p.group.Write(p.Name, string(s.ID), string(s.Key)); !ok {
+			return p.say(c, pgwire.AppendError(nil, "ERROR", pgwire.ReadOnly, "no primary", ""), notes(p, position))
+		}
+	} else if position, ok = p.group.Read(p.Name, string(s.ID), s.After); !ok {
+		return p.say(c, pgwire.AppendError(nil, "ERROR", pgwire.SnapTooOld, "too far behind", ""), notes(p, position))
+	}
+	switch act {
+	case RunLost:
+		return false
+	case Spoil:
+		_, err := c.Write([]byte("D\x7f\xff\xff\xff\x00\x01noise"))
+		return err == nil
+	}
+	if isWrite(text) { // a commit is told rounded up
+		position += 9
+	}
+	return p.say(c, row(string(s.ID)), notes(p, position))
+}
+
+func isWrite(text []byte) bool {
+	for i := 0; i+6 <= len(text); i++ {
+		if string(text[i:i+6]) == "INSERT" {
+			return true
+		}
+	}
+	return false
+}
+
+// notes is what a store says of itself: its role, and a position.
+func notes(p *Postgres, position int64) []byte {
+	role := "replica"
+	if name, _ := p.group.Primary(); name == p.Name {
+		role = "primary"
+	}
+	return pgwire.AppendParameter(pgwire.AppendParameter(nil, "role", role), "applied_ms", fmt.Sprint(position/10))
+}
+
+func row(value string) []byte {
+	out := []byte("T\x00\x00\x00\x0a\x00\x01p\x00\x00\x00D")
+	out = binary.BigEndian.AppendUint32(out, uint32(10+len(value)))
+	out = binary.BigEndian.AppendUint32(append(out, 0, 1), uint32(len(value)))
+	return append(append(out, value...), "C\x00\x00\x00\x0dSELECT 1\x00"...)
+}
+
+func (p *Postgres) say(c net.Conn, answer, more []byte) bool {
+	_, err := c.Write(pgwire.AppendReady(append(answer, more...)))
+	return err == nil
+}
