--- a/internal/bolt/terms.go
+++ b/internal/bolt/terms.go
@@ -47,6 +47,11 @@
 	return MayHaveRun
 }
 
+// Invites tells whether drivers, or applications by the code's class, try again what failed with it.
+func Invites(code []byte) bool {
+	return bytes.HasPrefix(code, []byte("Neo.TransientError.")) || string(code) == NotALeader || string(code) == ReadOnly
+}
+
 // FaultyBookmark: a bookmark that cannot be read, which no read may pass over.
 var FaultyBookmark = errors.New("a bookmark was not handed out here")
 
