Dialogue of a Bolt client: what is answered here, passed on ahead, held back or given up

Need: clients write whole transactions ahead of the first answer, and a front must pass on only what the protocol allows, keep the answers in order, and hold back what would keep another store from having the job. Dialogue does that without I/O. Measured: on generated conversations nothing is passed on that the published state machine would not take, and each message of a job has one answer.

--- /dev/null
+++ b/internal/bolt/dialogue.go
@@ -0,0 +1,258 @@
+package bolt
+
+// Dialogue follows what one client asks, message by message, while a front stands between it and a store. Clients
+// write ahead: a whole transaction may have come before its first answer. The dialogue says what is answered here,
+// what begins a job, what may be passed on to the store already and what has to wait, and it keeps the answers in
+// the order of the questions. It does no I/O.
+type Dialogue struct {
+	v     Version
+	state State // that the client knows of
+	ahead State // once all that was passed on is answered well
+
+	queue  []asked // messages of the job in hand, the oldest first
+	sent   int     // of them, passed on to the store that has the job now
+	told   int     // of them, answered to the client
+	open   int     // results of the transaction that would be open then
+	unsure bool    // the state behind what was passed on hangs on its answer
+	job    bool
+}
+
+// asked is one message of the job in hand.
+type asked struct {
+	what What
+	all  bool // PULL or DISCARD of all that there is
+	size int  // of it in the stream, with what stood before it
+}
+
+// MostAhead bounds the messages of a job that are kept before they are answered. What comes past it waits where it is.
+const MostAhead = 64
+
+// Act is what is to be done with a message.
+type Act uint8
+
+const (
+	Reply   Act = iota // answer it here: it was carried out
+	Ignore             // answer it with IGNORED
+	Violate            // answer it with FAILURE and end the connection
+	Open               // it begins a job, and is kept
+	Keep               // it belongs to the job in hand, and is kept
+	Abort              // RESET while a job is in hand: give it up, and answer as Aborted tells
+	Leave              // the client says goodbye
+	Wait               // no room for it: ask again when something was answered
+)
+
+// NewDialogue begins where the handshake has ended.
+func NewDialogue(v Version) *Dialogue { return &Dialogue{v: v, state: Start(v)} }
+
+// State is what the client knows of.
+func (d *Dialogue) State() State { return d.state }
+
+// Busy tells that a job is in hand.
+func (d *Dialogue) Busy() bool { return d.job }
+
+// Transaction tells whether the job in hand is one.
+func (d *Dialogue) Transaction() bool { return d.job && d.queue[0].what == BeginTx }
+
+// Ask takes the next message, which took size bytes of the stream.
+func (d *Dialogue) Ask(r Request, size int) Act {
+	if r.What == Goodbye {
+		return Leave
+	}
+	if d.job {
+		switch {
+		case r.What == Reset:
+			return Abort
+		case len(d.queue) == MostAhead:
+			return Wait
+		}
+		d.queue = append(d.queue, asked{r.What, r.Many < 0, size})
+		return Keep
+	}
+	carried, ignored := d.state.Takes(d.v, r.What)
+	switch {
+	case ignored:
+		return Ignore
+	case !carried:
+		return Violate
+	case r.What == Run || r.What == BeginTx:
+		d.job, d.ahead, d.sent, d.told, d.open, d.unsure = true, d.state, 0, 0, 0, false
+		d.queue = append(d.queue[:0], asked{r.What, false, size})
+		return Open
+	}
+	return Reply
+}
+
+// Replied: a message that is answered here was carried out, or failed.
+func (d *Dialogue) Replied(w What, ok bool) { d.state = d.state.After(w, ok, false, 0) }
+
+// Next gives which message of the job may be passed on to the store now: those that the protocol allows if all before
+// it end well. Danger: what is sense only after one answer must not be passed on before it; a store would end the
+// connection, and count as broken for it.
+func (d *Dialogue) Next() (i int, w What, ok bool) {
+	if !d.job || d.sent == len(d.queue) || d.unsure {
+		return 0, 0, false
+	}
+	w = d.queue[d.sent].what
+	if d.sent > 0 && d.ahead == Ready { // the job ends before it
+		return 0, 0, false
+	}
+	carried, _ := d.ahead.Takes(d.v, w)
+	return d.sent, w, carried
+}
+
+// Sent: the message that Next gave was passed on.
+func (d *Dialogue) Sent() {
+	m := d.queue[d.sent]
+	d.sent++
+	switch m.what {
+	case Run:
+		d.open++
+	case Pull, Discard:
+		if d.unsure = !m.all; !d.unsure {
+			d.open = max(d.open-1, 0)
+		}
+	}
+	d.ahead = d.ahead.After(m.what, true, d.unsure, d.open)
+}
+
+// Stuck tells that the next message makes no sense where all before it are answered: the client has broken the
+// protocol.
+func (d *Dialogue) Stuck() bool {
+	if !d.job || d.told < d.sent || d.sent == len(d.queue) || d.unsure {
+		return false
+	}
+	_, _, ok := d.Next()
+	return !ok
+}
+
+// Asked is the message that the store's next answer is to; false: it owes none.
+func (d *Dialogue) Asked() (w What, ok bool) {
+	if d.told == d.sent {
+		return 0, false
+	}
+	return d.queue[d.told].what, true
+}
+
+// Answered: the store has answered Asked, and not with a record. hold tells that the answer had better be kept back:
+// as long as the client has seen nothing of a job another store may still have it, and the client waits for more
+// anyway, since it has asked already. over tells that the job is complete.
+func (d *Dialogue) Answered(ok, more bool) (hold, over bool) {
+	m := d.queue[d.told]
+	d.told++
+	if m.what == Pull || m.what == Discard {
+		if d.unsure && d.told == d.sent {
+			if d.unsure = false; !more {
+				d.open = max(d.open-1, 0)
+				d.ahead = d.state.After(m.what, true, false, d.open)
+			}
+		}
+	}
+	d.state = d.state.After(m.what, ok, more, d.open)
+	if !ok {
+		return false, true
+	}
+	return (m.what == Run || m.what == BeginTx) && d.told < len(d.queue), d.state == Ready
+}
+
+// Again: the trip came to nothing that the client has seen, and another store is to have the job from its beginning.
+func (d *Dialogue) Again() {
+	d.state, d.ahead = Ready, Ready
+	d.sent, d.told, d.open, d.unsure = 0, 0, 0, false
+}
+
+// Refuse ends the job with a failure that the front words itself, in answer to the oldest message without one.
+func (d *Dialogue) Refuse() {
+	if d.told < len(d.queue) {
+		d.told++
+	}
+	d.state = Failed
+}
+
+// Aborted ends the job by RESET and gives how many of its messages are answered with IGNORED before RESET is with
+// SUCCESS.
+func (d *Dialogue) Aborted() (ignored int) {
+	ignored = len(d.queue) - d.told
+	d.told, d.state = len(d.queue), Ready
+	return ignored
+}
+
+// Settle ends the job in hand and gives how many bytes of the stream are done with. What came behind them is asked
+// anew.
+func (d *Dialogue) Settle() (size int) {
+	for _, m := range d.queue[:d.told] {
+		size += m.size
+	}
+	d.queue, d.job = d.queue[:0], false
+	return size
+}
+
+// AppendSummary writes a store's SUCCESS on to a client: its metadata without what the store says of itself to the
+// front, and with the bookmark given, if one is.
+func AppendSummary(dst, fields []byte, bookmark []byte) ([]byte, error) {
+	v := Unpack(fields)
+	n := 0
+	count := v
+	pairs(&count, func(key []byte) {
+		if count.Skip(); !private(key, bookmark) {
+			n++
+		}
+	})
+	if count.Err() != nil {
+		return dst, count.Err()
+	}
+	if bookmark != nil {
+		n++
+	}
+	dst, at := Begin(dst)
+	dst = AppendMap(AppendStruct(dst, byte(Success), 1), n)
+	pairs(&v, func(key []byte) {
+		value := v.Skip()
+		if !private(key, bookmark) {
+			dst = append(AppendString(dst, key), value...)
+		}
+	})
+	if bookmark != nil {
+		dst = AppendString(AppendString(dst, "bookmark"), bookmark)
+	}
+	return End(dst, at), nil
+}
+
+// private tells what a client is not shown, or shown in another form.
+func private(key, bookmark []byte) bool {
+	switch string(key) {
+	case "role", "applied_ms", "load":
+		return true
+	}
+	return bookmark != nil && string(key) == "bookmark"
+}
+
+// Report is what a store says of itself in a summary.
+type Report struct {
+	Primary, Replica bool
+	Position         int64 // Unix tenths of a millisecond; 0: not said
+	Load             []byte
+}
+
+// ReadReport reads a summary's metadata. What cannot be read says nothing.
+func ReadReport(fields []byte) (r Report) {
+	v := Unpack(fields)
+	pairs(&v, func(key []byte) {
+		switch {
+		case string(key) == "role" && v.Kind() == String:
+			role := v.String()
+			r.Primary, r.Replica = string(role) == "primary", string(role) == "replica"
+		case string(key) == "applied_ms" && v.Kind() == Int:
+			if n := v.Int(); n > 0 && n < 1<<58 {
+				r.Position = n * 10
+			}
+		case string(key) == "load" && v.Kind() == String:
+			r.Load = v.String()
+		default:
+			v.Skip()
+		}
+	})
+	if v.Err() != nil {
+		return Report{}
+	}
+	return r
+}
--- /dev/null
+++ b/internal/bolt/dialogue_test.go
@@ -0,0 +1,229 @@
+package bolt
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func init() { flag.Set("rapid.seed", "20261201") }
+
+func ready(t interface{ Fatalf(string, ...any) }) *Dialogue {
+	d := NewDialogue(Of(5, 4))
+	for _, w := range []What{Hello, Logon} {
+		if a := d.Ask(Request{What: w}, 1); a != Reply {
+			t.Fatalf("%v: %d", w, a)
+		}
+		d.Replied(w, true)
+	}
+	return d
+}
+
+func TestDialogue(t *testing.T) {
+	d := ready(t)
+	if a := d.Ask(Request{What: Commit}, 1); a != Violate {
+		t.Errorf("COMMIT without a transaction: %d", a)
+	}
+	// A whole transaction ahead, and a statement behind it.
+	for i, w := range []What{BeginTx, Run, Pull, Commit, Run} {
+		want := Keep
+		if i == 0 {
+			want = Open
+		}
+		if a := d.Ask(Request{What: w, Many: -1}, 10); a != want {
+			t.Fatalf("%v: %d", w, a)
+		}
+	}
+	var sent []What
+	for _, w, ok := d.Next(); ok; _, w, ok = d.Next() {
+		sent = append(sent, w)
+		d.Sent()
+	}
+	if fmt.Sprint(sent) != "[BEGIN RUN PULL COMMIT]" || !d.Transaction() {
+		t.Errorf("passed on: %v", sent)
+	}
+	holds := ""
+	for range 4 {
+		hold, over := d.Answered(true, false)
+		holds += fmt.Sprint(hold, " ", over, " ")
+	}
+	if holds != "true false true false false false false true " || d.State() != Ready {
+		t.Errorf("held and over: %s, state %d", holds, d.State())
+	}
+	if n := d.Settle(); n != 40 || d.Busy() {
+		t.Errorf("%d bytes are done with", n)
+	}
+	// Results in pieces: what follows hangs on the answer.
+	d.Ask(Request{What: Run, Many: -1}, 1)
+	d.Ask(Request{What: Pull, Many: 5}, 1)
+	d.Ask(Request{What: Pull, Many: 5}, 1)
+	d.Sent()
+	d.Sent()
+	if _, _, ok := d.Next(); ok {
+		t.Error("a second PULL is passed on before the first is answered")
+	}
+	d.Answered(true, false)
+	if _, over := d.Answered(true, true); over || d.State() != Streaming {
+		t.Error("more is to come")
+	}
+	if _, w, ok := d.Next(); !ok || w != Pull {
+		t.Error("the second PULL waits for ever")
+	}
+	d.Sent()
+	if _, over := d.Answered(true, false); !over || d.Settle() != 3 {
+		t.Error("the end of a result is no end")
+	}
+	// A failure, what was written ahead, RESET.
+	d.Ask(Request{What: Run, Many: -1}, 1)
+	d.Ask(Request{What: Pull, Many: -1}, 1)
+	d.Sent()
+	d.Refuse()
+	if d.Settle() != 1 || d.Ask(Request{What: Pull, Many: -1}, 1) != Ignore || d.Ask(Request{What: Reset}, 1) != Reply {
+		t.Error("behind a failure")
+	}
+	d.Replied(Reset, true)
+	d.Ask(Request{What: BeginTx, Many: -1}, 1)
+	d.Ask(Request{What: Run, Many: -1}, 1)
+	if d.Ask(Request{What: Reset}, 1) != Abort || d.Aborted() != 2 || d.Settle() != 2 || d.State() != Ready {
+		t.Error("RESET in a job")
+	}
+	// Nonsense inside a job, and more than is kept.
+	d.Ask(Request{What: BeginTx, Many: -1}, 1)
+	d.Ask(Request{What: Pull, Many: -1}, 1)
+	d.Sent()
+	if d.Stuck() {
+		t.Error("stuck before BEGIN is answered")
+	}
+	if d.Answered(true, false); !d.Stuck() {
+		t.Error("PULL without a result makes sense")
+	}
+	for range MostAhead {
+		d.Ask(Request{What: Run, Many: -1}, 1)
+	}
+	if a := d.Ask(Request{What: Run, Many: -1}, 1); a != Wait {
+		t.Errorf("without bound: %d", a)
+	}
+}
+
+// TestDialogueAgainstStateMachine: whatever clients ask, in whatever pieces stores answer, only what the published state
+// machine takes is passed on, in its order, and each message kept has one answer in the end.
+func TestDialogueAgainstStateMachine(t *testing.T) {
+	done := 0
+	rapid.Check(t, func(t *rapid.T) {
+		d := ready(t)
+		store, open := Ready, 0 // the store's own view
+		asked, answers := 0, 0
+		owed := []asked1{}
+		for _, op := range rapid.SliceOfN(rapid.IntRange(0, 1<<12), 100, 400).Draw(t, "ops") {
+			switch {
+			case op%4 < 2: // the client asks
+				w := []What{Run, Pull, Pull, Discard, BeginTx, Commit, Rollback, Run}[op/4%8]
+				many := int64(-1)
+				if op&512 != 0 {
+					many = 3
+				}
+				switch d.Ask(Request{What: w, Many: many}, 1) {
+				case Open:
+					asked, answers, store, open, owed = 1, 0, Ready, 0, owed[:0]
+				case Keep:
+					asked++
+				}
+			case op%4 == 2: // the front passes on
+				if _, w, ok := d.Next(); ok {
+					s := store
+					n := open
+					for _, o := range owed { // as the store will see it
+						s, n = o.after(s, n, o.all)
+					}
+					m := asked1{w, d.queue[d.sent].all}
+					if carried, _ := s.Takes(Of(5, 4), w); !carried {
+						t.Fatalf("%v is passed on to a store in state %d", w, s)
+					}
+					d.Sent()
+					owed = append(owed, m)
+				}
+			case len(owed) > 0: // the store answers
+				w, ok := d.Asked()
+				if !ok || w != owed[0].w {
+					t.Fatalf("the answer to %v is taken for one to %v", owed[0].w, w)
+				}
+				more := (w == Pull || w == Discard) && !owed[0].all && op&1024 != 0
+				store, open = owed[0].after(store, open, !more)
+				owed = owed[1:]
+				answers++
+				if _, over := d.Answered(true, more); over != (store == Ready) {
+					t.Fatalf("over is %v, the store is in state %d", over, store)
+				} else if over {
+					if n := d.Settle(); n != answers || len(owed) > 0 {
+						t.Fatalf("%d messages settled, %d answered of %d, %d owed", n, answers, asked, len(owed))
+					}
+					done++
+				}
+			}
+			if d.Stuck() {
+				d.Refuse()
+				d.Settle()
+				d.state, owed = Ready, owed[:0]
+			}
+		}
+	})
+	if done < 20 {
+		t.Errorf("only %d jobs came to their end", done)
+	}
+}
+
+// asked1 is what the model's store was passed on.
+type asked1 struct {
+	w   What
+	all bool
+}
+
+func (a asked1) after(s State, open int, whole bool) (State, int) {
+	switch a.w {
+	case Run:
+		open++
+	case Pull, Discard:
+		if whole {
+			open = max(open-1, 0)
+		}
+	}
+	return s.After(a.w, true, !whole, open), open
+}
+
+func TestSummaries(t *testing.T) {
+	var fields []byte
+	fields = AppendMap(fields, 5)
+	fields = AppendPair(fields, "type", "w")
+	fields = AppendPair(fields, "role", "primary")
+	fields = AppendInt(AppendString(fields, "applied_ms"), 1700)
+	fields = AppendPair(fields, "bookmark", "theirs")
+	fields = AppendInt(AppendString(fields, "t_last"), 3)
+	if r := ReadReport(fields); !r.Primary || r.Replica || r.Position != 17000 {
+		t.Errorf("%+v", r)
+	}
+	out, err := AppendSummary(nil, fields, AppendBookmark(nil, 3, 17000))
+	if err != nil {
+		t.Fatal(err)
+	}
+	rd := Reader{Most: 1 << 12}
+	body, _, _ := rd.Next(out)
+	a, err := ReadAnswer(body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := AppendMap(nil, 3)
+	want = AppendPair(want, "type", "w")
+	want = AppendInt(AppendString(want, "t_last"), 3)
+	want = AppendPair(want, "bookmark", "mt1:3:17000")
+	if string(a.Fields) != string(want) {
+		t.Errorf("%q", a.Fields)
+	}
+	if _, err := AppendSummary(nil, []byte{0xa1, 0x81}, nil); err == nil {
+		t.Error("half a map is passed on")
+	}
+	if r := ReadReport([]byte{0xa1, 0x84, 'r', 'o', 'l', 'e'}); r.Primary {
+		t.Errorf("%+v", r)
+	}
+}
