Bolt clients and stores on the same core, through an unmodified driver; off by default

Need: marketplaces want to send graph queries beside their orders, under the same rules and limits. A Bolt client's job is a statement or a transaction; its messages are passed on as the protocol allows, answers are held back while another store may still have the job, and a client that reads slowly stops its store. New in the module: a trip that broke off and provably had no effect (Undone), and that a job whose answer has begun is not called back: a trace of a failed test showed the second half of a long result asked of another store.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -620,7 +620,7 @@
 	m.backAt = b.now
 	took := b.now - j.sentAt
 	// Danger: lost answers look like load, and load like lost answers. A later trip answered there tells.
-	gone := r.Ending == Severed || r.Ending >= Expired && j.sentAt < m.answered
+	gone := r.Ending == Severed || r.Ending == Undone || r.Ending >= Expired && j.sentAt < m.answered
 	if j.spilled && r.Ending == Delivered && took < p.ExpectedTime*3/4 {
 		b.spill = min(b.spill+1.0/16, 1)
 	} else if j.spilled && r.Ending != Behind && !gone {
@@ -644,7 +644,8 @@
 		// Danger: a draining primary turns writes away as a replica while its other answers still claim the
 		// role, so a claim must be newer each time; and until it takes a write, no read relies on it.
 		m.doubted = b.shun(m)
-	case r.Ending == Crowded || r.Ending == Unreached || r.Ending == Faulted || r.Ending == Severed:
+	case r.Ending == Crowded, r.Ending == Unreached, r.Ending == Undone, r.Ending == Faulted,
+		r.Ending == Severed:
 		m.shut = b.shun(m)
 		if r.Ending == Unreached { // a single lost connection is no restart
 			m.suspect, m.unreached = true, j.sentAt
@@ -812,7 +813,7 @@
 	switch {
 	case b.now >= j.limit-b.beat, j.held && (late || b.now+Time(p.typical/2) > j.limit):
 		b.giveUp(i)
-	case stuck && p.Repeat == Reissuable && b.mayCancel && b.mayGoAgain(j, j.further+1):
+	case stuck && j.limit < never && p.Repeat == Reissuable && b.mayCancel && b.mayGoAgain(j, j.further+1):
 		b.front.Cancel(j.id, j.sent-1)
 	}
 }
--- a/balance/front.go
+++ b/balance/front.go
@@ -139,6 +139,7 @@
 	Crowded          // turned away unseen
 	Unreached        // no connection
 	Unsent           // never left the front
+	Undone           // broke off, and provably had no effect
 	Faulted          // from here on it may have run
 	Expired
 	Severed
@@ -146,7 +147,7 @@
 )
 
 // NeverRan tells whether the ending proves that nothing was done.
-func (e Ending) NeverRan() bool { return e >= Behind && e <= Unsent }
+func (e Ending) NeverRan() bool { return e >= Behind && e <= Undone }
 
 // Return is the result of one trip or probe.
 type Return struct {
--- a/cmd/micatrack/main.go
+++ b/cmd/micatrack/main.go
@@ -112,6 +112,9 @@
 	if o.operators.Door.On {
 		names = append(names, "door")
 	}
+	if o.operators.Bolt.On {
+		names = append(names, "bolt")
+	}
 	if len(names) == 0 {
 		return "nothing more"
 	}
--- a/cmd/micatrack/serve.go
+++ b/cmd/micatrack/serve.go
@@ -158,6 +158,14 @@
 		limits.Door = &door.Bounds{Jobs: d.Jobs, Bytes: d.Kilobytes << 10, Customers: d.Customers, Places: d.Places,
 			Strangers: d.Strangers, Further: d.Further}
 	}
+	if b := o.operators.Bolt; b.On {
+		bound, err := net.Also(b.Listen, front.Bolt)
+		if err != nil {
+			return exit{1, fmt.Errorf("listen: %w", err)}
+		}
+		limits.Address, limits.Drain = cmp.Or(b.Advertise, bound), b.DrainMS*int64(time.Millisecond/tick)
+		log.Info("bolt", "listen", bound)
+	}
 	core, err := front.New(now(), o.charter, o.host, limits, net, watcher.Ask, log)
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
--- a/internal/bolt/dialogue.go
+++ b/internal/bolt/dialogue.go
@@ -11,10 +11,13 @@
 
 	queue  []asked // messages of the job in hand, the oldest first
 	sent   int     // of them, passed on to the store that has the job now
-	told   int     // of them, answered to the client
+	told   int     // of them, answered by the store
+	seen   int     // of those, answered to the client
 	open   int     // results of the transaction that would be open then
 	unsure bool    // the state behind what was passed on hangs on its answer
 	job    bool
+	tx     bool
+	pad    int // bytes that meant nothing, in front of the next message
 }
 
 // asked is one message of the job in hand.
@@ -51,7 +54,7 @@
 func (d *Dialogue) Busy() bool { return d.job }
 
 // Transaction tells whether the job in hand is one.
-func (d *Dialogue) Transaction() bool { return d.job && d.queue[0].what == BeginTx }
+func (d *Dialogue) Transaction() bool { return d.job && d.tx }
 
 // Ask takes the next message, which took size bytes of the stream.
 func (d *Dialogue) Ask(r Request, size int) Act {
@@ -65,7 +68,8 @@
 		case len(d.queue) == MostAhead:
 			return Wait
 		}
-		d.queue = append(d.queue, asked{r.What, r.Many < 0, size})
+		d.queue = append(d.queue, asked{r.What, r.Many < 0, size + d.pad})
+		d.pad = 0
 		return Keep
 	}
 	carried, ignored := d.state.Takes(d.v, r.What)
@@ -75,7 +79,8 @@
 	case !carried:
 		return Violate
 	case r.What == Run || r.What == BeginTx:
-		d.job, d.ahead, d.sent, d.told, d.open, d.unsure = true, d.state, 0, 0, 0, false
+		d.job, d.ahead, d.sent, d.told, d.seen, d.open, d.unsure = true, d.state, 0, 0, 0, 0, false
+		d.tx = r.What == BeginTx
 		d.queue = append(d.queue[:0], asked{r.What, false, size})
 		return Open
 	}
@@ -85,6 +90,17 @@
 // Replied: a message that is answered here was carried out, or failed.
 func (d *Dialogue) Replied(w What, ok bool) { d.state = d.state.After(w, ok, false, 0) }
 
+// Pad counts bytes of the stream that mean nothing to what is asked next.
+func (d *Dialogue) Pad(size int) { d.pad += size }
+
+// Span is where message i of the job stands, from the job's first byte on.
+func (d *Dialogue) Span(i int) (from, to int) {
+	for _, m := range d.queue[:i] {
+		from += m.size
+	}
+	return from, from + d.queue[i].size
+}
+
 // Next gives which message of the job may be passed on to the store now: those that the protocol allows if all before
 // it end well. Danger: what is sense only after one answer must not be passed on before it; a store would end the
 // connection, and count as broken for it.
@@ -157,21 +173,35 @@
 // Again: the trip came to nothing that the client has seen, and another store is to have the job from its beginning.
 func (d *Dialogue) Again() {
 	d.state, d.ahead = Ready, Ready
-	d.sent, d.told, d.open, d.unsure = 0, 0, 0, false
+	d.sent, d.told, d.seen, d.open, d.unsure = 0, 0, 0, 0, false
 }
 
 // Refuse ends the job with a failure that the front words itself, in answer to the oldest message without one.
 func (d *Dialogue) Refuse() {
-	if d.told < len(d.queue) {
-		d.told++
-	}
+	d.told = min(d.seen+1, len(d.queue))
 	d.state = Failed
 }
 
+// Shown: the client has been answered all that the store has answered. No other store can have the job from now on, so
+// what was answered is done with: size is its bytes in the stream. Danger: a long result is pulled in more pieces than
+// are kept.
+func (d *Dialogue) Shown() (size int) {
+	for _, m := range d.queue[:d.told] {
+		size += m.size
+	}
+	d.queue = d.queue[:copy(d.queue, d.queue[d.told:])]
+	d.sent -= d.told
+	d.told, d.seen = 0, 0
+	return size
+}
+
+// Waits tells that the client has asked something that it was not answered.
+func (d *Dialogue) Waits() bool { return d.job && d.seen < len(d.queue) }
+
 // Aborted ends the job by RESET and gives how many of its messages are answered with IGNORED before RESET is with
 // SUCCESS.
 func (d *Dialogue) Aborted() (ignored int) {
-	ignored = len(d.queue) - d.told
+	ignored = len(d.queue) - d.seen
 	d.told, d.state = len(d.queue), Ready
 	return ignored
 }
@@ -182,7 +212,7 @@
 	for _, m := range d.queue[:d.told] {
 		size += m.size
 	}
-	d.queue, d.job = d.queue[:0], false
+	d.queue, d.job, d.pad = d.queue[:0], false, 0
 	return size
 }
 
@@ -193,7 +223,7 @@
 	n := 0
 	count := v
 	pairs(&count, func(key []byte) {
-		if count.Skip(); !private(key, bookmark) {
+		if count.Skip(); !private(key) {
 			n++
 		}
 	})
@@ -207,7 +237,7 @@
 	dst = AppendMap(AppendStruct(dst, byte(Success), 1), n)
 	pairs(&v, func(key []byte) {
 		value := v.Skip()
-		if !private(key, bookmark) {
+		if !private(key) {
 			dst = append(AppendString(dst, key), value...)
 		}
 	})
@@ -218,12 +248,12 @@
 }
 
 // private tells what a client is not shown, or shown in another form.
-func private(key, bookmark []byte) bool {
+func private(key []byte) bool {
 	switch string(key) {
 	case "role", "applied_ms", "load":
 		return true
 	}
-	return bookmark != nil && string(key) == "bookmark"
+	return string(key) == "bookmark" // one of a store's own would be none that a front can read
 }
 
 // Report is what a store says of itself in a summary.
--- a/internal/bolt/message.go
+++ b/internal/bolt/message.go
@@ -63,6 +63,7 @@
 	Reads     bool   // access mode "r"
 	Database  []byte
 	Metadata  []byte // packed map; nil: none
+	packed    []byte // all of it
 }
 
 var errFields = errors.New("a message with another number of fields")
@@ -162,6 +163,8 @@
 }
 
 func (e *Extra) read(v *Values) {
+	start := v.Left()
+	defer func() { e.packed = start[:len(start)-len(v.Left())] }()
 	pairs(v, func(key []byte) {
 		if v.Kind() == Null { // as if it were not there
 			v.Skip()
@@ -198,6 +201,44 @@
 	})
 }
 
+// Address is where the client of a ROUTE has reached this front, as it says itself; empty: it does not.
+func (r *Request) Address() (address []byte) {
+	v := Unpack(r.Routing)
+	pairs(&v, func(key []byte) {
+		if string(key) == "address" && v.Kind() == String {
+			address = v.String()
+		} else {
+			v.Skip()
+		}
+	})
+	return address
+}
+
+// AppendTimed writes RUN or BEGIN anew, with another tx_timeout in whole milliseconds; all else stays as it is.
+func (r *Request) AppendTimed(dst []byte, left int64) []byte {
+	dst, at := Begin(dst)
+	if r.What == Run {
+		dst = AppendString(AppendStruct(dst, byte(Run), 3), r.Query)
+		dst = append(dst, r.Parameters...)
+	} else {
+		dst = AppendStruct(dst, byte(BeginTx), 1)
+	}
+	v, kept := Unpack(r.Extra.packed), 1
+	pairs(&v, func(key []byte) {
+		if v.Skip(); string(key) != "tx_timeout" {
+			kept++
+		}
+	})
+	dst = AppendMap(dst, kept)
+	v = Unpack(r.Extra.packed)
+	pairs(&v, func(key []byte) {
+		if value := v.Skip(); string(key) != "tx_timeout" {
+			dst = append(AppendString(dst, key), value...)
+		}
+	})
+	return End(AppendInt(AppendString(dst, "tx_timeout"), left), at)
+}
+
 // Answer is a server's message. Its slices point into the message's body.
 type Answer struct {
 	What    What
--- a/internal/bolt/terms.go
+++ b/internal/bolt/terms.go
@@ -52,6 +52,11 @@
 	return bytes.HasPrefix(code, []byte("Neo.TransientError.")) || string(code) == NotALeader || string(code) == ReadOnly
 }
 
+// Clients tells whether a code says that what was asked was at fault, and not the store.
+func Clients(code []byte) bool {
+	return bytes.HasPrefix(code, []byte("Neo.ClientError.")) && !Invites(code)
+}
+
 // FaultyBookmark: a bookmark that cannot be read, which no read may pass over.
 var FaultyBookmark = errors.New("a bookmark was not handed out here")
 
--- /dev/null
+++ b/internal/bolt/timed_test.go
@@ -0,0 +1,24 @@
+package bolt
+
+import "testing"
+
+// TestTimed: a statement or a transaction is passed on with another time left and all else as it was.
+func TestTimed(t *testing.T) {
+	for _, body := range [][]byte{run("RETURN 1", terms), terms(AppendStruct(nil, byte(BeginTx), 1)),
+		run("RETURN 1", func(b []byte) []byte { return AppendMap(b, 0) })} {
+		r, err := ReadRequest(body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		rd := Reader{Most: 1 << 16}
+		out, n, err := rd.Next(r.AppendTimed(nil, 77))
+		if err != nil || n == 0 {
+			t.Fatal(n, err)
+		}
+		again, err := ReadRequest(out)
+		if err != nil || again.Extra.Timeout != 77 || string(again.Query) != string(r.Query) || string(again.Extra.Metadata) != string(r.Extra.Metadata) ||
+			string(again.Extra.Bookmarks) != string(r.Extra.Bookmarks) || again.Extra.Reads != r.Extra.Reads {
+			t.Errorf("%+v, %v", again, err)
+		}
+	}
+}
--- a/internal/course/course.go
+++ b/internal/course/course.go
@@ -91,6 +91,9 @@
 // Complete tells that the store's last answer has come, and was good.
 func (c *Course) Complete() bool { return c.over && !c.failed }
 
+// Begun tells that the store was asked for something whole.
+func (c *Course) Begun() bool { return c.written > 0 }
+
 // Idle tells that the store owes no answer: the next message is the client's.
 func (c *Course) Idle() bool { return c.open == 0 }
 
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -33,6 +33,7 @@
 		Full    bool
 		Servers []struct {
 			ID, Addr, Zone, State, Role string
+			Protocol                    string // "bolt"; without it PostgreSQL's
 			Cell                        uint64
 			Weight                      float64
 			Started                     int64 `json:"started_ms"`
@@ -69,7 +70,7 @@
 		if _, _, err := net.SplitHostPort(s.Addr); err != nil && m.Condition != balance.Gone {
 			return 0, l, fmt.Errorf("store %q: address: %w", s.ID, err)
 		}
-		l.Lines = append(l.Lines, front.Line{ID: s.ID, Addr: s.Addr, Member: m})
+		l.Lines = append(l.Lines, front.Line{ID: s.ID, Addr: s.Addr, Bolt: s.Protocol == "bolt", Member: m})
 	}
 	return *w.Version, l, nil
 }
--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -10,11 +10,13 @@
 	"micatrack/internal/request"
 )
 
-// speech is how one protocol puts to its clients what the core has to say. It keeps nothing.
+// speech is how one protocol puts to its clients what the core has to say.
 type speech interface {
 	greet(cl *client, c *Core, in []byte) (used int)   // the first step of a connection
 	decline(cl *client, c *Core, in []byte) (used int) // the same where there is no room for it
 	overflow(cl *client, c *Core)                      // ends a connection whose message has no room
+	more(cl *client, c *Core)                          // something came, or there is room again, while a job is in hand
+	done(cl *client, failed bool)                      // the job has its final answer; failed: one of the core's own
 	turnedBack(dst []byte, pause Time) []byte          // the final answers, whole
 	writtenOff(dst []byte, why string) []byte
 	faulty(dst []byte, f fault, why string) []byte
@@ -37,6 +39,7 @@
 	client *client
 	terms  request.Terms
 	cut    pgwire.Cut
+	bolt   bool // it came in Bolt
 	kind   int  // its profile, as the charter numbers them
 	left   Time // as its client said, less what has passed since
 	came   Time
@@ -64,13 +67,13 @@
 	greeted bool
 }
 
-func (c *Core) accept(l Link, what What) {
+func (c *Core) accept(l Link, what What, s speech) {
 	if len(c.clients) >= c.limits.Links { // those that are being declined fill all that there is
 		l.Close()
 		return
 	}
 	c.serial++
-	cl := &client{link: l, at: len(c.clients), serial: c.serial, speech: postgres{}, job: -1, since: c.now}
+	cl := &client{link: l, at: len(c.clients), serial: c.serial, speech: s, job: -1, since: c.now}
 	cl.next = cl.speech.greet
 	l.Own(cl)
 	c.clients = append(c.clients, cl)
@@ -106,6 +109,9 @@
 func (cl *client) idle() bool { return cl.job < 0 && !cl.ending && len(cl.link.Peek()) == 0 }
 
 func (cl *client) notice(c *Core, what What) {
+	if cl.job >= 0 && !cl.ending {
+		cl.speech.more(cl, c)
+	}
 	if what&Readable != 0 && !cl.ending {
 		cl.read(c)
 	}
@@ -119,7 +125,7 @@
 	for cl.job < 0 && !cl.ending {
 		n := cl.next(cl, c, cl.link.Peek())
 		if n == 0 {
-			if cl.link.Full() && !cl.ending { // a long message, and all rings together may not grow any more
+			if cl.link.Full() && !cl.ending && cl.job < 0 { // a long message, and all rings together may not grow any more
 				cl.speech.overflow(cl, c)
 			}
 			return
@@ -176,11 +182,14 @@
 	if !ok {
 		return noProfile, "unknown class"
 	}
-	if len(c.groups) > 0 && !c.groups[t.Group] {
+	_, speaks := cl.speech.(*boltClient)
+	if bolt, ok := c.groups[t.Group]; !ok && len(c.groups) > 0 {
 		return noGroup, "unknown cluster"
+	} else if ok && bolt != speaks {
+		return noGroup, "the cluster speaks another protocol"
 	}
 	for k := range c.jobs {
-		if j := &c.jobs[k]; j.busy && !j.final && bytes.Equal(j.terms.ID, t.ID) {
+		if j := &c.jobs[k]; j.busy && !j.final && len(t.ID) > 0 && bytes.Equal(j.terms.ID, t.ID) {
 			// Danger: a store would turn one of the two away or break off, and count as crowded or broken for it.
 			return inHand, "a request with this id is in hand"
 		}
@@ -194,7 +203,7 @@
 	c.freeJobs = c.freeJobs[:len(c.freeJobs)-1]
 	c.inHand++
 	j := &c.jobs[i]
-	*j = job{id: j.id, client: cl, terms: t, cut: cut, kind: kind, came: c.now, left: t.Left, busy: true}
+	*j = job{id: j.id, client: cl, terms: t, cut: cut, kind: kind, bolt: speaks, came: c.now, left: t.Left, busy: true}
 	cl.job = i
 	c.arrivals = append(c.arrivals, i)
 	return sound, ""
@@ -235,24 +244,29 @@
 		in.Left = min(in.Left, c.endAt-c.now)
 	}
 	if err := c.module.Take(c.now, in); err != nil {
-		c.answer(i, j.client.speech.faulty(c.out[:0], noProfile, err.Error()))
+		c.answer(i, j.client.speech.faulty(c.out[:0], noProfile, err.Error()), true)
 	}
 }
 
 func (c *Core) turnBack(t task) {
 	if cl := c.jobs[t.job].client; cl != nil {
-		c.answer(t.job, cl.speech.turnedBack(c.out[:0], t.at))
+		c.answer(t.job, cl.speech.turnedBack(c.out[:0], t.at), true)
 	}
 }
 
 func (c *Core) writeOff(t task) {
-	if cl := c.jobs[t.job].client; cl != nil {
-		c.answer(t.job, cl.speech.writtenOff(c.out[:0], "not known to have run"))
+	j := &c.jobs[t.job]
+	switch cl := j.client; {
+	case cl == nil:
+	case j.trip != nil && j.trip.dialect.undone(j.trip): // the module knows of a trip; that it had no effect is known here
+		c.answer(t.job, cl.speech.turnedBack(c.out[:0], 0), true)
+	default:
+		c.answer(t.job, cl.speech.writtenOff(c.out[:0], "not known to have run"), true)
 	}
 }
 
-// answer gives the job's final answer, text, and lets its client's next command follow.
-func (c *Core) answer(i int32, text []byte) {
+// answer gives the job's final answer, text, which is the core's own where it failed, and lets its client's next command follow.
+func (c *Core) answer(i int32, text []byte, failed bool) {
 	j := &c.jobs[i]
 	if !j.busy || j.final {
 		return
@@ -264,7 +278,7 @@
 	j.final, j.client = true, nil
 	c.out = text
 	cl.job, cl.since = -1, c.now
-	cl.link.Discard(cl.held)
+	cl.speech.done(cl, failed)
 	if cl.at >= 0 && !cl.link.Write(c.out) { // Danger: a job is lost if its client is hung up on for want of room here.
 		cl.write(c, cl.speech.writtenOff(c.out[:0], "no memory for the answer"))
 	} else if cl.at >= 0 {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -51,6 +51,7 @@
 	Accepted What = 1 << iota
 	Readable
 	Closed
+	Bolt // with Accepted: on the listener for Bolt
 )
 
 // Event is one link with news.
@@ -62,6 +63,7 @@
 // Line is one store of the list, with where this front reaches it. The core numbers the stores.
 type Line struct {
 	ID, Addr string
+	Bolt     bool // it speaks Bolt, else PostgreSQL's protocol
 	balance.Member
 }
 
@@ -79,6 +81,8 @@
 	Rest    Time         // a client that asked nothing for that long may be hung up on to make room
 	Grace   Time         // from Stop to the end by force, beside the longest outer limit
 	Door    *door.Bounds // nil: jobs go straight to the module
+	Address string       // where Bolt clients reach this front, for ROUTE, if they do not say
+	Drain   Time         // how long an open transaction may go on at a store that drains
 }
 
 // task is something that the module asked for.
@@ -108,6 +112,7 @@
 	limits     Limits
 	profiles   map[string]int // as the charter numbers them
 	needs      []balance.Need
+	repeats    []balance.Repeat
 	longest    Time // of the profiles' outer limits
 	now        Time
 	wakeAt     Time
@@ -118,7 +123,7 @@
 	stores     []store
 	storeOf    map[string]uint32
 	freeStores []uint32
-	groups     map[uint64]bool
+	groups     map[uint64]bool // that are listed; true: their stores speak Bolt
 	clients    []*client
 	serial     uint64 // of the newest client
 	conns      []*conn
@@ -143,6 +148,7 @@
 	for i, p := range c.Profiles {
 		f.profiles[p.Name] = i
 		f.needs = append(f.needs, p.Need)
+		f.repeats = append(f.repeats, p.Repeat)
 		f.longest = max(f.longest, p.OuterLimit)
 	}
 	var err error
@@ -183,8 +189,10 @@
 		case *conn:
 			o.notice(c, e.What)
 		default:
-			if e.What&Accepted != 0 {
-				c.accept(e.Link, e.What)
+			if e.What&Bolt != 0 {
+				c.accept(e.Link, e.What, newBoltClient())
+			} else if e.What&Accepted != 0 {
+				c.accept(e.Link, e.What, postgres{})
 			}
 		}
 	}
@@ -280,6 +288,9 @@
 			i = c.freeStores[len(c.freeStores)-1]
 			c.freeStores = c.freeStores[:len(c.freeStores)-1]
 			c.stores[i] = store{id: e.ID, addr: e.Addr, dialect: postgres{}}
+			if e.Bolt {
+				c.stores[i].dialect, c.stores[i].bolt = boltStore{}, true
+			}
 			c.storeOf[e.ID] = i
 		}
 		s := &c.stores[i]
@@ -287,10 +298,17 @@
 			s.addr = e.Addr
 			c.hangUp(i)
 		}
-		if e.Condition == balance.Gone {
+		switch e.Condition {
+		case balance.Gone:
 			c.hangUp(i)
+		case balance.Draining:
+			if s.cutAt == 0 {
+				s.cutAt = c.now + c.limits.Drain
+			}
+		case balance.Ready:
+			s.cutAt = 0
 		}
-		named[i], c.groups[e.Group] = true, true
+		named[i], c.groups[e.Group] = true, e.Bolt
 		members[k] = e.Member
 		members[k].Store = i
 	}
--- a/internal/front/postgres.go
+++ b/internal/front/postgres.go
@@ -11,6 +11,10 @@
 // postgres is version 3 of PostgreSQL's protocol, to clients and to stores.
 type postgres struct{}
 
+func (postgres) more(*client, *Core) {}
+
+func (postgres) done(cl *client, _ bool) { cl.link.Discard(cl.held) }
+
 func (postgres) overflow(cl *client, c *Core) { cl.fatal(c, pgwire.TooMany, "out of memory") }
 
 func (postgres) turnedBack(dst []byte, pause Time) []byte {
@@ -33,21 +37,36 @@
 func (postgres) hail(dst []byte) []byte { return pgwire.AppendStartup(dst, "web", "orders") }
 
 func (postgres) rises(k *conn) { k.next = greeted }
-func (postgres) asked(k *conn) { k.next = answered }
 func (postgres) idles(k *conn) { k.next = rests }
 
-func (postgres) probe(dst []byte, c *Core) []byte {
-	if c.host.Reports == "inline" || c.host.Reports == "on_probe" {
-		return pgwire.AppendSimple(dst, "SHOW load")
+func (postgres) ask(k *conn, c *Core, e errand) {
+	switch {
+	case e.job >= 0:
+		j := &c.jobs[e.job]
+		text, _, _ := pgwire.Text(j.client.link.Peek()[5:])
+		c.out = j.cut.AppendQuery(c.out[:0], text, max((e.until-c.now)/perMilli, 1))
+	case c.host.Reports == "inline" || c.host.Reports == "on_probe":
+		c.out = pgwire.AppendSimple(c.out[:0], "SHOW load")
+	default:
+		c.out = pgwire.AppendSimple(c.out[:0], "SELECT 1")
 	}
-	return pgwire.AppendSimple(dst, "SELECT 1")
+	k.next = answered
+	k.write(c, c.out)
 }
 
-func (postgres) trip(dst []byte, j *job, left Time) []byte {
-	text, _, _ := pgwire.Text(j.client.link.Peek()[5:])
-	return j.cut.AppendQuery(dst, text, max(left/perMilli, 1))
+// broken: what came before something senseless proves nothing, but a store's whole word does.
+func (postgres) broken(k *conn, _ *Core) balance.Ending {
+	switch {
+	case k.code != "" && k.parts == 0:
+		return ending(k.code)
+	case k.link.Sent() < k.wrote:
+		return balance.Unreached
+	}
+	return balance.Severed
 }
 
+func (postgres) undone(*conn) bool { return false }
+
 // fatal ends a connection whose stream cannot be followed any more.
 func (cl *client) fatal(c *Core, code, text string) {
 	c.out = pgwire.AppendError(c.out[:0], "FATAL", code, text, "")
@@ -305,7 +324,7 @@
 	case k.parts > 0: // a refusal after part of an answer is none
 		r.Ending = balance.Faulted
 	default:
-		r.Ending = postgres{}.ending(k.code)
+		r.Ending = ending(k.code)
 	}
 	if e.job < 0 {
 		if r.Ending == balance.Delivered {
@@ -323,13 +342,13 @@
 	}
 	c.end(k, e, r)
 	if r.Ending == balance.Delivered {
-		c.answer(e.job, pgwire.AppendReady(c.out))
+		c.answer(e.job, pgwire.AppendReady(c.out), false)
 	}
 	return true
 }
 
 // ending tells what a store's error is to the module. What is not known never to have run may have.
-func (postgres) ending(code string) balance.Ending {
+func ending(code string) balance.Ending {
 	switch code {
 	case pgwire.ReadOnly, pgwire.SnapTooOld:
 		return balance.Behind
--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -10,14 +10,13 @@
 
 // dialect is how one protocol puts to its stores what the core asks of them. It keeps nothing.
 type dialect interface {
-	hail(dst []byte) []byte                    // what a new connection begins with
-	trip(dst []byte, j *job, left Time) []byte // a job's request, with the time that is left
-	probe(dst []byte, c *Core) []byte          // the question for a store's report
-	gather(k *conn, c *Core)                   // looks at what has come in
-	rises(k *conn)                             // sets the next step of a connection that comes up,
-	asked(k *conn)                             // of one that something was asked on,
-	idles(k *conn)                             // and of one that nothing was
-	ending(code string) balance.Ending         // what a store's error proves
+	hail(dst []byte) []byte                 // what a new connection begins with
+	rises(k *conn)                          // prepares a connection that comes up,
+	idles(k *conn)                          // and one on which nothing is asked
+	ask(k *conn, c *Core, e errand)         // writes a job's request, or a probe
+	gather(k *conn, c *Core)                // looks at what has come in
+	broken(k *conn, c *Core) balance.Ending // what is proven of what a connection that is closed now was asked
+	undone(k *conn) bool                    // tells whether it is proven so far that it had no effect
 }
 
 // store is one member of the list.
@@ -26,6 +25,8 @@
 	forgotten bool // by the module; its place is free from the next turn on
 	addr      string
 	dialect   dialect
+	bolt      bool     // it speaks Bolt
+	cutAt     Time     // it drains, and an open transaction may go on until then; 0: it does not
 	idle      []*conn  // the newest last
 	waits     []errand // trips and probes that wait for a connection, the oldest first
 }
@@ -44,6 +45,7 @@
 	at       int // in Core.conns; -1: given back
 	store    uint32
 	dialect  dialect
+	bolt     *boltConn
 	addr     string                                                   // that it was dialled at
 	next     func(s *conn, c *Core, kind byte, body []byte) (ok bool) // is handed the store's messages
 	ready    bool
@@ -69,7 +71,8 @@
 	j := &c.jobs[t.job]
 	trip := j.sent
 	j.sent++
-	if !j.busy || j.final || j.trip != nil || j.waits || int(t.store) >= len(c.stores) {
+	if !j.busy || j.final || j.trip != nil || j.waits || int(t.store) >= len(c.stores) ||
+		c.stores[t.store].bolt != j.bolt {
 		c.owe(back{t.job, trip, t.store, balance.Return{Ending: balance.Unsent}})
 		return
 	}
@@ -158,15 +161,11 @@
 	k.errand, k.idle, k.spent, k.since = e, false, false, c.now
 	k.row, k.told, k.code, k.parts, k.read, k.value = false, false, "", 0, 0, ""
 	k.note, k.load = balance.Report{}, balance.Report{}
-	if e.job < 0 {
-		c.out = k.dialect.probe(c.out[:0], c)
-	} else {
+	if e.job >= 0 {
 		j := &c.jobs[e.job]
 		j.waits, j.trip = false, k
-		c.out = k.dialect.trip(c.out[:0], j, e.until-c.now)
 	}
-	k.dialect.asked(k)
-	k.write(c, c.out)
+	k.dialect.ask(k, c, e)
 }
 
 func (k *conn) write(c *Core, p []byte) {
@@ -213,6 +212,12 @@
 	s.idle = append(s.idle, k)
 }
 
+// cut tells that the store drains, that its grace is over, and that the job needs more of it than it was asked.
+func (k *conn) cut(c *Core) bool {
+	s := &c.stores[k.store]
+	return k.bolt != nil && k.errand.job >= 0 && s.cutAt > 0 && c.now >= s.cutAt && !k.bolt.course.Drained()
+}
+
 // resume starts the oldest errand that waits anew: the connection that would have carried it is no more.
 func (c *Core) resume(i uint32) {
 	if s := &c.stores[i]; len(s.waits) > 0 {
@@ -240,11 +245,8 @@
 		return
 	case !busy:
 		return
-	case k.code != "" && k.parts == 0:
-		r.Ending = k.dialect.ending(k.code)
-	case k.link.Sent() < k.wrote:
-		r.Ending = balance.Unreached
 	}
+	r.Ending = k.dialect.broken(k, c)
 	c.end(k, e, r)
 }
 
@@ -368,11 +370,13 @@
 		case k.spent: // the beginning of something stands behind its answer
 			k.drop(c)
 			c.resume(k.store)
+		case k.ready && !k.idle && k.cut(c): // Danger: nothing new may go there, and what is open would go on
+			k.lost(c)
 		case k.ready && !k.idle && c.now >= k.errand.until:
 			e, r := k.errand, balance.Return{Ending: balance.Expired}
 			k.drop(c)
-			if k.link.Sent() < k.wrote {
-				r.Ending = balance.Unreached
+			if how := k.dialect.broken(k, c); how == balance.Unreached || how == balance.Undone {
+				r.Ending = how
 			}
 			if e.job < 0 {
 				silent = append(silent, k)
--- a/internal/operators/operators.go
+++ b/internal/operators/operators.go
@@ -21,6 +21,14 @@
 // Orders is what the operators have switched on. The zero value has everything off.
 type Orders struct {
 	Door Door
+	Bolt Bolt
+}
+
+// Bolt is the listener for clients that speak Bolt.
+type Bolt struct {
+	On                bool
+	Listen, Advertise string
+	DrainMS           int64 `json:"drain_ms"` // for which an open transaction may go on at a store that drains
 }
 
 // Door bounds the fair queues at the point of entry.
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -31,6 +31,7 @@
 type Net struct {
 	engine *nbio.Engine
 	listen net.Listener
+	also   []net.Listener
 	mu     sync.Mutex
 	links  map[*nbio.Conn]*Link // what the library knows as connections
 	ready  []*Link
@@ -98,10 +99,21 @@
 		l.Close()
 		return nil, err
 	}
-	go n.accept()
+	go n.accept(l, front.Accepted)
 	return n, nil
 }
 
+// Also listens on another address; what is told of its connections beside front.Accepted.
+func (n *Net) Also(addr string, what front.What) (bound string, err error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return "", err
+	}
+	n.also = append(n.also, l)
+	go n.accept(l, front.Accepted|what)
+	return l.Addr().String(), nil
+}
+
 func (n *Net) of(c *nbio.Conn) *Link {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -112,19 +124,24 @@
 func (n *Net) Addr() string { return n.listen.Addr().String() }
 
 // Deafen stops listening.
-func (n *Net) Deafen() { n.listen.Close() }
+func (n *Net) Deafen() {
+	n.listen.Close()
+	for _, l := range n.also {
+		l.Close()
+	}
+}
 
 // accept takes connections in while there is room; the backlog holds what comes meanwhile.
 // Danger: clients that connect by hundreds at once would take the descriptors that dials need before the loop
 // can turn any of them away.
-func (n *Net) accept() {
+func (n *Net) accept(from net.Listener, what front.What) {
 	for {
 		for n.full() {
 			time.Sleep(time.Millisecond)
 		}
-		c, err := n.listen.Accept()
+		c, err := from.Accept()
 		if err == nil {
-			if l, err := n.add(c, front.Accepted, pgwire.MostQuery, n.answer); err == nil {
+			if l, err := n.add(c, what, pgwire.MostQuery, n.answer); err == nil {
 				n.queue(l)
 			}
 			continue
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -11,15 +11,16 @@
 
 // Line is one store as discovery lists it.
 type Line struct {
-	ID      string  `json:"id"`
-	Addr    string  `json:"addr"`
-	Zone    string  `json:"zone"`
-	Kind    string  `json:"kind"`
-	Cell    uint64  `json:"cell"`
-	State   string  `json:"state"` // active, leaving or left
-	Weight  float64 `json:"weight"`
-	Started int64   `json:"started_ms"`
-	Role    string  `json:"role,omitempty"`
+	ID       string  `json:"id"`
+	Addr     string  `json:"addr"`
+	Zone     string  `json:"zone"`
+	Kind     string  `json:"kind"`
+	Cell     uint64  `json:"cell"`
+	State    string  `json:"state"` // active, leaving or left
+	Weight   float64 `json:"weight"`
+	Started  int64   `json:"started_ms"`
+	Role     string  `json:"role,omitempty"`
+	Protocol string  `json:"protocol,omitempty"` // "bolt"; without it PostgreSQL's
 }
 
 // Discovery serves the list of stores and a watch on it.
