--- /dev/null
+++ b/cmd/micatrack/boltcases_test.go
@@ -0,0 +1,234 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/neo4j/neo4j-go-driver/v5/neo4j"
+
+	"micatrack/internal/bolt"
+	"micatrack/internal/standin"
+)
+
+func codeOf(err error) string {
+	var e *neo4j.Neo4jError
+	if errors.As(err, &e) {
+		return e.Code
+	}
+	return fmt.Sprint(err)
+}
+
+// TestBoltTransactionOnADrainingStore: a transaction is open on a store that begins to drain. Past the grace nothing more
+// of it is written there, and its client is told that trying again is harmless; COMMIT within the grace counts.
+func TestBoltTransactionOnADrainingStore(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), outer)
+	defer cancel()
+	g := newGraph(t, "a", "b")
+	s := g.driver("bolt").NewSession(ctx, neo4j.SessionConfig{})
+	open := func(id string) neo4j.ExplicitTransaction {
+		tx, err := s.BeginTransaction(ctx, says(id, "save"))
+		if err != nil {
+			t.Fatal(id, err)
+		}
+		r, err := tx.Run(ctx, "CREATE (n)", nil)
+		if err != nil {
+			t.Fatal(id, err)
+		}
+		if _, err := r.Consume(ctx); err != nil {
+			t.Fatal(id, err)
+		}
+		return tx
+	}
+	within := open("within")
+	g.group.Drain("a")
+	g.d.Change(func(l []standin.Line) []standin.Line { l[0].State = "leaving"; return l })
+	time.Sleep(50 * time.Millisecond)
+	if err := within.Commit(ctx); err != nil {
+		t.Errorf("COMMIT within the grace: %v", err)
+	}
+	g.d.Change(func(l []standin.Line) []standin.Line { l[0].State = "active"; return l })
+	time.Sleep(300 * time.Millisecond)
+	past := open("past")
+	g.d.Change(func(l []standin.Line) []standin.Line { l[0].State = "leaving"; return l })
+	time.Sleep(500 * time.Millisecond)
+	if code := codeOf(past.Commit(ctx)); code != bolt.TurnedBack {
+		t.Errorf("COMMIT past the grace: %s", code)
+	}
+	for _, e := range g.group.Ledger() {
+		if e.Job == "past" && e.Write {
+			t.Errorf("%+v", e)
+		}
+	}
+}
+
+// TestBoltCommitAnswerLost: COMMIT ran, and the connection was lost before its answer. The client hears that nobody
+// knows, in a word that no driver tries again by itself.
+func TestBoltCommitAnswerLost(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), outer)
+	defer cancel()
+	g := newGraph(t, "a", "b")
+	act := standin.RunLost
+	g.stores["a"].Does(func(_ string, w bolt.What) standin.Act {
+		if w == bolt.Commit {
+			return act
+		}
+		return standin.Answer
+	})
+	s := g.driver("bolt").NewSession(ctx, neo4j.SessionConfig{})
+	calls := 0
+	work := one(ctx, "CREATE (n)")
+	_, err := s.ExecuteWrite(ctx, func(tx neo4j.ManagedTransaction) (any, error) { calls++; return work(tx) }, says("lost", "save"))
+	if code := codeOf(err); code != bolt.WrittenOff || calls != 1 {
+		t.Errorf("%s after %d calls", code, calls)
+	}
+	if broken := g.group.Check([]standin.Told{{Job: "lost", Write: true}}, time.Second); broken != nil {
+		t.Error(broken)
+	}
+}
+
+// TestBoltBookmarks: a read that has to see more than any replica has goes to the primary; a bookmark of another group
+// says nothing; one from the future, and one that cannot be read, are errors.
+func TestBoltBookmarks(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), outer)
+	defer cancel()
+	g := newGraph(t, "a", "b", "c")
+	g.group.Lag("b", time.Minute)
+	g.group.Lag("c", time.Minute)
+	d := g.driver("bolt")
+	read := func(id string, marks ...string) error {
+		s := d.NewSession(ctx, neo4j.SessionConfig{Bookmarks: marks})
+		defer s.Close(ctx)
+		_, err := s.Run(ctx, "RETURN 1", nil, says(id, "mine"))
+		return err
+	}
+	w := d.NewSession(ctx, neo4j.SessionConfig{})
+	if _, err := w.ExecuteWrite(ctx, one(ctx, "CREATE (n)"), says("w", "save")); err != nil {
+		t.Fatal(err)
+	}
+	now := time.Now().UnixNano() / 100_000
+	for _, c := range []struct{ id, mark, code string }{
+		{"ahead", w.LastBookmarks()[0], "<nil>"},
+		{"other", string(bolt.AppendBookmark(nil, 7, now+1_000_000)), "<nil>"},
+		{"future", string(bolt.AppendBookmark(nil, 1, now+1_000_000)), bolt.BadBookmark},
+		{"foreign", "FB:kcwQ", bolt.BadBookmark},
+	} {
+		if code := codeOf(read(c.id, c.mark)); code != c.code {
+			t.Errorf("%s: %s, want %s", c.id, code, c.code)
+		}
+	}
+	for _, e := range g.group.Ledger() {
+		if e.Job == "ahead" && e.Store != "a" {
+			t.Errorf("%+v", e)
+		}
+	}
+}
+
+func packed(what bolt.What, fields int, more func(b []byte) []byte) []byte {
+	b, at := bolt.Begin(nil)
+	return bolt.End(more(bolt.AppendStruct(b, byte(what), fields)), at)
+}
+
+func empty(b []byte) []byte { return bolt.AppendMap(b, 0) }
+
+// ahead is a whole transaction, written before any answer.
+func ahead(id string) []byte {
+	b := []byte{0x60, 0x60, 0xb0, 0x17, 0, 0, 4, 5, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0}
+	b = append(b, packed(bolt.Hello, 1, empty)...)
+	b = append(b, packed(bolt.Logon, 1, empty)...)
+	b = append(b, packed(bolt.BeginTx, 1, func(b []byte) []byte {
+		b = bolt.AppendInt(bolt.AppendString(bolt.AppendMap(b, 2), "tx_timeout"), 2000)
+		b = bolt.AppendMap(bolt.AppendString(b, "tx_metadata"), 3)
+		b = bolt.AppendPair(bolt.AppendPair(b, "id", id), "c", "save")
+		return bolt.AppendInt(bolt.AppendString(b, "cluster"), 1)
+	})...)
+	b = append(b, packed(bolt.Run, 3, func(b []byte) []byte { return empty(empty(bolt.AppendString(b, "CREATE (n)"))) })...)
+	b = append(b, packed(bolt.Pull, 1, func(b []byte) []byte { return bolt.AppendInt(bolt.AppendString(bolt.AppendMap(b, 1), "n"), -1) })...)
+	return append(b, packed(bolt.Commit, 0, func(b []byte) []byte { return b })...)
+}
+
+// TestBoltClientDiesAnywhere: a client writes a whole transaction ahead and dies, at each byte. What was not written whole
+// had no effect, nothing has it twice, and the front serves on.
+func TestBoltClientDiesAnywhere(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*outer)
+	defer cancel()
+	g := newGraph(t, "a", "b")
+	whole := len(ahead("cut-000"))
+	for n := 1; n <= whole; n++ {
+		c, err := net.Dial("tcp", g.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.Write(ahead(fmt.Sprintf("cut-%03d", n))[:n])
+		if n%3 == 0 {
+			time.Sleep(2 * time.Millisecond) // some get further than others
+		}
+		c.Close()
+	}
+	s := g.driver("bolt").NewSession(ctx, neo4j.SessionConfig{})
+	if got, err := s.ExecuteWrite(ctx, one(ctx, "CREATE (n)"), says("after", "save")); err != nil || got != "after" {
+		t.Errorf("behind them all: %v, %v", got, err)
+	}
+	ran := 0
+	for _, e := range g.group.Ledger() {
+		var n int
+		if _, err := fmt.Sscanf(e.Job, "cut-%d", &n); err == nil && e.Write {
+			if ran++; n < whole {
+				t.Errorf("cut at byte %d of %d, and it had its effect", n, whole)
+			}
+		}
+	}
+	if broken := g.group.Check([]standin.Told{{Job: "after", Write: true, Delivered: true}}, time.Second); broken != nil || ran > 1 {
+		t.Error(broken, ran)
+	}
+}
+
+// TestBoltHostileClients: each is told an error or hung up on in good time, and the front serves on.
+func TestBoltHostileClients(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*outer)
+	defer cancel()
+	g := newGraph(t, "a", "b")
+	hello := ahead("x")[:20]
+	for name, bytes := range map[string]string{
+		"no Bolt":             "GET / HTTP/1.1\r\n\r\n",
+		"no version":          "\x60\x60\xb0\x17" + strings.Repeat("\x00\x00\x00\x03", 4),
+		"a size that lies":    string(hello) + "\x00\x05\xda\x7f\xff\xff\xff\x00\x00",
+		"nesting without end": string(hello) + "\x20\x00" + strings.Repeat("\x91", 0x2000) + "\x00\x00",
+		"no message":          string(hello) + "\x00\x02\xb1\x99\x00\x00",
+		"too long":            string(hello) + strings.Repeat("\xff\xff"+strings.Repeat("x", 0xffff), 4),
+		"out of turn":         string(hello) + string(packed(bolt.Commit, 0, func(b []byte) []byte { return b })),
+	} {
+		c, err := net.Dial("tcp", g.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.SetDeadline(time.Now().Add(3 * time.Second))
+		go io.WriteString(c, bytes)
+		if _, err := io.Copy(io.Discard, c); errors.Is(err, context.DeadlineExceeded) || err != nil && strings.Contains(err.Error(), "timeout") {
+			t.Errorf("%s: neither an error nor a close", name)
+		}
+		c.Close()
+	}
+	// One byte to a chunk is slow, but right.
+	c, _ := net.Dial("tcp", g.addr)
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(3 * time.Second))
+	var ones []byte
+	for _, b := range packed(bolt.Hello, 1, empty)[2:][:3] {
+		ones = append(ones, 0, 1, b)
+	}
+	c.Write(append(append(append([]byte(nil), hello...), 0, 0), append(ones, 0, 0)...))
+	answer := make([]byte, 8)
+	if _, err := io.ReadFull(c, answer); err != nil || answer[7] != byte(bolt.Success) {
+		t.Errorf("chunks of one byte: %x, %v", answer, err)
+	}
+	s := g.driver("bolt").NewSession(ctx, neo4j.SessionConfig{})
+	if _, err := s.ExecuteWrite(ctx, one(ctx, "CREATE (n)"), says("after", "save")); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -23,10 +23,8 @@
 	Protocol string  `json:"protocol,omitempty"` // "bolt"; without it PostgreSQL's
 }
 
-// Discovery serves the list of stores and a watch on it.
-type Discovery struct {
-	server *httptest.Server
-
+// List answers calls for the list of stores, and watches on it.
+type List struct {
 	mu      sync.Mutex
 	changed *sync.Cond
 	version int
@@ -34,14 +32,25 @@
 	done    bool
 }
 
-// NewDiscovery starts it on a loopback address.
-func NewDiscovery(lines ...Line) *Discovery {
-	d := &Discovery{lines: lines, version: 1}
+// NewList makes a list of these stores.
+func NewList(lines ...Line) *List {
+	d := &List{lines: lines, version: 1}
 	d.changed = sync.NewCond(&d.mu)
-	d.server = httptest.NewServer(http.HandlerFunc(d.serve))
 	return d
 }
 
+// Discovery is a list that listens on a loopback address.
+type Discovery struct {
+	*List
+	server *httptest.Server
+}
+
+// NewDiscovery starts it.
+func NewDiscovery(lines ...Line) *Discovery {
+	l := NewList(lines...)
+	return &Discovery{l, httptest.NewServer(l)}
+}
+
 // Addr is where it listens.
 func (d *Discovery) Addr() string { return strings.TrimPrefix(d.server.URL, "http://") }
 
@@ -56,7 +65,7 @@
 }
 
 // Change edits the list and tells it to all that watch.
-func (d *Discovery) Change(edit func(lines []Line) []Line) {
+func (d *List) Change(edit func(lines []Line) []Line) {
 	d.mu.Lock()
 	d.lines = edit(d.lines)
 	d.version++
@@ -65,13 +74,13 @@
 }
 
 // Whole gives the list as JSON.
-func (d *Discovery) Whole() []byte {
+func (d *List) Whole() []byte {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.text()
 }
 
-func (d *Discovery) text() []byte {
+func (d *List) text() []byte {
 	b, err := json.Marshal(map[string]any{"version": d.version, "full": true, "servers": d.lines})
 	if err != nil {
 		panic(err) // plain strings and numbers
@@ -79,7 +88,8 @@
 	return b
 }
 
-func (d *Discovery) serve(w http.ResponseWriter, _ *http.Request) {
+// ServeHTTP answers with the list, and with the whole of it again after each change.
+func (d *List) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for at := -1; ; {
