--- a/cmd/micatrack/bolt_test.go
+++ b/cmd/micatrack/bolt_test.go
@@ -21,14 +21,15 @@
 
 // graph is a group of stores that speak Bolt, their discovery and a front before them.
 type graph struct {
-	t      *testing.T
+	t      testing.TB
+	pid    int
 	group  *standin.Group
 	stores map[string]*standin.Bolt
 	d      *standin.Discovery
 	addr   string
 }
 
-func newGraph(t *testing.T, names ...string) *graph {
+func newGraph(t testing.TB, names ...string) *graph {
 	g := &graph{t: t, group: standin.NewGroup(1, 3*time.Second, names...), stores: map[string]*standin.Bolt{}}
 	var lines []standin.Line
 	for i, name := range names {
@@ -60,6 +61,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { cmd.Process.Kill(); cmd.Wait() })
+	g.pid = cmd.Process.Pid
 	lines2, told := bufio.NewScanner(errs), make(chan string, 1)
 	go func() {
 		for lines2.Scan() {
--- a/cmd/micatrack/boltcases_test.go
+++ b/cmd/micatrack/boltcases_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -207,7 +208,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		c.SetDeadline(time.Now().Add(3 * time.Second))
+		c.SetDeadline(time.Now().Add(2 * outer))
 		go io.WriteString(c, bytes)
 		if _, err := io.Copy(io.Discard, c); errors.Is(err, context.DeadlineExceeded) || err != nil && strings.Contains(err.Error(), "timeout") {
 			t.Errorf("%s: neither an error nor a close", name)
@@ -217,7 +218,7 @@
 	// One byte to a chunk is slow, but right.
 	c, _ := net.Dial("tcp", g.addr)
 	defer c.Close()
-	c.SetDeadline(time.Now().Add(3 * time.Second))
+	c.SetDeadline(time.Now().Add(2 * outer))
 	var ones []byte
 	for _, b := range packed(bolt.Hello, 1, empty)[2:][:3] {
 		ones = append(ones, 0, 1, b)
@@ -232,3 +233,120 @@
 		t.Error(err)
 	}
 }
+
+// resident is the memory of a process, in KiB.
+func resident(t testing.TB, pid int) (kib int) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, line := range strings.Split(string(text), "\n") {
+		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			fmt.Sscan(rest, &kib)
+		}
+	}
+	return kib
+}
+
+// TestBoltSlowReader: a result far larger than the front's buffers, asked for in one go by a client that does not read
+// for a while, stops its store; memory stays bounded, and the result comes whole.
+func TestBoltSlowReader(t *testing.T) {
+	const records = 600_000
+	g := newGraph(t, "a", "b")
+	c, err := net.Dial("tcp", g.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(2 * outer))
+	b := append(ahead("x")[:20], packed(bolt.Hello, 1, empty)...)
+	b = append(b, packed(bolt.Logon, 1, empty)...)
+	b = append(b, packed(bolt.Run, 3, func(b []byte) []byte {
+		b = empty(bolt.AppendString(b, fmt.Sprintf("RETURN range(1, %d)", records)))
+		b = bolt.AppendInt(bolt.AppendString(bolt.AppendMap(b, 2), "tx_timeout"), 2000)
+		b = bolt.AppendMap(bolt.AppendString(b, "tx_metadata"), 3)
+		b = bolt.AppendPair(bolt.AppendPair(b, "id", "large"), "c", "any")
+		return bolt.AppendInt(bolt.AppendString(b, "cluster"), 1)
+	})...)
+	b = append(b, packed(bolt.Pull, 1, func(b []byte) []byte { return bolt.AppendInt(bolt.AppendString(bolt.AppendMap(b, 1), "n"), -1) })...)
+	before := resident(t, g.pid)
+	c.Write(b)
+	time.Sleep(time.Second)
+	stalled := resident(t, g.pid)
+	got, total := 0, 0
+	var in []byte
+	r := bolt.Reader{Most: 1 << 16}
+	buf := make([]byte, 256<<10)
+	if _, err := io.ReadFull(c, buf[:4]); err != nil {
+		t.Fatal(err)
+	}
+	for done := false; !done; {
+		n, err := c.Read(buf)
+		if err != nil {
+			t.Fatalf("after %d records: %v", got, err)
+		}
+		total += n
+		in = append(in, buf[:n]...)
+		at := 0
+		for {
+			body, size, err := r.Next(in[at:])
+			if err != nil {
+				t.Fatal(err)
+			}
+			if size == 0 {
+				break
+			}
+			at += size
+			a, err := bolt.ReadAnswer(body)
+			switch {
+			case err != nil || a.What == bolt.Failure:
+				t.Fatalf("after %d records: %s %v", got, a.Message, err)
+			case a.What == bolt.Record:
+				got++
+			case got > 0:
+				done = true
+			}
+		}
+		in = in[:copy(in, in[at:])]
+	}
+	after := resident(t, g.pid)
+	t.Logf("%d records, %d MB; the front's memory %d KiB before, %d while its client did not read, %d behind it", got, total>>20, before, stalled, after)
+	if got != records || stalled-before > 96<<10 {
+		t.Errorf("%d records, memory grown by %d KiB", got, stalled-before)
+	}
+}
+
+// BenchmarkBolt is a job of an unmodified driver, straight to a store and through a front.
+func BenchmarkBolt(b *testing.B) {
+	ctx := context.Background()
+	g := newGraph(b, "a", "b")
+	for _, way := range []struct{ name, addr string }{{"straight", g.stores["a"].Addr()}, {"front", g.addr}} {
+		d, err := neo4j.NewDriverWithContext("bolt://"+way.addr, neo4j.NoAuth())
+		if err != nil {
+			b.Fatal(err)
+		}
+		s := d.NewSession(ctx, neo4j.SessionConfig{})
+		id := 0
+		b.Run("statement/"+way.name, func(b *testing.B) {
+			for b.Loop() {
+				id++
+				r, err := s.Run(ctx, "RETURN 1", nil, says(fmt.Sprint(way.name, id), "any"))
+				if err == nil {
+					_, err = r.Consume(ctx)
+				}
+				if err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+		b.Run("transaction/"+way.name, func(b *testing.B) {
+			for b.Loop() {
+				id++
+				if _, err := s.ExecuteWrite(ctx, one(ctx, "CREATE (n)"), says(fmt.Sprint(way.name, id), "save")); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+		d.Close(ctx)
+	}
+}
--- a/cmd/micatrack/rules_test.go
+++ b/cmd/micatrack/rules_test.go
@@ -167,7 +167,7 @@
 func (discard) Write(p []byte) (int, error) { return len(p), nil }
 
 // frontFiles writes the files of a front for that discovery.
-func frontFiles(t *testing.T, d *standin.Discovery, door bool) (addr, config, switches string) {
+func frontFiles(t testing.TB, d *standin.Discovery, door bool) (addr, config, switches string) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/front/bolt.go
+++ b/internal/front/bolt.go
@@ -275,7 +275,15 @@
 	return dst
 }
 
-// push passes on what may be passed on, and goes on with an answer that the client had no room for.
+// resume goes on with a result that the client had no room for.
+func (k *conn) resume(c *Core) {
+	if k.at >= 0 && k.bolt.stalled {
+		k.bolt.stalled = false
+		k.dialect.gather(k, c)
+	}
+}
+
+// push passes on what may be passed on.
 func (b *boltClient) push(cl *client, c *Core) {
 	if cl.job < 0 {
 		return
@@ -284,10 +292,6 @@
 	if k == nil || k.bolt == nil {
 		return
 	}
-	if k.bolt.stalled {
-		k.bolt.stalled = false
-		k.dialect.gather(k, c)
-	}
 	if k.at >= 0 && cl.job >= 0 && c.jobs[cl.job].trip == k {
 		k.pass(c, cl, b)
 	}
@@ -300,6 +304,7 @@
 	owed    []owed // answers that the store owes, the oldest first
 	course  course.Course
 	shown   bool // the client has seen something of the job from here
+	ready   bool // records are among what is kept back, so all of it may be shown
 	stalled bool // the client has no room for what has come
 }
 
@@ -321,7 +326,7 @@
 }
 
 func (boltStore) ask(k *conn, c *Core, e errand) {
-	k.bolt.course, k.bolt.shown, k.bolt.stalled = course.Course{}, false, false
+	k.bolt.course, k.bolt.shown, k.bolt.stalled, k.bolt.ready = course.Course{}, false, false, false
 	if e.job < 0 {
 		dst, at := bolt.Begin(c.out[:0])
 		dst = bolt.AppendString(bolt.AppendStruct(dst, byte(bolt.Run), 3), "CALL micatrack.report()")
@@ -386,7 +391,9 @@
 		in := k.link.Peek()
 		body, n, err := b.in.Next(in[k.read:])
 		if err == nil && n == 0 {
-			if k.spent && len(b.owed) == 0 && len(in) == 0 {
+			if b.ready && (!d.flush(k, c) || k.at < 0) {
+				return
+			} else if in = k.link.Peek(); k.spent && len(b.owed) == 0 && len(in) == 0 {
 				k.settle(c)
 			} else if k.link.Full() {
 				k.lost(c)
@@ -409,6 +416,12 @@
 			k.lost(c)
 			return
 		}
+		if b.ready && (a.What != bolt.Record || k.read >= mostPiece) {
+			if !d.flush(k, c) {
+				return
+			}
+			continue // it is looked at again, where it stands now
+		}
 		if !d.answered(k, c, a, in[k.read:k.read+n], n) {
 			return
 		}
@@ -484,13 +497,7 @@
 	}
 	t := cl.speech.(*boltClient)
 	if a.What == bolt.Record {
-		if !cl.link.Write(k.link.Peek()[:k.read+n]) { // the client reads too slowly: what comes waits with the system
-			b.stalled = true
-			return false
-		}
-		c.dirty = append(c.dirty, cl.link)
-		drop()
-		k.show(c, j)
+		k.read, b.ready = k.read+n, true
 		return true
 	}
 	b.course.Wrote(w, true)
@@ -543,6 +550,27 @@
 	return k.at >= 0
 }
 
+const mostPiece = 32 << 10 // of a result, that is passed on at a time
+
+// flush passes on what was kept back; false: the client has no room for it. Danger: record by record each would move all
+// that the ring holds, and cost the system a call.
+func (boltStore) flush(k *conn, c *Core) bool {
+	j := &c.jobs[k.errand.job]
+	if j.client == nil {
+		return false
+	}
+	if !j.client.link.Write(k.link.Peek()[:k.read]) { // it reads too slowly: what comes waits with the system
+		k.bolt.stalled = true
+		c.stalled = append(c.stalled, k)
+		return false
+	}
+	c.dirty = append(c.dirty, j.client.link)
+	k.link.Discard(k.read)
+	k.read, k.bolt.ready = 0, false
+	k.show(c, j)
+	return true
+}
+
 // show notes that the client has seen a part of an answer. A result that is being read is bounded by how long nothing
 // of it moves, a transaction by its client's time as before.
 func (k *conn) show(c *Core, j *job) {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -133,10 +133,11 @@
 	backs      []back
 	tasks      []task
 	dirty      []Link
-	out        []byte // scratch for what is being written
-	stopAt     Time   // 0: not stopping; from then on idle clients are hung up
-	endAt      Time   // by then all must be answered
-	logged     int    // lines in this second; more are dropped
+	stalled    []*conn // whose clients had no room for a piece of a result
+	out        []byte  // scratch for what is being written
+	stopAt     Time    // 0: not stopping; from then on idle clients are hung up
+	endAt      Time    // by then all must be answered
+	logged     int     // lines in this second; more are dropped
 	loggedAt   Time
 }
 
@@ -162,7 +163,12 @@
 func (c *Core) Tell(l List) { c.lists = append(c.lists, l) }
 
 // Next is when Step must be called again even if nothing happens.
-func (c *Core) Next() Time { return c.wakeAt }
+func (c *Core) Next() Time {
+	if len(c.stalled) > 0 { // their clients may have read meanwhile, which nothing tells where the system took it all
+		return min(c.wakeAt, c.now+perMilli)
+	}
+	return c.wakeAt
+}
 
 // Stop begins the end. Clients are served on for most of the time that there is, for where they would go
 // another front may be ending as well. Then each is hung up on between two jobs, and all that was taken is
@@ -196,6 +202,11 @@
 			}
 		}
 	}
+	for n := len(c.stalled); n > 0; n-- { // those that still have none are put behind the others
+		k := c.stalled[0]
+		c.stalled = append(c.stalled[:0], c.stalled[1:]...)
+		k.resume(c)
+	}
 	for _, l := range c.lists {
 		c.list(l)
 	}
