Bolt results are passed on in eighths of a ring instead of 32 KB

Cause: a ring that wraps is laid out anew whenever it is looked at in one piece, so small pieces of a long result moved 3 MB for each 32 KB. The piece is now an eighth of what a ring holds.

--- a/internal/front/bolt.go
+++ b/internal/front/bolt.go
@@ -416,7 +416,7 @@
 			k.lost(c)
 			return
 		}
-		if b.ready && (a.What != bolt.Record || k.read >= mostPiece) {
+		if b.ready && (a.What != bolt.Record || k.read >= c.limits.Answer/pieces) {
 			if !d.flush(k, c) {
 				return
 			}
@@ -550,7 +550,7 @@
 	return k.at >= 0
 }
 
-const mostPiece = 32 << 10 // of a result, that is passed on at a time
+const pieces = 8 // into which as much of a result as a ring holds is cut to be passed on
 
 // flush passes on what was kept back; false: the client has no room for it. Danger: record by record each would move all
 // that the ring holds, and cost the system a call.
