--- a/cmd/micatrack/bolt_test.go
+++ b/cmd/micatrack/bolt_test.go
@@ -1,12 +1,10 @@
 package main
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
 	"os"
-	"os/exec"
 	"strings"
 	"sync"
 	"testing"
@@ -51,34 +49,9 @@
 	text, _ := json.Marshal(map[string]any{"door": map[string]any{"on": true},
 		"bolt": map[string]any{"on": true, "listen": "127.0.0.1:0", "drain_ms": 200}})
 	os.WriteFile(switches, text, 0o600)
-	cmd := exec.Command(program, "serve", "-config", config, "-operators", switches)
-	cmd.Env = []string{"GORACE=halt_on_error=1 exitcode=66"}
-	errs, err := cmd.StderrPipe()
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { cmd.Process.Kill(); cmd.Wait() })
+	cmd, line := launch(t, "msg=bolt", nil, "serve", "-config", config, "-operators", switches)
 	g.pid = cmd.Process.Pid
-	lines2, told := bufio.NewScanner(errs), make(chan string, 1)
-	go func() {
-		for lines2.Scan() {
-			text := lines2.Text()
-			if strings.Contains(text, "DATA RACE") || strings.Contains(text, "panic") {
-				t.Errorf("%s", text)
-			}
-			if _, at, ok := strings.Cut(text, "msg=bolt front=example listen="); ok {
-				told <- at
-			}
-		}
-	}()
-	select {
-	case g.addr = <-told:
-	case <-time.After(outer):
-		t.Fatal("it does not serve")
-	}
+	_, g.addr, _ = strings.Cut(line, "listen=")
 	return g
 }
 
--- a/cmd/micatrack/main_test.go
+++ b/cmd/micatrack/main_test.go
@@ -232,38 +232,46 @@
 // hang says nothing until the test ends or lets it go.
 func (w *world) hang(*net.TCPConn) { <-w.releasing }
 
-// start runs the program and waits until it serves.
-func (w *world) start() *exec.Cmd {
-	w.t.Helper()
-	cmd := exec.Command(program, "serve", "-config", w.config, "-operators", w.switches)
-	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "GORACE=halt_on_error=1 exitcode=66",
-		"GW_DISCOVERY=" + strings.TrimPrefix(w.http.URL, "http://")}
+// launch runs the program until the test ends, and gives its first log line that says so much.
+func launch(t testing.TB, says string, env []string, args ...string) (cmd *exec.Cmd, line string) {
+	t.Helper()
+	cmd = exec.Command(program, args...)
+	cmd.Env = append(env, "PATH="+os.Getenv("PATH"), "GORACE=halt_on_error=1 exitcode=66")
 	log, err := cmd.StderrPipe()
 	if err != nil {
-		w.t.Fatal(err)
+		t.Fatal(err)
 	}
 	if err := cmd.Start(); err != nil {
-		w.t.Fatal(err)
+		t.Fatal(err)
 	}
-	w.t.Cleanup(func() { cmd.Process.Kill(); cmd.Wait() })
-	serving := make(chan struct{})
+	t.Cleanup(func() { cmd.Process.Kill(); cmd.Wait() })
+	said := make(chan string, 1)
 	go func() {
-		lines, told := bufio.NewScanner(log), false
-		for lines.Scan() {
+		for lines := bufio.NewScanner(log); lines.Scan(); {
 			if strings.Contains(lines.Text(), "DATA RACE") || strings.Contains(lines.Text(), "panic") {
-				w.t.Errorf("%s", lines.Text())
+				t.Errorf("%s", lines.Text())
 			}
-			if !told && strings.Contains(lines.Text(), "serving") {
-				told = true
-				close(serving)
+			if strings.Contains(lines.Text(), says) {
+				select {
+				case said <- lines.Text():
+				default:
+				}
 			}
 		}
 	}()
 	select {
-	case <-serving:
+	case line = <-said:
 	case <-time.After(outer):
-		w.t.Fatal("it does not serve")
+		t.Fatal("it does not serve")
 	}
+	return cmd, line
+}
+
+// start runs the program and waits until it serves.
+func (w *world) start() *exec.Cmd {
+	w.t.Helper()
+	cmd, _ := launch(w.t, "msg=serving", []string{"GW_DISCOVERY=" + strings.TrimPrefix(w.http.URL, "http://")},
+		"serve", "-config", w.config, "-operators", w.switches)
 	return cmd
 }
 
--- a/cmd/micatrack/rules_test.go
+++ b/cmd/micatrack/rules_test.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"sync"
 	"testing"
@@ -42,21 +41,7 @@
 	d := standin.NewDiscovery(lines...)
 	defer d.Close()
 	addr, config, switches := frontFiles(t, d, door)
-	cmd := exec.Command(program, "serve", "-config", config, "-operators", switches)
-	cmd.Env = []string{"GORACE=halt_on_error=1 exitcode=66"}
-	errs, err := cmd.StderrPipe()
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
-	defer func() { cmd.Process.Kill(); cmd.Wait() }()
-	log := bufio.NewReader(errs)
-	if line, err := log.ReadString('\n'); err != nil {
-		t.Fatalf("it does not serve: %s %v", line, err)
-	}
-	go log.WriteTo(discard{})
+	launch(t, "msg=serving", nil, "serve", "-config", config, "-operators", switches)
 
 	var mu sync.Mutex
 	var told []standin.Told
@@ -162,10 +147,6 @@
 	}
 }
 
-type discard struct{}
-
-func (discard) Write(p []byte) (int, error) { return len(p), nil }
-
 // frontFiles writes the files of a front for that discovery.
 func frontFiles(t testing.TB, d *standin.Discovery, door bool) (addr, config, switches string) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
