--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -24,6 +24,7 @@
 const (
 	spare     = 4 << 10  // of a ring, beside the longest message
 	mostChunk = 32 << 10 // bytes handed to the library at a time
+	noPort    = 24       // IP_BIND_ADDRESS_NO_PORT
 	reserve   = 16       // descriptors that no link has: poller, listener, discovery, log, a dial in the making
 )
 
@@ -186,11 +187,7 @@
 	if err != nil {
 		return nil, err
 	}
-	family, sa := syscall.AF_INET6, syscall.Sockaddr(&syscall.SockaddrInet6{Port: int(to.Port()), Addr: to.Addr().As16()})
-	if a := to.Addr().Unmap(); a.Is4() {
-		family, sa = syscall.AF_INET, &syscall.SockaddrInet4{Port: int(to.Port()), Addr: a.As4()}
-	}
-	fd, err := syscall.Socket(family, syscall.SOCK_STREAM|syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC, 0)
+	fd, sa, err := named(to)
 	if err == syscall.EMFILE || err == syscall.ENFILE {
 		return nil, front.NoRoom
 	} else if err != nil {
@@ -212,6 +209,27 @@
 	return l, nil
 }
 
+// named opens a socket that is bound before it connects.
+// Danger: the standard library asks a socket for its name before it takes it over. Where the system gives one
+// that is bound nowhere no name until it is up, every store is unreachable. The port is left to connect:
+// bind would take one that no other connection shares, and the machine runs out of those.
+func named(to netip.AddrPort) (fd int, sa syscall.Sockaddr, err error) {
+	family, sa, any := syscall.AF_INET6, syscall.Sockaddr(&syscall.SockaddrInet6{Port: int(to.Port()),
+		Addr: to.Addr().As16()}), syscall.Sockaddr(&syscall.SockaddrInet6{})
+	if a := to.Addr().Unmap(); a.Is4() {
+		family, sa, any = syscall.AF_INET, &syscall.SockaddrInet4{Port: int(to.Port()), Addr: a.As4()},
+			&syscall.SockaddrInet4{}
+	}
+	if fd, err = syscall.Socket(family, syscall.SOCK_STREAM|syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC, 0); err != nil {
+		return fd, sa, err
+	}
+	syscall.SetsockoptInt(fd, syscall.IPPROTO_IP, noPort, 1) // a wish: older systems lack it
+	if err = syscall.Bind(fd, any); err != nil {
+		syscall.Close(fd)
+	}
+	return fd, sa, err
+}
+
 // report notes that a link has news and wakes the loop.
 func (n *Net) report(l *Link, what front.What) {
 	n.mu.Lock()
--- a/internal/sock/sock_test.go
+++ b/internal/sock/sock_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"io"
 	"net"
+	"net/netip"
+	"syscall"
 	"testing"
 	"time"
 
@@ -172,3 +174,50 @@
 		t.Errorf("budget %d, %d links after the end", n.budget.Load(), len(n.links))
 	}
 }
+
+// TestDialledSocketHasANameFromTheStart: where a socket that is bound nowhere has no name, the standard library
+// refuses to take it over, and each dial failed with "getsockname: address family not supported by protocol".
+// A socket is asked what it was told before it connects; the port is not taken until then.
+func TestDialledSocketHasANameFromTheStart(t *testing.T) {
+	n := open(t)
+	peer, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	l, err := n.Dial(peer.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	raw, err := l.(*Link).conn.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw.Control(func(fd uintptr) {
+		if v, err := syscall.GetsockoptInt(int(fd), syscall.IPPROTO_IP, noPort); err != nil || v != 1 {
+			t.Errorf("the socket was not bound before it connected: %d, %v", v, err)
+		}
+	})
+	for _, to := range []string{"127.0.0.1:1", "[::1]:1"} {
+		fd, sa, err := named(netip.MustParseAddrPort(to))
+		if err == syscall.EAFNOSUPPORT || err == syscall.EADDRNOTAVAIL {
+			continue // this machine has no such addresses
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		own, err := syscall.Getsockname(fd)
+		syscall.Close(fd)
+		switch sa.(type) {
+		case *syscall.SockaddrInet4:
+			if a, ok := own.(*syscall.SockaddrInet4); !ok || a.Port != 0 {
+				t.Errorf("%s: name %v, %v", to, own, err)
+			}
+		case *syscall.SockaddrInet6:
+			if a, ok := own.(*syscall.SockaddrInet6); !ok || a.Port != 0 {
+				t.Errorf("%s: name %v, %v", to, own, err)
+			}
+		}
+	}
+}
