--- a/balance/balance.go
+++ b/balance/balance.go
@@ -117,6 +117,7 @@
 	probeEvery, probeNow       Time    // gap between probes of a member: as wished, and as the price allows
 	probesPerJob, jobRate      float64 // probes that the price allows; jobs taken in a beat, on average
 	watchAt, crowded, scarce   Time    // when to ask for the list next; overload, few connections last seen
+	closing                    Time    // by when all must be answered
 	profiles                   []profile
 	customers                  map[string]*customer
 	members                    []member
@@ -141,7 +142,7 @@
 		profileOf: map[string]int32{}, customers: map[string]*customer{}, memberOf: map[uint32]int32{},
 		groupOf: map[uint64]int32{}, jobOf: map[string]int32{}, fences: make([]Time, 1<<fenceBits),
 		mostPause: c.MostPause, crowded: -never, scarce: -never, spill: 1, watchAt: never, tightest: never,
-		quickest: never, least: 3 / float64(max(c.Fronts, 1))}
+		closing: never, quickest: never, least: 3 / float64(max(c.Fronts, 1))}
 	for i, p := range c.Profiles {
 		if p.Bound < 0 || p.ExpectedTime <= 0 || p.OuterLimit <= 0 || p.Window < 0 {
 			return nil, fmt.Errorf("charter: profile %q: bound, window or times out of range", p.Name)
@@ -499,7 +500,7 @@
 	b.free = b.free[:len(b.free)-1]
 	b.jobOf[in.ID] = i
 	j, pr := &b.jobs[i], &b.profiles[p]
-	*j = job{id: in.ID, profile: p, group: b.groupAt(in.Group), slot: -1, came: now, limit: now + in.Left}
+	*j = job{id: in.ID, profile: p, group: b.groupAt(in.Group), slot: -1, came: now, limit: min(now+in.Left, b.closing)}
 	j.wanted = now - in.Waited + min(pr.ExpectedTime+Time(pr.Stretch*float64(in.Work)), pr.OuterLimit)
 	if pr.tries.Further(in.Left+in.Waited, b.beat) {
 		j.wanted -= max(pr.OuterLimit-in.Left-in.Waited, 0)
@@ -742,6 +743,16 @@
 	}
 }
 
+// Closing: the front is ended by force at that time, and what it finds unanswered then is lost.
+func (b *Balancer) Closing(now, by Time) {
+	b.now, b.closing = now, by
+	for i := range b.jobs {
+		if j := &b.jobs[i]; j.limit < never {
+			j.limit = min(j.limit, by)
+		}
+	}
+}
+
 // Streams: the job's answer has begun, and its limits no longer run.
 func (b *Balancer) Streams(now Time, id string) {
 	b.now = now
--- a/cmd/micatrack/serve.go
+++ b/cmd/micatrack/serve.go
@@ -104,7 +104,8 @@
 const (
 	reserve = 24                     // descriptors that are neither clients' nor stores'
 	rest    = 2 * time.Second        // a client that asked nothing for that long yields where there is no room
-	grace   = 600 * time.Millisecond // SIGKILL follows SIGTERM no sooner than this after the longest outer limit
+	grace   = 600 * time.Millisecond // SIGKILL follows SIGTERM no sooner than this after the longest outer limit,
+	longest = 3 * time.Second        // which counts as that much where it is longer
 	tick    = 100 * time.Microsecond // one front.Time
 )
 
@@ -153,7 +154,8 @@
 	now := clock()
 	watcher := discovery.Watch(o.discovery, o.version, net.Wake, log)
 	links := o.sockets - reserve
-	limits := front.Limits{Links: links, Clients: links / 2, Answer: answer, Rest: int64(rest / tick), Grace: int64(grace / tick)}
+	limits := front.Limits{Links: links, Clients: links / 2, Answer: answer, Rest: int64(rest / tick), Grace: int64(grace / tick),
+		Longest: int64(longest / tick)}
 	if d := o.operators.Door; d.On {
 		limits.Door = &door.Bounds{Jobs: d.Jobs, Bytes: d.Kilobytes << 10, Customers: d.Customers, Places: d.Places,
 			Strangers: d.Strangers, Further: d.Further}
--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -240,9 +240,6 @@
 		// Positions are whole milliseconds and rounded up for commits, so one may lie ahead by less than that.
 		in.WriteAge = max(c.now-s.After, 0)
 	}
-	if c.stopAt > 0 { // Danger: what the end by force finds unanswered is lost.
-		in.Left = min(in.Left, c.endAt-c.now)
-	}
 	if err := c.module.Take(c.now, in); err != nil {
 		c.answer(i, j.client.speech.faulty(c.out[:0], noProfile, err.Error()), true)
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -5,6 +5,7 @@
 package front
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -80,6 +81,7 @@
 	Answer  int          // bytes of one message of a store
 	Rest    Time         // a client that asked nothing for that long may be hung up on to make room
 	Grace   Time         // from Stop to the end by force, beside the longest outer limit
+	Longest Time         // that outer limit counts as no more than this there; 0: it counts in full
 	Door    *door.Bounds // nil: jobs go straight to the module
 	Address string       // where Bolt clients reach this front, for ROUTE, if they do not say
 	Drain   Time         // how long an open transaction may go on at a store that drains
@@ -175,7 +177,9 @@
 // answered before the front is ended by force.
 func (c *Core) Stop(now Time) {
 	if c.stopAt == 0 {
-		c.stopAt, c.endAt = now+c.longest*3/4, now+c.longest+c.limits.Grace
+		span := min(c.longest, cmp.Or(c.limits.Longest, c.longest))
+		c.stopAt, c.endAt = now+span*3/4, now+span+c.limits.Grace
+		c.module.Closing(now, c.endAt) // Danger: what the end by force finds unanswered is lost.
 	}
 }
 
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -606,6 +606,33 @@
 	}
 }
 
+// TestEndByForceBeforeTheLongestLimit: where the longest outer limit is past what the end by force waits for, clients
+// are hung up on and all that was taken is answered before it, a job that was in hand at the signal too.
+func TestEndByForceBeforeTheLongestLimit(t *testing.T) {
+	s := newStage(t, 20)
+	s.core.longest, s.core.limits.Longest = 13*second, 3*second
+	before, idle, after := s.client(), s.client(), s.client()
+	s.say(before, strings.Replace(ask("once", 1), "d=1000", "d=9000", 1))
+	s.store()
+	s.core.Stop(s.now)
+	end := s.now + 3*second + s.core.limits.Grace
+	s.say(after, strings.Replace(ask("any", 2), "d=1000", "d=9000", 1))
+	s.store()
+	s.pass(end - s.now)
+	if !idle.finished {
+		t.Error("an idle client is not hung up on")
+	}
+	if len(before.out) == 0 || len(after.out) == 0 {
+		t.Fatalf("unanswered at the end: %q, %q", before.out, after.out)
+	}
+	if got := code(t, before.take()); got != "08007" {
+		t.Errorf("what may have run once is answered %s", got)
+	}
+	if got := code(t, after.take()); got != "53300" {
+		t.Errorf("what may run again is answered %s", got)
+	}
+}
+
 // TestLastJobs: one that its client would wait for longer than the front may live is answered before.
 func TestLastJobs(t *testing.T) {
 	s := newStage(t, 20)
