--- a/balance/balance.go
+++ b/balance/balance.go
@@ -22,6 +22,7 @@
 	second    = Time(10000)
 	fenceBits = 14
 	thrift    = 0.005 // part of the result that probes may cost on the ordinary path
+	search    = 0.125 // part of the credit of what waits that a search for its primary may cost
 )
 
 type profile struct {
@@ -79,6 +80,7 @@
 	members []int32
 	primary int32   // -1: not known
 	sought  Time    // since when work has waited for one
+	purse   float64 // probes that the search for it may still cost
 	held    []int32 // jobs that wait, the worthiest first
 }
 
@@ -96,7 +98,7 @@
 	sentAt, ranAt          Time  // when; when the first trip was sent that may have run
 	sent, asks, further    int   // trips; probes sent for it; trips that came back and may have run
 	ended, held, out, lost bool  // out: a trip is; lost: so long that it no longer counts as work in hand
-	spilled, barred        bool  // a read's trip went to the primary; it may not go there
+	spilled, barred, funds bool  // a read's trip went to the primary; it may not go there; it paid for a search
 	next                   step
 }
 
@@ -116,6 +118,7 @@
 	tightest, quickest         Time    // shortest bound on the age of data, and expected time
 	probeEvery, probeNow       Time    // gap between probes of a member: as wished, and as the price allows
 	probesPerJob, jobRate      float64 // probes that the price allows; jobs taken in a beat, on average
+	perCredit, usual           float64 // probes that the credit of a usual job pays for; that credit
 	watchAt, crowded, scarce   Time    // when to ask for the list next; overload, few connections last seen
 	closing                    Time    // by when all must be answered
 	profiles                   []profile
@@ -150,6 +153,7 @@
 		b.profileOf[p.Name] = int32(i)
 		b.profiles = append(b.profiles, profile{Profile: p, typical: float64(p.ExpectedTime) / 4, stills: 1})
 		b.quickest = min(b.quickest, p.ExpectedTime)
+		b.usual += p.Credit / float64(len(c.Profiles))
 		if p.Need == Bounded {
 			b.tightest = min(b.tightest, p.Bound)
 		}
@@ -164,6 +168,7 @@
 	b.trickle = 2 * float64(b.quickest) / float64(max(b.span, 1)) / float64(max(c.Fronts, 1))
 	b.probeEvery = max(min(b.tightest, b.quickest)/3, b.beat)
 	b.probeNow, b.probesPerJob = b.probeEvery, thrift/max(c.ProbePrice, thrift/10)
+	b.perCredit = search / max(c.ProbePrice, thrift/10)
 	if !c.ListPushed { // all fronts may be starting together, so the first call is spread
 		b.watchAt = now + b.chance(b.askWithin/8)
 	}
@@ -335,16 +340,20 @@
 }
 
 // probe asks a member for its position when nothing has shown it of late, sooner while a primary is sought.
-func (b *Balancer) probe(m *member, sought Time, waits bool) {
+func (b *Balancer) probe(m *member, g *group) {
 	every, fresh := b.probeNow, max(m.heard, m.probed)
-	if sought > 0 && waits { // Danger: hundreds of fronts seeking a primary that is out of reach for long
-		every, fresh = max(b.probeEvery/2, (b.now-sought)/4), m.probed
+	seeks := g.sought > 0 && len(g.held) > 0 && m.asked == 0 && g.purse >= 1
+	if seeks { // Danger: hundreds of fronts seeking a primary that is out of reach for long
+		every, fresh = max(b.probeEvery/2, (b.now-g.sought)/4), m.probed
 	} else if m.asked > 0 { // Danger: hundreds of fronts asking a dead store at a steady pace
 		every = min(max(b.probeEvery, m.probed-m.asked), b.probeNow, b.cold)
 	}
 	if !b.mayProbe || !m.open || b.now-fresh < every {
 		return
 	}
+	if seeks {
+		g.purse--
+	}
 	b.ask(m)
 	m.probed += b.chance(every / 8)
 }
@@ -516,6 +525,7 @@
 		j.fence = now - in.WriteAge
 	}
 	j.rank = pr.Credit / pr.typical
+	b.usual += (pr.Credit - b.usual) / 64
 	if q := b.customers[in.Customer]; q != nil {
 		q.bucket = min(q.bucket+q.perTime*float64(now-q.filled), q.perTime*float64(second))
 		q.filled = now
@@ -535,6 +545,10 @@
 	}
 	j.held = true
 	g := &b.groups[j.group]
+	if !j.funds { // Danger: each of hundreds of fronts looks on for what little waits there, at the cost of more.
+		j.funds = true
+		g.purse += b.perCredit * b.profiles[j.profile].Credit / max(b.usual, 1e-6)
+	}
 	// Ranks go by powers of two, and within one the newest first: it has the most time left to be in time.
 	at := sort.Search(len(g.held), func(k int) bool {
 		return math.Ilogb(b.jobs[g.held[k]].rank) <= math.Ilogb(j.rank)
@@ -775,7 +789,7 @@
 	for gi := range b.groups {
 		g := &b.groups[gi]
 		if b.primary(g) >= 0 {
-			g.sought = 0
+			g.sought, g.purse = 0, 0
 		} else if g.sought == 0 && len(g.held) > 0 {
 			g.sought = now
 		}
@@ -793,7 +807,7 @@
 				m.suspect = true
 				b.front.Log(fmt.Sprintf("store %d is suspected", m.store))
 			}
-			b.probe(m, g.sought, len(g.held) > 0)
+			b.probe(m, g)
 		}
 	}
 	if warm > 0 {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -415,6 +415,27 @@
 	}
 }
 
+// TestSearchForAPrimaryKeepsToWhatWaits: three hundred fronts that each held one write asked every member of its group
+// every half beat and then ever more seldom, at a cost far above that write's credit.
+func TestSearchForAPrimaryKeepsToWhatWaits(t *testing.T) {
+	c := testCharter()
+	c.ProbePrice = 0.08
+	w := three(t, c)
+	w.take(ask("w", "once"))
+	w.back("w", 0, Return{Ending: Behind, Note: Report{Position: w.now, Role: Replica}})
+	w.probes = nil
+	for range 30 {
+		w.pass(1000)
+		for _, store := range w.ids {
+			w.hear(store, w.now, Replica)
+		}
+	}
+	credit, mean := 4.0, (1+2+1+1+4+4)/6.0
+	if most := 1 + int(search*credit/mean/c.ProbePrice); len(w.probes) > most || len(w.probes) == 0 {
+		t.Errorf("%d probes for one write that waits, %d are paid for", len(w.probes), most)
+	}
+}
+
 func TestProbeThatNeverLeftBlamesNoStore(t *testing.T) {
 	w := three(t, testCharter())
 	for _, store := range w.ids {
