--- a/balance/balance.go
+++ b/balance/balance.go
@@ -66,6 +66,7 @@
 	shut, started        Time    // nothing new goes there until then; its last start, 0 when warm
 	limit, strain        float64 // trips in flight it takes in good time; answer times for the expected
 	size, budget         float64 // listed; typical time that may still be sent while it is cold
+	won                  Time    // when a chance to be sent work while it is cold was won last
 	unreached            Time    // when the last try to connect set out, if it failed
 	sentLast, sentBefore Time    // its last two trips
 	backAt, answered     Time    // when a trip last came back; when the newest of those delivered was sent
@@ -407,7 +408,9 @@
 		m.budget = min(m.budget, 0)
 		return false
 	}
-	m.budget = max(m.budget, p.typical)
+	if m.budget < p.typical {
+		m.budget, m.won = p.typical, b.now
+	}
 	return true
 }
 
@@ -798,7 +801,11 @@
 			if m.started > 0 {
 				// Danger: all fronts push a cold store over. Each sends it its part of what like warm ones are sent.
 				rate := max(b.flow*m.size*b.warmth(m)*b.coldPart, b.trickle)
-				m.budget = min(m.budget+rate*float64(b.beat), rate*float64(b.span)/2)
+				// Danger: a read that asks for a position first has to win its chance there twice. So one that is won
+				// stands for as long as such a read may ask.
+				if b.now-m.won > b.quickest/10 {
+					m.budget = min(m.budget+rate*float64(b.beat), rate*float64(b.span)/2)
+				}
 			} else if m.open {
 				warm += m.size
 			}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -323,6 +323,27 @@
 	}
 }
 
+// TestWonChanceOutlastsAProbe: a read that asked a cold store for its position had to win its chance there again once
+// the answer came, for the beat in between cut it back to what is saved up in half a span.
+func TestWonChanceOutlastsAProbe(t *testing.T) {
+	c := testCharter()
+	c.Fronts = 200
+	w := newWorld(t, c)
+	w.list(ListCached, Member{Store: 1, Group: 9, Condition: Ready, Primary: true, Size: 1, Started: w.now})
+	m, p := &w.b.members[0], &w.b.profiles[0]
+	for k := 0; k < 1<<16 && !w.b.room(m, p); k++ {
+		m.budget = p.typical / 32
+	}
+	w.pass(w.b.quickest / 10)
+	if !w.b.room(m, p) || m.budget < p.typical {
+		t.Errorf("of a chance of %.0f that was won %.0f are left when the answer comes", p.typical, m.budget)
+	}
+	w.pass(2 * w.b.quickest)
+	if most := p.typical / 2; m.budget > most {
+		t.Errorf("it stands for good: %.0f", m.budget)
+	}
+}
+
 // A trip from each of many fronts crowds a store, so under a limit of one a front rests; good answers end that.
 func TestFrontsRestUnderOneTrip(t *testing.T) {
 	c := testCharter()
