--- a/cmd/micatrack/fleet.go
+++ b/cmd/micatrack/fleet.go
@@ -16,11 +16,11 @@
 
 	"github.com/spf13/cobra"
 
-	"micatrack/balance"
 	"micatrack/fleet"
 	"micatrack/fleet/membership"
 	"micatrack/fleet/zones"
 	"micatrack/internal/front"
+	"micatrack/internal/joined"
 	"micatrack/internal/operators"
 	"micatrack/internal/peers"
 )
@@ -31,14 +31,13 @@
 // for asks, which the control listener puts there.
 type together struct {
 	*fleet.Fleet
-	now      func() front.Time
-	peers    *peers.Peers
-	core     *front.Core
-	log      *slog.Logger
-	expected []balance.Time // of the profiles
-	stores   []zones.Store  // scratch
-	asks     chan func()
-	left     bool
+	now    func() front.Time
+	peers  *peers.Peers
+	core   *front.Core
+	log    *slog.Logger
+	bridge joined.Bridge
+	asks   chan func()
+	left   bool
 }
 
 // join opens the talk with other fronts.
@@ -50,12 +49,11 @@
 	}
 	t := &together{now: now, peers: p, log: log.With("fleet", f.Name), asks: make(chan func(), 16)}
 	span := f.PeriodMS * 10
-	for _, p := range o.charter.Profiles {
-		t.expected = append(t.expected, p.ExpectedTime)
-	}
+	t.bridge = joined.NewBridge(&o.charter)
 	t.Fleet = fleet.New(now(), membership.Self{Name: o.name, Zone: cmp.Or(o.charter.Zone, "-"), Addr: cmp.Or(f.Advertise, p.Addr()),
 		Incarnation: uint64(now()) / 10, Seed: o.charter.Seed, Period: span, Seeds: f.Seeds, Members: f.Members, NoteLife: noteLife * span},
 		zones.Self{StartShare: o.charter.StartShare, Cold: o.charter.Cold, FallSpan: o.charter.FallSpan}, t)
+	t.bridge.Zones = t.Zones
 	if f.Control != "" {
 		if err := t.control(f.Control, wake); err != nil {
 			p.Close()
@@ -69,7 +67,7 @@
 // Danger: a front that starts while a zone is being returned to would send it all that it can.
 func (t *together) serves(c *front.Core, known front.List, wait time.Duration) {
 	t.core = c
-	t.listed(known)
+	t.bridge.Listed(t.now(), known)
 	for end := time.Now().Add(wait); !t.Members.Joined() && time.Now().Before(end); {
 		t.turn(nil, false)
 		time.Sleep(5 * time.Millisecond)
@@ -81,7 +79,7 @@
 func (t *together) turn(lists []front.List, halt bool) {
 	now := t.now()
 	for _, l := range lists {
-		t.listed(l)
+		t.bridge.Listed(now, l)
 	}
 	if halt && !t.left {
 		t.left = true
@@ -103,38 +101,6 @@
 	}
 }
 
-func (t *together) listed(l front.List) {
-	if l.News == balance.ListFailed {
-		return
-	}
-	t.stores = t.stores[:0]
-	for i := range l.Lines {
-		e := &l.Lines[i]
-		t.stores = append(t.stores, zones.Store{ID: e.ID, Zone: e.Zone, Size: cmp.Or(e.Size, 1), Open: e.Condition == balance.Ready})
-	}
-	t.Zones.Listed(t.now(), l.News != balance.ListChanges, t.stores)
-}
-
-// saw is told by the core how each trip and probe came back.
-func (t *together) saw(store string, how balance.Ending, profile int, took front.Time) {
-	end, expected := zones.Answered, balance.Time(0)
-	switch how {
-	case balance.Delivered, balance.Behind, balance.Crowded, balance.Faulted:
-		if how == balance.Delivered && profile >= 0 {
-			expected = t.expected[profile]
-		}
-	case balance.Unreached:
-		end = zones.Refused
-	case balance.Expired:
-		end = zones.Silent
-	case balance.Severed, balance.Undone:
-		end = zones.BrokenOff
-	default: // never sent, or called back: that says nothing of the way there
-		return
-	}
-	t.Zones.Ended(t.now(), store, end, took, expected)
-}
-
 // Send, Exchange, Part and Log are what the fleet's decisions ask for.
 func (t *together) Send(addr string, m *membership.Message) { t.peers.Send(addr, m) }
 func (t *together) Exchange(addr string) {
--- a/cmd/micatrack/serve.go
+++ b/cmd/micatrack/serve.go
@@ -173,7 +173,9 @@
 		if others, err = join(now, &o, net.Wake, log); err != nil {
 			return exit{1, fmt.Errorf("fleet: %w", err)}
 		}
-		limits.Saw = others.saw
+		limits.Saw = func(store string, how balance.Ending, profile int, took front.Time) {
+			others.bridge.Saw(now(), store, how, profile, took)
+		}
 	}
 	core, err := front.New(now(), o.charter, o.host, limits, net, watcher.Ask, log)
 	if err != nil {
--- a/fleet/zones/zones.go
+++ b/fleet/zones/zones.go
@@ -73,6 +73,7 @@
 	mostPause   = 64 // periods between notes of evidence that nothing came of
 	half        = 0.5
 	full        = 0.85 // of what the rest can do that it may be asked for
+	drought     = 3    // failures in a row, with no answer from anywhere, that may be this front's own network
 	enough      = 2    // fronts that have told the same, past which one more changes nothing
 	// LongestOrder is how long an order by hand may last: a day.
 	LongestOrder = Time(24 * 3600 * 10_000)
@@ -183,6 +184,8 @@
 	publishedAt  Time
 	publishLoad  uint8
 	numb         Time    // until then this front's failures count for nothing
+	answeredAt   Time    // when a store answered last, whichever
+	unanswered   int     // failures since then
 	strain, idle float64 // answer times over the expected: of late, and at their best
 	beatAt       Time
 	rows         []sight
@@ -290,6 +293,19 @@
 	if r := &zn.row; r.state != Steady && r.base == r.epoch && now-took < r.since {
 		return // it set out before the zone was left: all fronts would tell it once more, as if it were news
 	}
+	if how != Answered {
+		z.unanswered++
+	} else {
+		if z.unanswered >= drought && now-z.answeredAt > z.self.Period {
+			// Danger: a front whose own network is back would tell all that failed meanwhile as if others had failed.
+			for k := range z.stores {
+				if o := &z.stores[k]; o.last != Answered && o.at > z.answeredAt {
+					o.at = -1
+				}
+			}
+		}
+		z.answeredAt, z.unanswered = now, 0
+	}
 	if s.last, s.at = how, now; now-zn.countedAt > z.window { // counts of long ago fade, for those who ask why
 		zn.counts, zn.countedAt = [4]float64{}, now
 	}
@@ -874,12 +890,15 @@
 	for i := range z.zones {
 		z.zones[i].seen, z.zones[i].fail = 0, 0
 	}
-	sound := false // something has answered of late, wherever it is
 	for i := range z.stores {
 		s := &z.stores[i]
-		sound = sound || s.id != "" && s.at >= 0 && s.last == Answered && z.now-s.at <= z.window
 		zn := &z.zones[s.zone]
-		if s.id == "" || s.at < 0 || z.now-s.at > z.window || s.last == Answered && z.now-s.at > z.self.Period/2 && !zn.row.gone() {
+		// Danger: a front that reaches nothing at all has lost its own network, and would blame everybody. A failure counts
+		// once something has answered after it, wherever that is.
+		if s.last != Answered && s.at > z.answeredAt {
+			continue
+		}
+		if s.id == "" || s.at < 0 || z.now-s.at > z.window || s.last == Answered && z.now-s.at > z.self.Period/2 && zn.row.state == Steady {
 			continue // Danger: an answer from before a zone was lost is no sign that it is there.
 		}
 		zn.seen |= 1 << s.slot
@@ -887,8 +906,7 @@
 			zn.fail |= 1 << s.slot
 		}
 	}
-	if !sound || z.now < z.numb {
-		// Danger: a front that reaches nothing at all has lost its own network, and would blame everybody.
+	if z.now < z.numb {
 		for i := range z.zones {
 			z.zones[i].seen, z.zones[i].fail = 0, 0
 		}
@@ -915,29 +933,41 @@
 	return false
 }
 
-// pressing tells whether something may come of evidence now: a row is not steady, or half of a zone fails for somebody.
+// pressing tells whether something may come of evidence now: a row is not steady, half of what would have to fail before a
+// zone is left does for somebody, or this front has more than one failure to tell.
+// Danger: of hundreds of fronts that each see little, some always see two failures and no answer in a sound zone.
 func (z *Zones) pressing() bool {
 	for i := range z.zones {
 		zn := &z.zones[i]
-		if zn.row.state != Steady {
-			return true
-		}
-		if n := bits.OnesCount64(zn.fail); n >= 2 && 2*n >= bits.OnesCount64(zn.seen) {
+		if zn.row.state != Steady || bits.OnesCount64(zn.fail&^z.told(i).fail) >= 2 {
 			return true
 		}
+		fail := zn.fail
 		for k := range z.observers {
 			o := &z.observers[k]
 			for n := range o.rows {
-				if s := &o.rows[n]; o.there && o.has && z.now-o.at <= z.window && s.zone == zn.name && s.fail != 0 &&
-					s.base >= zn.row.base && 2*bits.OnesCount64(s.fail) >= bits.OnesCount64(s.seen) && bits.OnesCount64(s.fail) >= 2 {
-					return true
+				if s := &o.rows[n]; o.there && o.has && z.now-o.at <= z.window && s.zone == zn.name && s.base >= zn.row.base {
+					fail |= s.fail & zn.total
 				}
 			}
 		}
+		if n := bits.OnesCount64(fail); n >= 2 && float64(n) >= covered/2*float64(bits.OnesCount64(zn.total)) {
+			return true
+		}
 	}
 	return false
 }
 
+// told is what this front has told of a zone that still counts.
+func (z *Zones) told(i int) sight {
+	for n := range z.published {
+		if p := &z.published[n]; p.zone == z.zones[i].name && p.base == z.zones[i].row.base && z.now-z.publishedAt < z.window {
+			return *p
+		}
+	}
+	return sight{}
+}
+
 // publish tells what this front sees where that has changed.
 func (z *Zones) publish() {
 	z.rows = z.rows[:0]
@@ -958,18 +988,18 @@
 		}
 	}
 	since := z.now - z.publishedAt
-	moved := max(load, z.publishLoad)-min(load, z.publishLoad) > 32
+	// A few of each zone tell the load. Danger: it moves all the time, and each of hundreds would tell it to all others.
+	moved := max(load, z.publishLoad)-min(load, z.publishLoad) > 32 && z.rank(0) < trialers
 	switch {
 	case since > 2*mostPause*z.self.Period, z.pressing():
 		z.pause = z.self.Period / 5
 	}
-	if changed && !z.adds() {
-		changed = false
-	}
+	adds := len(z.rows) > 0 && z.adds()
+	changed = changed && adds
 	switch {
 	case changed && graver && since >= z.pause:
 	case changed && since >= max(z.pause, z.self.Period/2):
-	case len(z.rows) > 0 && since >= max(z.window, z.pause), moved && since >= z.self.NoteLife/2:
+	case adds && since >= max(z.window, z.pause), moved && since >= z.self.NoteLife/2:
 	default:
 		return
 	}
@@ -981,20 +1011,20 @@
 	z.host.Publish(string(keyEvidence)+z.self.Name, z.version, z.body, false)
 }
 
-// adds tells whether what this front sees would add to what its zone's fronts have told: a bit that fewer than enough
-// have told the same way, after those who told the other way, or one that this front has told otherwise before.
+// adds tells whether what this front sees would add to what its zone's fronts have told: a failure that fewer than enough
+// have told, an answer where the others tell failures, what this front has told otherwise before, or, from some of the
+// zone's fronts alone, an answer where too few are told to speak of the zone.
 // Danger: a hundred fronts that find out the same thing at once would each have all the others hear it.
 func (z *Zones) adds() bool {
 	for k := range z.rows {
 		s := &z.rows[k]
 		i := z.zoneOf[s.zone]
 		votes := z.tally(i)
-		var told sight
-		for n := range z.published {
-			if p := &z.published[n]; p.zone == s.zone && p.base == s.base {
-				told = *p
-			}
+		told, answers := z.told(i), 0
+		for _, v := range votes {
+			answers += max(0, -int(v))
 		}
+		few := float64(answers) < max(2*enough, covered*float64(bits.OnesCount64(z.zones[i].total))) && z.rank(i) < 4*enough
 		for saw := s.seen; saw != 0; saw &= saw - 1 {
 			n := bits.TrailingZeros64(saw)
 			bit := uint64(1) << n
@@ -1002,7 +1032,7 @@
 			case told.seen&bit != 0 && told.fail&bit == s.fail&bit:
 			case told.seen&bit != 0,
 				s.fail&bit != 0 && votes[n] < graver*enough,
-				s.fail&bit == 0 && votes[n] > -enough:
+				s.fail&bit == 0 && (votes[n] > 0 || few && votes[n] > -enough):
 				return true
 			}
 		}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -199,6 +199,9 @@
 // Done tells that Stop is complete: no client is left and no job in hand.
 func (c *Core) Done() bool { return c.Stopping() && len(c.clients) == 0 && c.inHand == 0 }
 
+// InHand gives the jobs that have not had their final answer, or whose trips are still out.
+func (c *Core) InHand() int { return c.inHand }
+
 // Stopping tells that new connections are no longer expected.
 func (c *Core) Stopping() bool { return c.stopAt > 0 && c.now >= c.stopAt }
 
--- /dev/null
+++ b/internal/joined/joined.go
@@ -0,0 +1,59 @@
+// Package joined carries what a front's core knows to its fleet, in the words of each. It decides nothing.
+package joined
+
+import (
+	"cmp"
+
+	"micatrack/balance"
+	"micatrack/fleet/zones"
+	"micatrack/internal/front"
+)
+
+// Bridge is that of one front.
+type Bridge struct {
+	Zones    *zones.Zones
+	Expected []balance.Time // of the profiles, as the charter numbers them
+	stores   []zones.Store  // scratch
+}
+
+// NewBridge takes the profiles' expected times; Zones is set once it is there.
+func NewBridge(c *balance.Charter) Bridge {
+	var b Bridge
+	for _, p := range c.Profiles {
+		b.Expected = append(b.Expected, p.ExpectedTime)
+	}
+	return b
+}
+
+// Listed hands a list of stores on.
+func (b *Bridge) Listed(now front.Time, l front.List) {
+	if l.News == balance.ListFailed {
+		return
+	}
+	b.stores = b.stores[:0]
+	for i := range l.Lines {
+		e := &l.Lines[i]
+		b.stores = append(b.stores, zones.Store{ID: e.ID, Zone: e.Zone, Size: cmp.Or(e.Size, 1), Open: e.Condition == balance.Ready})
+	}
+	b.Zones.Listed(now, l.News != balance.ListChanges, b.stores)
+}
+
+// Saw hands on how a trip or a probe came back, as front.Limits tells it.
+func (b *Bridge) Saw(now front.Time, store string, how balance.Ending, profile int, took front.Time) {
+	end, expected := zones.Answered, balance.Time(0)
+	switch how {
+	case balance.Delivered, balance.Behind, balance.Crowded, balance.Faulted:
+		if how == balance.Delivered && profile >= 0 {
+			expected = b.Expected[profile]
+		}
+	case balance.Unreached:
+		end = zones.Refused
+	case balance.Expired:
+		end = zones.Silent
+	case balance.Severed, balance.Undone:
+		end = zones.BrokenOff
+	default: // never sent, or called back: that says nothing of the way there
+		return
+	}
+	b.Zones.Ended(now, store, end, took, expected)
+}
--- a/internal/standin/group.go
+++ b/internal/standin/group.go
@@ -33,11 +33,12 @@
 	last    int64
 	drains  map[string]time.Time
 	epoch   int
+	now     func() time.Time
 }
 
 // NewGroup makes a group whose first store is the primary; window is for how long a repeat is dropped.
 func NewGroup(id uint64, window time.Duration, stores ...string) *Group {
-	g := &Group{ID: id, window: window, lags: map[string]time.Duration{}, reached: map[string]int64{}, marks: map[string]Entry{}, drains: map[string]time.Time{}}
+	g := &Group{ID: id, window: window, lags: map[string]time.Duration{}, reached: map[string]int64{}, marks: map[string]Entry{}, drains: map[string]time.Time{}, now: time.Now}
 	for i, s := range stores {
 		if i == 0 {
 			g.primary = s
@@ -47,12 +48,15 @@
 	return g
 }
 
+// Clock has the group go by another clock than the machine's, from before it is used.
+func (g *Group) Clock(now func() time.Time) { g.now = now }
+
 func tenths(t time.Time) int64 { return t.UnixNano() / 100_000 }
 
 // Lag has a replica apply the log that much later.
 func (g *Group) Lag(store string, by time.Duration) {
 	g.mu.Lock()
-	g.reached[store] = g.applied(store, time.Now())
+	g.reached[store] = g.applied(store, g.now())
 	g.lags[store] = by
 	g.mu.Unlock()
 }
@@ -61,7 +65,7 @@
 // a write is turned away.
 func (g *Group) Promote(store string) {
 	g.mu.Lock()
-	g.reached[g.primary] = g.applied(g.primary, time.Now())
+	g.reached[g.primary] = g.applied(g.primary, g.now())
 	g.primary, g.epoch = store, g.epoch+1
 	g.mu.Unlock()
 }
@@ -69,7 +73,7 @@
 // Drain notes when a front was told that a store drains.
 func (g *Group) Drain(store string) {
 	g.mu.Lock()
-	g.drains[store] = time.Now()
+	g.drains[store] = g.now()
 	g.mu.Unlock()
 }
 
@@ -92,14 +96,14 @@
 func (g *Group) Position(store string) int64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.applied(store, time.Now())
+	return g.applied(store, g.now())
 }
 
 // Read notes a read and tells what it has seen; false: the store is behind what it has to see, and did nothing.
 func (g *Group) Read(store, job string, after int64) (position int64, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := time.Now()
+	now := g.now()
 	if position = g.applied(store, now); position < after {
 		return position, false
 	}
@@ -115,7 +119,7 @@
 	if store != g.primary {
 		return 0, false
 	}
-	now := time.Now()
+	now := g.now()
 	e := Entry{At: now, Store: store, Job: job, Mark: mark, Write: true}
 	if first, seen := g.marks[mark]; seen && mark != "" && now.Sub(first.At) < g.window {
 		e.Dropped, e.Position = true, first.Position
--- a/internal/standin/postgres.go
+++ b/internal/standin/postgres.go
@@ -100,7 +100,7 @@
 	} else if _, err := io.CopyN(io.Discard, c, int64(n)-4); err != nil {
 		return
 	}
-	if _, err := c.Write(pgwire.AppendReady([]byte("R\x00\x00\x00\x08\x00\x00\x00\x00"))); err != nil {
+	if _, err := c.Write(Welcome()); err != nil {
 		return
 	}
 	head := make([]byte, 5)
@@ -123,26 +123,15 @@
 }
 
 func (p *Postgres) answer(c net.Conn, text []byte) bool {
-	position, primary := p.group.Position(p.Name), false
-	if name, _ := p.group.Primary(); name == p.Name {
-		primary = true
-	}
-	if string(text) == "SHOW load" {
-		role := "0"
-		if primary {
-			role = "1"
-		}
-		return p.say(c, row("x0="+strconv.FormatFloat(float64(position)/10_000, 'f', 4, 64)+",x1="+role), nil)
-	}
-	s, err := pgwire.Query(text)
-	if err != nil {
-		return p.say(c, pgwire.AppendError(nil, "ERROR", pgwire.Violation, err.Error(), ""), nil)
+	if string(text) == Probe {
+		_, err := c.Write(p.group.Answer(p.Name, text))
+		return err == nil
 	}
 	p.mu.Lock()
 	before, takes, cores := p.before, p.takes, p.cores
 	p.mu.Unlock()
 	act := Answer
-	if before != nil {
+	if s, err := pgwire.Query(text); err == nil && before != nil {
 		act = before(string(s.ID))
 	}
 	switch act {
@@ -150,7 +139,8 @@
 		time.Sleep(10 * time.Second)
 		return false
 	case Refuse:
-		return p.say(c, pgwire.AppendError(nil, "ERROR", pgwire.TooMany, "full", ""), nil)
+		_, err := c.Write(Full())
+		return err == nil
 	case Break:
 		return false
 	}
@@ -159,25 +149,52 @@
 		defer func() { <-cores }()
 	}
 	time.Sleep(takes)
-	ok := false
-	if isWrite(text) {
-		if position, ok = p.group.Write(p.Name, string(s.ID), string(s.Key)); !ok {
-			return p.say(c, pgwire.AppendError(nil, "ERROR", pgwire.ReadOnly, "no primary", ""), notes(p, position))
-		}
-	} else if position, ok = p.group.Read(p.Name, string(s.ID), s.After); !ok {
-		return p.say(c, pgwire.AppendError(nil, "ERROR", pgwire.SnapTooOld, "too far behind", ""), notes(p, position))
-	}
+	answer := p.group.Answer(p.Name, text)
 	switch act {
 	case RunLost:
 		return false
 	case Spoil:
-		_, err := c.Write([]byte("D\x7f\xff\xff\xff\x00\x01noise"))
-		return err == nil
+		answer = []byte("D\x7f\xff\xff\xff\x00\x01noise")
+	}
+	_, err := c.Write(answer)
+	return err == nil
+}
+
+// Probe is the statement that asks a store for its position and role.
+const Probe = "SHOW load"
+
+// Welcome is what a store says to a new connection.
+func Welcome() []byte { return pgwire.AppendReady([]byte("R\x00\x00\x00\x08\x00\x00\x00\x00")) }
+
+// Full is what a store says that turns a job away unseen.
+func Full() []byte {
+	return pgwire.AppendReady(pgwire.AppendError(nil, "ERROR", pgwire.TooMany, "full", ""))
+}
+
+// Answer carries out a statement at one of the group's stores, now, and gives all that the store says to it.
+func (g *Group) Answer(store string, text []byte) []byte {
+	position := g.Position(store)
+	if string(text) == Probe {
+		role := "0"
+		if name, _ := g.Primary(); name == store {
+			role = "1"
+		}
+		return pgwire.AppendReady(row("x0=" + strconv.FormatFloat(float64(position)/10_000, 'f', 4, 64) + ",x1=" + role))
 	}
-	if isWrite(text) { // a commit is told rounded up
-		position += 9
+	s, err := pgwire.Query(text)
+	if err != nil {
+		return pgwire.AppendReady(pgwire.AppendError(nil, "ERROR", pgwire.Violation, err.Error(), ""))
+	}
+	ok := false
+	if isWrite(text) {
+		if position, ok = g.Write(store, string(s.ID), string(s.Key)); !ok {
+			return pgwire.AppendReady(g.notes(store, position, pgwire.AppendError(nil, "ERROR", pgwire.ReadOnly, "no primary", "")))
+		}
+		position += 9 // a commit is told rounded up
+	} else if position, ok = g.Read(store, string(s.ID), s.After); !ok {
+		return pgwire.AppendReady(g.notes(store, position, pgwire.AppendError(nil, "ERROR", pgwire.SnapTooOld, "too far behind", "")))
 	}
-	return p.say(c, row(string(s.ID)), notes(p, position))
+	return pgwire.AppendReady(g.notes(store, position, row(string(s.ID))))
 }
 
 func isWrite(text []byte) bool {
@@ -189,13 +206,13 @@
 	return false
 }
 
-// notes is what a store says of itself: its role, and a position.
-func notes(p *Postgres, position int64) []byte {
+// notes adds what a store says of itself: its role, and a position.
+func (g *Group) notes(store string, position int64, dst []byte) []byte {
 	role := "replica"
-	if name, _ := p.group.Primary(); name == p.Name {
+	if name, _ := g.Primary(); name == store {
 		role = "primary"
 	}
-	return pgwire.AppendParameter(pgwire.AppendParameter(nil, "role", role), "applied_ms", fmt.Sprint(position/10))
+	return pgwire.AppendParameter(pgwire.AppendParameter(dst, "role", role), "applied_ms", fmt.Sprint(position/10))
 }
 
 func row(value string) []byte {
@@ -204,8 +221,3 @@
 	out = binary.BigEndian.AppendUint32(append(out, 0, 1), uint32(len(value)))
 	return append(append(out, value...), "C\x00\x00\x00\x0dSELECT 1\x00"...)
 }
-
-func (p *Postgres) say(c net.Conn, answer, more []byte) bool {
-	_, err := c.Write(pgwire.AppendReady(append(answer, more...)))
-	return err == nil
-}
--- /dev/null
+++ b/internal/world/link.go
@@ -0,0 +1,121 @@
+package world
+
+import (
+	"sort"
+
+	"micatrack/internal/front"
+)
+
+// side is what stands at the other end of a front's link.
+type side interface {
+	took(l *link, b []byte) // bytes have arrived
+	ended(l *link)          // the front has closed it
+}
+
+// link is one connection of a front, to a store or from a client.
+type link struct {
+	f       *Front
+	other   Node
+	side    side
+	number  uint64
+	in, out []byte
+	sent    int64
+	owner   any
+	what    front.What
+	told    bool // it stands among the front's events
+	closed  bool // by the front
+	gone    bool // by the other side
+
+	buf     []byte // of the other side: bytes not yet taken
+	greeted bool
+	ask     *asked // of a client
+}
+
+func sortLinks(links []*link) {
+	sort.Slice(links, func(a, b int) bool { return links[a].number < links[b].number })
+}
+
+// Peek, Discard, Full, Write, Flush, Sent, Close, Finish, Owner and Own are front.Link.
+func (l *link) Peek() []byte  { return l.in }
+func (l *link) Discard(n int) { l.in = l.in[n:] }
+func (l *link) Full() bool    { return len(l.in) > 1<<18 }
+func (l *link) Write(p []byte) bool {
+	l.out = append(l.out, p...)
+	return true
+}
+func (l *link) Sent() int64 { return l.sent }
+func (l *link) Owner() any  { return l.owner }
+func (l *link) Own(o any)   { l.owner = o }
+
+func (l *link) Flush() {
+	if len(l.out) == 0 || l.closed {
+		return
+	}
+	b := l.out
+	l.out = nil
+	l.sent += int64(len(b))
+	l.f.w.carry(l.f.Node, l.other, func() {
+		if !l.gone {
+			l.side.took(l, b)
+		}
+	})
+}
+
+func (l *link) Close() {
+	if l.closed {
+		return
+	}
+	l.closed = true
+	delete(l.f.links, l)
+	l.f.w.carry(l.f.Node, l.other, func() {
+		if !l.gone {
+			l.gone = true
+			l.side.ended(l)
+		}
+	})
+}
+
+// Finish closes once all is out; the front hears of that.
+func (l *link) Finish() {
+	l.Flush()
+	f := l.f
+	l.Close()
+	f.links[l] = true
+	f.w.At(0, func() { l.news(front.Closed) })
+}
+
+// push sends bytes to the front.
+func (l *link) push(b []byte) {
+	l.f.w.carry(l.other, l.f.Node, func() {
+		if !l.closed {
+			l.in = append(l.in, b...)
+			l.news(front.Readable)
+		}
+	})
+}
+
+// hang closes the link from the other side.
+func (l *link) hang() {
+	if l.gone {
+		return
+	}
+	l.gone = true
+	l.f.w.carry(l.other, l.f.Node, func() {
+		if !l.closed {
+			l.news(front.Closed)
+		}
+	})
+}
+
+// news tells the front of it at its next step.
+func (l *link) news(what front.What) {
+	f := l.f
+	if f.core == nil || !f.links[l] {
+		return
+	}
+	if l.what |= what; !l.told {
+		l.told = true
+		f.events = append(f.events, front.Event{Link: l})
+	}
+	f.wake()
+}
--- /dev/null
+++ b/internal/world/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package world
+
+const raced = false
--- /dev/null
+++ b/internal/world/store.go
@@ -0,0 +1,179 @@
+package world
+
+import (
+	"encoding/binary"
+	"math"
+
+	"micatrack/internal/front"
+	"micatrack/internal/pgwire"
+	"micatrack/internal/standin"
+)
+
+// Store is one stand-in store: cores, a queue, and the cold time after a start.
+type Store struct {
+	Node
+	Group *standin.Group
+	Probes, Connects, Trips,
+	Full, Fell int
+	Peak float64 // largest part of what it bears while cold that it was sent; at 1 it falls over
+
+	w      *World
+	addr   string
+	conns  map[*link]bool
+	down   bool
+	upAt   Time // when it came up cold; 0: long ago
+	busy   int
+	waits  []work
+	recent []Time // when jobs came of late, while it is cold
+	slow   float64
+	life   int
+}
+
+// work is one job at a store.
+type work struct {
+	l    *link
+	text []byte
+}
+
+// Down has the machine's system refuse connections and break those that stand.
+func (s *Store) Down() {
+	s.down = true
+	s.life++
+	s.busy, s.waits = 0, nil
+	var open []*link
+	for l := range s.conns {
+		open = append(open, l)
+	}
+	sortLinks(open)
+	for _, l := range open {
+		l.hang()
+	}
+	clear(s.conns)
+}
+
+// Up starts it again, cold; the list tells its start.
+func (s *Store) Up() {
+	if !s.down {
+		s.Down()
+	}
+	s.down, s.upAt, s.recent, s.Peak = false, s.w.Now, nil, 0
+	s.w.Change(func(l *front.Line) {
+		if l.ID == s.Name {
+			l.Started = s.upAt
+		}
+	})
+}
+
+// Slow has every job take so many times as long; 0 ends that.
+func (s *Store) Slow(times float64) { s.slow = times }
+
+// strength is the part of its work that it does now.
+func (s *Store) strength(at Time) float64 {
+	c := &s.w.Charter
+	if s.upAt == 0 || at >= s.upAt+c.Cold || c.Cold == 0 {
+		return 1
+	}
+	return c.StartShare + (1-c.StartShare)*float64(at-s.upAt)/float64(c.Cold)
+}
+
+func (s *Store) accept(l *link) {
+	if s.down {
+		l.hang()
+		return
+	}
+	s.Connects++
+	s.conns[l] = true
+}
+
+func (s *Store) ended(l *link) { delete(s.conns, l) }
+
+func (s *Store) took(l *link, b []byte) {
+	if !s.conns[l] {
+		return
+	}
+	l.buf = append(l.buf, b...)
+	for {
+		if !l.greeted {
+			if len(l.buf) < 4 || len(l.buf) < int(binary.BigEndian.Uint32(l.buf)) {
+				return
+			}
+			l.buf, l.greeted = l.buf[binary.BigEndian.Uint32(l.buf):], true
+			l.push(standin.Welcome())
+			continue
+		}
+		kind, body, n, err := pgwire.Message(l.buf, pgwire.MostQuery)
+		if err != nil || n > 0 && kind != 'Q' {
+			delete(s.conns, l)
+			l.hang()
+			return
+		}
+		if n == 0 {
+			return
+		}
+		text := append([]byte(nil), body[:len(body)-1]...)
+		l.buf = l.buf[n:]
+		s.asked(work{l, text})
+	}
+}
+
+func (s *Store) asked(j work) {
+	if string(j.text) == standin.Probe {
+		s.Probes++
+		j.l.push(s.Group.Answer(s.Name, j.text))
+		return
+	}
+	s.Trips++
+	s.bears()
+	if s.w.Queue > 0 && len(s.waits) >= s.w.Queue {
+		s.Full++
+		j.l.push(standin.Full())
+		return
+	}
+	if q, err := pgwire.Query(j.text); err == nil {
+		s.w.sent[string(q.ID)] = s.w.Now - s.w.Delay
+	}
+	s.waits = append(s.waits, j)
+	s.work()
+}
+
+// work begins what there are cores for.
+func (s *Store) work() {
+	for s.busy < s.w.Cores && len(s.waits) > 0 {
+		j := s.waits[0]
+		s.waits = s.waits[1:]
+		s.busy++
+		life := s.life
+		takes := float64(s.w.Takes) / s.strength(s.w.Now)
+		if s.slow > 0 {
+			takes *= s.slow
+		}
+		s.w.At(Time(math.Ceil(takes)), func() {
+			if s.life != life {
+				return
+			}
+			s.busy--
+			if answer := s.Group.Answer(s.Name, j.text); s.conns[j.l] {
+				j.l.push(answer)
+			}
+			s.work()
+		})
+	}
+}
+
+// bears notes a job while the store is cold, and lets it fall over where too many come in one span.
+func (s *Store) bears() {
+	c, now := &s.w.Charter, s.w.Now
+	if s.upAt == 0 || now >= s.upAt+c.Cold+c.FallSpan {
+		return
+	}
+	s.recent = append(s.recent, now)
+	for now-s.recent[0] >= c.FallSpan {
+		s.recent = s.recent[1:]
+	}
+	bears := float64(s.w.Cores) / float64(s.w.Takes) * s.strength(s.recent[0]) * c.FallMultiple * float64(c.FallSpan)
+	part := float64(len(s.recent)) / (bears + 3*math.Sqrt(bears) + 3) // chance alone brings that many now and then
+	if s.Peak = max(s.Peak, part); part > 1 {
+		s.Fell++
+		s.Down()
+	}
+}
--- /dev/null
+++ b/internal/world/world.go
@@ -0,0 +1,490 @@
+// Package world plays a fleet on a virtual clock: hundreds of fronts, each the real core (internal/front) with its parsers,
+// its decision module and its part of the fleet, among stand-in stores, clients and discovery. What goes between them is
+// the bytes of the real protocols, on links in memory that can be cut, delayed and lost by pair, zone and direction. One
+// goroutine, one queue of events, one seed: the same plan leads to the same ledgers.
+//
+// It decides nothing that a front decides, and judges by what the stores did: probes, connections, trips, what was turned
+// away, how near a cold store came to falling over, and the rules over all fronts together.
+package world
+
+import (
+	"container/heap"
+	"fmt"
+	"io"
+	"log/slog"
+	"time"
+
+	"micatrack/balance"
+	"micatrack/fleet"
+	"micatrack/fleet/membership"
+	"micatrack/fleet/zones"
+	"micatrack/internal/charter"
+	"micatrack/internal/front"
+	"micatrack/internal/joined"
+	"micatrack/internal/mwc"
+	"micatrack/internal/peers"
+	"micatrack/internal/standin"
+)
+
+// Time is a moment or a span in whole tenths of a millisecond, of the world's one clock.
+type Time = front.Time
+
+const (
+	Millisecond = Time(10)
+	Second      = 1000 * Millisecond
+	start       = Time(17_672_256_000_000) // Unix time at which every world begins
+)
+
+// Plan is what a world is made of.
+type Plan struct {
+	Charter   balance.Charter // zone, number of fronts and seed are filled in
+	Host      charter.Host
+	Fronts    int // spread over the zones in turn
+	Zones     []string
+	Groups    int // each with a member in every zone; the primary is in each zone in turn
+	Members   int // of a group in each zone; 0: one
+	Cores     int // of a store
+	Takes     Time
+	Queue     int  // jobs that wait at a store before it turns others away; 0: any
+	Lag       Time // of every replica
+	Delay     Time // one way, between any two
+	ListDelay Time // beside that, until a change of the list is told
+	Rate      float64
+	Kinds     []Kind
+	Patience  Time           // of clients
+	Fleet     bool           // fronts know each other
+	Period    Time           // of the fleet's talk
+	PeerDelay Time           // one way, from half of it to one and a half
+	PeerLoss  int            // of 1,000 datagrams
+	Without   func(int) bool // fronts that have the fleet off; nil: none
+	Seed      uint64
+	Log       func(at Time, front, text string) // nil: dropped
+}
+
+// Node is one end of a link.
+type Node struct {
+	Name, Zone string
+	Front      bool
+}
+
+// event is something that happens at a moment; of two at one moment the one that was planned first.
+type event struct {
+	at  Time
+	seq uint64
+	do  func()
+}
+
+type queue []event
+
+func (q queue) Len() int { return len(q) }
+func (q queue) Less(a, b int) bool {
+	return q[a].at < q[b].at || q[a].at == q[b].at && q[a].seq < q[b].seq
+}
+func (q queue) Swap(a, b int) { q[a], q[b] = q[b], q[a] }
+func (q *queue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *queue) Pop() any {
+	old := *q
+	e := old[len(old)-1]
+	old[len(old)-1] = event{}
+	*q = old[:len(old)-1]
+	return e
+}
+
+// World is one play.
+type World struct {
+	Plan
+	Now    Time
+	Fronts []*Front
+	Stores []*Store
+	Groups []*standin.Group
+	Done   []Done
+	Peers  struct{ Datagrams, Bytes int } // sent between fronts
+
+	queue   queue
+	seq     uint64
+	chance  mwc.Source
+	rules   []*rule
+	held    []parcel // what waits for a cut to end
+	lists   []front.Line
+	listing bool // a change of it is on its way
+	byAddr  map[string]*Store
+	byPeer  map[string]*Front
+	after   [][]int64 // of each group and session, the newest write's position
+	jobs    int
+	load    bool
+	sent    map[string]Time // when a read's newest trip set out
+}
+
+// rule is a cut of the links that it names, one way.
+type rule struct{ on func(from, to Node) bool }
+
+// parcel is something that waits for a cut to end.
+type parcel struct {
+	from, to Node
+	do       func()
+}
+
+// New builds a world; its fronts serve from the beginning.
+func New(p Plan) *World {
+	w := &World{Plan: p, Now: start, chance: mwc.New(p.Seed), byAddr: map[string]*Store{}, byPeer: map[string]*Front{},
+		sent: map[string]Time{}}
+	clock := func() time.Time { return time.Unix(0, w.Now*100_000) }
+	for g := range p.Groups {
+		var names, where []string
+		for k := range p.Zones {
+			zone := p.Zones[(g+k)%len(p.Zones)]
+			for m := range max(p.Members, 1) {
+				names, where = append(names, fmt.Sprintf("g%d-%s-%d", g, zone, m)), append(where, zone)
+			}
+		}
+		group := standin.NewGroup(uint64(g+1), 3*time.Second, names...)
+		group.Clock(clock)
+		w.Groups = append(w.Groups, group)
+		w.after = append(w.after, make([]int64, sessions))
+		for k, name := range names {
+			s := &Store{Node: Node{Name: name, Zone: where[k]}, Group: group, w: w, addr: fmt.Sprintf("127.0.0.1:%d", len(w.Stores)+1),
+				conns: map[*link]bool{}}
+			if k > 0 {
+				group.Lag(name, time.Duration(p.Lag)*100*time.Microsecond)
+			}
+			w.Stores = append(w.Stores, s)
+			w.byAddr[s.addr] = s
+			w.lists = append(w.lists, front.Line{ID: name, Addr: s.addr, Member: balance.Member{Group: group.ID, Zone: s.Zone,
+				Condition: balance.Ready, Primary: k == 0, Size: 1}})
+		}
+	}
+	for n := range p.Fronts {
+		f := &Front{Node: Node{Name: fmt.Sprint("f", n), Zone: p.Zones[n%len(p.Zones)], Front: true}, w: w, n: n,
+			addr: fmt.Sprintf("127.1.%d.%d:1", n/250, n%250+1), chance: mwc.New(p.Seed*31 + uint64(n))}
+		w.Fronts = append(w.Fronts, f)
+		w.byPeer[f.addr] = f
+	}
+	for _, f := range w.Fronts {
+		f.Start()
+	}
+	return w
+}
+
+// At has something happen after a span.
+func (w *World) At(after Time, do func()) {
+	w.seq++
+	heap.Push(&w.queue, event{w.Now + max(after, 0), w.seq, do})
+}
+
+// Run lets a span of time pass.
+func (w *World) Run(span Time) {
+	for end := w.Now + span; ; {
+		if len(w.queue) == 0 || w.queue[0].at > end {
+			w.Now = end
+			return
+		}
+		e := heap.Pop(&w.queue).(event)
+		w.Now = e.at
+		e.do()
+	}
+}
+
+// Cut keeps back whatever goes one way on the links that it names, as a network that is down does: connections stay as
+// they are, and what was kept back arrives once heal is called. Datagrams are lost.
+func (w *World) Cut(on func(from, to Node) bool) (heal func()) {
+	r := &rule{on}
+	w.rules = append(w.rules, r)
+	return func() {
+		for k := range w.rules {
+			if w.rules[k] == r {
+				w.rules = append(w.rules[:k:k], w.rules[k+1:]...)
+				break
+			}
+		}
+		late := w.held
+		w.held = nil
+		for _, p := range late {
+			w.carry(p.from, p.to, p.do)
+		}
+	}
+}
+
+func (w *World) cut(from, to Node) bool {
+	for _, r := range w.rules {
+		if r.on(from, to) {
+			return true
+		}
+	}
+	return false
+}
+
+// carry has something arrive at the other end of a link. All of one link take the same time, so their order holds.
+func (w *World) carry(from, to Node, do func()) {
+	if w.cut(from, to) {
+		w.held = append(w.held, parcel{from, to, do})
+		return
+	}
+	w.At(w.Delay, do)
+}
+
+// Change edits the list of stores and tells it to all fronts, with all else that changes at the same moment.
+func (w *World) Change(edit func(l *front.Line)) {
+	for k := range w.lists {
+		edit(&w.lists[k])
+	}
+	if w.listing {
+		return
+	}
+	w.listing = true
+	w.At(w.Delay+w.ListDelay, func() {
+		w.listing = false
+		l := w.whole(balance.ListWhole)
+		for _, f := range w.Fronts {
+			if f.core != nil {
+				f.lists = append(f.lists, l)
+				f.wake()
+			}
+		}
+	})
+}
+
+func (w *World) whole(news balance.ListNews) front.List {
+	return front.List{News: news, Lines: append([]front.Line(nil), w.lists...)}
+}
+
+// Front is one front of the world.
+type Front struct {
+	Node
+	Dials int // connections that it began to stores
+
+	w       *World
+	n       int
+	addr    string
+	life    int
+	core    *front.Core
+	fleet   *fleet.Fleet
+	bridge  joined.Bridge
+	msg     membership.Message
+	events  []front.Event
+	links   map[*link]bool
+	lists   []front.List
+	idle    []*link // of its clients
+	chance  mwc.Source
+	stepAt  Time // 0: no step is planned
+	frozen  bool
+	left    bool
+	slept   []func() // what came while it was frozen
+	loading bool
+}
+
+// Start begins a front's life, or another one.
+func (f *Front) Start() {
+	w := f.w
+	f.life++
+	f.events, f.links, f.lists, f.idle, f.stepAt, f.frozen, f.left, f.slept = nil, map[*link]bool{}, nil, nil, 0, false, false, nil
+	c := w.Charter
+	c.Fronts, c.Zone, c.Seed = w.Plan.Fronts, f.Zone, w.Seed<<20+uint64(f.n+1)<<8+uint64(f.life)
+	limits := front.Limits{Links: 1000, Clients: 500, Answer: 1 << 16, Rest: 2 * Second, Grace: 600 * Millisecond, Longest: 3 * Second}
+	together := w.Plan.Fleet && (w.Without == nil || !w.Without(f.n))
+	f.fleet = nil
+	if together {
+		var seeds []string
+		for k := range min(3, len(w.Fronts)) {
+			seeds = append(seeds, w.Fronts[k].addr)
+		}
+		f.bridge = joined.NewBridge(&c)
+		limits.Saw = func(store string, how balance.Ending, profile int, took Time) {
+			f.bridge.Saw(w.Now, store, how, profile, took)
+		}
+		f.fleet = fleet.New(w.Now, membership.Self{Name: f.Name, Zone: f.Zone, Addr: f.addr, Incarnation: uint64(f.life), Seed: c.Seed,
+			Period: w.Period, Seeds: seeds, Members: 1024, NoteLife: 20 * w.Period},
+			zones.Self{StartShare: c.StartShare, Cold: c.Cold, FallSpan: c.FallSpan}, host{f})
+		f.bridge.Zones = f.fleet.Zones
+	}
+	var err error
+	f.core, err = front.New(w.Now, c, w.Host, limits, f, func() {}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if err != nil {
+		panic(err) // a plan that no front can start from
+	}
+	known := w.whole(balance.ListCached)
+	f.core.Tell(known)
+	if together {
+		f.bridge.Listed(w.Now, known)
+	}
+	f.wake()
+}
+
+// Kill ends a front at once: its connections break.
+func (f *Front) Kill() {
+	f.core, f.fleet, f.frozen = nil, nil, false
+	for _, l := range f.open() {
+		l.Close()
+	}
+	f.idle = nil
+}
+
+// open gives the front's links in an order that a seed decides and no map.
+func (f *Front) open() (open []*link) {
+	for l := range f.links {
+		open = append(open, l)
+	}
+	sortLinks(open)
+	return open
+}
+
+// Stop asks a front to end, as SIGTERM does.
+func (f *Front) Stop() {
+	if f.core != nil {
+		f.core.Stop(f.w.Now)
+		if f.fleet != nil && !f.left {
+			f.left = true
+			f.fleet.Members.Leave(f.w.Now)
+		}
+		f.wake()
+	}
+}
+
+// Freeze stops the process until Thaw; what comes meanwhile waits.
+func (f *Front) Freeze() { f.frozen = true }
+
+// Thaw has it go on.
+func (f *Front) Thaw() {
+	f.frozen, f.stepAt = false, 0 // a step that came due meanwhile was passed over
+	late := f.slept
+	f.slept = nil
+	for _, do := range late {
+		do()
+	}
+	f.wake()
+}
+
+// Alive tells whether the front runs.
+func (f *Front) Alive() bool { return f.core != nil }
+
+// Part gives the part of ordinary traffic that the front's plan has for a zone, 1 without a fleet.
+func (f *Front) Part(zone string) float64 {
+	if f.fleet != nil {
+		for _, r := range f.fleet.Zones.Rows(f.w.Now) {
+			if r.Zone == zone {
+				return r.Part
+			}
+		}
+	}
+	return 1
+}
+
+// wake plans a step for now.
+func (f *Front) wake() { f.planned(f.w.Now) }
+
+func (f *Front) planned(at Time) {
+	if f.core == nil || f.frozen || f.stepAt != 0 && f.stepAt <= at {
+		return
+	}
+	f.stepAt = at
+	life := f.life
+	f.w.At(at-f.w.Now, func() {
+		if f.life == life && f.stepAt == at && f.core != nil && !f.frozen {
+			f.step()
+		}
+	})
+}
+
+// step is one turn of the front's loop, as cmd/micatrack has it.
+func (f *Front) step() {
+	w := f.w
+	f.stepAt = 0
+	for _, l := range f.lists {
+		f.core.Tell(l)
+		if f.fleet != nil {
+			f.bridge.Listed(w.Now, l)
+		}
+	}
+	f.lists = f.lists[:0]
+	if f.fleet != nil && w.Now >= f.fleet.Next() {
+		f.fleet.Beat(w.Now)
+	}
+	events := f.events
+	f.events = nil
+	for k := range events {
+		l := events[k].Link.(*link)
+		events[k].What, l.what, l.told = l.what, 0, false
+		if events[k].What&front.Closed != 0 {
+			delete(f.links, l)
+		}
+	}
+	f.core.Step(w.Now, events)
+	if f.core.Stopping() && f.core.Done() {
+		f.Kill()
+		return
+	}
+	next := f.core.Next()
+	if f.fleet != nil {
+		next = min(next, f.fleet.Next())
+	}
+	f.planned(max(next, w.Now+1))
+}
+
+// Dial is front.Sockets.
+func (f *Front) Dial(addr string) (front.Link, error) {
+	f.Dials++
+	s := f.w.byAddr[addr]
+	if s == nil {
+		return nil, fmt.Errorf("%s: refused", addr)
+	}
+	l := &link{f: f, other: s.Node, side: s}
+	f.own(l)
+	f.w.carry(f.Node, s.Node, func() { s.accept(l) })
+	return l, nil
+}
+
+func (f *Front) own(l *link) {
+	f.w.seq++
+	l.number = f.w.seq
+	f.links[l] = true
+}
+
+// host is what the front does for its fleet.
+type host struct{ f *Front }
+
+func (h host) Part(zone string, part float64) { h.f.core.Zone(zone, part) }
+func (h host) Log(text string) {
+	if log := h.f.w.Plan.Log; log != nil {
+		log(h.f.w.Now-start, h.f.Name, text)
+	}
+}
+
+func (h host) Send(addr string, m *membership.Message) {
+	w, to := h.f.w, h.f.w.byPeer[addr]
+	text := peers.Append(nil, "world", m)
+	w.Peers.Datagrams++
+	w.Peers.Bytes += len(text)
+	if to == nil || w.chance.Below(1000) < int64(w.PeerLoss) || w.cut(h.f.Node, to.Node) {
+		return
+	}
+	w.At(w.PeerDelay/2+w.chance.Below(w.PeerDelay), func() { to.hear(text, nil) })
+}
+
+func (h host) Exchange(addr string) {
+	f, to := h.f, h.f.w.byPeer[addr]
+	if to == nil {
+		return
+	}
+	w, text := f.w, peers.Append(nil, "world", f.fleet.Members.Open(membership.Whole))
+	w.Peers.Bytes += len(text)
+	w.carry(f.Node, to.Node, func() {
+		to.hear(text, func(back []byte) { w.carry(to.Node, f.Node, func() { f.hear(back, nil) }) })
+	})
+}
+
+// hear takes another front's message in, once the process runs.
+func (f *Front) hear(text []byte, answer func(back []byte)) {
+	if f.frozen {
+		f.slept = append(f.slept, func() { f.hear(text, answer) })
+		return
+	}
+	if f.fleet == nil || peers.Read(text, "world", &f.msg) != nil {
+		return
+	}
+	if f.fleet.Take(f.w.Now, &f.msg) && answer != nil {
+		back := peers.Append(nil, "world", f.fleet.Members.Open(membership.Answer))
+		f.w.Peers.Bytes += len(back)
+		answer(back)
+	}
+	f.planned(max(f.fleet.Next(), f.w.Now))
+	f.wake()
+}
--- /dev/null
+++ b/internal/world/world_test.go
@@ -0,0 +1,223 @@
+package world
+
+import (
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"os"
+	"testing"
+
+	"micatrack/internal/charter"
+)
+
+const (
+	cold     = 8 * Second
+	fallSpan = 1500 * Millisecond
+	inTime   = 300 * Millisecond
+)
+
+// plan gives a fleet in three zones, whose figures are those of the example but for a few.
+func plan(t testing.TB, fronts, groups, members int, rate float64) Plan {
+	text, err := os.ReadFile("../../example/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var file struct{ Settings map[string]any }
+	if err := json.Unmarshal(text, &file); err != nil {
+		t.Fatal(err)
+	}
+	s := file.Settings
+	s["Round"] = 10_000
+	contract, extra := s["Contract"].(map[string]any), s["Extra"].(map[string]any)
+	contract["Cold"], contract["TipAfter"] = cold*100, fallSpan*100
+	extra["SessionMarks"], extra["Behind"] = "carried", "off"
+	extra["Freshness"], extra["OldestData"] = []string{"session", "any", "write", "write", "bounded"}, []int{0, 0, 0, 0, 400_000}
+	s["Profiles"] = append(s["Profiles"].([]any), map[string]any{"Name": "order", "Idempotency": "by_key", "Group": "cell", "Window": 3000000,
+		"Aim": 750000, "HardLimit": 3000000, "Worth": 4},
+		map[string]any{"Name": "near", "Idempotency": "repeatable", "Group": "all", "Aim": 300000, "HardLimit": 1000000, "Worth": 1})
+	text, _ = json.Marshal(s)
+	p := Plan{Fronts: fronts, Zones: []string{"a", "b", "c"}, Groups: groups, Members: members, Cores: 2, Takes: 10 * Millisecond, Queue: 64,
+		Lag: 20 * Millisecond, Delay: Millisecond, Rate: rate, Patience: Second, Period: 500 * Millisecond, PeerDelay: 10 * Millisecond, Seed: 1,
+		Kinds: []Kind{{Profile: "any", Share: 8}, {Profile: "near", Share: 4, Bound: 400 * Millisecond}, {Profile: "mine", Fenced: true, Share: 4},
+			{Profile: "save", Write: true}, {Profile: "order", Write: true, Numbered: true}}}
+	if p.Charter, p.Host, err = charter.Read(text); err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+func rules(t *testing.T, w *World) {
+	t.Helper()
+	broken := w.Check(550 * Millisecond)
+	for k, b := range broken {
+		if k < 5 {
+			t.Errorf("%s (%d in all)", b, len(broken))
+		}
+	}
+}
+
+// digest stands for all that the stores did and the clients were told.
+func digest(w *World) uint64 {
+	h := fnv.New64a()
+	for _, g := range w.Groups {
+		for _, e := range g.Ledger() {
+			fmt.Fprint(h, e.At.UnixNano(), e.Store, e.Job, e.Position)
+		}
+	}
+	for _, d := range w.Done {
+		fmt.Fprint(h, d.Job, d.At, d.Took, d.Lost, d.Delivered)
+	}
+	return h.Sum64()
+}
+
+// TestSamePlay: a plan leads to the same ledgers each time, through a lost zone, a frozen front and a restart.
+func TestSamePlay(t *testing.T) {
+	play := func(seed uint64) uint64 {
+		p := plan(t, 12, 4, 1, 20)
+		p.Fleet, p.Seed, p.PeerLoss = true, seed, 50
+		w := New(p)
+		w.Load()
+		w.Run(3 * Second)
+		heal := w.Cut(func(from, to Node) bool { return (from.Zone == "c") != (to.Zone == "c") })
+		w.Fronts[0].Freeze()
+		w.Run(2 * Second)
+		w.Fronts[0].Thaw()
+		w.Fronts[1].Kill()
+		w.Run(Second)
+		heal()
+		w.Fronts[1].Start()
+		w.Fronts[2].Stop()
+		w.Run(6 * Second)
+		w.Rest()
+		rules(t, w)
+		if w.Fronts[2].Alive() {
+			t.Error("a front that was asked to end has not")
+		}
+		return digest(w)
+	}
+	if a, b, c := play(1), play(1), play(2); a != b || a == c {
+		t.Errorf("digests %x and %x of one seed, %x of another", a, b, c)
+	}
+}
+
+// zoneLost plays 5 s without a zone's stores, which come back cold, and 20 s more.
+func zoneLost(t *testing.T, p Plan) (paid, all Tally, peak float64, w *World) {
+	w = New(p)
+	w.Load()
+	w.Run(15 * Second)
+	at := w.Now
+	heal := w.Cut(func(from, to Node) bool { return (from.Zone == "c" && !from.Front) != (to.Zone == "c" && !to.Front) })
+	for _, s := range w.Stores {
+		if name, _ := s.Group.Primary(); name == s.Name && s.Zone == "c" { // others take over
+			for _, o := range w.Stores {
+				if o.Group == s.Group && o.Zone != "c" {
+					s.Group.Promote(o.Name)
+					break
+				}
+			}
+		}
+	}
+	w.Run(5 * Second)
+	back := w.Now
+	for _, s := range w.Stores {
+		if s.Zone == "c" {
+			s.Up()
+		}
+	}
+	heal()
+	w.Run(20 * Second)
+	end := w.Now
+	w.Rest()
+	rules(t, w)
+	for _, s := range w.Stores {
+		peak = max(peak, s.Peak)
+	}
+	return w.Tally(at, back, inTime), w.Tally(at, end, inTime), peak, w
+}
+
+// TestManyCoresLeaveTogether: a zone's stores fall silent and come back cold, with the fleet and without. 300 fronts and 120
+// stores with MICATRACK_LONG set.
+func TestManyCoresLeaveTogether(t *testing.T) {
+	fronts, groups := 60, 8
+	switch {
+	case raced:
+		fronts, groups = 12, 2
+	case os.Getenv("MICATRACK_LONG") != "":
+		fronts, groups = 300, 40
+	}
+	play := func(on bool) (Tally, float64) {
+		p := plan(t, fronts, groups, 1, 10)
+		p.Fleet, p.PeerLoss, p.PeerDelay = on, 50, 30*Millisecond
+		p.Takes, p.ListDelay = 30*Millisecond, Second // the stores do 2.7 times what is asked of them
+		paid, all, peak, w := zoneLost(t, p)
+		t.Logf("fleet %v: while it is lost %+v; until 20 s after %+v; peak %.2f; %d bytes a second for each front", on, paid, all, peak,
+			w.Peers.Bytes/fronts/40)
+		return paid, peak
+	}
+	off, _ := play(false)
+	on, peak := play(true)
+	if peak > 1 {
+		t.Errorf("a store was sent %.2f of what it bears", peak)
+	}
+	if !raced && 3*(on.Late+on.Back) > 2*(off.Late+off.Back) { // at 300 fronts a quarter
+		t.Errorf("%d jobs late or turned back, %d without the fleet", on.Late+on.Back, off.Late+off.Back)
+	}
+}
+
+// TestSickFrontsAmongMany: one front is starved of processor, one has lost its own network, one is stopped for 3 s, over
+// and over, and half of all have lost their way to every store but not to each other: nobody else leaves a zone for what
+// they see, they are back in the fleet after, and no rule is broken.
+func TestSickFrontsAmongMany(t *testing.T) {
+	p := plan(t, 18, 4, 1, 20)
+	p.Fleet, p.PeerLoss = true, 20
+	w := New(p)
+	w.Load()
+	w.Run(8 * Second)
+	starved, cut, stopped := w.Fronts[0], w.Fronts[1], w.Fronts[2]
+	storeless := map[string]bool{}
+	for _, f := range w.Fronts[3:12] {
+		storeless[f.Name] = true
+	}
+	heal := w.Cut(func(from, to Node) bool {
+		return from.Name == cut.Name || to.Name == cut.Name || storeless[from.Name] && !to.Front && to.Zone != "" || storeless[to.Name] && !from.Front && from.Zone != ""
+	})
+	left := map[string]int{}
+	for k := range 120 {
+		switch k % 40 {
+		case 0:
+			stopped.Freeze()
+		case 30:
+			stopped.Thaw()
+		}
+		starved.Freeze()
+		w.Run(80 * Millisecond)
+		starved.Thaw()
+		w.Run(20 * Millisecond)
+		for _, f := range w.Fronts[12:] {
+			for _, z := range p.Zones {
+				if f.Part(z) < 1 {
+					left[f.Name+" "+z]++
+				}
+			}
+		}
+	}
+	heal()
+	if len(left) > 0 {
+		t.Errorf("left for what sick fronts saw: %v", left)
+	}
+	w.Run(20 * Second)
+	for _, f := range w.Fronts {
+		for _, z := range p.Zones {
+			if f.Part(z) < 1 {
+				t.Errorf("%s has part %v of zone %s when all is well", f.Name, f.Part(z), z)
+			}
+		}
+		for _, e := range f.fleet.Members.List() {
+			if e.State.String() != "alive" {
+				t.Errorf("%s holds %s for %v", f.Name, e.Name, e.State)
+			}
+		}
+	}
+	w.Rest()
+	rules(t, w)
+}
