--- a/cmd/micatrack/fleet.go
+++ b/cmd/micatrack/fleet.go
@@ -36,6 +36,9 @@
 	core   *front.Core
 	log    *slog.Logger
 	bridge joined.Bridge
+	deputy *deputy // nil: no leases
+	name   string  // of the fleet
+	wake   func()
 	asks   chan func()
 	left   bool
 }
@@ -47,13 +50,19 @@
 	if err != nil {
 		return nil, err
 	}
-	t := &together{now: now, peers: p, log: log.With("fleet", f.Name), asks: make(chan func(), 16)}
+	t := &together{now: now, peers: p, name: f.Name, wake: wake, log: log.With("fleet", f.Name), asks: make(chan func(), 16)}
 	span := f.PeriodMS * 10
 	t.bridge = joined.NewBridge(&o.charter)
-	t.Fleet = fleet.New(now(), membership.Self{Name: o.name, Zone: cmp.Or(o.charter.Zone, "-"), Addr: cmp.Or(f.Advertise, p.Addr()),
-		Incarnation: uint64(now()) / 10, Seed: o.charter.Seed, Period: span, Seeds: f.Seeds, Members: f.Members, NoteLife: noteLife * span},
+	addr, life := cmp.Or(f.Advertise, p.Addr()), uint64(now())/10
+	t.Fleet = fleet.New(now(), membership.Self{Name: o.name, Zone: cmp.Or(o.charter.Zone, "-"), Addr: addr, Incarnation: life, Seed: o.charter.Seed, Period: span, Seeds: f.Seeds, Members: f.Members, NoteLife: noteLife * span},
 		zones.Self{StartShare: o.charter.StartShare, Cold: o.charter.Cold, FallSpan: o.charter.FallSpan}, t)
 	t.bridge.Zones = t.Zones
+	if len(f.Lease.Voters) > 0 {
+		if t.deputy, err = depute(t, o, life, addr, wake); err != nil {
+			p.Close()
+			return nil, err
+		}
+	}
 	if f.Control != "" {
 		if err := t.control(f.Control, wake); err != nil {
 			p.Close()
@@ -84,6 +93,9 @@
 	if halt && !t.left {
 		t.left = true
 		t.Members.Leave(now)
+		if t.deputy != nil {
+			t.deputy.Stop(now)
+		}
 	}
 	t.peers.Take(func(m *membership.Message) bool { return t.Fleet.Take(now, m) },
 		func() *membership.Message { return t.Members.Open(membership.Answer) })
@@ -96,9 +108,27 @@
 		}
 		break
 	}
-	if now >= t.Next() {
+	if now >= t.Fleet.Next() {
 		t.Beat(now)
 	}
+	if t.deputy != nil {
+		t.deputy.turn(now)
+	}
+}
+
+// Next is when turn must be called again.
+func (t *together) Next() front.Time {
+	if t.deputy != nil {
+		return min(t.Fleet.Next(), t.deputy.next())
+	}
+	return t.Fleet.Next()
+}
+
+// close ends what has a disk.
+func (t *together) close() {
+	if t.deputy != nil {
+		t.deputy.Close()
+	}
 }
 
 // Send, Exchange, Part and Log are what the fleet's decisions ask for.
@@ -147,6 +177,11 @@
 			}
 		})
 	}
+	if t.deputy != nil {
+		t.deputy.answer(mux)
+	} else {
+		withoutLeases(mux)
+	}
 	handle("GET /members", func(now front.Time, _ url.Values) (any, error) {
 		var list []told
 		for _, e := range t.Members.List() {
@@ -280,5 +315,6 @@
 			return ask(c, "POST", "/order", url.Values{"zone": args}, showPlan)
 		}}
 	root.AddCommand(members, plan, why, leave, back)
+	root.AddCommand(leaseCommands(ask)...)
 	return root
 }
--- /dev/null
+++ b/cmd/micatrack/lease.go
@@ -0,0 +1,274 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"slices"
+	"strconv"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"micatrack/fleet/lease"
+	"micatrack/fleet/summary"
+	"micatrack/fleet/zones"
+	"micatrack/internal/front"
+	"micatrack/internal/leases"
+)
+
+// deputy is what a front does for all of its fleet while it holds leases. It is the loop's.
+type deputy struct {
+	*leases.Leases
+	t         *together
+	summary   *summary.Summary
+	collector string
+	told      chan outcome
+}
+
+// outcome is how the telling of a summary went.
+type outcome struct {
+	refused bool
+	trouble string
+}
+
+// tokenHeader carries the lease's token to whoever takes summaries, which refuses an older one with 409.
+const tokenHeader = "Micatrack-Token"
+
+// depute opens a front's part in leases.
+func depute(t *together, o *orders, life uint64, addr string, wake func()) (*deputy, error) {
+	l := &o.operators.Fleet.Lease
+	if len(l.Voters)%2 == 0 {
+		return nil, fmt.Errorf("lease.voters: %d voters bear no more losses than %d", len(l.Voters), len(l.Voters)-1)
+	}
+	order := leases.Order{Fleet: o.operators.Fleet.Name, Self: lease.Party{Name: o.name, Life: life}, Addr: addr, State: l.State,
+		Terms: lease.Terms{Span: l.SpanMS * 10, Drift: l.Drift, Margin: l.MarginMS * 10}, Seed: o.charter.Seed}
+	for _, v := range l.Voters {
+		if slices.ContainsFunc(order.Seats, func(s lease.Seat) bool { return s.Name == v.Name }) {
+			return nil, fmt.Errorf("lease.voters: %s is named twice", v.Name)
+		}
+		order.Seats = append(order.Seats, lease.Seat{Name: v.Name, Addr: v.Addr})
+	}
+	if l.Collector != "" {
+		u, err := url.Parse(l.Collector)
+		if err != nil {
+			return nil, fmt.Errorf("lease.collector: %w", err)
+		}
+		if at, err := netip.ParseAddrPort(u.Host); err != nil || !at.Addr().IsLoopback() && !at.Addr().IsPrivate() {
+			return nil, fmt.Errorf("lease.collector: %s is neither a loopback nor a private address with a port", u.Host)
+		}
+	}
+	d := &deputy{t: t, collector: l.Collector, told: make(chan outcome, 1)}
+	d.Leases = leases.Open(order, t.now, t.peers, d, wake, t.log)
+	if l.SummaryMS > 0 {
+		d.summary = summary.New(t.now(), l.SummaryMS*10, l.SpanMS*10/4, d)
+		if err := d.Holder.Want(t.now(), summary.Name); err != nil {
+			return nil, err
+		}
+	}
+	return d, nil
+}
+
+// turn is the leases' part of a turn of the loop.
+func (d *deputy) turn(now front.Time) {
+	d.Turn(now)
+	if d.summary == nil {
+		return
+	}
+	select {
+	case o := <-d.told:
+		d.summary.Told(now, o.refused, o.trouble)
+	default:
+	}
+	d.summary.Beat(now)
+}
+
+func (d *deputy) next() front.Time {
+	next := d.Holder.Next()
+	if d.summary != nil {
+		next = min(next, d.summary.Next())
+	}
+	return next
+}
+
+// Held, Lost, May, Tell and Log are what the leases and the summary ask for.
+func (d *deputy) Held(name string, token uint64) {
+	d.t.log.Info("lease held", "lease", name, "token", token)
+	if d.summary != nil && name == summary.Name {
+		d.summary.Held(d.t.now())
+	}
+}
+func (d *deputy) Lost(name, why string) { d.t.log.Info("lease lost", "lease", name, "why", why) }
+func (d *deputy) Log(text string)       { d.t.log.Info(text) }
+func (d *deputy) May(name string, longest front.Time) (uint64, bool) {
+	return d.Holder.May(name, longest)
+}
+
+// Tell logs a summary, and posts it. The loop does not wait for the collector.
+func (d *deputy) Tell(token, number uint64, within front.Time) {
+	states := map[string]int{}
+	for _, e := range d.t.Members.List() {
+		states[e.State.String()]++
+	}
+	rows := d.t.Zones.Rows(d.t.now())
+	away := 0
+	for _, r := range rows {
+		if r.Part < 1 {
+			away++
+		}
+	}
+	d.t.log.Info("summary", "token", token, "number", number, "alive", states["alive"], "suspect", states["suspect"],
+		"dead", states["dead"], "zones", len(rows), "narrowed", away)
+	if d.collector == "" {
+		d.told <- outcome{}
+		return
+	}
+	s := struct {
+		Fleet   string         `json:"fleet"`
+		By      string         `json:"by"`
+		Token   uint64         `json:"token"`
+		Number  uint64         `json:"number"`
+		Members map[string]int `json:"members"`
+		Zones   []zones.Row    `json:"zones"`
+		Leases  *leases.View   `json:"leases,omitempty"`
+	}{d.t.name, d.t.Members.List()[0].Name, token, number, states, rows, nil}
+	until := time.Now().Add(time.Duration(within) * tick)
+	go func() {
+		if v, err := d.View(); err == nil {
+			s.Leases = &v
+		}
+		d.told <- post(d.collector, token, &s, time.Until(until)) // there is room: one is out at a time
+		d.t.wake()
+	}()
+}
+
+// post sends a summary to the collector, and gives it up at its time.
+func post(to string, token uint64, s any, within time.Duration) outcome {
+	if within <= 0 {
+		return outcome{trouble: "its time was over before it could be sent"}
+	}
+	text, err := json.Marshal(s)
+	if err != nil {
+		return outcome{trouble: err.Error()}
+	}
+	r, err := http.NewRequest("POST", to, bytes.NewReader(text))
+	if err != nil {
+		return outcome{trouble: err.Error()}
+	}
+	r.Header.Set("Content-Type", "application/json")
+	r.Header.Set(tokenHeader, strconv.FormatUint(token, 10))
+	resp, err := (&http.Client{Timeout: within, Transport: &http.Transport{DisableKeepAlives: true}}).Do(r)
+	if err != nil {
+		return outcome{trouble: err.Error()}
+	}
+	defer resp.Body.Close()
+	switch resp.StatusCode {
+	case http.StatusConflict:
+		return outcome{refused: true}
+	case http.StatusOK, http.StatusNoContent:
+		return outcome{}
+	}
+	return outcome{trouble: resp.Status}
+}
+
+// leaseCommands ask this machine's front about leases.
+func leaseCommands(ask func(c *cobra.Command, method, path string, q url.Values, show func(w io.Writer, text []byte) error) error) []*cobra.Command {
+	view := func(show func(w *tabwriter.Writer, v *leases.View)) func(out io.Writer, text []byte) error {
+		return func(out io.Writer, text []byte) error {
+			var v leases.View
+			if err := json.Unmarshal(text, &v); err != nil {
+				return err
+			}
+			w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+			show(w, &v)
+			if v.Aside != "" {
+				fmt.Fprintln(w, "this front's voter: "+v.Aside)
+			}
+			return w.Flush()
+		}
+	}
+	showVoters := view(func(w *tabwriter.Writer, v *leases.View) {
+		fmt.Fprintln(w, "NUMBER\tNAME\tADDRESS\tLEADS\tHERE")
+		for _, c := range v.Chairs {
+			fmt.Fprintf(w, "%d\t%s\t%s\t%v\t%v\n", c.ID, c.Name, c.Addr, c.Leads, c.Here)
+		}
+	})
+	held := &cobra.Command{Use: "leases", Short: "List the leases, as this front's voter has them", Args: unexpected,
+		RunE: func(c *cobra.Command, _ []string) error {
+			return ask(c, "GET", "/leases", nil, view(func(w *tabwriter.Writer, v *leases.View) {
+				fmt.Fprintln(w, "LEASE\tHOLDER\tLIFE\tTOKEN\tKEPT FOR\tWAITING")
+				for _, l := range v.Leases {
+					kept := "as the leader has it"
+					if v.Leads {
+						kept = fmt.Sprint(time.Duration(l.Left) * tick)
+					}
+					fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%s\t%d\n", l.Name, l.Holder.Name, l.Holder.Life, l.Token, kept, l.Waiters)
+				}
+			}))
+		}}
+	voters := &cobra.Command{Use: "voters", Short: "List who grants leases, and who leads them", Args: unexpected,
+		RunE: func(c *cobra.Command, _ []string) error { return ask(c, "GET", "/leases", nil, showVoters) }}
+	voter := &cobra.Command{Use: "voter", Short: "Change who grants leases, one at a time; asked of the front whose voter leads"}
+	var name, addr string
+	add := &cobra.Command{Use: "add NUMBER", Short: "Add a voter by the number that its state was made with", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			return ask(c, "POST", "/voter", url.Values{"number": args, "name": {name}, "addr": {addr}, "add": {"1"}}, showVoters)
+		}}
+	add.Flags().StringVar(&name, "name", "", "name of its front")
+	add.Flags().StringVar(&addr, "addr", "", "IP:PORT in the fleet")
+	remove := &cobra.Command{Use: "remove NUMBER", Short: "Take a voter's vote away, for good", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			return ask(c, "POST", "/voter", url.Values{"number": args}, showVoters)
+		}}
+	voter.AddCommand(add, remove)
+	return []*cobra.Command{held, voters, voter}
+}
+
+// answer serves the commands that are the voter's matter and not the loop's.
+func (d *deputy) answer(mux *http.ServeMux) {
+	reply := func(w http.ResponseWriter, v leases.View, err error) {
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusConflict)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		json.NewEncoder(w).Encode(v)
+	}
+	mux.HandleFunc("GET /leases", func(w http.ResponseWriter, _ *http.Request) {
+		v, err := d.View()
+		reply(w, v, err)
+	})
+	mux.HandleFunc("POST /voter", func(w http.ResponseWriter, r *http.Request) {
+		q := r.URL.Query()
+		id, err := strconv.ParseUint(q.Get("number"), 10, 64)
+		add := q.Get("add") != ""
+		if _, bad := netip.ParseAddrPort(q.Get("addr")); err == nil && add && (bad != nil || q.Get("name") == "") {
+			err = fmt.Errorf("give --name and --addr of the voter's front")
+		}
+		if err == nil {
+			err = d.Change(lease.Seat{ID: id, Name: q.Get("name"), Addr: q.Get("addr")}, add)
+		}
+		var v leases.View
+		for n := 0; err == nil && n < 40; n++ { // until it counts
+			if v, err = d.View(); slices.ContainsFunc(v.Chairs, func(c leases.Chair) bool { return c.ID == id }) == add {
+				break
+			}
+			time.Sleep(25 * time.Millisecond)
+		}
+		reply(w, v, err)
+	})
+}
+
+// withoutLeases answers the same commands where no leases are switched on.
+func withoutLeases(mux *http.ServeMux) {
+	no := func(w http.ResponseWriter, _ *http.Request) {
+		http.Error(w, "fleet.lease is not switched on", http.StatusConflict)
+	}
+	mux.HandleFunc("GET /leases", no)
+	mux.HandleFunc("POST /voter", no)
+}
--- a/cmd/micatrack/serve.go
+++ b/cmd/micatrack/serve.go
@@ -226,6 +226,9 @@
 			net.Deafen()
 		}
 	}
+	if others != nil {
+		others.close()
+	}
 	log.Info("stopped")
 	return nil
 }
--- a/cmd/micatrack/state.go
+++ b/cmd/micatrack/state.go
@@ -13,13 +13,14 @@
 func stateCommands() *cobra.Command {
 	var fleet, voter string
 	var first, asJSON bool
+	var voters []string
 	root := &cobra.Command{Use: "state", Short: "Make or look at what a voter of the fleet's leases keeps on disk"}
 	create := &cobra.Command{Use: "create FILE", Short: "Make the state of a voter's first life; it replaces none", Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
 			if fleet == "" || voter == "" {
 				return fmt.Errorf("give --fleet and --voter")
 			}
-			w, err := record.Create(args[0], fleet, voter, first)
+			w, err := record.Create(args[0], fleet, voter, first, voters)
 			if err != nil {
 				return exit{1, err}
 			}
@@ -28,6 +29,7 @@
 		}}
 	create.Flags().StringVar(&fleet, "fleet", "", "name of the fleet")
 	create.Flags().StringVar(&voter, "voter", "", "name of the front that votes")
+	create.Flags().StringSliceVar(&voters, "voters", nil, "names of the fleet's first voters, the same on all")
 	create.Flags().BoolVar(&first, "first", false,
 		"it is one of the fleet's first voters; never for one that lost its disk: that one is removed, and added anew")
 	show := &cobra.Command{Use: "show FILE", Short: "Show what is in it", Args: cobra.ExactArgs(1),
--- a/fleet/lease/book.go
+++ b/fleet/lease/book.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -16,6 +17,7 @@
 	MostLeases = 10_000
 	MostName   = 64
 	mostWait   = 1024 // who wait for one lease
+	mostSeats  = 16   // voters added after the first start that are there at once
 	format     = 1
 )
 
@@ -104,6 +106,7 @@
 	grants  []grant // by place; a free one has no name
 	byName  map[string]int
 	free    []int
+	seats   []Seat // by number
 	Applied uint64 // index of the last entry
 }
 
@@ -150,6 +153,36 @@
 	return g, was, true
 }
 
+func (s *Seat) append(dst []byte) []byte {
+	dst = append(append(dst, format, byte(len(s.Name))), s.Name...)
+	return append(append(dst, byte(len(s.Addr))), s.Addr...)
+}
+
+func readSeat(id uint64, b []byte) (Seat, error) {
+	r := reader{b: b}
+	if r.byte() != format {
+		return Seat{}, errShape
+	}
+	s := Seat{ID: id, Name: r.text(), Addr: r.text()}
+	if r.bad || len(r.b) > 0 || id == 0 {
+		return s, errShape
+	}
+	return s, nil
+}
+
+// seat notes a voter that was added, or that one has gone.
+func (b *Book) seat(s Seat, there bool) {
+	k, has := slices.BinarySearchFunc(b.seats, s.ID, func(x Seat, id uint64) int { return cmp.Compare(x.ID, id) })
+	switch {
+	case has && there:
+		b.seats[k] = s
+	case has:
+		b.seats = slices.Delete(b.seats, k, k+1)
+	case there && len(b.seats) < mostSeats:
+		b.seats = slices.Insert(b.seats, k, s)
+	}
+}
+
 // snapshot gives the whole book.
 func (b *Book) snapshot() []byte {
 	var held []grant
@@ -165,6 +198,11 @@
 		part := e.append(nil)
 		dst = append(binary.AppendUvarint(dst, uint64(len(part))), part...)
 	}
+	dst = binary.AppendUvarint(dst, uint64(len(b.seats)))
+	for k := range b.seats {
+		part := b.seats[k].append(nil)
+		dst = append(binary.AppendUvarint(binary.AppendUvarint(dst, b.seats[k].ID), uint64(len(part))), part...)
+	}
 	return dst
 }
 
@@ -192,6 +230,22 @@
 		b.byName[e.name] = len(b.grants)
 		b.grants = append(b.grants, grant{e.name, e.holder, e.over})
 	}
+	seats := r.number()
+	if r.bad || seats > mostSeats {
+		return nil, errShape
+	}
+	for range seats {
+		id, size := r.number(), r.number()
+		if r.bad || size > uint64(len(r.b)) {
+			return nil, errShape
+		}
+		s, err := readSeat(id, r.b[:size])
+		r.b = r.b[size:]
+		if err != nil || len(b.seats) > 0 && b.seats[len(b.seats)-1].ID >= id {
+			return nil, errShape
+		}
+		b.seats = append(b.seats, s)
+	}
 	if r.bad || len(r.b) > 0 {
 		return nil, errShape
 	}
--- a/fleet/lease/lease_test.go
+++ b/fleet/lease/lease_test.go
@@ -154,7 +154,7 @@
 func TestChangeOfVoters(t *testing.T) {
 	w := ready(flaw{})
 	for _, id := range []uint64{3} {
-		if err := w.leader().v.Change(w.leader().clock(), id, false); err != nil {
+		if err := w.leader().v.Change(w.leader().clock(), Seat{ID: id}, false); err != nil {
 			t.Fatal(err)
 		}
 		for range 20 {
@@ -165,7 +165,7 @@
 			t.Errorf("%d voters", n)
 		}
 	}
-	if err := w.leader().v.Change(w.leader().clock(), 3, true); err != nil {
+	if err := w.leader().v.Change(w.leader().clock(), Seat{ID: 3, Name: "c", Addr: "there"}, true); err != nil {
 		t.Fatal(err)
 	}
 	for range 40 {
@@ -178,7 +178,7 @@
 	if _, ok := w.askers[0].h.May("l", 0); !ok || w.trouble != "" {
 		t.Errorf("the lease is lost: %s %v", w.trouble, w.log)
 	}
-	if err := w.voters[1].v.Change(0, 9, true); err == nil {
+	if err := w.voters[1].v.Change(0, Seat{ID: 9}, true); err == nil {
 		t.Error("one that does not lead changes voters")
 	}
 }
--- a/fleet/lease/voter.go
+++ b/fleet/lease/voter.go
@@ -21,6 +21,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"slices"
 
 	"go.etcd.io/raft/v3"
 	pb "go.etcd.io/raft/v3/raftpb"
@@ -35,6 +36,7 @@
 	keepLog   = 2000 // entries kept behind a snapshot for those that lag
 	foldAt    = 4000 // entries after which a snapshot is made
 	mostOpen  = 1024 // proposals and reads that a leader has open
+	mostEntry = 4096 // bytes of one entry
 	mostSize  = 800  // bytes of entries in one message, so that most go as datagrams
 	ticksSpan = 60   // ticks in a lease's span
 )
@@ -106,6 +108,14 @@
 	readID   uint64
 	folded   uint64 // index of the last snapshot
 	aside    error
+	changing bool   // a change of the voters is proposed
+	Refused  uint64 // messages that could not be another voter's
+}
+
+// Seat is a voter that was added after the fleet's first start, with where it is reached.
+type Seat struct {
+	ID         uint64
+	Name, Addr string
 }
 
 // ErrAside: the voter takes no part any more.
@@ -138,7 +148,7 @@
 	v.conf, v.folded = k.Snapshot.GetMetadata().GetConfState(), k.Snapshot.GetMetadata().GetIndex()
 	v.book.Applied = v.folded
 	v.node, err = raft.NewRawNode(&raft.Config{ID: id, ElectionTick: election, HeartbeatTick: beatTicks, Storage: v.disk, Applied: v.folded,
-		MaxSizePerMsg: mostSize, MaxInflightMsgs: 64, MaxUncommittedEntriesSize: 1 << 20, CheckQuorum: true, PreVote: true,
+		MaxSizePerMsg: mostSize, MaxInflightMsgs: 64, MaxUncommittedEntriesSize: 1 << 20, CheckQuorum: true, PreVote: true, StepDownOnRemoval: true,
 		DisableProposalForwarding: true, Logger: quiet{}})
 	if err != nil {
 		return nil, err
@@ -209,6 +219,10 @@
 	if v.now = now; v.aside != nil {
 		return
 	}
+	if why := v.unsound(m); why != "" {
+		v.Refused++
+		return
+	}
 	switch m.GetType() {
 	case pb.MsgApp, pb.MsgHeartbeat, pb.MsgSnap:
 		if m.GetTerm() >= v.node.BasicStatus().GetTerm() {
@@ -223,6 +237,50 @@
 	v.turn()
 }
 
+// unsound tells what is wrong with another voter's message, "" if nothing is that can be seen from here.
+// Danger: the log's core takes what it is told for what another core says; what cannot be ends it, and this voter with it.
+func (v *Voter) unsound(m *pb.Message) string {
+	switch m.GetType() {
+	case pb.MsgApp, pb.MsgAppResp, pb.MsgVote, pb.MsgVoteResp, pb.MsgSnap, pb.MsgHeartbeat, pb.MsgHeartbeatResp, pb.MsgTimeoutNow,
+		pb.MsgPreVote, pb.MsgPreVoteResp, pb.MsgReadIndex, pb.MsgReadIndexResp:
+	default:
+		return "a kind that voters do not send each other"
+	}
+	if m.GetTo() != v.id || m.GetFrom() == 0 || m.GetFrom() == v.id || m.GetTerm() == 0 {
+		return "of nobody, or for another"
+	}
+	last, err := v.disk.LastIndex()
+	if err != nil {
+		return err.Error()
+	}
+	index, term := m.GetIndex(), m.GetLogTerm()
+	for _, e := range m.GetEntries() {
+		if index++; e.GetIndex() != index || e.GetTerm() < term || e.GetTerm() > m.GetTerm() || len(e.Data) > mostEntry {
+			return "entries that do not follow each other"
+		}
+		term = e.GetTerm()
+	}
+	switch m.GetType() {
+	case pb.MsgHeartbeat:
+		if m.GetCommit() > last {
+			return "more is committed than was ever sent here"
+		}
+	case pb.MsgAppResp, pb.MsgHeartbeatResp:
+		if m.GetIndex() > last && !m.GetReject() {
+			return "it has more than was ever sent"
+		}
+	case pb.MsgSnap:
+		s := m.GetSnapshot().GetMetadata()
+		if s.GetIndex() == 0 || s.GetTerm() > m.GetTerm() || len(s.GetConfState().GetVoters()) == 0 {
+			return "a snapshot of nothing"
+		}
+		if b, err := readBook(m.GetSnapshot().GetData()); err != nil || b.Applied != s.GetIndex() {
+			return "a snapshot that is none"
+		}
+	}
+	return ""
+}
+
 // Hear takes a question in, of an asker or passed on by another voter.
 func (v *Voter) Hear(now Time, a Ask) {
 	defer v.guard()
@@ -418,7 +476,7 @@
 	if v.leads == leads {
 		return
 	}
-	if v.leads, v.readyAt = leads, 0; !leads {
+	if v.leads, v.readyAt, v.changing = leads, 0, false; !leads {
 		v.timed, v.order, v.reads, v.open = map[string]*term{}, nil, nil, 0
 		v.silent, v.patience = 0, v.draw()
 	}
@@ -443,16 +501,14 @@
 }
 
 func (v *Voter) changed(e *pb.Entry) {
-	if e.GetType() == pb.EntryConfChangeV2 {
-		var c pb.ConfChangeV2
-		if proto.Unmarshal(e.Data, &c) == nil {
-			v.conf = v.node.ApplyConfChange(&c)
-		}
-		return
-	}
+	v.changing = false
 	var c pb.ConfChange
-	if proto.Unmarshal(e.Data, &c) == nil {
-		v.conf = v.node.ApplyConfChange(&c)
+	if e.GetType() != pb.EntryConfChange || proto.Unmarshal(e.Data, &c) != nil {
+		return // no voter proposes another kind
+	}
+	v.conf = v.node.ApplyConfChange(&c)
+	if seat, err := readSeat(c.GetNodeId(), c.Context); err == nil {
+		v.book.seat(seat, c.GetType() == pb.ConfChangeAddNode)
 	}
 }
 
@@ -533,11 +589,22 @@
 }
 
 // Change adds a voter, or removes one. One change at a time; the next only once this is done.
-func (v *Voter) Change(now Time, id uint64, add bool) error {
+func (v *Voter) Change(now Time, s Seat, add bool) error {
+	defer v.guard()
 	v.now = now
+	if v.aside != nil {
+		return v.aside
+	}
 	if !v.leads || v.readyAt == 0 {
 		return fmt.Errorf("voter %d does not lead; voter %d does, as far as it knows", v.id, v.Leader())
 	}
+	if v.changing {
+		return fmt.Errorf("another change is not done yet")
+	}
+	if len(s.Name) > MostName || len(s.Addr) > MostName || s.ID == 0 {
+		return fmt.Errorf("no number, or a name or address over %d bytes", MostName)
+	}
+	votes := slices.Contains(v.conf.Voters, s.ID)
 	kind := pb.ConfChangeAddNode
 	if !add {
 		kind = pb.ConfChangeRemoveNode
@@ -545,11 +612,36 @@
 			return fmt.Errorf("the last voter cannot be removed")
 		}
 	}
-	err := v.node.ProposeConfChange(&pb.ConfChange{Type: kind.Enum(), NodeId: &id})
+	if votes == add {
+		return fmt.Errorf("voter %d has a vote: %v", s.ID, votes)
+	}
+	err := v.node.ProposeConfChange(&pb.ConfChange{Type: kind.Enum(), NodeId: &s.ID, Context: s.append(nil)})
+	v.changing = err == nil
 	v.turn()
 	return err
 }
 
+// Yield hands the lead to the voter that has most of the log, before a planned stop.
+func (v *Voter) Yield(now Time) {
+	defer v.guard()
+	if v.now = now; v.aside != nil || !v.leads {
+		return
+	}
+	best, match := uint64(0), uint64(0)
+	for _, id := range v.conf.Voters { // in their order
+		if p, ok := v.node.Status().Progress[id]; ok && id != v.id && p.RecentActive && p.Match > match {
+			best, match = id, p.Match
+		}
+	}
+	if best != 0 {
+		v.node.TransferLeader(best)
+		v.turn()
+	}
+}
+
+// Seats gives the voters that were added after the first start.
+func (v *Voter) Seats() []Seat { return v.book.seats }
+
 // Grants gives all leases, by name, with how long the leader keeps each (0 where this voter does not lead).
 func (v *Voter) Grants() (list []Grant) {
 	for _, g := range v.book.grants {
--- /dev/null
+++ b/fleet/summary/summary.go
@@ -0,0 +1,69 @@
+// Package summary has one front tell a summary of the fleet, once a span, for all of them. It does no I/O, reads no clock
+// and draws nothing by chance.
+//
+// Who tells it holds a lease (fleet/lease). A summary is begun only where the lease says that it will be over in time; it
+// goes with the lease's token, and whoever takes summaries refuses a token that is older than one that it has seen. That
+// second guard carries the proof, for a process can be stopped between its look at the clock and its act; the first one
+// keeps such refusals rare.
+package summary
+
+// Time is a moment or a span in whole tenths of a millisecond.
+type Time = int64
+
+// Name of the lease.
+const Name = "summary"
+
+// Host is what a front does for this package.
+type Host interface {
+	May(name string, longest Time) (token uint64, ok bool) // whether an act of at most so long may begin now
+	Tell(token uint64, number uint64, within Time)         // the summary; Told follows
+	Log(text string)
+}
+
+// Summary is one front's part.
+type Summary struct {
+	host    Host
+	every   Time
+	longest Time // that telling may take
+	next    Time
+	number  uint64
+	out     bool // one is being told
+}
+
+// New starts with nothing told. Telling takes longest at most.
+func New(now, every, longest Time, h Host) *Summary {
+	return &Summary{host: h, every: max(every, 1), longest: longest, next: now}
+}
+
+// Held is told when the lease is this front's: the one before may have told its last one long ago.
+func (s *Summary) Held(now Time) { s.next = now }
+
+// Told takes in how it went.
+func (s *Summary) Told(now Time, refused bool, trouble string) {
+	s.out = false
+	switch {
+	case refused:
+		s.host.Log("the summary was refused: another front has a newer lease")
+	case trouble != "":
+		s.host.Log("the summary was not told: " + trouble)
+	}
+}
+
+// Next is when Beat must be called again.
+func (s *Summary) Next() Time { return s.next }
+
+// Beat tells a summary if one is due and this front may.
+func (s *Summary) Beat(now Time) {
+	if now < s.next {
+		return
+	}
+	s.next = now + s.every
+	if s.out { // Danger: of two that are under way the older may arrive last.
+		return
+	}
+	if token, ok := s.host.May(Name, s.longest); ok {
+		s.out = true
+		s.number++
+		s.host.Tell(token, s.number, s.longest)
+	}
+}
--- /dev/null
+++ b/internal/leases/leases.go
@@ -0,0 +1,358 @@
+// Package leases carries what fleet/lease decides for one front: the holder's questions and the voters' messages go by
+// internal/peers, a voter's promises to its disk by internal/record. It decides nothing.
+//
+// The holder is the front's loop's. A voter has a goroutine of its own, since it waits for its disk and the loop never
+// does: when the disk stands still the vote does, and jobs go on.
+package leases
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sys/unix"
+	"google.golang.org/protobuf/proto"
+
+	pb "go.etcd.io/raft/v3/raftpb"
+
+	"micatrack/fleet/lease"
+	"micatrack/internal/peers"
+	"micatrack/internal/record"
+)
+
+const (
+	waiting = 1024 // messages that wait for the voter, and answers for the loop
+	tick    = 100 * time.Microsecond
+)
+
+// Time is a moment or a span in whole tenths of a millisecond.
+type Time = lease.Time
+
+// Order is what the operators want.
+type Order struct {
+	Fleet string
+	Self  lease.Party
+	Addr  string       // where other fronts reach this one
+	Seats []lease.Seat // the voters of the first start, by name and address; numbers are filled in
+	State string       // this front's vote on disk; empty: it has none
+	Terms lease.Terms
+	Seed  uint64
+}
+
+// Host is what the front does for its leases.
+type Host interface {
+	Held(name string, token uint64)
+	Lost(name, why string)
+}
+
+// Leases is one front's part. All but what is said to be a voter's is the loop's.
+type Leases struct {
+	Holder  *lease.Holder
+	Dropped atomic.Int64 // messages that could not be read, or that nobody had room for
+
+	host    Host
+	order   Order
+	now     func() Time
+	peers   *peers.Peers
+	wake    func()
+	log     *slog.Logger
+	replies chan lease.Reply
+	vote    *vote // nil: none
+}
+
+// Open starts a front's part. A vote that its disk does not bear out is left aside, with one line in the log.
+func Open(o Order, now func() Time, p *peers.Peers, h Host, wake func(), log *slog.Logger) *Leases {
+	l := &Leases{host: h, order: o, now: now, peers: p, wake: wake, log: log, replies: make(chan lease.Reply, waiting)}
+	for k := range l.order.Seats {
+		l.order.Seats[k].ID = record.FirstID(o.Fleet, l.order.Seats[k].Name)
+	}
+	l.Holder = lease.NewHolder(now(), o.Self, o.Addr, len(o.Seats), o.Terms, o.Seed, holder{l})
+	if o.State != "" {
+		v, err := l.voter()
+		if err != nil {
+			log.Error("no vote: this front takes no part in granting leases", "state", o.State, "error", err.Error())
+		} else {
+			l.vote = v
+			go v.run()
+		}
+	}
+	p.OnLease(l.take)
+	return l
+}
+
+// Turn is the leases' part of a turn of the loop.
+func (l *Leases) Turn(now Time) {
+	for range waiting {
+		select {
+		case r := <-l.replies:
+			l.Holder.Take(now, r)
+			continue
+		default:
+		}
+		break
+	}
+	if now >= l.Holder.Next() {
+		l.Holder.Beat(now)
+	}
+}
+
+// Stop hands over what this front holds and leads, before a planned end.
+func (l *Leases) Stop(now Time) {
+	l.Holder.DropAll(now)
+	if l.vote != nil {
+		l.vote.put(func(v *lease.Voter) { v.Yield(l.now()) })
+	}
+}
+
+// Close ends the voter and gives its disk back.
+func (l *Leases) Close() {
+	if l.vote != nil {
+		close(l.vote.stop)
+		<-l.vote.done
+	}
+}
+
+// holder is what the holder asks for.
+type holder struct{ l *Leases }
+
+func (h holder) Held(name string, token uint64) { h.l.host.Held(name, token) }
+func (h holder) Lost(name, why string)          { h.l.host.Lost(name, why) }
+
+// Moment gives this machine's two clocks. Danger: the monotonic one stands still while the machine sleeps.
+func (h holder) Moment() (mono, boot Time) {
+	var m, b unix.Timespec
+	unix.ClockGettime(unix.CLOCK_MONOTONIC, &m)
+	unix.ClockGettime(unix.CLOCK_BOOTTIME, &b)
+	mono = h.l.now()
+	return mono, mono + (b.Nano()-m.Nano())/int64(tick)
+}
+
+func (h holder) Ask(voter int, a lease.Ask) {
+	l := h.l
+	s := &l.order.Seats[voter]
+	if l.vote != nil && l.vote.id == s.ID {
+		l.vote.put(func(v *lease.Voter) { v.Hear(l.now(), a) })
+		return
+	}
+	l.peers.Lease(s.Addr, peers.AppendLease(nil, &peers.Lease{To: s.ID, Ask: &a}))
+}
+
+// take is called by the goroutines that read: it sorts what comes and waits for nobody.
+func (l *Leases) take(b []byte) {
+	m, err := peers.ReadLease(b)
+	switch {
+	case err != nil:
+		l.Dropped.Add(1)
+	case m.Reply != nil && m.To == 0:
+		l.reply(*m.Reply)
+	case l.vote == nil:
+		l.Dropped.Add(1)
+	case m.Reply != nil: // the leader's, for an asker that reached this voter alone
+		m.To = 0
+		l.peers.Lease(m.Addr, peers.AppendLease(nil, &m))
+	case m.Ask != nil:
+		a := *m.Ask
+		l.vote.put(func(v *lease.Voter) { v.Hear(l.now(), a) })
+	case m.Roll != l.vote.disk.Who.Roll():
+		l.Dropped.Add(1)
+		l.vote.strange.Do(func() {
+			l.log.Error("a voter of this fleet began from another list of first voters; its messages are dropped", "voter", m.From)
+		})
+	default:
+		var in pb.Message
+		if proto.Unmarshal(m.Log, &in) != nil {
+			l.Dropped.Add(1)
+			return
+		}
+		l.vote.put(func(v *lease.Voter) { v.Take(l.now(), &in) })
+	}
+}
+
+func (l *Leases) reply(r lease.Reply) {
+	select {
+	case l.replies <- r:
+		l.wake()
+	default:
+		l.Dropped.Add(1)
+	}
+}
+
+// vote is this front's voter, with its goroutine.
+type vote struct {
+	l          *Leases
+	id         uint64
+	v          *lease.Voter
+	disk       *record.Disk
+	in         chan func(v *lease.Voter)
+	stop, done chan struct{}
+	strange    sync.Once
+}
+
+func (l *Leases) voter() (*vote, error) {
+	disk, kept, err := record.Open(l.order.State, l.order.Fleet, l.order.Self.Name)
+	if err != nil {
+		return nil, err
+	}
+	v := &vote{l: l, id: disk.Who.ID, disk: disk, in: make(chan func(v *lease.Voter), waiting), stop: make(chan struct{}), done: make(chan struct{})}
+	if v.v, err = lease.NewVoter(l.now(), v.id, disk.Who.IDs(), kept, l.order.Terms, l.order.Seed^v.id, v); err != nil {
+		disk.Close()
+		return nil, err
+	}
+	return v, nil
+}
+
+// put hands something to the voter; what it has no room for is lost, as on any link.
+func (v *vote) put(do func(v *lease.Voter)) bool {
+	select {
+	case v.in <- do:
+		return true
+	default:
+		v.l.Dropped.Add(1)
+		return false
+	}
+}
+
+func (v *vote) run() {
+	defer close(v.done)
+	defer v.disk.Close()
+	debug.SetPanicOnFault(true) // a page of the disk that is gone ends this vote and not the process
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		timer.Reset(max(time.Duration(v.v.Next()-v.l.now())*tick, 0))
+		select {
+		case <-v.stop:
+			return
+		case do := <-v.in:
+			do(v.v)
+		case <-timer.C:
+		}
+		if v.v.Aside() != nil {
+			v.idle()
+			return
+		}
+		v.v.Beat(v.l.now())
+	}
+}
+
+// idle is a voter that has stepped aside: it still says so to those who ask this machine.
+func (v *vote) idle() {
+	for {
+		select {
+		case <-v.stop:
+			return
+		case do := <-v.in:
+			do(v.v)
+		}
+	}
+}
+
+// Save, Carry, Pass, Reply and Log are what the voter asks for.
+func (v *vote) Save(b lease.Batch) error { return v.disk.Save(b) }
+
+func (v *vote) Carry(to uint64, m *pb.Message) {
+	text, err := proto.Marshal(m)
+	if err == nil {
+		v.send(to, &peers.Lease{From: v.id, To: to, Log: text, Roll: v.disk.Who.Roll()})
+	}
+}
+
+func (v *vote) Pass(to uint64, a lease.Ask) { v.send(to, &peers.Lease{From: v.id, To: to, Ask: &a}) }
+
+func (v *vote) Reply(via uint64, addr string, r lease.Reply) {
+	switch {
+	case r.To == v.l.order.Self:
+		v.l.reply(r)
+	case via != 0 && via != v.id:
+		v.send(via, &peers.Lease{From: v.id, To: via, Reply: &r, Addr: addr})
+	default:
+		v.l.peers.Lease(addr, peers.AppendLease(nil, &peers.Lease{From: v.id, Reply: &r}))
+	}
+}
+
+func (v *vote) Log(text string) { v.l.log.Info(text) }
+
+// send goes to a voter by the address that the record has, or the operators' file.
+func (v *vote) send(to uint64, m *peers.Lease) {
+	for _, seats := range [...][]lease.Seat{v.v.Seats(), v.l.order.Seats} {
+		for k := range seats {
+			if seats[k].ID == to {
+				v.l.peers.Lease(seats[k].Addr, peers.AppendLease(nil, m))
+				return
+			}
+		}
+	}
+}
+
+// Chair is one voter, as it is shown.
+type Chair struct {
+	ID    uint64 `json:"id"`
+	Name  string `json:"name"`
+	Addr  string `json:"addr"`
+	Leads bool   `json:"leads"`
+	Here  bool   `json:"here"`
+}
+
+// View is what this front's voter has of the record.
+type View struct {
+	Chairs []Chair       `json:"voters"`
+	Leases []lease.Grant `json:"leases"`
+	Leads  bool          `json:"leads"`
+	Aside  string        `json:"aside,omitempty"`
+}
+
+var errNoVote = errors.New("this front has no vote: ask one that has")
+
+// View asks this front's voter, within a second.
+func (l *Leases) View() (w View, err error) {
+	err = l.ask(func(v *lease.Voter) error {
+		lead := v.Leader()
+		name := func(id uint64) (n, addr string) {
+			for _, seats := range [...][]lease.Seat{v.Seats(), l.order.Seats} {
+				for _, s := range seats {
+					if s.ID == id {
+						return s.Name, s.Addr
+					}
+				}
+			}
+			return fmt.Sprint("number ", id), ""
+		}
+		for _, id := range v.Voters() {
+			c := Chair{ID: id, Leads: id == lead, Here: id == l.vote.id}
+			c.Name, c.Addr = name(id)
+			w.Chairs = append(w.Chairs, c)
+		}
+		w.Leases, w.Leads = v.Grants(), v.Leads()
+		if err := v.Aside(); err != nil {
+			w.Aside = err.Error()
+		}
+		return nil
+	})
+	return w, err
+}
+
+// Change adds a voter or removes one, by way of this front's, which has to lead.
+func (l *Leases) Change(s lease.Seat, add bool) error {
+	return l.ask(func(v *lease.Voter) error { return v.Change(l.now(), s, add) })
+}
+
+// ask has the voter do something and waits for it. It is not the loop's to call.
+func (l *Leases) ask(do func(v *lease.Voter) error) error {
+	if l.vote == nil {
+		return errNoVote
+	}
+	done := make(chan error, 1)
+	if !l.vote.put(func(v *lease.Voter) { done <- do(v) }) {
+		return errors.New("the voter is too busy")
+	}
+	select {
+	case err := <-done:
+		return err
+	case <-time.After(time.Second):
+		return errors.New("the voter does not answer: its disk may stand still")
+	}
+}
--- a/internal/operators/operators.go
+++ b/internal/operators/operators.go
@@ -33,8 +33,23 @@
 	PeriodMS                         int64 `json:"period_ms"`
 	JoinMS                           int64 `json:"join_ms"` // for which a start waits to hear of plans, at most
 	Members                          int   // known at once, at most
+	Lease                            Lease
 }
 
+// Lease is what one front does for the whole fleet, and who grants it. Off without voters.
+type Lease struct {
+	Voters    []Voter
+	State     string // this front's vote on disk
+	SpanMS    int64  `json:"span_ms"`
+	Drift     float64
+	MarginMS  int64 `json:"margin_ms"`
+	SummaryMS int64 `json:"summary_ms"`
+	Collector string
+}
+
+// Voter is a front that grants leases.
+type Voter struct{ Name, Addr string }
+
 // Bolt is the listener for clients that speak Bolt.
 type Bolt struct {
 	On                bool
@@ -105,18 +120,19 @@
 	if err != nil {
 		return nil, o, err
 	}
-	parts := map[string]map[string]any{}
-	for part, p := range s.Properties {
-		for key, q := range p.Properties {
+	var parts func(s *jsonschema.Schema) map[string]any
+	parts = func(s *jsonschema.Schema) map[string]any {
+		found := map[string]any{}
+		for key, q := range s.Properties {
 			if q.Default != nil {
-				if parts[part] == nil {
-					parts[part] = map[string]any{}
-				}
-				parts[part][key] = *q.Default
+				found[key] = *q.Default
+			} else if inside := parts(q); len(inside) > 0 {
+				found[key] = inside
 			}
 		}
+		return found
 	}
-	text, err := json.Marshal(parts)
+	text, err := json.Marshal(parts(s))
 	if err != nil {
 		return nil, o, err
 	}
--- /dev/null
+++ b/internal/peers/lease.go
@@ -0,0 +1,155 @@
+package peers
+
+import (
+	"google.golang.org/protobuf/encoding/protowire"
+
+	"micatrack/fleet/lease"
+)
+
+const kindLease = 8
+
+// Lease is one message of leases: one of Log, Ask and Reply is there. Texts are those of the message that it was read from.
+type Lease struct {
+	From, To uint64 // numbers of voters; 0: none
+	Log      []byte
+	Ask      *lease.Ask
+	Reply    *lease.Reply
+	Addr     string // of the asker that a reply is for
+	Roll     uint64 // of Log: stands for the voters that its sender began from
+}
+
+// appendLease writes the frame round a body.
+func appendLease(dst []byte, fleet string, body []byte) []byte {
+	dst = appendNumber(dst, 1, version)
+	dst = protowire.AppendString(protowire.AppendTag(dst, 2, protowire.BytesType), fleet)
+	return appendText(appendNumber(dst, 3, kindLease), 11, body)
+}
+
+// leaseOf gives the body of a message of this fleet's leases; not ok: it is no such message.
+func leaseOf(b []byte, fleet string) (body []byte, ok bool) {
+	told, named, kind := uint64(0), false, uint64(0)
+	err := fields(b, func(n protowire.Number, number uint64, text []byte) error {
+		switch n {
+		case 1:
+			told = number
+		case 2:
+			named = string(text) == fleet
+		case 3:
+			if kind = number; kind != kindLease {
+				return errShape
+			}
+		case 11:
+			body = text
+		}
+		return nil
+	})
+	return body, err == nil && told == version && named && kind == kindLease && body != nil
+}
+
+// AppendLease writes the body of a message of leases.
+func AppendLease(dst []byte, m *Lease) []byte {
+	dst = appendText(appendNumber(appendNumber(dst, 1, m.From), 2, m.To), 3, m.Log)
+	dst = appendNumber(dst, 6, m.Roll)
+	if a := m.Ask; a != nil {
+		dst = appendInside(dst, 4, func(dst []byte) []byte {
+			dst = appendText(appendText(appendNumber(dst, 1, uint64(a.Op)), 2, []byte(a.Name)), 3, []byte(a.From.Name))
+			dst = appendNumber(appendNumber(appendNumber(dst, 4, a.From.Life), 5, a.Token), 6, a.Seq)
+			return appendText(appendNumber(dst, 7, a.Via), 8, []byte(a.Addr))
+		})
+	}
+	if r := m.Reply; r != nil {
+		dst = appendInside(dst, 5, func(dst []byte) []byte {
+			dst = appendText(appendText(dst, 1, []byte(r.Name)), 2, []byte(r.To.Name))
+			dst = appendNumber(appendNumber(appendNumber(dst, 3, r.To.Life), 4, r.Seq), 5, r.Token)
+			dst = appendNumber(appendText(dst, 6, []byte(r.Held.Name)), 7, r.Held.Life)
+			return appendText(appendNumber(dst, 8, uint64(r.Before)), 9, []byte(m.Addr))
+		})
+	}
+	return dst
+}
+
+// ReadLease takes the body of a message of leases apart. Lengths of names are lease's to judge.
+func ReadLease(b []byte) (m Lease, err error) {
+	err = fields(b, func(n protowire.Number, number uint64, text []byte) (err error) {
+		switch n {
+		case 1:
+			m.From = number
+		case 2:
+			m.To = number
+		case 3:
+			m.Log = text
+		case 4:
+			m.Ask = &lease.Ask{}
+			err = readAsk(text, m.Ask)
+		case 5:
+			m.Reply = &lease.Reply{}
+			err = readReply(text, m.Reply, &m.Addr)
+		case 6:
+			m.Roll = number
+		}
+		return err
+	})
+	parts := 0
+	for _, there := range [...]bool{m.Log != nil, m.Ask != nil, m.Reply != nil} {
+		if there {
+			parts++
+		}
+	}
+	if err == nil && parts != 1 {
+		err = errShape
+	}
+	return m, err
+}
+
+func readAsk(b []byte, a *lease.Ask) error {
+	return fields(b, func(n protowire.Number, number uint64, text []byte) error {
+		switch n {
+		case 1:
+			if number > uint64(lease.Release) {
+				return errShape
+			}
+			a.Op = lease.Op(number)
+		case 2:
+			a.Name = string(text)
+		case 3:
+			a.From.Name = string(text)
+		case 4:
+			a.From.Life = number
+		case 5:
+			a.Token = number
+		case 6:
+			a.Seq = number
+		case 7:
+			a.Via = number
+		case 8:
+			a.Addr = string(text)
+		}
+		return nil
+	})
+}
+
+func readReply(b []byte, r *lease.Reply, addr *string) error {
+	return fields(b, func(n protowire.Number, number uint64, text []byte) error {
+		switch n {
+		case 1:
+			r.Name = string(text)
+		case 2:
+			r.To.Name = string(text)
+		case 3:
+			r.To.Life = number
+		case 4:
+			r.Seq = number
+		case 5:
+			r.Token = number
+		case 6:
+			r.Held.Name = string(text)
+		case 7:
+			r.Held.Life = number
+		case 8:
+			r.Before = int(min(number, 1<<20))
+		case 9:
+			*addr = string(text)
+		}
+		return nil
+	})
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -50,6 +50,7 @@
 	room  chan struct{} // for exchanges that come in
 	begun chan struct{} // for those that go out
 	msg   membership.Message
+	cargo atomic.Pointer[func(b []byte)] // takes messages of leases; nil: they are dropped
 
 	sent, taken, bytes, full, shape, other, version, long, where atomic.Int64
 }
@@ -180,6 +181,10 @@
 			p.free(b)
 			continue
 		}
+		if p.lease(b[:n]) {
+			p.free(b)
+			continue
+		}
 		select {
 		case p.in <- b[:n]:
 			p.wake()
@@ -252,6 +257,9 @@
 					p.shape.Add(1)
 					return
 				}
+				if p.lease(text) {
+					return
+				}
 				w := whole{text, make(chan []byte, 1)}
 				select {
 				case p.whole <- w:
@@ -289,14 +297,11 @@
 	text := Append(make([]byte, 4), p.fleet, m)
 	go func() {
 		defer func() { <-p.begun }()
-		from := net.TCPAddr{IP: p.tcp.Addr().(*net.TCPAddr).IP} // so that it is known by its address
-		d := net.Dialer{Timeout: patience, LocalAddr: &from}
-		c, err := d.Dial("tcp", to.String())
+		c, err := p.dial(to)
 		if err != nil {
 			return
 		}
 		defer c.Close()
-		c.SetDeadline(time.Now().Add(patience))
 		if send(c, text) != nil {
 			return
 		}
@@ -311,6 +316,62 @@
 	}()
 }
 
+// OnLease has messages of leases handed to take from now on, by several goroutines; it must not block, and keeps nothing.
+func (p *Peers) OnLease(take func(b []byte)) { p.cargo.Store(&take) }
+
+// lease hands on what is a message of this fleet's leases.
+func (p *Peers) lease(b []byte) bool {
+	body, ok := leaseOf(b, p.fleet)
+	if take := p.cargo.Load(); ok && take != nil {
+		p.taken.Add(1)
+		(*take)(body)
+	}
+	return ok
+}
+
+// Lease sends a message of leases, as it is written by its package: a datagram, or a connection where it is longer.
+func (p *Peers) Lease(addr string, body []byte) {
+	to, err := netip.ParseAddrPort(addr)
+	if err != nil || !near(to.Addr()) {
+		p.where.Add(1)
+		return
+	}
+	if b := appendLease(p.buffer(), p.fleet, body); len(b) <= datagram {
+		select {
+		case p.out <- outgoing{to, b}:
+		default:
+			p.full.Add(1)
+			p.free(b)
+		}
+		return
+	}
+	select {
+	case p.begun <- struct{}{}:
+	default:
+		p.full.Add(1)
+		return
+	}
+	text := appendLease(make([]byte, 4), p.fleet, body)
+	go func() {
+		defer func() { <-p.begun }()
+		if c, err := p.dial(to); err == nil {
+			send(c, text)
+			c.Close()
+		}
+	}()
+}
+
+// dial opens a connection to another front, from the address that it knows this one by.
+func (p *Peers) dial(to netip.AddrPort) (net.Conn, error) {
+	from := net.TCPAddr{IP: p.tcp.Addr().(*net.TCPAddr).IP}
+	d := net.Dialer{Timeout: patience, LocalAddr: &from}
+	c, err := d.Dial("tcp", to.String())
+	if err == nil {
+		c.SetDeadline(time.Now().Add(patience))
+	}
+	return c, err
+}
+
 // send writes a frame, whose first four bytes are left for its length.
 func send(c net.Conn, text []byte) error {
 	if len(text) < 4 {
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -13,6 +13,8 @@
 	"hash/fnv"
 	"os"
 	"runtime/debug"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -45,15 +47,37 @@
 	Voter  string `json:"voter"`
 	ID     uint64 `json:"id"` // that it votes under
 	First  bool   `json:"first"`
+	// Voters are the names of the fleet's first voters. Danger: two that begin from different lists have two majorities.
+	Voters []string `json:"voters"`
+}
+
+// IDs gives the numbers of the fleet's first voters.
+func (w *Who) IDs() (ids []uint64) {
+	for _, name := range w.Voters {
+		ids = append(ids, FirstID(w.Fleet, name))
+	}
+	return ids
+}
+
+// Roll stands for the list that all began from.
+func (w *Who) Roll() uint64 {
+	return max(xxhash.Sum64String(w.Fleet+"\n"+strings.Join(w.Voters, "\n")), 1)
 }
 
 // FirstID is the number that a voter of the fleet's first start votes under. One that is added later has another, drawn
 // when its state is made, so that a voter that lost its disk cannot come back as the one it was.
 func FirstID(fleet, voter string) uint64 { return max(xxhash.Sum64String(fleet+"/"+voter), 1) }
 
-// Create makes the state of a voter that has none. It never replaces one.
-func Create(path, fleet, voter string, first bool) (w Who, err error) {
-	w = Who{Format: format, Fleet: fleet, Voter: voter, ID: FirstID(fleet, voter), First: first}
+// Create makes the state of a voter that has none. It never replaces one. voters are those of the fleet's first start, in any order.
+func Create(path, fleet, voter string, first bool, voters []string) (w Who, err error) {
+	voters = slices.Sorted(slices.Values(voters))
+	w = Who{Format: format, Fleet: fleet, Voter: voter, ID: FirstID(fleet, voter), First: first, Voters: voters}
+	if len(voters) == 0 || len(slices.Compact(slices.Clone(voters))) != len(voters) {
+		return w, errors.New("the first voters are not named, or one is named twice")
+	}
+	if first && !slices.Contains(voters, voter) {
+		return w, fmt.Errorf("%s is none of the first voters", voter)
+	}
 	if !first {
 		var b [8]byte
 		rand.Read(b[:])
--- a/internal/record/record_test.go
+++ b/internal/record/record_test.go
@@ -35,7 +35,7 @@
 // written makes a state with some history, and gives what is in it.
 func written(t testing.TB) (path string, k lease.Kept) {
 	path = filepath.Join(t.TempDir(), "state")
-	if _, err := Create(path, "f", "v1", true); err != nil {
+	if _, err := Create(path, "f", "v1", true, []string{"a", "v1"}); err != nil {
 		t.Fatal(err)
 	}
 	d, k, err := Open(path, "f", "v1")
@@ -130,7 +130,7 @@
 	if _, _, err := Open(path+"-lost", "f", "v1"); !errors.Is(err, ErrNone) {
 		t.Error(err)
 	}
-	if _, err := Create(path, "f", "v1", true); err == nil {
+	if _, err := Create(path, "f", "v1", true, []string{"a", "v1"}); err == nil {
 		t.Error("a state is replaced")
 	}
 	d, _, err := Open(path, "f", "v1")
@@ -144,8 +144,8 @@
 	if err := d.Save(lease.Batch{Hard: hard(9, 9)}); err == nil {
 		t.Error("a write to a closed state counts")
 	}
-	a, err1 := Create(filepath.Join(t.TempDir(), "a"), "f", "v1", false)
-	b, err2 := Create(filepath.Join(t.TempDir(), "b"), "f", "v1", false)
+	a, err1 := Create(filepath.Join(t.TempDir(), "a"), "f", "v1", false, []string{"a", "v1"})
+	b, err2 := Create(filepath.Join(t.TempDir(), "b"), "f", "v1", false, []string{"a", "v1"})
 	if err1 != nil || err2 != nil || a.ID == b.ID || a.ID == FirstID("f", "v1") {
 		t.Errorf("%v %v: a voter that lost its disk comes back as the one it was: %+v %+v", err1, err2, a, b)
 	}
@@ -154,7 +154,7 @@
 // TestShow: what is in a state is told without its voter.
 func TestShow(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "state")
-	if _, err := Create(path, "f", "v1", true); err != nil {
+	if _, err := Create(path, "f", "v1", true, []string{"a", "v1"}); err != nil {
 		t.Fatal(err)
 	}
 	d, k, err := Open(path, "f", "v1")
@@ -189,7 +189,7 @@
 // BenchmarkSave: one grant, written through.
 func BenchmarkSave(b *testing.B) {
 	path := filepath.Join(b.TempDir(), "state")
-	Create(path, "f", "v1", true)
+	Create(path, "f", "v1", true, []string{"a", "v1"})
 	d, _, err := Open(path, "f", "v1")
 	if err != nil {
 		b.Fatal(err)
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -30,6 +30,9 @@
 	Fleet   map[string]any   // of the operators' file, but for addresses; nil: off
 	Without func(n int) bool // fronts that have it off; nil: none
 	Takes   time.Duration    // a job at a store
+	Voters  int              // fronts, from the first on, that grant leases; 0: no leases
+	Lease   map[string]any   // of the operators' file, but for voters, state and collector
+	Act     time.Duration    // that telling a summary takes at the collector
 	Seed    uint64
 }
 
@@ -57,6 +60,8 @@
 	relayed string         // where the others reach it
 	list    *standin.Discovery
 	way     string // to discovery
+	collect string // to the collector
+	state   string // of its vote
 	cmd     *exec.Cmd
 	done    chan struct{}
 	mu      sync.Mutex
@@ -73,6 +78,7 @@
 	Fronts []*Front
 	Stores []*Store
 	Groups []*standin.Group
+	Acts   *standin.Collector // nil: no leases
 	dir    string
 	number int
 	mu     sync.Mutex
@@ -113,6 +119,10 @@
 			r.Stores = append(r.Stores, &Store{Node{Name: name, Zone: zone}, s, group})
 		}
 	}
+	if p.Voters > 0 {
+		r.Acts = standin.NewCollector(p.Act)
+		t.Cleanup(r.Acts.Close)
+	}
 	for n := range p.Fronts {
 		r.Fronts = append(r.Fronts, r.front(n, fmt.Sprint("f", n), p.Zones[n%len(p.Zones)]))
 	}
@@ -162,6 +172,13 @@
 	}
 	r.stream(l, f.list.Addr(), Node{Name: "discovery"}, self)
 	f.way = l.Addr().String()
+	if r.Acts != nil {
+		if l, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+			r.T.Fatal(err)
+		}
+		r.stream(l, r.Acts.Addr(), Node{Name: "collector"}, self)
+		f.collect = "http://" + l.Addr().String() + "/"
+	}
 	at := r.at(1, n, fleetPort)
 	u, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(at))
 	if err != nil {
@@ -242,6 +259,9 @@
 		for k, v := range r.Plan.Fleet {
 			part[k] = v
 		}
+		if r.Plan.Voters > 0 {
+			part["lease"] = f.lease()
+		}
 		if part["on"] != false {
 			switches["fleet"] = part
 		}
@@ -294,6 +314,45 @@
 	}
 }
 
+// lease gives the front's part of the operators' file about leases, and makes its vote once.
+func (f *Front) lease() map[string]any {
+	r := f.rig
+	var voters []map[string]string
+	var names []string
+	for _, o := range r.Fronts[:r.Plan.Voters] {
+		voters, names = append(voters, map[string]string{"name": o.Name, "addr": o.relayed}), append(names, o.Name)
+	}
+	lease := map[string]any{"voters": voters, "collector": f.collect}
+	if f.n < r.Plan.Voters && f.state == "" {
+		f.Vote(true, names...)
+	}
+	if f.state != "" {
+		lease["state"] = f.state
+	}
+	for k, v := range r.Plan.Lease {
+		lease[k] = v
+	}
+	return lease
+}
+
+// Vote makes the state of a vote for the front's next start, and gives its number.
+func (f *Front) Vote(first bool, voters ...string) (number string) {
+	f.state = filepath.Join(f.rig.dir, fmt.Sprintf("%s%s-%d.state", f.alias, f.Name, f.life))
+	out, err := exec.Command(f.rig.Plan.Program, "state", "create", f.state, "--fleet", "rig", "--voter", f.Name,
+		"--voters", strings.Join(voters, ","), fmt.Sprintf("--first=%v", first)).CombinedOutput()
+	if err != nil {
+		f.rig.T.Errorf("%s: %v: %s", f.Name, err, out)
+		return ""
+	}
+	return strings.TrimSpace(string(out[strings.LastIndex(string(out), " ")+1:]))
+}
+
+// State is the file of the front's vote.
+func (f *Front) State() string { return f.state }
+
+// Relayed is where the other fronts reach this one.
+func (f *Front) Relayed() string { return f.relayed }
+
 // Fleet is where the front listens for the others, past the relay.
 func (f *Front) Fleet() string { return f.fleet.String() }
 
--- /dev/null
+++ b/internal/standin/collector.go
@@ -0,0 +1,96 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Acted is one act that the holder of a lease did at the collector.
+type Acted struct {
+	Token        uint64
+	By           string
+	Began, Ended time.Time // by the collector's clock
+	Refused      bool
+}
+
+// Collector takes summaries of a fleet and notes who told them when. It stands for whatever leases protect.
+type Collector struct {
+	server *httptest.Server
+	mu     sync.Mutex
+	takes  time.Duration
+	trusts bool
+	newest uint64
+	acts   []Acted
+}
+
+// NewCollector starts one on a loopback address. An act takes so long there.
+func NewCollector(takes time.Duration) *Collector {
+	c := &Collector{takes: takes}
+	c.server = httptest.NewServer(http.HandlerFunc(c.take))
+	return c
+}
+
+// Addr is where it listens.
+func (c *Collector) Addr() string { return strings.TrimPrefix(c.server.URL, "http://") }
+
+// Close ends it.
+func (c *Collector) Close() {
+	c.server.CloseClientConnections()
+	c.server.Close()
+}
+
+// Trust has it take acts under any token, so that nothing but the leases' clocks keeps holders apart.
+func (c *Collector) Trust() { c.mu.Lock(); c.trusts = true; c.mu.Unlock() }
+
+// Acts gives all, in the order in which they began.
+func (c *Collector) Acts() []Acted {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]Acted(nil), c.acts...)
+}
+
+func (c *Collector) take(w http.ResponseWriter, r *http.Request) {
+	token, err := strconv.ParseUint(r.Header.Get("Micatrack-Token"), 10, 64)
+	var s struct{ By string }
+	if err != nil || json.NewDecoder(http.MaxBytesReader(w, r.Body, 1<<20)).Decode(&s) != nil {
+		http.Error(w, "no token, or no summary", http.StatusBadRequest)
+		return
+	}
+	c.mu.Lock()
+	k := len(c.acts)
+	c.acts = append(c.acts, Acted{Token: token, By: s.By, Began: time.Now(), Refused: !c.trusts && token < c.newest})
+	refused := c.acts[k].Refused
+	c.newest = max(c.newest, token)
+	c.mu.Unlock()
+	if refused {
+		http.Error(w, "a newer token has been seen", http.StatusConflict)
+		c.mu.Lock()
+		c.acts[k].Ended = time.Now()
+		c.mu.Unlock()
+		return
+	}
+	time.Sleep(c.takes)
+	c.mu.Lock()
+	c.acts[k].Ended = time.Now()
+	c.mu.Unlock()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// Overlaps gives those pairs of acts that were under way at once under different tokens, and those that began under an
+// older token than one before; none of them refused.
+func Overlaps(acts []Acted) (pairs [][2]Acted) {
+	for k := range acts {
+		for n := k + 1; n < len(acts); n++ {
+			a, b := acts[k], acts[n]
+			if !a.Refused && !b.Refused && (b.Token < a.Token || a.Token != b.Token && (a.Ended.IsZero() || b.Began.Before(a.Ended))) {
+				pairs = append(pairs, [2]Acted{a, b})
+			}
+		}
+	}
+	return pairs
+}
