--- a/cmd/micatrack/fleet.go
+++ b/cmd/micatrack/fleet.go
@@ -94,7 +94,7 @@
 		t.left = true
 		t.Members.Leave(now)
 		if t.deputy != nil {
-			t.deputy.Stop(now)
+			t.deputy.ending = true
 		}
 	}
 	t.peers.Take(func(m *membership.Message) bool { return t.Fleet.Take(now, m) },
--- a/cmd/micatrack/lease.go
+++ b/cmd/micatrack/lease.go
@@ -29,6 +29,9 @@
 	summary   *summary.Summary
 	collector string
 	told      chan outcome
+	ending    bool // a planned stop has begun
+	handed    bool // leases are being given back,
+	yielded   bool // and so is the lead
 }
 
 // outcome is how the telling of a summary went.
@@ -77,20 +80,30 @@
 // turn is the leases' part of a turn of the loop.
 func (d *deputy) turn(now front.Time) {
 	d.Turn(now)
-	if d.summary == nil {
-		return
+	if d.summary != nil {
+		select {
+		case o := <-d.told:
+			d.summary.Told(now, o.refused, o.trouble)
+		default:
+		}
+		if !d.ending {
+			d.summary.Beat(now)
+		}
+	}
+	if d.ending && !d.handed && (d.summary == nil || !d.summary.Out()) {
+		// Danger: what is given back while an act is under way is another's before that act is over.
+		d.handed = true
+		d.Holder.DropAll(now)
 	}
-	select {
-	case o := <-d.told:
-		d.summary.Told(now, o.refused, o.trouble)
-	default:
+	if d.handed && !d.yielded && d.Holder.Empty() {
+		d.yielded = true
+		d.Yield()
 	}
-	d.summary.Beat(now)
 }
 
 func (d *deputy) next() front.Time {
 	next := d.Holder.Next()
-	if d.summary != nil {
+	if d.summary != nil && !d.ending {
 		next = min(next, d.summary.Next())
 	}
 	return next
--- a/fleet/lease/holder.go
+++ b/fleet/lease/holder.go
@@ -35,6 +35,7 @@
 	From  Party
 	Token uint64 // Renew, Release
 	Seq   uint64 // the asker's, larger each time
+	Heard uint64 // the newest of them that it has heard an answer to
 	Via   uint64 // voter that passed it on; 0: none
 	Addr  string // where the asker is reached
 }
@@ -67,6 +68,8 @@
 	askAt  Time
 	voter  int // that is asked next
 	misses int
+	giving uint64 // token that is being given back; 0: none is
+	until  Time   // by then it has ended by itself
 }
 
 // Holder keeps the leases of one front. It holds one for no longer than its own clock says, whatever anybody tells it.
@@ -80,6 +83,7 @@
 	now      Time
 	slept    Time // boot time less monotonic, as last seen
 	seq      uint64
+	heard    uint64
 	holdings []holding
 }
 
@@ -111,28 +115,49 @@
 	return nil
 }
 
-// Drop gives a lease back, and asks for it no more.
+// Drop gives a lease back, and asks for it no more. No act may be under way.
 func (h *Holder) Drop(now Time, name string) {
 	h.now = now
-	if l := h.find(name); l != nil {
-		if l.token == 0 {
-			h.forget(name)
-			return
-		}
-		token := l.token
-		h.lose(l, "given back")
-		h.seq++
-		for n := range min(2, h.voters) { // the second in case that the first is gone
-			h.host.Ask((l.voter+n)%h.voters, Ask{Op: Release, Name: name, From: h.self, Token: token, Seq: h.seq, Addr: h.addr})
-		}
+	l := h.find(name)
+	if l == nil || l.giving != 0 {
+		return
+	}
+	if l.token == 0 {
 		h.forget(name)
+		return
+	}
+	l.giving, l.until, l.askAt = l.token, l.safe, now
+	h.lose(l, "given back")
+	h.give(l)
+}
+
+// give tells two voters, in case that the first is gone, and again until one has answered.
+// Danger: who leads may change at this very moment, and what was told to neither would keep the lease from all for its time.
+func (h *Holder) give(l *holding) {
+	h.seq++
+	l.seqs[h.seq%uint64(len(l.seqs))], l.asked[h.seq%uint64(len(l.seqs))] = h.seq, h.now
+	l.askAt = h.now + h.terms.Span/24
+	for range min(2, h.voters) {
+		l.voter = (l.voter + 1) % h.voters
+		h.host.Ask(l.voter, Ask{Op: Release, Name: l.name, From: h.self, Token: l.giving, Seq: h.seq, Heard: h.heard, Addr: h.addr})
+	}
+}
+
+// Empty tells that nothing is held, wanted or being given back.
+func (h *Holder) Empty() bool { return len(h.holdings) == 0 }
+
+// Reseat has so many voters be asked from now on.
+func (h *Holder) Reseat(voters int) {
+	h.voters = max(voters, 1)
+	for i := range h.holdings {
+		h.holdings[i].voter %= h.voters
 	}
 }
 
 // DropAll gives all back, at a planned stop.
 func (h *Holder) DropAll(now Time) {
-	for len(h.holdings) > 0 {
-		h.Drop(now, h.holdings[0].name)
+	for i := len(h.holdings) - 1; i >= 0; i-- {
+		h.Drop(now, h.holdings[i].name)
 	}
 }
 
@@ -165,12 +190,12 @@
 	return l.token, true
 }
 
-// Take takes a reply in.
-func (h *Holder) Take(now Time, r Reply) {
+// Take takes a reply in, and tells whether it answers something that was asked of late.
+func (h *Holder) Take(now Time, r Reply) bool {
 	h.now = now
 	l := h.find(r.Name)
 	if l == nil || r.To != h.self {
-		return
+		return false
 	}
 	at := Time(-1)
 	for k := range l.seqs {
@@ -179,10 +204,14 @@
 		}
 	}
 	if at < 0 {
-		return // of something asked long ago, or by nobody
+		return false // of something asked long ago, or by nobody
 	}
-	l.misses = 0
+	l.misses, h.heard = 0, max(h.heard, r.Seq)
 	switch {
+	case l.giving != 0:
+		if r.Token == 0 { // else it answers a question from before
+			h.forget(l.name)
+		}
 	case r.Token == 0 && l.token != 0:
 		h.lose(l, "the voters have it otherwise")
 		l.askAt = now
@@ -202,6 +231,7 @@
 			h.host.Held(l.name, l.token)
 		}
 	}
+	return true
 }
 
 // Beat asks, renews and gives up what is over.
@@ -216,8 +246,16 @@
 		}
 		h.slept = s
 	}
-	for i := range h.holdings {
+	for i := len(h.holdings) - 1; i >= 0; i-- {
 		l := &h.holdings[i]
+		if l.giving != 0 {
+			if now >= l.until {
+				h.forget(l.name)
+			} else if now >= l.askAt {
+				h.give(l)
+			}
+			continue
+		}
 		if l.token != 0 && now >= l.safe {
 			h.lose(l, "not renewed in time")
 			l.askAt = now
@@ -226,7 +264,7 @@
 			continue
 		}
 		h.seq++
-		a := Ask{Op: Want, Name: l.name, From: h.self, Seq: h.seq, Addr: h.addr}
+		a := Ask{Op: Want, Name: l.name, From: h.self, Seq: h.seq, Heard: h.heard, Addr: h.addr}
 		if l.token != 0 {
 			a.Op, a.Token = Renew, l.token
 		}
--- a/fleet/lease/lease_test.go
+++ b/fleet/lease/lease_test.go
@@ -73,6 +73,59 @@
 	}
 }
 
+// TestDeafHolder: a holder whose questions arrive, and to whom no answer does, is followed by one that hears.
+func TestDeafHolder(t *testing.T) {
+	w := ready(flaw{})
+	w.cut = func(from, to string) bool { return to == "a0" }
+	at := w.now
+	for range 400 {
+		if _, ok := w.askers[1].h.May("l", 0); ok {
+			break
+		}
+		w.advance(terms.Span / 100)
+		w.settle()
+	}
+	if _, ok := w.askers[1].h.May("l", 0); !ok || w.now-at > 2*terms.waits()+terms.Span/2 {
+		t.Errorf("followed after %d ms, held %v", (w.now-at)/10, ok)
+	}
+	w.cut = nil
+	for range 400 {
+		w.advance(terms.Span / 100)
+		w.settle()
+	}
+	if _, ok := w.askers[1].h.May("l", 0); !ok || w.trouble != "" {
+		t.Errorf("the one that follows has lost it: %v %s", ok, w.trouble)
+	}
+}
+
+// TestReleaseIsRepeated: what is given back while nobody leads is given back once somebody does, and not only at its end.
+func TestReleaseIsRepeated(t *testing.T) {
+	w := ready(flaw{})
+	w.cut = func(from, to string) bool { return from == "a0" }
+	w.askers[0].h.DropAll(w.askers[0].clock())
+	w.settle()
+	w.advance(terms.Span / 20)
+	w.cut = nil
+	at := w.now
+	for range 100 {
+		if _, ok := w.askers[1].h.May("l", 0); ok {
+			break
+		}
+		w.advance(terms.Span / 100)
+		w.settle()
+	}
+	if _, ok := w.askers[1].h.May("l", 0); !ok || w.now-at > terms.Span/4 {
+		t.Errorf("handed over after %d ms, held %v", (w.now-at)/10, ok)
+	}
+	for range 20 {
+		w.advance(terms.Span / 100)
+		w.settle()
+	}
+	if !w.askers[0].h.Empty() {
+		t.Error("the one before has not heard that it is done")
+	}
+}
+
 // TestManyEndTogether: 10,000 leases that end at the same moment, and 300 askers for one.
 func TestManyEndTogether(t *testing.T) {
 	w := newWorld(3, 1, flaw{})
--- a/fleet/lease/voter.go
+++ b/fleet/lease/voter.go
@@ -68,7 +68,9 @@
 // term is a lease as the leader times it.
 type term struct {
 	until   Time
-	open    bool // an entry that would end it is proposed
+	open    bool   // an entry that would end it is proposed
+	heard   uint64 // newest answer that its holder says it has heard,
+	heardAt Time   // and since when it says so
 	waiters []waiter
 }
 
@@ -300,7 +302,9 @@
 	g := v.book.find(a.Name)
 	switch {
 	case a.Op == Release:
-		if g != nil && g.token == a.Token && g.holder == a.From {
+		if g == nil || g.token != a.Token || g.holder != a.From {
+			v.answer(a, Reply{}) // that is done
+		} else {
 			v.hand(a.Name, g.token)
 		}
 	case a.Op != Want && a.Op != Renew:
@@ -313,6 +317,11 @@
 			v.queue(t, a)
 			v.hand(a.Name, 0)
 		}
+	case g.holder == a.From && v.deaf(a):
+		// Danger: a holder that asks and hears no answer would keep the lease for ever, and never act.
+		if t := v.time(a.Name); t != nil {
+			v.queue(t, a)
+		}
 	case g.holder == a.From:
 		v.confirm(a) // also for one whose grant was told in an answer that was lost
 	default:
@@ -325,6 +334,18 @@
 	v.turn()
 }
 
+// deaf tells whether a holder has asked for a whole span and heard nothing.
+func (v *Voter) deaf(a Ask) bool {
+	t := v.time(a.Name)
+	if t == nil {
+		return false
+	}
+	if a.Heard != t.heard || t.heardAt == 0 {
+		t.heard, t.heardAt = a.Heard, v.now
+	}
+	return v.now-t.heardAt > v.terms.Span
+}
+
 // queue puts who asks among those that wait, or notes that it still does, and tells how many are before it.
 func (v *Voter) queue(t *term, a Ask) int {
 	for k := range t.waiters {
@@ -362,6 +383,9 @@
 	for len(t.waiters) > 0 && v.now-t.waiters[0].seen > v.terms.Span/2 { // it has stopped asking
 		t.waiters = t.waiters[1:]
 	}
+	if g := v.book.find(name); g != nil && len(t.waiters) > 1 && t.waiters[0].ask.From == g.holder { // it is deaf
+		t.waiters = append(t.waiters[1:], t.waiters[0])
+	}
 	if len(t.waiters) > 0 {
 		e.holder = t.waiters[0].ask.From
 	} else if over == 0 {
@@ -532,7 +556,7 @@
 	if !done || g == nil {
 		return
 	}
-	t.until = v.now + v.terms.waits()
+	t.until, t.heardAt = v.now+v.terms.waits(), 0
 	for k := range t.waiters {
 		if w := t.waiters[k].ask; w.From == g.holder {
 			v.answer(w, Reply{Token: g.token})
--- a/fleet/lease/world_test.go
+++ b/fleet/lease/world_test.go
@@ -340,13 +340,13 @@
 		names := append([]string(nil), v.v.order...)
 		sort.Strings(names)
 		for _, n := range names {
-			put(v.v.timed[n].until-v.clock(), v.v.timed[n].open, len(v.v.timed[n].waiters))
+			put(v.v.timed[n].until-v.clock(), v.v.timed[n].open, len(v.v.timed[n].waiters), v.v.timed[n].heardAt-v.clock())
 		}
 	}
 	for _, a := range w.askers {
 		put(a.down, a.life)
 		for _, l := range a.h.holdings {
-			put(l.token, l.safe-a.clock(), l.askAt-a.clock(), l.voter, l.misses)
+			put(l.token, l.safe-a.clock(), l.askAt-a.clock(), l.voter, l.misses, l.giving, a.h.seq-a.h.heard)
 			for k := range l.asked {
 				put(l.asked[k]-a.clock(), l.seqs[k])
 			}
--- a/fleet/summary/summary.go
+++ b/fleet/summary/summary.go
@@ -49,6 +49,9 @@
 	}
 }
 
+// Out tells whether one is being told.
+func (s *Summary) Out() bool { return s.out }
+
 // Next is when Beat must be called again.
 func (s *Summary) Next() Time { return s.next }
 
--- a/internal/leases/leases.go
+++ b/internal/leases/leases.go
@@ -7,7 +7,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"log/slog"
 	"runtime/debug"
 	"sync"
@@ -60,16 +59,24 @@
 	peers   *peers.Peers
 	wake    func()
 	log     *slog.Logger
-	replies chan lease.Reply
-	vote    *vote // nil: none
+	replies chan reply
+	seats   []lease.Seat // who is asked
+	vote    *vote        // nil: none
+}
+
+// reply is an answer, with who votes where the voter told that too.
+type reply struct {
+	lease.Reply
+	seats []lease.Seat
 }
 
 // Open starts a front's part. A vote that its disk does not bear out is left aside, with one line in the log.
 func Open(o Order, now func() Time, p *peers.Peers, h Host, wake func(), log *slog.Logger) *Leases {
-	l := &Leases{host: h, order: o, now: now, peers: p, wake: wake, log: log, replies: make(chan lease.Reply, waiting)}
+	l := &Leases{host: h, order: o, now: now, peers: p, wake: wake, log: log, replies: make(chan reply, waiting)}
 	for k := range l.order.Seats {
 		l.order.Seats[k].ID = record.FirstID(o.Fleet, l.order.Seats[k].Name)
 	}
+	l.seats = l.order.Seats
 	l.Holder = lease.NewHolder(now(), o.Self, o.Addr, len(o.Seats), o.Terms, o.Seed, holder{l})
 	if o.State != "" {
 		v, err := l.voter()
@@ -89,7 +96,11 @@
 	for range waiting {
 		select {
 		case r := <-l.replies:
-			l.Holder.Take(now, r)
+			if l.Holder.Take(now, r.Reply) && len(r.seats) > 0 {
+				// Danger: once all that the operators' file names are replaced, nobody would be left to ask.
+				l.seats = r.seats
+				l.Holder.Reseat(len(l.seats))
+			}
 			continue
 		default:
 		}
@@ -100,9 +111,8 @@
 	}
 }
 
-// Stop hands over what this front holds and leads, before a planned end.
-func (l *Leases) Stop(now Time) {
-	l.Holder.DropAll(now)
+// Yield hands the lead over, before a planned end.
+func (l *Leases) Yield() {
 	if l.vote != nil {
 		l.vote.put(func(v *lease.Voter) { v.Yield(l.now()) })
 	}
@@ -133,7 +143,7 @@
 
 func (h holder) Ask(voter int, a lease.Ask) {
 	l := h.l
-	s := &l.order.Seats[voter]
+	s := &l.seats[voter]
 	if l.vote != nil && l.vote.id == s.ID {
 		l.vote.put(func(v *lease.Voter) { v.Hear(l.now(), a) })
 		return
@@ -148,7 +158,7 @@
 	case err != nil:
 		l.Dropped.Add(1)
 	case m.Reply != nil && m.To == 0:
-		l.reply(*m.Reply)
+		l.reply(reply{*m.Reply, m.Seats})
 	case l.vote == nil:
 		l.Dropped.Add(1)
 	case m.Reply != nil: // the leader's, for an asker that reached this voter alone
@@ -172,7 +182,7 @@
 	}
 }
 
-func (l *Leases) reply(r lease.Reply) {
+func (l *Leases) reply(r reply) {
 	select {
 	case l.replies <- r:
 		l.wake()
@@ -264,28 +274,42 @@
 func (v *vote) Pass(to uint64, a lease.Ask) { v.send(to, &peers.Lease{From: v.id, To: to, Ask: &a}) }
 
 func (v *vote) Reply(via uint64, addr string, r lease.Reply) {
+	var seats []lease.Seat
+	if len(v.v.Seats()) > 0 {
+		for _, id := range v.v.Voters() {
+			if s := v.seat(id); s != nil {
+				seats = append(seats, *s)
+			}
+		}
+	}
 	switch {
 	case r.To == v.l.order.Self:
-		v.l.reply(r)
+		v.l.reply(reply{r, seats})
 	case via != 0 && via != v.id:
-		v.send(via, &peers.Lease{From: v.id, To: via, Reply: &r, Addr: addr})
+		v.send(via, &peers.Lease{From: v.id, To: via, Reply: &r, Addr: addr, Seats: seats})
 	default:
-		v.l.peers.Lease(addr, peers.AppendLease(nil, &peers.Lease{From: v.id, Reply: &r}))
+		v.l.peers.Lease(addr, peers.AppendLease(nil, &peers.Lease{From: v.id, Reply: &r, Seats: seats}))
 	}
 }
 
 func (v *vote) Log(text string) { v.l.log.Info(text) }
 
-// send goes to a voter by the address that the record has, or the operators' file.
-func (v *vote) send(to uint64, m *peers.Lease) {
+// seat gives a voter as the record has it, or the operators' file; nil: neither has.
+func (v *vote) seat(id uint64) *lease.Seat {
 	for _, seats := range [...][]lease.Seat{v.v.Seats(), v.l.order.Seats} {
 		for k := range seats {
-			if seats[k].ID == to {
-				v.l.peers.Lease(seats[k].Addr, peers.AppendLease(nil, m))
-				return
+			if seats[k].ID == id {
+				return &seats[k]
 			}
 		}
 	}
+	return nil
+}
+
+func (v *vote) send(to uint64, m *peers.Lease) {
+	if s := v.seat(to); s != nil {
+		v.l.peers.Lease(s.Addr, peers.AppendLease(nil, m))
+	}
 }
 
 // Chair is one voter, as it is shown.
@@ -311,19 +335,11 @@
 func (l *Leases) View() (w View, err error) {
 	err = l.ask(func(v *lease.Voter) error {
 		lead := v.Leader()
-		name := func(id uint64) (n, addr string) {
-			for _, seats := range [...][]lease.Seat{v.Seats(), l.order.Seats} {
-				for _, s := range seats {
-					if s.ID == id {
-						return s.Name, s.Addr
-					}
-				}
-			}
-			return fmt.Sprint("number ", id), ""
-		}
 		for _, id := range v.Voters() {
 			c := Chair{ID: id, Leads: id == lead, Here: id == l.vote.id}
-			c.Name, c.Addr = name(id)
+			if s := l.vote.seat(id); s != nil {
+				c.Name, c.Addr = s.Name, s.Addr
+			}
 			w.Chairs = append(w.Chairs, c)
 		}
 		w.Leases, w.Leads = v.Grants(), v.Leads()
--- a/internal/peers/lease.go
+++ b/internal/peers/lease.go
@@ -14,10 +14,13 @@
 	Log      []byte
 	Ask      *lease.Ask
 	Reply    *lease.Reply
-	Addr     string // of the asker that a reply is for
-	Roll     uint64 // of Log: stands for the voters that its sender began from
+	Addr     string       // of the asker that a reply is for
+	Roll     uint64       // of Log: stands for the voters that its sender began from
+	Seats    []lease.Seat // beside Reply: who votes, where that has changed since the fleet's first start
 }
 
+const mostSeats = 16
+
 // appendLease writes the frame round a body.
 func appendLease(dst []byte, fleet string, body []byte) []byte {
 	dst = appendNumber(dst, 1, version)
@@ -54,7 +57,7 @@
 		dst = appendInside(dst, 4, func(dst []byte) []byte {
 			dst = appendText(appendText(appendNumber(dst, 1, uint64(a.Op)), 2, []byte(a.Name)), 3, []byte(a.From.Name))
 			dst = appendNumber(appendNumber(appendNumber(dst, 4, a.From.Life), 5, a.Token), 6, a.Seq)
-			return appendText(appendNumber(dst, 7, a.Via), 8, []byte(a.Addr))
+			return appendNumber(appendText(appendNumber(dst, 7, a.Via), 8, []byte(a.Addr)), 9, a.Heard)
 		})
 	}
 	if r := m.Reply; r != nil {
@@ -65,6 +68,12 @@
 			return appendText(appendNumber(dst, 8, uint64(r.Before)), 9, []byte(m.Addr))
 		})
 	}
+	for k := range m.Seats {
+		s := &m.Seats[k]
+		dst = appendInside(dst, 7, func(dst []byte) []byte {
+			return appendText(appendText(appendNumber(dst, 1, s.ID), 2, []byte(s.Name)), 3, []byte(s.Addr))
+		})
+	}
 	return dst
 }
 
@@ -86,6 +95,12 @@
 			err = readReply(text, m.Reply, &m.Addr)
 		case 6:
 			m.Roll = number
+		case 7:
+			var s lease.Seat
+			if err = readSeat(text, &s); err == nil && len(m.Seats) >= mostSeats {
+				err = errShape
+			}
+			m.Seats = append(m.Seats, s)
 		}
 		return err
 	})
@@ -123,6 +138,22 @@
 			a.Via = number
 		case 8:
 			a.Addr = string(text)
+		case 9:
+			a.Heard = number
+		}
+		return nil
+	})
+}
+
+func readSeat(b []byte, s *lease.Seat) error {
+	return fields(b, func(n protowire.Number, number uint64, text []byte) error {
+		switch n {
+		case 1:
+			s.ID = number
+		case 2:
+			s.Name = string(text)
+		case 3:
+			s.Addr = string(text)
 		}
 		return nil
 	})
