--- a/fleet/lease/explore_test.go
+++ b/fleet/lease/explore_test.go
@@ -66,7 +66,26 @@
 		old := *a.h
 		w.begin(a)
 		a.h.Want(a.clock(), "l")
-		w.ghosts = append(w.ghosts, &asker{machine: a.machine, n: a.n, life: a.life, h: &old}) // its old one may yet live
+		w.ghosts = append(w.ghosts, &asker{machine: a.machine, n: a.n, life: a.life, ghost: " of before", h: &old}) // its old one may yet live
+	}},
+	{"the holder gives it back, or asks anew", nil, func(w *world) {
+		if h := w.askers[0].h; h.Empty() {
+			h.Want(w.askers[0].clock(), "l")
+		} else {
+			h.Drop(w.askers[0].clock(), "l")
+		}
+	}},
+	{"the leader yields", func(w *world) bool { return w.leader() != nil }, func(w *world) {
+		v := w.leader()
+		v.v.Yield(v.clock())
+		w.after(v)
+	}},
+	{"the holder is deaf, or no longer", nil, func(w *world) {
+		if w.cut != nil {
+			w.cut = nil
+			return
+		}
+		w.cut = func(_, to string) bool { return to == "a0" }
 	}},
 	{"voter 1 and the holder are cut off, or no longer", nil, func(w *world) {
 		if w.cut != nil {
--- a/fleet/lease/lease_test.go
+++ b/fleet/lease/lease_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/anishathalye/porcupine"
 )
 
 // ready gives a world in which voter 1 leads, and asker 0 holds the lease that asker 1 waits for.
@@ -238,21 +240,42 @@
 
 // TestSeeds: 5 voters, 20 askers, clocks at both ends of the drift, faults that overlap.
 func TestSeeds(t *testing.T) {
-	began, grants := time.Now(), 0
+	began, grants, ops := time.Now(), 0, 0
 	seeds := 1000
 	if raced {
 		seeds = 20
 	}
 	for seed := range seeds {
 		w := newWorld(5, 20, flaw{}, 1-terms.Drift, 1+terms.Drift, 1)
+		w.history = &history{held: map[[2]string]Time{}, ids: map[string]int{}, last: w.now}
 		w.play(uint64(seed), 30*second)
+		if ops += len(w.history.ops); !porcupine.CheckOperations(lock, w.history.ops) {
+			t.Fatalf("seed %d: no order of these is a lock's: %v", seed, w.history.ops)
+		}
 		if w.trouble != "" {
 			t.Fatalf("seed %d: %s\n%v", seed, w.trouble, w.log)
 		}
 		grants += w.reached["held"]
 	}
-	t.Logf("%d seeds, %d grants, %.0f seeds a minute", seeds, grants, float64(seeds)/time.Since(began).Minutes())
+	t.Logf("%d seeds, %d grants, %d operations judged by porcupine, %.0f seeds a minute", seeds, grants, ops, float64(seeds)/time.Since(began).Minutes())
 	if grants < 3*seeds {
 		t.Errorf("%d grants: nothing was tried", grants)
 	}
 }
+
+// TestPorcupineFindsTwoHolders: the judge of TestSeeds says no where holders overlap.
+func TestPorcupineFindsTwoHolders(t *testing.T) {
+	for seed := range 200 {
+		w := newWorld(5, 20, flaw{leads: func(v *Voter) {
+			for _, t := range v.timed {
+				t.until = min(t.until, v.now+v.terms.Span/4)
+			}
+		}}, 1-terms.Drift, 1+terms.Drift, 1)
+		w.history = &history{held: map[[2]string]Time{}, ids: map[string]int{}, last: w.now}
+		w.play(uint64(seed), 30*second)
+		if !porcupine.CheckOperations(lock, w.history.ops) {
+			return
+		}
+	}
+	t.Error("leaders that keep leases for a quarter of their span pass")
+}
--- a/fleet/lease/voter.go
+++ b/fleet/lease/voter.go
@@ -244,7 +244,7 @@
 func (v *Voter) unsound(m *pb.Message) string {
 	switch m.GetType() {
 	case pb.MsgApp, pb.MsgAppResp, pb.MsgVote, pb.MsgVoteResp, pb.MsgSnap, pb.MsgHeartbeat, pb.MsgHeartbeatResp, pb.MsgTimeoutNow,
-		pb.MsgPreVote, pb.MsgPreVoteResp, pb.MsgReadIndex, pb.MsgReadIndexResp:
+		pb.MsgPreVote, pb.MsgPreVoteResp: // reads are asked of the leader alone, as questions
 	default:
 		return "a kind that voters do not send each other"
 	}
--- a/fleet/lease/world_test.go
+++ b/fleet/lease/world_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"sort"
 
+	"github.com/anishathalye/porcupine"
 	"github.com/cespare/xxhash/v2"
 	pb "go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
@@ -49,6 +50,7 @@
 	life  uint64
 	held  bool
 	since Time
+	ghost string // of a former life
 }
 
 // parcel is one message on its way.
@@ -70,6 +72,7 @@
 	reached map[string]int
 	terms   Terms
 	flaw    flaw
+	history *history // nil: not kept
 }
 
 // flaw is what is broken on purpose in a variant.
@@ -277,9 +280,82 @@
 					w.trouble = fmt.Sprintf("two hold %s: a%d and %s", name, a.n, who)
 				}
 				who = fmt.Sprint("a", a.n)
+				if w.history != nil {
+					w.history.holds(w.now, name, fmt.Sprint("a", a.n, "/", a.life, a.ghost))
+				}
 			}
 		}
 	}
+	if w.history != nil {
+		w.history.looked(w.now)
+	}
+}
+
+// history is who held what and when, for porcupine: taking a lease and being without it again are operations that
+// happened between two looks.
+type history struct {
+	ops  []porcupine.Operation
+	held map[[2]string]Time // by lease and who: when last seen
+	ids  map[string]int
+	last Time // look
+}
+
+type step struct {
+	lease, who string
+	take       bool
+}
+
+func (h *history) holds(now Time, name, who string) {
+	k := [2]string{name, who}
+	if _, ok := h.ids[who]; !ok {
+		h.ids[who] = len(h.ids)
+	}
+	if _, ok := h.held[k]; !ok {
+		h.ops = append(h.ops, porcupine.Operation{ClientId: h.ids[who], Input: step{name, who, true}, Call: h.last, Return: now, Output: true})
+	}
+	h.held[k] = now
+}
+
+func (h *history) looked(now Time) {
+	var over [][2]string
+	for k, at := range h.held {
+		if at < now {
+			over = append(over, k)
+		}
+	}
+	sort.Slice(over, func(a, b int) bool { return over[a][1]+over[a][0] < over[b][1]+over[b][0] })
+	for _, k := range over {
+		h.ops = append(h.ops, porcupine.Operation{ClientId: h.ids[k[1]], Input: step{k[0], k[1], false}, Call: h.held[k], Return: now, Output: true})
+		delete(h.held, k)
+	}
+	h.last = now
+}
+
+// lock is what a lease is meant to be: nobody's, or somebody's.
+var lock = porcupine.Model{
+	Partition: func(all []porcupine.Operation) [][]porcupine.Operation {
+		parts, names := map[string][]porcupine.Operation{}, []string{}
+		for _, o := range all {
+			n := o.Input.(step).lease
+			if parts[n] == nil {
+				names = append(names, n)
+			}
+			parts[n] = append(parts[n], o)
+		}
+		var out [][]porcupine.Operation
+		for _, n := range names {
+			out = append(out, parts[n])
+		}
+		return out
+	},
+	Init: func() any { return "" },
+	Step: func(state, input, _ any) (bool, any) {
+		s := input.(step)
+		if s.take {
+			return state == "", s.who
+		}
+		return state == s.who, ""
+	},
 }
 
 // deliver hands one message over; keep leaves it on its way, for a second time.
--- a/internal/leases/leases.go
+++ b/internal/leases/leases.go
@@ -197,6 +197,7 @@
 	id         uint64
 	v          *lease.Voter
 	disk       *record.Disk
+	saver      interface{ Save(lease.Batch) error } // the disk, but where a test has another
 	in         chan func(v *lease.Voter)
 	stop, done chan struct{}
 	strange    sync.Once
@@ -207,7 +208,7 @@
 	if err != nil {
 		return nil, err
 	}
-	v := &vote{l: l, id: disk.Who.ID, disk: disk, in: make(chan func(v *lease.Voter), waiting), stop: make(chan struct{}), done: make(chan struct{})}
+	v := &vote{l: l, id: disk.Who.ID, disk: disk, saver: disk, in: make(chan func(v *lease.Voter), waiting), stop: make(chan struct{}), done: make(chan struct{})}
 	if v.v, err = lease.NewVoter(l.now(), v.id, disk.Who.IDs(), kept, l.order.Terms, l.order.Seed^v.id, v); err != nil {
 		disk.Close()
 		return nil, err
@@ -262,7 +263,7 @@
 }
 
 // Save, Carry, Pass, Reply and Log are what the voter asks for.
-func (v *vote) Save(b lease.Batch) error { return v.disk.Save(b) }
+func (v *vote) Save(b lease.Batch) error { return v.saver.Save(b) }
 
 func (v *vote) Carry(to uint64, m *pb.Message) {
 	text, err := proto.Marshal(m)
