--- a/balance/balance.go
+++ b/balance/balance.go
@@ -68,7 +68,7 @@
 	size, budget         float64 // listed; typical time that may still be sent while it is cold
 	part                 float64 // of its fair share that the plan for its zone lets it have
 	zone                 string
-	won                  Time    // when a chance to be sent work while it is cold was won last
+	won, told            Time    // when a chance at it while cold was won last; the largest position peers tell
 	unreached            Time    // when the last try to connect set out, if it failed
 	sentLast, sentBefore Time    // its last two trips
 	backAt, answered     Time    // when a trip last came back; when the newest of those delivered was sent
@@ -96,7 +96,7 @@
 	slot                   int32   // of its session's fence; -1: none
 	rank                   float64 // credit for the work, as it came in
 	fence, came            Time
-	wanted, limit          Time  // its expected time is up; the client's time is up
+	wanted, limit, least   Time  // its expected time is up; the client's time; what its answer must have seen
 	member                 int32 // where its last trip went: a job has one out at a time
 	sentAt, ranAt          Time  // when; when the first trip was sent that may have run
 	sent, asks, further    int   // trips; probes sent for it; trips that came back and may have run
@@ -123,7 +123,7 @@
 	probesPerJob, jobRate      float64 // probes that the price allows; jobs taken in a beat, on average
 	perCredit, usual           float64 // probes that the credit of a usual job pays for; that credit
 	watchAt, crowded, scarce   Time    // when to ask for the list next; overload, few connections last seen
-	closing                    Time    // by when all must be answered
+	closing, wary              Time    // by when all must be answered; until when peers are not believed
 	profiles                   []profile
 	customers                  map[string]*customer
 	members                    []member
@@ -149,8 +149,7 @@
 		profileOf: map[string]int32{}, customers: map[string]*customer{}, memberOf: map[uint32]int32{},
 		groupOf: map[uint64]int32{}, jobOf: map[string]int32{}, fences: make([]Time, 1<<fenceBits),
 		parts: map[string]float64{}, mostPause: c.MostPause, crowded: -never, scarce: -never, spill: 1,
-		watchAt: never, tightest: never,
-		closing: never, quickest: never, least: 3 / float64(max(c.Fronts, 1))}
+		watchAt: never, tightest: never, closing: never, quickest: never, least: 3 / float64(max(c.Fronts, 1))}
 	for i, p := range c.Profiles {
 		if p.Bound < 0 || p.ExpectedTime <= 0 || p.OuterLimit <= 0 || p.Window < 0 {
 			return nil, fmt.Errorf("charter: profile %q: bound, window or times out of range", p.Name)
@@ -391,16 +390,17 @@
 	if !b.mayProbe || !m.open || b.now-fresh < every || m.part == 0 && !seeks && b.elsewhere(g) > 0 {
 		return
 	}
+	need := b.now - every
 	if seeks {
-		g.purse--
+		need, g.purse = 0, g.purse-1
 	}
-	b.ask(m)
+	b.ask(m, need, false)
 	m.probed += b.chance(every / 8)
 }
 
-func (b *Balancer) ask(m *member) {
+func (b *Balancer) ask(m *member, need Time, any bool) {
 	m.probed, m.asked = b.now, cmp.Or(m.asked, b.now)
-	b.front.Probe(m.store)
+	b.front.Probe(m.store, need, any)
 }
 
 func (b *Balancer) Probed(now Time, store uint32, r Return) {
@@ -420,6 +420,15 @@
 	b.release(b.members[i].group)
 }
 
+// Heard takes in what another front says that a member has. The answer to a read sent for it has to prove it.
+func (b *Balancer) Heard(now Time, store uint32, position Time) {
+	b.now = now
+	if i, ok := b.memberOf[store]; ok && position <= now {
+		b.members[i].told = max(b.members[i].told, position)
+		b.release(b.members[i].group)
+	}
+}
+
 // warmth is the part of its capacity that a member surely has.
 func (b *Balancer) warmth(m *member) float64 {
 	if m.started == 0 || b.now-m.started >= b.cold {
@@ -453,6 +462,14 @@
 	return true
 }
 
+// need is the position that a read has to see.
+func (b *Balancer) need(j *job) Time {
+	if p := &b.profiles[j.profile]; p.Need == Bounded {
+		return b.now - p.Bound
+	}
+	return j.fence
+}
+
 // choose gives the member for the job's next trip, or -1 if it has to wait.
 func (b *Balancer) choose(j *job) int32 {
 	g, p := &b.groups[j.group], &b.profiles[j.profile]
@@ -466,11 +483,7 @@
 		b.overload()
 		return -1
 	}
-	need := j.fence
-	if p.Need == Bounded {
-		need = b.now - p.Bound
-	}
-	sizes := b.elsewhere(g)
+	need, sizes := b.need(j), b.elsewhere(g)
 	best, least, full := [2]int32{-1, -1}, [2]float64{}, false // known to be past the need; likely to be
 	for _, i := range g.members {
 		m := &b.members[i]
@@ -483,7 +496,8 @@
 		}
 		// What it lagged by when last heard it may lag by still. Where stores check reads that is enough.
 		reach := m.position + b.now - m.heard
-		past := m.position >= need || b.checks && m.heard > 0 && reach >= need
+		past := m.position >= need || b.checks && m.heard > 0 && reach >= need ||
+			m.told >= need && p.Repeat == Reissuable && b.now >= b.wary
 		if !past && m.heard > 0 && reach+p.ExpectedTime/10 < need {
 			continue
 		}
@@ -515,7 +529,7 @@
 		// Danger: each of many fronts has few answers, positions grow old, reads spill. So a likely one is asked.
 		if m := &b.members[best[1]]; b.now-m.probed > b.probeEvery/2 && j.asks < 2 {
 			j.asks++
-			b.ask(m)
+			b.ask(m, need, true)
 		}
 		return -1
 	}
@@ -627,14 +641,16 @@
 func (b *Balancer) send(i, mi int32) {
 	j, m := &b.jobs[i], &b.members[mi]
 	p := &b.profiles[j.profile]
-	j.member, j.sentAt, j.sent, j.out, j.lost = mi, b.now, j.sent+1, true, false
-	m.inFlight++
-	m.sentBefore, m.sentLast, m.scouted = m.sentLast, b.now, m.scouted || p.Need == Write && !m.proven
+	j.member, j.sentAt, j.sent, j.out, j.lost, j.next = mi, b.now, j.sent+1, true, false, (*Balancer).afterTrip
+	m.inFlight, m.sentBefore, m.sentLast = m.inFlight+1, m.sentLast, b.now
+	m.scouted = m.scouted || p.Need == Write && !m.proven
 	if m.started > 0 {
 		m.budget -= p.typical
 	}
-	j.next = (*Balancer).afterTrip
-	b.front.Send(j.id, m.store, j.limit)
+	if j.least = b.need(j); m.position >= j.least || b.checks || mi == b.groups[j.group].primary && m.proven {
+		j.least = 0 // it need not show what it has
+	}
+	b.front.Send(j.id, m.store, j.limit, j.least)
 }
 
 // mayGoAgain: no further trips while overload is seen, up to two otherwise. What cost no store time is free.
@@ -703,6 +719,8 @@
 	switch {
 	case r.Ending == Delivered:
 		m.refusals, m.shut = 0, 0
+	case r.Ending == Behind && j.least > 0:
+		b.wary = b.now + b.cold // Danger: a peer that says too much has reads go there in vain.
 	case r.Ending == Behind && p.Need == Write:
 		// Danger: a draining primary turns writes away as a replica while its other answers still claim the
 		// role, so a claim must be newer each time; and until it takes a write, no read relies on it.
--- a/balance/front.go
+++ b/balance/front.go
@@ -160,11 +160,15 @@
 
 // Front is what a front can do for the module. A job's trips are numbered from 0 in the order of Send.
 type Front interface {
-	Send(job string, store uint32, until Time)
+	// Send starts a trip. least: an answer that does not show a position from there on is none, and came back
+	// as Behind; 0: any will do.
+	Send(job string, store uint32, until, least Time)
 	Cancel(job string, trip int)
 	TurnBack(job string, pause Time)
 	WriteOff(job string)
-	Probe(store uint32)
+	// Probe asks a member for its position, whose answer may be a peer's word (Heard) if that shows need: any
+	// member's of its group, or this one's. 0: the member itself has to answer.
+	Probe(store uint32, need Time, any bool)
 	HangUp(store uint32) // closes idle connections
 	Forget(store uint32) // the module no longer knows it; its number may be another's from now on
 	Wake(after Time)
--- a/cmd/micatrack/fleet.go
+++ b/cmd/micatrack/fleet.go
@@ -36,8 +36,9 @@
 	core   *front.Core
 	log    *slog.Logger
 	bridge joined.Bridge
-	deputy *deputy // nil: no leases
-	name   string  // of the fleet
+	deputy *deputy  // nil: no leases
+	look   *lookout // nil: no watch of positions
+	name   string   // of the fleet
 	wake   func()
 	asks   chan func()
 	left   bool
@@ -62,6 +63,9 @@
 			p.Close()
 			return nil, err
 		}
+		if f.Lease.Watch {
+			t.look = look(t, o, addr)
+		}
 	}
 	if f.Control != "" {
 		if err := t.control(f.Control, wake); err != nil {
@@ -114,14 +118,21 @@
 	if t.deputy != nil {
 		t.deputy.turn(now)
 	}
+	if t.look != nil {
+		t.look.turn(now)
+	}
 }
 
 // Next is when turn must be called again.
 func (t *together) Next() front.Time {
+	next := t.Fleet.Next()
 	if t.deputy != nil {
-		return min(t.Fleet.Next(), t.deputy.next())
+		next = min(next, t.deputy.next())
+	}
+	if t.look != nil {
+		next = min(next, t.look.w.Next())
 	}
-	return t.Fleet.Next()
+	return next
 }
 
 // close ends what has a disk.
@@ -190,7 +201,13 @@
 		return list, nil
 	})
 	handle("GET /plan", func(now front.Time, _ url.Values) (any, error) { return t.Zones.Rows(now), nil })
-	handle("GET /counts", func(front.Time, url.Values) (any, error) { return t.peers.Counts(), nil })
+	handle("GET /counts", func(front.Time, url.Values) (any, error) {
+		if t.look != nil {
+			w := t.look.w
+			return map[string]any{"peers": t.peers.Counts(), "asked": w.Asked, "answered": w.Answered, "surveys": w.Surveys, "refused": w.Refused}, nil
+		}
+		return t.peers.Counts(), nil
+	})
 	handle("GET /why", func(now front.Time, q url.Values) (any, error) { return t.Zones.Why(now, q.Get("zone")) })
 	handle("POST /order", func(now front.Time, q url.Values) (any, error) {
 		span := time.Duration(0)
--- a/cmd/micatrack/lease_test.go
+++ b/cmd/micatrack/lease_test.go
@@ -408,3 +408,62 @@
 	}
 	alone(r, false)
 }
+
+// TestWatchOfPositions: nine processes ask their groups' watchers in place of the stores. Then watchers are killed, stopped and
+// cut off from the others: no rule is broken, and reads go on.
+func TestWatchOfPositions(t *testing.T) {
+	t.Parallel()
+	probes := func(r *rig.Rig) (n int64) {
+		for _, s := range r.Stores {
+			n += s.Stand.Probes()
+		}
+		return n
+	}
+	play := func(on bool) (*rig.Rig, *rig.Load, int64) {
+		p := council(t, 9, 3)
+		p.Lease["watch"] = on
+		r := rig.New(t, p)
+		r.Start(r.Fronts...)
+		acting(r)
+		load := r.Load(20, kinds...)
+		time.Sleep(leaseSpan)
+		before := probes(r)
+		time.Sleep(3 * time.Second)
+		return r, load, probes(r) - before
+	}
+	r, load, without := play(false)
+	r.Check(load.End())
+	for _, f := range r.Fronts {
+		f.Signal(syscall.SIGKILL)
+	}
+	r, load, with := play(true)
+	t.Logf("%d probes in 3 s without watchers, %d with", without, with)
+	if with*2 > without {
+		t.Error("the stores are asked as often as before")
+	}
+	r.Fronts[4].Signal(syscall.SIGKILL)
+	r.Fronts[5].Signal(syscall.SIGSTOP)
+	front := func(n rig.Node) bool { return n.Front }
+	heal := r.Between(func(from, to rig.Node) bool {
+		return front(from) && front(to) && (from.Name == "f6") != (to.Name == "f6")
+	}, rig.Fault{Cut: true})
+	at := time.Now()
+	time.Sleep(2 * time.Second)
+	heal()
+	r.Fronts[5].Signal(syscall.SIGCONT)
+	r.Start(r.Fronts[4])
+	time.Sleep(time.Second)
+	done := load.End()
+	r.Check(done)
+	var others []rig.Done
+	for _, d := range done {
+		if d.Front != "f4" && d.Front != "f5" {
+			others = append(others, d)
+		}
+	}
+	if part := rig.InTime(others, at, at.Add(2*time.Second), 300*time.Millisecond); part < 0.95 {
+		t.Errorf("%.3f come in time while watchers are gone", part)
+	} else {
+		t.Logf("%.3f come in time while watchers are gone", part)
+	}
+}
--- a/cmd/micatrack/serve.go
+++ b/cmd/micatrack/serve.go
@@ -177,6 +177,9 @@
 			others.bridge.Saw(now(), store, how, profile, took)
 		}
 	}
+	if others != nil && others.look != nil {
+		limits.Watch = others.look
+	}
 	core, err := front.New(now(), o.charter, o.host, limits, net, watcher.Ask, log)
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
--- /dev/null
+++ b/cmd/micatrack/watch.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"micatrack/fleet/watch"
+	"micatrack/internal/front"
+)
+
+// lookout is what a front's loop does for its watch of positions, and for its core what the watch takes over.
+type lookout struct {
+	t *together
+	w *watch.Watch
+}
+
+// look opens a front's part in the watch. wait is for a watcher's answer, at most.
+func look(t *together, o *orders, addr string) *lookout {
+	quickest := o.charter.Profiles[0].ExpectedTime
+	for _, p := range o.charter.Profiles {
+		quickest = min(quickest, p.ExpectedTime)
+	}
+	l := &lookout{t: t}
+	l.w = watch.New(t.now(), watch.Self{Name: o.name, Addr: addr, Wait: max(quickest/20, 1), // half of what a read waits for a position
+		Period: o.operators.Fleet.PeriodMS * 10, Patience: o.host.Dial, Seed: o.charter.Seed}, l)
+	t.bridge.Watch = l.w
+	t.peers.OnWatch(func(q watch.Query) { l.w.Hear(t.now(), q) }, func(a watch.Answer) { l.w.Told(t.now(), a) })
+	return l
+}
+
+// turn is the watch's part of a turn of the loop.
+func (l *lookout) turn(now front.Time) {
+	l.t.bridge.Peers(l.t.Fleet)
+	l.w.Beat(now)
+}
+
+// Query to Holds are what the watch asks for.
+func (l *lookout) Query(addr string, q watch.Query)        { l.t.peers.Query(addr, q) }
+func (l *lookout) Answer(addr string, a watch.Answer)      { l.t.peers.Answer(addr, a) }
+func (l *lookout) Survey(store string)                     { l.t.core.Survey(store) }
+func (l *lookout) Vouch(store string, position front.Time) { l.t.core.Vouch(store, position) }
+func (l *lookout) Proxied(store string, answered bool)     { l.t.core.Proxied(store, answered) }
+func (l *lookout) Drop(lease string)                       { l.t.deputy.Holder.Drop(l.t.now(), lease) }
+func (l *lookout) Want(lease string) {
+	if err := l.t.deputy.Holder.Want(l.t.now(), lease); err != nil {
+		l.t.log.Warn("not watched", "error", err.Error())
+	}
+}
+func (l *lookout) Holds(lease string) bool {
+	_, ok := l.t.deputy.Holder.May(lease, 0)
+	return ok
+}
+
+// Ask, Learned and Failed are what the core tells.
+func (l *lookout) Ask(store string, need front.Time, any bool) bool {
+	return l.w.Ask(l.t.now(), store, need, any)
+}
+func (l *lookout) Learned(store string, position front.Time) { l.w.Learned(l.t.now(), store, position) }
+func (l *lookout) Failed(store string)                       { l.w.Failed(l.t.now(), store) }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -22,6 +22,7 @@
 type Fleet struct {
 	Members *membership.Members
 	Zones   *zones.Zones
+	Changed bool // a member has come, gone or moved; whoever has looked takes it back
 	host    Host
 	now     Time
 	due     Time // when Beat was to be called last
@@ -46,6 +47,7 @@
 func (t told) Part(zone string, part float64)          { t.f.host.Part(zone, part) }
 func (t told) Log(text string)                         { t.f.host.Log(text) }
 func (t told) Member(name, zone string, to membership.State) {
+	t.f.Changed = true
 	t.f.Zones.Member(t.f.now, name, zone, to <= membership.Suspect)
 }
 func (t told) Hush(key string) { t.f.Members.Hush(key) }
--- a/fleet/lease/holder.go
+++ b/fleet/lease/holder.go
@@ -70,6 +70,7 @@
 	misses int
 	giving uint64 // token that is being given back; 0: none is
 	until  Time   // by then it has ended by itself
+	again  bool   // it is wanted once more
 }
 
 // Holder keeps the leases of one front. It holds one for no longer than its own clock says, whatever anybody tells it.
@@ -108,7 +109,8 @@
 	if name == "" || len(name) > MostName || len(h.holdings) >= 256 {
 		return fmt.Errorf("lease %q: no name, a long one, or too many", name)
 	}
-	if h.find(name) != nil {
+	if l := h.find(name); l != nil {
+		l.again = l.giving != 0
 		return nil
 	}
 	h.holdings = append(h.holdings, holding{name: name, askAt: now, voter: int(h.mwc.Below(int64(h.voters)))})
@@ -119,7 +121,10 @@
 func (h *Holder) Drop(now Time, name string) {
 	h.now = now
 	l := h.find(name)
-	if l == nil || l.giving != 0 {
+	if l == nil {
+		return
+	}
+	if l.again = false; l.giving != 0 {
 		return
 	}
 	if l.token == 0 {
@@ -143,6 +148,15 @@
 	}
 }
 
+// given ends it.
+func (h *Holder) given(l *holding) {
+	if l.again {
+		*l = holding{name: l.name, askAt: h.now, voter: l.voter}
+	} else {
+		h.forget(l.name)
+	}
+}
+
 // Empty tells that nothing is held, wanted or being given back.
 func (h *Holder) Empty() bool { return len(h.holdings) == 0 }
 
@@ -210,7 +224,7 @@
 	switch {
 	case l.giving != 0:
 		if r.Token == 0 { // else it answers a question from before
-			h.forget(l.name)
+			h.given(l)
 		}
 	case r.Token == 0 && l.token != 0:
 		h.lose(l, "the voters have it otherwise")
@@ -250,7 +264,7 @@
 		l := &h.holdings[i]
 		if l.giving != 0 {
 			if now >= l.until {
-				h.forget(l.name)
+				h.given(l)
 			} else if now >= l.askAt {
 				h.give(l)
 			}
--- /dev/null
+++ b/fleet/watch/watch.go
@@ -0,0 +1,421 @@
+// Package watch spares the stores most of the questions that a large fleet would ask them. A front with a few jobs a second
+// knows positions that are too old for nearly every read that has to be recent, so it would ask a likely replica each time; with
+// hundreds of fronts the stores answer more questions than reads. For each group one front, its watcher, is asked instead:
+// it answers from what it knows where that is recent enough, and asks the stores itself where it is not, once for all who
+// wait. It does no I/O, reads no clock and draws from its seed.
+//
+// Which front watches which group follows from rendezvous hashing (Thaler and Ravishankar) over the members that are there;
+// a watcher answers only while it holds the group's lease, so that of two that both think it theirs one asks the stores. No
+// proof hangs on that: what a watcher says is a hint. A read that goes to a store on a peer's word alone has to show in its
+// answer that it has seen enough (balance.Front.Send), so a watcher that lies costs a trip and is then not believed for a cold
+// time. One that is late, gone or cut off costs a part of the time that a read may wait, and then fronts ask for themselves.
+package watch
+
+import (
+	"encoding/binary"
+	"fmt"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"micatrack/internal/mwc"
+)
+
+// Time is a moment or a span in whole tenths of a millisecond.
+type Time = int64
+
+// Bounds.
+const (
+	MostSeen  = 16   // stores in one answer
+	mostOpen  = 256  // questions of this front that are out
+	mostWait  = 1024 // askers that wait for this front's stores
+	pauses    = 6    // doublings of the pause in which a watcher that was silent is not asked
+	shareMost = 4    // times the mean of groups that one front watches at most
+)
+
+// Seen is what a store has shown.
+type Seen struct {
+	Store    string
+	Position Time
+}
+
+// Query asks for a group's positions. Need is the one that the asker would like to see.
+type Query struct {
+	Seq, Group uint64
+	Need       Time
+	Store      string // that has to show it; empty: any of the group
+	Addr       string // of the asker
+}
+
+// Answer is what its watcher says; nothing seen: it does not watch that group.
+type Answer struct {
+	Seq, Group uint64
+	Seen       []Seen
+}
+
+// Host is what a front does for this package.
+type Host interface {
+	Query(addr string, q Query)
+	Answer(addr string, a Answer)
+	Survey(store string)                 // asks a store itself; Learned or Failed follows
+	Vouch(store string, position Time)   // a peer says that it has shown so much
+	Proxied(store string, answered bool) // the question is settled; or not, and the store itself is to be asked
+	Want(lease string)
+	Drop(lease string)
+	Holds(lease string) bool
+}
+
+// Self is the front itself.
+type Self struct {
+	Name, Addr string
+	Wait       Time // for an answer, at most
+	Period     Time // of the membership protocol
+	Patience   Time // for a store's answer
+	Seed       uint64
+}
+
+// group is what is known of one group.
+type group struct {
+	id      uint64
+	stores  []store
+	watcher int    // in members; -1: this front, or nobody
+	held    string // the name of who it was
+	mine    bool
+	lease   string
+	pause   int
+	shutTo  Time // until then its watcher is not asked
+	waits   []Query
+	askedAt Time // the stores, 0: no question is out
+}
+
+type store struct {
+	name     string
+	position Time
+	primary  bool
+	out      bool // it is being asked
+}
+
+// open is a question of this front.
+type open struct {
+	seq   uint64
+	group int
+	store string
+	need  Time
+	any   bool
+	until Time
+}
+
+// Watch is one front's part.
+type Watch struct {
+	host    Host
+	self    Self
+	now     Time
+	mwc     mwc.Source
+	members []Peer
+	groups  []group
+	byID    map[uint64]int
+	byStore map[string][2]int // group and place in it
+	open    []open
+	waiting int
+	seq     uint64
+	beatAt  Time
+	stale   bool // members or stores have changed
+
+	Asked, Answered, Surveys, Refused uint64 // for those who look
+}
+
+// New starts without members and stores.
+func New(now Time, s Self, h Host) *Watch {
+	w := &Watch{host: h, self: s, now: now, mwc: mwc.New(s.Seed), byID: map[uint64]int{}, byStore: map[string][2]int{}, beatAt: now}
+	w.seq = uint64(w.mwc.Next())<<32 | uint64(w.mwc.Next()) // an answer that nobody asked for has to guess it
+	return w
+}
+
+// Peer is another front that is there.
+type Peer struct{ Name, Addr string }
+
+// Members takes in who is there, this front or not.
+func (w *Watch) Members(all []Peer) {
+	w.members = w.members[:0]
+	for _, p := range all {
+		if p.Name != w.self.Name {
+			w.members = append(w.members, p)
+		}
+	}
+	for gi := range w.groups {
+		w.groups[gi].watcher = -1
+	}
+	w.stale = true
+}
+
+// Listed takes in a store of a group, or that it is none any more.
+func (w *Watch) Listed(name string, id uint64, primary, there bool) {
+	at, known := w.byStore[name]
+	if known && (!there || w.groups[at[0]].id != id) {
+		g := &w.groups[at[0]]
+		g.stores = slices.Delete(g.stores, at[1], at[1]+1)
+		delete(w.byStore, name)
+		for k := at[1]; k < len(g.stores); k++ {
+			w.byStore[g.stores[k].name] = [2]int{at[0], k}
+		}
+		known = false
+	}
+	if !there {
+		return
+	}
+	if known {
+		w.groups[at[0]].stores[at[1]].primary = primary
+		return
+	}
+	gi, ok := w.byID[id]
+	if !ok {
+		gi = len(w.groups)
+		w.groups = append(w.groups, group{id: id, watcher: -1, lease: fmt.Sprint("watch/", id)})
+		w.byID[id] = gi
+		w.stale = true
+	}
+	g := &w.groups[gi]
+	w.byStore[name] = [2]int{gi, len(g.stores)}
+	g.stores = append(g.stores, store{name: name, primary: primary})
+}
+
+// assign finds each group's watcher anew.
+func (w *Watch) assign() {
+	w.stale = false
+	mine, share := 0, shareMost*len(w.groups)/(len(w.members)+1)+1
+	for gi := range w.groups {
+		g := &w.groups[gi]
+		weigh := func(name string) uint64 {
+			return xxhash.Sum64(binary.LittleEndian.AppendUint64([]byte(name), g.id))
+		}
+		best, most := -1, weigh(w.self.Name)
+		for k := range w.members {
+			if v := weigh(w.members[k].Name); v > most {
+				best, most = k, v
+			}
+		}
+		if g.watcher = best; best >= 0 && w.members[best].Name != g.held {
+			g.pause, g.shutTo, g.held = 0, 0, w.members[best].Name
+		}
+		if best < 0 && mine < share {
+			if mine++; !g.mine {
+				g.mine = true
+				w.host.Want(g.lease)
+			}
+		} else if g.mine {
+			g.mine = false
+			w.host.Drop(g.lease)
+			w.settle(g)
+		}
+	}
+}
+
+// Ask is told that this front would ask a store for its position, since a read of its group has to see need (any), or to
+// hear that it is there and has come so far. It tells whether the group's watcher is asked instead; Proxied follows then.
+func (w *Watch) Ask(now Time, name string, need Time, any bool) bool {
+	w.now = now
+	at, ok := w.byStore[name]
+	if !ok || w.stale {
+		return false
+	}
+	g := &w.groups[at[0]]
+	if g.watcher < 0 || now < g.shutTo || len(w.open) >= mostOpen {
+		return false
+	}
+	w.seq++
+	w.Asked++
+	w.open = append(w.open, open{w.seq, at[0], name, need, any, now + w.self.Wait})
+	w.beatAt = min(w.beatAt, now+w.self.Wait)
+	q := Query{Seq: w.seq, Group: g.id, Need: need, Addr: w.self.Addr}
+	if !any {
+		q.Store = name
+	}
+	w.host.Query(w.members[g.watcher].Addr, q)
+	return true
+}
+
+// Told takes a watcher's answer in.
+func (w *Watch) Told(now Time, a Answer) {
+	w.now = now
+	k := slices.IndexFunc(w.open, func(o open) bool { return o.seq == a.Seq })
+	if k < 0 {
+		w.Refused++
+		return
+	}
+	o := w.open[k]
+	w.open = slices.Delete(w.open, k, k+1)
+	g := &w.groups[o.group]
+	if g.id != a.Group || len(a.Seen) == 0 {
+		w.silent(g)
+		w.host.Proxied(o.store, false)
+		return
+	}
+	g.pause, g.shutTo = 0, 0
+	w.Answered++
+	settled := false
+	for _, s := range a.Seen {
+		if at, ok := w.byStore[s.Store]; ok && at[0] == o.group {
+			w.host.Vouch(s.Store, s.Position)
+			settled = settled || s.Position >= o.need && (o.any || s.Store == o.store)
+		}
+	}
+	w.host.Proxied(o.store, settled)
+}
+
+// silent has a watcher that did not answer left alone, longer each time.
+func (w *Watch) silent(g *group) {
+	g.shutTo = w.now + w.self.Period<<g.pause
+	g.pause = min(g.pause+1, pauses)
+}
+
+// Hear takes another front's question in.
+func (w *Watch) Hear(now Time, q Query) {
+	w.now = now
+	gi, ok := w.byID[q.Group]
+	if !ok || !w.groups[gi].mine || !w.host.Holds(w.groups[gi].lease) || w.waiting >= mostWait {
+		w.Refused++
+		w.host.Answer(q.Addr, Answer{Seq: q.Seq, Group: q.Group})
+		return
+	}
+	g := &w.groups[gi]
+	if g.knows(&q) {
+		w.answer(g, q)
+		return
+	}
+	g.waits = append(g.waits, q)
+	w.waiting++
+	if q.Store != "" || !slices.ContainsFunc(g.stores, func(s store) bool { return s.out }) {
+		w.survey(g, &q)
+	}
+}
+
+// knows tells whether what a question needs is known.
+func (g *group) knows(q *Query) bool {
+	for k := range g.stores {
+		if s := &g.stores[k]; s.position >= q.Need && (s.name == q.Store || q.Store == "" && !s.primary) {
+			return true
+		}
+	}
+	return false
+}
+
+func (w *Watch) answer(g *group, q Query) {
+	a := Answer{Seq: q.Seq, Group: q.Group}
+	for k := range g.stores {
+		if s := &g.stores[k]; s.position > 0 && len(a.Seen) < MostSeen {
+			a.Seen = append(a.Seen, Seen{s.name, s.position})
+		}
+	}
+	w.host.Answer(q.Addr, a)
+}
+
+// survey asks a group's replicas themselves, or the one store that a question is about.
+func (w *Watch) survey(g *group, q *Query) {
+	if g.askedAt == 0 {
+		g.askedAt = w.now
+	}
+	w.beatAt = min(w.beatAt, w.now+w.self.Patience)
+	asked := false
+	for k := range g.stores {
+		if s := &g.stores[k]; !s.out && (s.name == q.Store || q.Store == "" && !s.primary) {
+			s.out, asked = true, true
+			w.Surveys++
+			w.host.Survey(s.name)
+		}
+	}
+	if !asked && !slices.ContainsFunc(g.stores, func(s store) bool { return s.out }) {
+		w.settle(g)
+	}
+}
+
+// Learned takes in a position that a store has shown to this front, in whatever way.
+func (w *Watch) Learned(now Time, name string, position Time) {
+	w.now = now
+	if at, ok := w.byStore[name]; ok {
+		g := &w.groups[at[0]]
+		s := &g.stores[at[1]]
+		s.position, s.out = max(s.position, position), false
+		w.serve(g)
+	}
+}
+
+// Failed takes in that a survey came to nothing.
+func (w *Watch) Failed(now Time, name string) {
+	w.now = now
+	if at, ok := w.byStore[name]; ok {
+		g := &w.groups[at[0]]
+		g.stores[at[1]].out = false
+		w.serve(g)
+	}
+}
+
+// serve answers those whose need is known now, and the others once no store is left to answer.
+func (w *Watch) serve(g *group) {
+	if len(g.waits) == 0 && g.askedAt == 0 {
+		return
+	}
+	keep := g.waits[:0]
+	for _, q := range g.waits {
+		if g.knows(&q) {
+			w.answer(g, q)
+			w.waiting--
+		} else {
+			keep = append(keep, q)
+		}
+	}
+	g.waits = keep
+	if !slices.ContainsFunc(g.stores, func(s store) bool { return s.out }) {
+		w.settle(g)
+	}
+}
+
+// settle ends a survey: who still waits is told what there is.
+func (w *Watch) settle(g *group) {
+	g.askedAt = 0
+	for _, q := range g.waits {
+		w.answer(g, q)
+		w.waiting--
+	}
+	g.waits = g.waits[:0]
+}
+
+// Next is when Beat must be called again.
+func (w *Watch) Next() Time { return w.beatAt }
+
+// Beat ends what took too long.
+func (w *Watch) Beat(now Time) {
+	w.now = now
+	if w.stale {
+		w.assign()
+	}
+	if now < w.beatAt {
+		return
+	}
+	w.beatAt = now + w.self.Period
+	for k := 0; k < len(w.open); k++ {
+		o := w.open[k]
+		if now < o.until {
+			w.beatAt = min(w.beatAt, o.until)
+			continue
+		}
+		// Danger: a watcher that is gone would cost every read a part of its time.
+		w.open = slices.Delete(w.open, k, k+1)
+		k--
+		w.silent(&w.groups[o.group])
+		w.host.Proxied(o.store, false)
+	}
+	for gi := range w.groups {
+		g := &w.groups[gi]
+		if g.askedAt == 0 {
+			continue
+		}
+		if until := g.askedAt + w.self.Patience; now < until {
+			w.beatAt = min(w.beatAt, until)
+			continue
+		}
+		for k := range g.stores {
+			g.stores[k].out = false
+		}
+		w.settle(g)
+	}
+}
--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -47,6 +47,7 @@
 	trip   *conn // the one that is out on a connection
 	waits  bool  // the one that is out waits for a connection
 	store  uint32
+	least  Time // position that the answer to the trip that is out has to show; 0: none
 	owed   int  // results that the module has yet to hear of
 	final  bool // it has had its final answer, or needs none
 	busy   bool // the place is taken
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -87,7 +87,23 @@
 	Drain   Time         // how long an open transaction may go on at a store that drains
 	// Saw, if it is set, is told how each trip (of a profile, by its number in the charter) and each probe (-1) came
 	// back, and how long after it set out.
-	Saw func(store string, how balance.Ending, profile int, took Time)
+	Saw   func(store string, how balance.Ending, profile int, took Time)
+	Watch Watch // nil: every question goes to the store itself
+}
+
+// Watch may take over the questions of reads that wait for a position. Its methods are called during Step.
+type Watch interface {
+	Ask(store string, need Time, any bool) bool // true: Proxied follows
+	Learned(store string, position Time)        // it has shown that much to this front
+	Failed(store string)                        // a Survey came to nothing
+}
+
+// word is what others have to say of a store, and what the watch asks for.
+type word struct {
+	do       func(c *Core, i uint32, w word)
+	store    string
+	position Time
+	answered bool
 }
 
 // task is something that the module asked for.
@@ -97,6 +113,8 @@
 	trip  int
 	store uint32
 	at    Time
+	least Time
+	any   bool
 }
 
 // plan is the part of ordinary work that may go to a zone.
@@ -140,6 +158,7 @@
 	conns      []*conn
 	lists      []List
 	plans      []plan
+	words      []word
 	arrivals   []int32
 	leavers    []int32
 	backs      []back
@@ -177,6 +196,28 @@
 // Zone queues the fleet's plan for a zone for the next Step.
 func (c *Core) Zone(name string, part float64) { c.plans = append(c.plans, plan{name, part}) }
 
+// Vouch queues a peer's word for what a store has shown. Survey has a store asked for its position. Proxied ends a question
+// that the watch has taken over: it is settled, or the store itself is to be asked.
+func (c *Core) Vouch(store string, position Time) {
+	c.words = append(c.words, word{store: store, position: position, do: func(c *Core, i uint32, w word) {
+		c.module.Heard(c.now, i, w.position)
+	}})
+}
+func (c *Core) Survey(store string) {
+	c.words = append(c.words, word{store: store, do: func(c *Core, i uint32, _ word) {
+		c.start(i, errand{job: -1, survey: true, since: c.now, until: c.now + c.host.Dial})
+	}})
+}
+func (c *Core) Proxied(store string, answered bool) {
+	c.words = append(c.words, word{store: store, answered: answered, do: func(c *Core, i uint32, w word) {
+		if w.answered { // it says nothing of the store, but that the question is settled
+			c.owe(back{-1, 0, i, balance.Return{Ending: balance.Delivered}})
+			return
+		}
+		c.start(i, errand{job: -1, since: c.now, until: c.now + c.host.Dial})
+	}})
+}
+
 // Next is when Step must be called again even if nothing happens.
 func (c *Core) Next() Time {
 	if len(c.stalled) > 0 { // their clients may have read meanwhile, which nothing tells where the system took it all
@@ -235,6 +276,12 @@
 		c.list(l)
 	}
 	c.lists = c.lists[:0]
+	for k := 0; k < len(c.words); k++ {
+		if i, ok := c.storeOf[c.words[k].store]; ok && !c.stores[i].bolt { // results in Bolt go out before they are whole
+			c.words[k].do(c, i, c.words[k])
+		}
+	}
+	c.words = c.words[:0]
 	beat := now >= c.wakeAt
 	if beat {
 		c.sweep()
@@ -372,11 +419,11 @@
 
 // The rest is balance.Front: what the module asks for waits until the module has seen all that is ready.
 
-func (c *Core) Send(id string, store uint32, until Time) {
+func (c *Core) Send(id string, store uint32, until, least Time) {
 	if c.door != nil {
 		c.door.Sent(c.now, place(id))
 	}
-	c.tasks = append(c.tasks, task{do: (*Core).depart, job: place(id), store: store, at: until})
+	c.tasks = append(c.tasks, task{do: (*Core).depart, job: place(id), store: store, at: until, least: least})
 }
 
 func (c *Core) Cancel(id string, trip int) {
@@ -394,8 +441,8 @@
 	c.tasks = append(c.tasks, task{do: (*Core).writeOff, job: place(id)})
 }
 
-func (c *Core) Probe(store uint32) {
-	c.tasks = append(c.tasks, task{do: (*Core).probe, store: store})
+func (c *Core) Probe(store uint32, need Time, any bool) {
+	c.tasks = append(c.tasks, task{do: (*Core).probe, store: store, least: need, any: any})
 }
 
 func (c *Core) HangUp(store uint32) {
--- a/internal/front/postgres.go
+++ b/internal/front/postgres.go
@@ -333,6 +333,10 @@
 		c.end(k, e, r)
 		return true
 	}
+	if r.Ending == balance.Delivered && k.note.Position < c.jobs[e.job].least {
+		// Danger: another front's word that this store has the log so far may be wrong, and the read stale.
+		r.Ending = balance.Behind
+	}
 	if r.Ending == balance.Delivered && !c.jobs[e.job].final {
 		in := k.link.Peek()
 		c.out = c.out[:0]
--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -37,6 +37,7 @@
 	trip         int
 	since, until Time
 	dialled      bool
+	survey       bool // the watch asks, and not the module
 }
 
 // conn is one connection to a store.
@@ -76,11 +77,15 @@
 		c.owe(back{t.job, trip, t.store, balance.Return{Ending: balance.Unsent}})
 		return
 	}
-	j.store = t.store
+	j.store, j.least = t.store, t.least
 	c.start(t.store, errand{job: t.job, trip: trip, since: c.now, until: t.at})
 }
 
 func (c *Core) probe(t task) {
+	s := &c.stores[t.store]
+	if w := c.limits.Watch; w != nil && t.least > 0 && !s.bolt && w.Ask(s.id, t.least, t.any) {
+		return
+	}
 	c.start(t.store, errand{job: -1, since: c.now, until: c.now + c.host.Dial})
 }
 
@@ -154,6 +159,10 @@
 		c.jobs[e.job].waits = false
 	}
 	c.saw(i, e, how)
+	if e.survey {
+		c.limits.Watch.Failed(c.stores[i].id)
+		return
+	}
 	c.owe(back{e.job, e.trip, i, balance.Return{Ending: how}})
 }
 
@@ -279,9 +288,29 @@
 		c.jobs[e.job].trip = nil
 	}
 	c.saw(k.store, e, r.Ending)
+	if w := c.limits.Watch; w != nil && (r.Ending <= balance.Crowded || e.survey) {
+		c.learned(w, k.store, e, r)
+	}
+	if e.survey && r.Ending != balance.Delivered {
+		return // the module has not asked, and would blame the store for an older question
+	}
 	c.owe(back{e.job, e.trip, k.store, r})
 }
 
+// learned tells the watch what an answer has shown. A commit's position is told rounded up, so it is none.
+func (c *Core) learned(w Watch, i uint32, e errand, r balance.Return) {
+	position := r.Load.Position
+	if e.job >= 0 && c.needs[c.jobs[e.job].kind] != balance.Write {
+		position = max(position, r.Note.Position)
+	}
+	switch {
+	case position > 0:
+		w.Learned(c.stores[i].id, position)
+	case e.survey:
+		w.Failed(c.stores[i].id)
+	}
+}
+
 // drop is the one place where a store's connection is given back.
 func (k *conn) drop(c *Core) {
 	last := c.conns[len(c.conns)-1]
--- a/internal/joined/joined.go
+++ b/internal/joined/joined.go
@@ -3,8 +3,12 @@
 
 import (
 	"cmp"
+	"slices"
 
 	"micatrack/balance"
+	"micatrack/fleet"
+	"micatrack/fleet/membership"
+	"micatrack/fleet/watch"
 	"micatrack/fleet/zones"
 	"micatrack/internal/front"
 )
@@ -13,7 +17,10 @@
 type Bridge struct {
 	Zones    *zones.Zones
 	Expected []balance.Time // of the profiles, as the charter numbers them
+	Watch    *watch.Watch   // nil: off
 	stores   []zones.Store  // scratch
+	watched  []string
+	peers    []watch.Peer
 }
 
 // NewBridge takes the profiles' expected times; Zones is set once it is there.
@@ -36,6 +43,46 @@
 		b.stores = append(b.stores, zones.Store{ID: e.ID, Zone: e.Zone, Size: cmp.Or(e.Size, 1), Open: e.Condition == balance.Ready})
 	}
 	b.Zones.Listed(now, l.News != balance.ListChanges, b.stores)
+	if b.Watch != nil {
+		b.watch(l)
+	}
+}
+
+// watch hands the stores on that speak PostgreSQL's protocol.
+func (b *Bridge) watch(l front.List) {
+	named := map[string]bool{}
+	for i := range l.Lines {
+		if e := &l.Lines[i]; e.Condition != balance.Gone && !e.Bolt {
+			if named[e.ID] = true; !slices.Contains(b.watched, e.ID) {
+				b.watched = append(b.watched, e.ID)
+			}
+			b.Watch.Listed(e.ID, e.Group, e.Primary, true)
+		}
+	}
+	keep := b.watched[:0]
+	for _, name := range b.watched {
+		if l.News == balance.ListChanges || named[name] {
+			keep = append(keep, name)
+		} else {
+			b.Watch.Listed(name, 0, false, false)
+		}
+	}
+	b.watched = keep
+}
+
+// Peers tells the watch who is there, where that has changed.
+func (b *Bridge) Peers(f *fleet.Fleet) {
+	if b.Watch == nil || !f.Changed {
+		return
+	}
+	f.Changed = false
+	b.peers = b.peers[:0]
+	for _, e := range f.Members.List() {
+		if e.State <= membership.Suspect {
+			b.peers = append(b.peers, watch.Peer{Name: e.Name, Addr: e.Addr})
+		}
+	}
+	b.Watch.Members(b.peers)
 }
 
 // Saw hands on how a trip or a probe came back, as front.Limits tells it.
--- a/internal/operators/operators.go
+++ b/internal/operators/operators.go
@@ -45,6 +45,7 @@
 	MarginMS  int64 `json:"margin_ms"`
 	SummaryMS int64 `json:"summary_ms"`
 	Collector string
+	Watch     bool // positions are asked of watchers
 }
 
 // Voter is a front that grants leases.
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"micatrack/fleet/membership"
+	"micatrack/fleet/watch"
 )
 
 const (
@@ -39,18 +40,20 @@
 
 // Peers is the sockets of one front.
 type Peers struct {
-	fleet string
-	udp   *net.UDPConn
-	tcp   *net.TCPListener
-	wake  func()
-	in    chan []byte
-	out   chan outgoing
-	whole chan whole
-	spare chan []byte
-	room  chan struct{} // for exchanges that come in
-	begun chan struct{} // for those that go out
-	msg   membership.Message
-	cargo atomic.Pointer[func(b []byte)] // takes messages of leases; nil: they are dropped
+	fleet    string
+	udp      *net.UDPConn
+	tcp      *net.TCPListener
+	wake     func()
+	in       chan []byte
+	out      chan outgoing
+	whole    chan whole
+	spare    chan []byte
+	room     chan struct{} // for exchanges that come in
+	begun    chan struct{} // for those that go out
+	msg      membership.Message
+	onQuery  func(q watch.Query) // the loop's
+	onAnswer func(a watch.Answer)
+	cargo    atomic.Pointer[func(b []byte)] // takes messages of leases; nil: they are dropped
 
 	sent, taken, bytes, full, shape, other, version, long, where atomic.Int64
 }
@@ -133,13 +136,16 @@
 }
 
 // Send puts a datagram in the queue for the system.
-func (p *Peers) Send(addr string, m *membership.Message) {
+func (p *Peers) Send(addr string, m *membership.Message) { p.raw(addr, Append(p.buffer(), p.fleet, m)) }
+
+// raw takes a message over.
+func (p *Peers) raw(addr string, b []byte) {
 	to, err := netip.ParseAddrPort(addr)
 	if err != nil || !near(to.Addr()) {
 		p.where.Add(1)
+		p.free(b)
 		return
 	}
-	b := Append(p.buffer(), p.fleet, m)
 	if len(b) > datagram {
 		p.long.Add(1)
 		p.free(b)
@@ -201,7 +207,7 @@
 	for n := range turn {
 		select {
 		case b := <-p.in:
-			if p.parse(b) {
+			if !p.watched(b) && p.parse(b) {
 				take(&p.msg)
 			}
 			p.free(b)
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -441,7 +441,7 @@
 	f.end()
 }
 
-func (f *front) Send(job string, store uint32, until balance.Time) {
+func (f *front) Send(job string, store uint32, until, _ balance.Time) {
 	f.onJob("SEND", job)
 	f.field(" Store=", int64(store))
 	f.field(" TryUntil=", until*microsPerTime)
@@ -465,7 +465,7 @@
 	f.end()
 }
 
-func (f *front) Probe(store uint32) {
+func (f *front) Probe(store uint32, _ balance.Time, _ bool) {
 	f.start("PING")
 	f.field(" Store=", int64(store))
 	f.end()
--- a/internal/standin/postgres.go
+++ b/internal/standin/postgres.go
@@ -7,6 +7,7 @@
 	"net"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"micatrack/internal/pgwire"
@@ -19,6 +20,8 @@
 	group *Group
 	l     net.Listener
 
+	probes atomic.Int64
+
 	mu     sync.Mutex
 	conns  map[net.Conn]bool
 	before func(job string) Act
@@ -56,6 +59,9 @@
 // Addr is where it listens.
 func (p *Postgres) Addr() string { return p.l.Addr().String() }
 
+// Probes tells how often it was asked for its position.
+func (p *Postgres) Probes() int64 { return p.probes.Load() }
+
 // Does sets what happens to jobs; nil: all are answered. It may be called from any connection.
 func (p *Postgres) Does(f func(job string) Act) { p.mu.Lock(); p.before = f; p.mu.Unlock() }
 
@@ -124,6 +130,7 @@
 
 func (p *Postgres) answer(c net.Conn, text []byte) bool {
 	if string(text) == Probe {
+		p.probes.Add(1)
 		_, err := c.Write(p.group.Answer(p.Name, text))
 		return err == nil
 	}
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -17,6 +17,7 @@
 	"micatrack/balance"
 	"micatrack/fleet"
 	"micatrack/fleet/membership"
+	"micatrack/fleet/watch"
 	"micatrack/fleet/zones"
 	"micatrack/internal/charter"
 	"micatrack/internal/front"
@@ -52,7 +53,9 @@
 	Rate      float64
 	Kinds     []Kind
 	Patience  Time           // of clients
+	Watch     bool           // positions are asked of watchers
 	Fleet     bool           // fronts know each other
+	WatchWait Time           // for a watcher\'s answer
 	Period    Time           // of the fleet's talk
 	PeerDelay Time           // one way, from half of it to one and a half
 	PeerLoss  int            // of 1,000 datagrams
@@ -259,6 +262,9 @@
 	core    *front.Core
 	fleet   *fleet.Fleet
 	bridge  joined.Bridge
+	watch   *watch.Watch
+	Lies    func(a *watch.Answer) // what it says as a watcher is changed by that
+	Mute    bool                  // as a watcher it says nothing
 	msg     membership.Message
 	events  []front.Event
 	links   map[*link]bool
@@ -281,7 +287,7 @@
 	c.Fronts, c.Zone, c.Seed = w.Plan.Fronts, f.Zone, w.Seed<<20+uint64(f.n+1)<<8+uint64(f.life)
 	limits := front.Limits{Links: 1000, Clients: 500, Answer: 1 << 16, Rest: 2 * Second, Grace: 600 * Millisecond, Longest: 3 * Second}
 	together := w.Plan.Fleet && (w.Without == nil || !w.Without(f.n))
-	f.fleet = nil
+	f.fleet, f.watch = nil, nil
 	if together {
 		var seeds []string
 		for k := range min(3, len(w.Fronts)) {
@@ -295,6 +301,10 @@
 			Period: w.Period, Seeds: seeds, Members: 1024, NoteLife: 20 * w.Period},
 			zones.Self{StartShare: c.StartShare, Cold: c.Cold, FallSpan: c.FallSpan}, host{f})
 		f.bridge.Zones = f.fleet.Zones
+		if w.Plan.Watch {
+			f.watch = watch.New(w.Now, watch.Self{Name: f.Name, Addr: f.addr, Wait: w.WatchWait, Period: w.Period, Patience: w.Host.Dial, Seed: c.Seed}, looks{f})
+			f.bridge.Watch, limits.Watch = f.watch, seen{f}
+		}
 	}
 	var err error
 	f.core, err = front.New(w.Now, c, w.Host, limits, f, func() {}, slog.New(slog.NewTextHandler(io.Discard, nil)))
@@ -311,7 +321,7 @@
 
 // Kill ends a front at once: its connections break.
 func (f *Front) Kill() {
-	f.core, f.fleet, f.frozen = nil, nil, false
+	f.core, f.fleet, f.watch, f.frozen = nil, nil, nil, false
 	for _, l := range f.open() {
 		l.Close()
 	}
@@ -398,6 +408,10 @@
 	if f.fleet != nil && w.Now >= f.fleet.Next() {
 		f.fleet.Beat(w.Now)
 	}
+	if f.watch != nil {
+		f.bridge.Peers(f.fleet)
+		f.watch.Beat(w.Now)
+	}
 	events := f.events
 	f.events = nil
 	for k := range events {
@@ -416,6 +430,9 @@
 	if f.fleet != nil {
 		next = min(next, f.fleet.Next())
 	}
+	if f.watch != nil {
+		next = min(next, f.watch.Next())
+	}
 	f.planned(max(next, w.Now+1))
 }
 
@@ -471,6 +488,64 @@
 	})
 }
 
+// looks is what the front does for its watch, and seen what its core tells it. In this world who is meant to watch may.
+type looks struct{ f *Front }
+
+func (l looks) Survey(store string)                 { l.f.core.Survey(store) }
+func (l looks) Vouch(store string, position Time)   { l.f.core.Vouch(store, position) }
+func (l looks) Proxied(store string, answered bool) { l.f.core.Proxied(store, answered) }
+func (l looks) Want(string)                         {}
+func (l looks) Drop(string)                         {}
+func (l looks) Holds(string) bool                   { return true }
+func (l looks) Query(addr string, q watch.Query) {
+	l.f.post(addr, peers.AppendQuery(nil, "world", &q))
+}
+func (l looks) Answer(addr string, a watch.Answer) {
+	if l.f.Mute {
+		return
+	}
+	if l.f.Lies != nil {
+		l.f.Lies(&a)
+	}
+	l.f.post(addr, peers.AppendAnswer(nil, "world", &a))
+}
+
+type seen struct{ f *Front }
+
+func (s seen) Ask(store string, need Time, any bool) bool {
+	return s.f.watch.Ask(s.f.w.Now, store, need, any)
+}
+func (s seen) Learned(store string, position Time) { s.f.watch.Learned(s.f.w.Now, store, position) }
+func (s seen) Failed(store string)                 { s.f.watch.Failed(s.f.w.Now, store) }
+
+// post sends a message of the watch.
+func (f *Front) post(addr string, text []byte) {
+	w, to := f.w, f.w.byPeer[addr]
+	w.Peers.Datagrams++
+	w.Peers.Bytes += len(text)
+	if to == nil || w.chance.Below(1000) < int64(w.PeerLoss) || w.cut(f.Node, to.Node) {
+		return
+	}
+	w.At(w.PeerDelay/2+w.chance.Below(w.PeerDelay), func() { to.look(text) })
+}
+
+func (f *Front) look(text []byte) {
+	if f.frozen {
+		f.slept = append(f.slept, func() { f.look(text) })
+		return
+	}
+	q, a, err := peers.ReadWatch(text, "world")
+	switch {
+	case f.watch == nil || err != nil:
+		return
+	case q != nil:
+		f.watch.Hear(f.w.Now, *q)
+	default:
+		f.watch.Told(f.w.Now, *a)
+	}
+	f.wake()
+}
+
 // hear takes another front's message in, once the process runs.
 func (f *Front) hear(text []byte, answer func(back []byte)) {
 	if f.frozen {
--- a/internal/world/world_test.go
+++ b/internal/world/world_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"testing"
 
+	"micatrack/fleet/watch"
 	"micatrack/internal/charter"
 )
 
@@ -221,3 +222,140 @@
 	w.Rest()
 	rules(t, w)
 }
+
+// reads plays steady load, and gives probes a second at all stores, the part of bounded and fenced reads that replicas served, and
+// what came in time.
+func reads(t *testing.T, p Plan, span Time, meanwhile func(w *World)) (probes float64, replicas float64, all Tally, w *World) {
+	w = New(p)
+	w.Load()
+	w.Run(10 * Second)
+	at, before := w.Now, 0
+	for _, s := range w.Stores {
+		before += s.Probes
+	}
+	if meanwhile != nil {
+		meanwhile(w)
+	}
+	w.Run(max(span-(w.Now-at), 0))
+	end := w.Now
+	for _, s := range w.Stores {
+		probes += float64(s.Probes)
+	}
+	probes = (probes - float64(before)) / (float64(end-at) / float64(Second))
+	w.Rest()
+	rules(t, w)
+	served, primary := 0, 0
+	for g, group := range w.Groups {
+		where := map[string]string{}
+		for _, e := range group.Ledger() {
+			where[e.Job] = e.Store
+		}
+		lead, _ := group.Primary()
+		for _, d := range w.Done {
+			if k := &w.Kinds[d.Kind]; d.Group == g && d.Delivered && d.At >= at && (k.Bound > 0 || k.Fenced) {
+				if served++; where[d.Job] == lead {
+					primary++
+				}
+			}
+		}
+	}
+	return probes, 1 - float64(primary)/float64(max(served, 1)), w.Tally(at, end, inTime), w
+}
+
+func watched(t testing.TB, fronts, groups int, on bool) Plan {
+	p := plan(t, fronts, groups, 1, 10)
+	p.Fleet, p.Watch, p.PeerDelay, p.WatchWait, p.Takes = true, on, 2*Millisecond, 15*Millisecond, 10*Millisecond
+	p.Kinds = []Kind{{Profile: "any", Share: 4}, {Profile: "near", Share: 6, Bound: 400 * Millisecond}, {Profile: "mine", Fenced: true, Share: 6},
+		{Profile: "save", Write: true}, {Profile: "order", Write: true, Numbered: true}}
+	return p
+}
+
+// TestWatchSparesStores: what stores are asked with watchers and without; 300 fronts and 120 stores with MICATRACK_LONG set.
+func TestWatchSparesStores(t *testing.T) {
+	fronts, groups := 60, 4
+	switch {
+	case raced:
+		fronts, groups = 12, 2
+	case os.Getenv("MICATRACK_LONG") != "":
+		fronts, groups = 300, 40
+	}
+	var rate [2]float64
+	for k, on := range []bool{false, true} {
+		probes, replicas, all, w := reads(t, watched(t, fronts, groups, on), 10*Second, nil)
+		asked, answered, surveys := uint64(0), uint64(0), uint64(0)
+		for _, f := range w.Fronts {
+			if f.watch != nil {
+				asked, answered, surveys = asked+f.watch.Asked, answered+f.watch.Answered, surveys+f.watch.Surveys
+			}
+		}
+		t.Logf("watch %v: %.0f probes a second, replicas serve %.3f, %+v; %d asked of watchers, %d answered, %d surveys", on, probes, replicas, all,
+			asked, answered, surveys)
+		if rate[k] = probes; replicas < 0.99 || all.InTime < all.Jobs*99/100 {
+			t.Errorf("watch %v: replicas serve %.3f, %+v", on, replicas, all)
+		}
+	}
+	if !raced && rate[1]*8 > rate[0] {
+		t.Errorf("%.0f probes a second, %.0f without watchers", rate[1], rate[0])
+	}
+}
+
+// TestWatchersFail: watchers that lie while replicas lag by seconds, that say nothing, that are cut off from all, that are
+// stopped and killed: no read is staler than allowed, and about as many come in time as without watchers.
+func TestWatchersFail(t *testing.T) {
+	for name, c := range map[string]struct {
+		lag Time
+		do  func(w *World)
+	}{
+		"lie": {2 * Second, func(w *World) {
+			for _, f := range w.Fronts {
+				f.Lies = func(a *watch.Answer) {
+					for k := range a.Seen {
+						a.Seen[k].Position = w.Now
+					}
+				}
+			}
+		}},
+		"mute": {20 * Millisecond, func(w *World) {
+			for _, f := range w.Fronts {
+				f.Mute = true
+			}
+		}},
+		"cut off": {20 * Millisecond, func(w *World) { w.Cut(func(from, to Node) bool { return from.Front && to.Front }) }},
+		"stopped and killed": {20 * Millisecond, func(w *World) {
+			for k, f := range w.Fronts {
+				switch k % 6 {
+				case 0:
+					f.Freeze()
+					w.At(4*Second, f.Thaw)
+				case 1:
+					f.Kill()
+				}
+			}
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := watched(t, 24, 3, true)
+			p.Lag = c.lag
+			_, _, with, w := reads(t, p, 10*Second, c.do)
+			p.Watch = false
+			_, _, without, _ := reads(t, p, 10*Second, func(w *World) {
+				if name == "stopped and killed" {
+					c.do(w)
+				}
+			})
+			t.Logf("with %+v, without %+v", with, without)
+			if float64(with.InTime)/float64(with.Jobs) < 0.98*float64(without.InTime)/float64(without.Jobs) {
+				t.Error("too few come in time")
+			}
+			asked := uint64(0)
+			for _, f := range w.Fronts {
+				if f.watch != nil {
+					asked += f.watch.Asked
+				}
+			}
+			if asked == 0 {
+				t.Error("no watcher was asked")
+			}
+		})
+	}
+}
