--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -888,3 +888,50 @@
 		}
 	}
 }
+
+// BenchmarkStores: a job, and a turn of the loop with its beat, among so many stores in groups of three.
+func BenchmarkStores(b *testing.B) {
+	for _, n := range []int{10, 120, 1000} {
+		s := newStage(b, 2*n+100, true)
+		var lines []Line
+		for k := range n {
+			lines = append(lines, Line{ID: fmt.Sprint("s", k), Addr: "127.0.0.1:1", Member: balance.Member{Group: uint64(3 + k/3), Condition: balance.Ready,
+				Primary: k%3 == 0, Size: 1}})
+		}
+		s.core.Tell(List{News: balance.ListWhole, Lines: lines})
+		s.step()
+		cl := s.client()
+		query, answer := []byte(ask("any", 1)), []byte(value+ready)
+		b.Run(fmt.Sprint("job/", n), func(b *testing.B) {
+			b.ReportAllocs()
+			open := map[*wire]bool{}
+			for b.Loop() {
+				cl.in, cl.out = append(cl.in[:0], query...), cl.out[:0]
+				s.core.Step(s.now, []Event{{cl, Readable}})
+				for len(s.dials) > 0 { // a new connection comes up at once
+					w := s.dials[0]
+					s.dials = s.dials[1:]
+					open[w] = true
+					w.in = append(w.in, "R\x00\x00\x00\x08\x00\x00\x00\x00"+ready...)
+					s.core.Step(s.now, []Event{{w, Readable}})
+				}
+				for w := range open {
+					if len(w.out) > 0 && strings.HasSuffix(string(w.out), "\x00") {
+						w.in, w.out, w.taken = append(w.in[:0], answer...), w.out[:0], w.taken+len(w.out)
+						s.core.Step(s.now, []Event{{w, Readable}})
+					}
+				}
+				if s.now++; len(cl.out) == 0 {
+					b.Fatal("no answer")
+				}
+			}
+		})
+		b.Run(fmt.Sprint("beat/", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				s.now = max(s.core.Next(), s.now+1)
+				s.core.Step(s.now, nil)
+			}
+		})
+	}
+}
--- a/internal/leases/leases_test.go
+++ b/internal/leases/leases_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
+	"os"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -55,6 +56,11 @@
 
 // some gives members of a fleet, all of which vote.
 func some(t *testing.T, fleet string, n int, wants ...string) (all []*member) {
+	return many(t, fleet, n, n, span, wants...)
+}
+
+// many gives members of a fleet, of which the first vote.
+func many(t *testing.T, fleet string, n, votes int, span time.Duration, wants ...string) (all []*member) {
 	start := time.Now()
 	now := func() Time { return 1_000_000 + int64(time.Since(start)/tick) }
 	var seats []lease.Seat
@@ -66,15 +72,20 @@
 		}
 		t.Cleanup(p.Close)
 		name := fmt.Sprint("f", k)
-		seats, names = append(seats, lease.Seat{Name: name, Addr: p.Addr()}), append(names, name)
+		if names = append(names, name); k < votes {
+			seats = append(seats, lease.Seat{Name: name, Addr: p.Addr()})
+		}
 		all = append(all, &member{peers: p, held: map[string]uint64{}, end: make(chan struct{}), do: make(chan func()), log: &strings.Builder{}, logged: &sync.Mutex{}})
 	}
 	for k, m := range all {
-		path := filepath.Join(t.TempDir(), "state")
-		if _, err := record.Create(path, fleet, names[k], true, names); err != nil {
-			t.Fatal(err)
+		path := ""
+		if k < votes {
+			path = filepath.Join(t.TempDir(), "state")
+			if _, err := record.Create(path, fleet, names[k], true, names[:votes]); err != nil {
+				t.Fatal(err)
+			}
 		}
-		o := Order{Fleet: fleet, Self: lease.Party{Name: names[k], Life: 1}, Addr: seats[k].Addr, Seats: slices.Clone(seats), State: path,
+		o := Order{Fleet: fleet, Self: lease.Party{Name: names[k], Life: 1}, Addr: m.peers.Addr(), Seats: slices.Clone(seats), State: path,
 			Terms: lease.Terms{Span: int64(span / tick), Drift: 0.01, Margin: 300}, Seed: uint64(k) + 1}
 		m.Leases = Open(o, now, m.peers, m, func() {}, slog.New(slog.NewTextHandler(locked{m.logged, m.log}, nil)))
 		for _, w := range wants {
@@ -87,6 +98,7 @@
 					return
 				case do := <-m.do:
 					do()
+					continue
 				case <-time.After(2 * time.Millisecond):
 				}
 				at := time.Now()
@@ -249,3 +261,116 @@
 	await(t, 4*span, "it is held", func() bool { return keeper(ours, "l") != nil })
 	t.Logf("token %d before, %d after; %d dropped at the first", token, keeper(ours, "l").has("l"), ours[0].Dropped.Load())
 }
+
+// TestMeasureLeases: MICATRACK_MEASURE=1 go test ./internal/leases -run Measure -v
+func TestMeasureLeases(t *testing.T) {
+	if os.Getenv("MICATRACK_MEASURE") == "" {
+		t.Skip("a measurement")
+	}
+	const short = 300 * time.Millisecond
+	all := many(t, "gaps", 8, 5, short, "l")
+	wait := func(after uint64) (m *member, token uint64) {
+		await(t, 10*time.Second, "one holds it", func() bool {
+			for _, o := range all {
+				if x := o.has("l"); x > after {
+					m, token = o, x
+				}
+			}
+			return m != nil
+		})
+		return m, token
+	}
+	tell := func(what string, gaps []time.Duration) {
+		slices.Sort(gaps)
+		t.Logf("%s, span %v: nobody holds it for %v, at the most %v of %d", what, short, gaps[len(gaps)/2], gaps[len(gaps)-1], len(gaps))
+	}
+	var planned, dead, led []time.Duration
+	m, token := wait(0)
+	for range 100 {
+		at, old := time.Now(), m
+		old.do <- func() { old.Holder.Drop(old.now(), "l") }
+		m, token = wait(token)
+		planned = append(planned, time.Since(at))
+		old.do <- func() { old.Holder.Want(old.now(), "l") }
+		time.Sleep(short / 2)
+	}
+	tell("given back", planned)
+	for range 100 {
+		at, old, goOn := time.Now(), m, make(chan bool)
+		old.do <- func() { <-goOn } // its loop stands still
+		m, token = wait(token)
+		dead = append(dead, time.Since(at))
+		close(goOn)
+		time.Sleep(short)
+	}
+	tell("the holder stands still", dead)
+	for range 100 {
+		at, old, goOn := time.Now(), m, make(chan bool)
+		if v := lead(all[:5]); v != nil {
+			v.vote.put(func(*lease.Voter) { <-goOn })
+		}
+		old.do <- func() { <-goOn }
+		m, token = wait(token)
+		led = append(led, time.Since(at))
+		close(goOn)
+		time.Sleep(short)
+	}
+	tell("holder and leader stand still", led)
+
+	began := time.Now()
+	names := []string{}
+	for k := range 2000 {
+		names = append(names, fmt.Sprint("m", k))
+	}
+	for k, o := range all {
+		o.do <- func() {
+			for n := k; n < len(names); n += len(all) {
+				if n/len(all) < 240 {
+					o.Holder.Want(o.now(), names[n])
+				}
+			}
+		}
+	}
+	count := func() (n int) {
+		for _, o := range all {
+			o.mu.Lock()
+			n += len(o.held)
+			o.mu.Unlock()
+		}
+		return n
+	}
+	want := 8*240 + 1
+	for end := time.Now().Add(30 * time.Second); count() < want && time.Now().Before(end); {
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Logf("%d leases granted in %v, asked for at once", count(), time.Since(began))
+
+	for _, n := range []int{10, 100, 300} {
+		t.Run(fmt.Sprint(n, " fronts"), func(t *testing.T) {
+			all := many(t, fmt.Sprint("load", n), n, 5, 3*time.Second, "l")
+			for k, o := range all {
+				o.do <- func() { o.Holder.Want(o.now(), fmt.Sprint("own", k)) }
+			}
+			time.Sleep(6 * time.Second)
+			sums := func() (c [2]peers.Counts) {
+				for k, o := range all {
+					x, at := o.peers.Counts(), 0
+					if k >= 5 {
+						at = 1
+					}
+					c[at].Sent, c[at].Bytes = c[at].Sent+x.Sent, c[at].Bytes+x.Bytes
+				}
+				return c
+			}
+			a := sums()
+			time.Sleep(6 * time.Second)
+			b := sums()
+			for k, who := range []string{"a voter", "another front"} {
+				if m := float64([]int{5, n - 5}[k]) * 6; m > 0 {
+					t.Logf("%d fronts with a lease each, all waiting for one more, span 3 s: %s sends %.1f messages and %.0f bytes a second", n, who,
+						float64(b[k].Sent-a[k].Sent)/m, float64(b[k].Bytes-a[k].Bytes)/m)
+				}
+			}
+		})
+	}
+}
