Cold stores: a budget grows on while a won chance stands

In Balancer.Beat a won chance kept its store's budget from being cut back, and from growing too; one front with much to send starved stores that resets make it take for cold. Change: the budget grows on and only the cut waits. TestBudgetGrowsWhileAChanceStands fails without it (100 after two beats).

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -864,10 +864,9 @@
 			if m.started > 0 {
 				// Danger: all fronts push a cold store over. Each sends it its part of what like warm ones are sent.
 				rate := max(b.flow*m.size*b.warmth(m)*b.coldPart, b.trickle)
-				// Danger: a read that asks for a position first has to win its chance there twice. So one that is won
-				// stands for as long as such a read may ask.
-				if b.now-m.won > b.quickest/10 {
-					m.budget = min(m.budget+rate*float64(b.beat), rate*float64(b.span)/2)
+				// Danger: a read that asks first has to win its chance twice. So one that is won stands while it may ask.
+				if m.budget += rate * float64(b.beat); b.now-m.won > b.quickest/10 {
+					m.budget = min(m.budget, rate*float64(b.span)/2)
 				}
 			} else if m.open {
 				warm += m.size
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -613,6 +613,23 @@
 	return w.log
 }
 
+// TestBudgetGrowsWhileAChanceStands: a chance that is won at a cold member must not stop what it is given anyway. Where few fronts send
+// much, it would get next to nothing for as long as it is taken to be cold.
+func TestBudgetGrowsWhileAChanceStands(t *testing.T) {
+	w := three(t, testCharter())
+	m := &w.b.members[2]
+	m.started, w.b.flow = w.now, 50
+	m.budget, m.won = 100, w.now
+	w.pass(2 * w.b.beat)
+	if m.budget < 1000 {
+		t.Errorf("a budget of 100 is %.0f after two beats", m.budget)
+	}
+	m.budget, m.won = 1e9, w.now
+	if w.pass(w.b.quickest); m.budget > 1e8 {
+		t.Errorf("it grows without bound: %.0f", m.budget)
+	}
+}
+
 // TestPeersVouch: a read goes to a replica that a peer says has passed its need, and its answer has to show that. One that
 // does not ends the trust for a cold time.
 func TestPeersVouch(t *testing.T) {
