Watch and leases read once more: bounds on groups, texts and a disk that stands still

What stood open after the landing of leases: a group without stores is forgotten and its place used again (a fleet whose groups come and go for good would have kept each), one front watches no more groups than can be held, a peer's texts in lease messages are bounded like those of the watch, a planned end does not wait for a voter's disk that stands still, and voters tell how many messages they refused or dropped. Code that only one test used is gone. Tests of fleet, peers, leases and world pass with the race detector.

--- a/cmd/micatrack/fleet.go
+++ b/cmd/micatrack/fleet.go
@@ -69,6 +69,7 @@
 	}
 	if f.Control != "" {
 		if err := t.control(f.Control, wake); err != nil {
+			t.close()
 			p.Close()
 			return nil, err
 		}
--- a/cmd/micatrack/lease_test.go
+++ b/cmd/micatrack/lease_test.go
@@ -155,7 +155,7 @@
 func leader(r *rig.Rig) *rig.Front {
 	var lead *rig.Front
 	r.Await(5*time.Second, "a voter leads", func() bool {
-		for _, f := range r.Fronts[:r.Plan.Voters] {
+		for _, f := range r.Fronts { // one that was added may lead
 			if v, err := views(nil, f); err == nil && v.Leads {
 				lead = f
 				return true
@@ -164,6 +164,7 @@
 		return false
 	})
 	if lead == nil {
+		said(r, time.Now().Add(-10*time.Second))
 		r.T.FailNow()
 	}
 	return lead
--- a/cmd/micatrack/watch.go
+++ b/cmd/micatrack/watch.go
@@ -38,7 +38,12 @@
 func (l *lookout) Vouch(store string, position front.Time) { l.t.core.Vouch(store, position) }
 func (l *lookout) Proxied(store string, answered bool)     { l.t.core.Proxied(store, answered) }
 func (l *lookout) Drop(lease string)                       { l.t.deputy.Holder.Drop(l.t.now(), lease) }
+
+// Want asks for a lease, but not any more once the front is to end: what it gives back then is others'.
 func (l *lookout) Want(lease string) {
+	if l.t.deputy.ending {
+		return
+	}
 	if err := l.t.deputy.Holder.Want(l.t.now(), lease); err != nil {
 		l.t.log.Warn("not watched", "error", err.Error())
 	}
--- a/fleet/watch/watch.go
+++ b/fleet/watch/watch.go
@@ -30,7 +30,8 @@
 	mostOpen  = 256  // questions of this front that are out
 	mostWait  = 1024 // askers that wait for this front's stores
 	pauses    = 6    // doublings of the pause in which a watcher that was silent is not asked
-	shareMost = 4    // times the mean of groups that one front watches at most
+	shareMost = 4    // times the mean of groups that one front watches at most,
+	mostMine  = 200  // and in any case; a front's leases are 256
 )
 
 // Seen is what a store has shown.
@@ -115,6 +116,7 @@
 	groups  []group
 	byID    map[uint64]int
 	byStore map[string][2]int // group and place in it
+	spare   []int             // places of groups that have no stores any more
 	open    []open
 	waiting int
 	seq     uint64
@@ -159,6 +161,9 @@
 			w.byStore[g.stores[k].name] = [2]int{at[0], k}
 		}
 		known = false
+		if len(g.stores) == 0 {
+			w.forget(at[0])
+		}
 	}
 	if !there {
 		return
@@ -169,8 +174,13 @@
 	}
 	gi, ok := w.byID[id]
 	if !ok {
-		gi = len(w.groups)
-		w.groups = append(w.groups, group{id: id, watcher: -1, lease: fmt.Sprint("watch/", id)})
+		if len(w.spare) == 0 {
+			w.groups = append(w.groups, group{})
+			w.spare = append(w.spare, len(w.groups)-1)
+		}
+		gi = w.spare[len(w.spare)-1]
+		w.spare = w.spare[:len(w.spare)-1]
+		w.groups[gi] = group{id: id, watcher: -1, lease: fmt.Sprint("watch/", id)}
 		w.byID[id] = gi
 		w.stale = true
 	}
@@ -179,12 +189,28 @@
 	g.stores = append(g.stores, store{name: name, primary: primary})
 }
 
+// forget gives a group's place back, and its lease.
+// Danger: where groups come and go for good, their leases would be held for ever.
+func (w *Watch) forget(gi int) {
+	g := &w.groups[gi]
+	if w.settle(g); g.mine {
+		w.host.Drop(g.lease)
+	}
+	delete(w.byID, g.id)
+	*g = group{watcher: -1}
+	w.spare = append(w.spare, gi)
+	w.stale = true
+}
+
 // assign finds each group's watcher anew.
 func (w *Watch) assign() {
 	w.stale = false
-	mine, share := 0, shareMost*len(w.groups)/(len(w.members)+1)+1
+	mine, share := 0, min(shareMost*len(w.byID)/(len(w.members)+1)+1, mostMine)
 	for gi := range w.groups {
 		g := &w.groups[gi]
+		if len(g.stores) == 0 {
+			continue
+		}
 		weigh := func(name string) uint64 {
 			return xxhash.Sum64(binary.LittleEndian.AppendUint64([]byte(name), g.id))
 		}
--- a/fleet/watch/watch_test.go
+++ b/fleet/watch/watch_test.go
@@ -96,7 +96,7 @@
 		}
 	}
 	if g < 0 {
-		t.Skip("the other front watches nothing")
+		t.Fatal("the other front watches nothing")
 	}
 	store := w.groups[g].stores[1].name
 	if !w.Ask(2000, store, 1990, true) || len(b.queries) != 1 {
@@ -155,6 +155,21 @@
 	if len(b.answers) != 51 || w.waiting != 0 {
 		t.Errorf("after stores that do not answer %d are, %d wait", len(b.answers), w.waiting)
 	}
+	for k := range 3 {
+		w.Listed(fmt.Sprintf("g0-%d", k), 0, false, false)
+	}
+	if len(b.wants) != 0 || len(w.byID) != 0 {
+		t.Errorf("a group without stores is watched: %v", b.wants)
+	}
+	for g := range 20 { // one after the other, for good
+		w.Listed("s", uint64(100+g), false, true)
+		w.Beat(w.now + w.self.Period)
+	}
+	if len(w.groups) > 2 || len(b.wants) != 1 {
+		t.Errorf("%d places, %v wanted", len(w.groups), b.wants)
+	}
+	w.Listed("s", 0, false, true)
+	w.Beat(w.now + w.self.Period)
 	b.withheld = true
 	if w.Hear(9000, Query{Seq: 100, Addr: "x"}); len(b.answers) != 52 || len(b.answers[51].Seen) != 0 {
 		t.Error("one without the lease answers")
--- a/internal/leases/leases.go
+++ b/internal/leases/leases.go
@@ -24,7 +24,9 @@
 )
 
 const (
-	waiting = 1024 // messages that wait for the voter, and answers for the loop
+	waiting = 1024                   // messages that wait for the voter, and answers for the loop;
+	large   = 16                     // past so many none over a datagram's length does
+	patient = 200 * time.Millisecond // for a disk that stands still, at the end
 	tick    = 100 * time.Microsecond
 )
 
@@ -122,7 +124,11 @@
 func (l *Leases) Close() {
 	if l.vote != nil {
 		close(l.vote.stop)
-		<-l.vote.done
+		select { // Danger: a disk that stands still would keep a front from its planned end.
+		case <-l.vote.done:
+		case <-time.After(patient):
+			l.log.Warn("the vote's disk does not answer; it is left as it is")
+		}
 	}
 }
 
@@ -174,7 +180,8 @@
 		})
 	default:
 		var in pb.Message
-		if proto.Unmarshal(m.Log, &in) != nil {
+		// Danger: while its disk stands still, what waits for a voter may be snapshots of megabytes.
+		if len(m.Log) > 1200 && len(l.vote.in) > large || proto.Unmarshal(m.Log, &in) != nil {
 			l.Dropped.Add(1)
 			return
 		}
@@ -328,6 +335,9 @@
 	Leases []lease.Grant `json:"leases"`
 	Leads  bool          `json:"leads"`
 	Aside  string        `json:"aside,omitempty"`
+	// Refused are messages that could be no voter's, Dropped those that could not be read or had no room.
+	Refused uint64 `json:"refused"`
+	Dropped int64  `json:"dropped"`
 }
 
 var errNoVote = errors.New("this front has no vote: ask one that has")
@@ -343,7 +353,7 @@
 			}
 			w.Chairs = append(w.Chairs, c)
 		}
-		w.Leases, w.Leads = v.Grants(), v.Leads()
+		w.Leases, w.Leads, w.Refused, w.Dropped = v.Grants(), v.Leads(), v.Refused, l.Dropped.Load()
 		if err := v.Aside(); err != nil {
 			w.Aside = err.Error()
 		}
--- a/internal/peers/lease.go
+++ b/internal/peers/lease.go
@@ -19,7 +19,10 @@
 	Seats    []lease.Seat // beside Reply: who votes, where that has changed since the fleet's first start
 }
 
-const mostSeats = 16
+const (
+	mostSeats = 16
+	mostText  = 64 // bytes of a name or an address
+)
 
 // appendLease writes the frame round a body.
 func appendLease(dst []byte, fleet string, body []byte) []byte {
@@ -29,7 +32,10 @@
 }
 
 // leaseOf gives the body of a message of this fleet's leases; not ok: it is no such message.
-func leaseOf(b []byte, fleet string) (body []byte, ok bool) {
+func leaseOf(b []byte, fleet string) (body []byte, ok bool) { return framed(b, fleet, kindLease, 11) }
+
+// framed gives what stands in one field of a message of this fleet and of a kind.
+func framed(b []byte, fleet string, want uint64, field protowire.Number) (body []byte, ok bool) {
 	told, named, kind := uint64(0), false, uint64(0)
 	err := fields(b, func(n protowire.Number, number uint64, text []byte) error {
 		switch n {
@@ -38,15 +44,27 @@
 		case 2:
 			named = string(text) == fleet
 		case 3:
-			if kind = number; kind != kindLease {
+			if kind = number; kind != want {
 				return errShape
 			}
-		case 11:
+		case field:
 			body = text
 		}
 		return nil
 	})
-	return body, err == nil && told == version && named && kind == kindLease && body != nil
+	return body, err == nil && told == version && named && kind == want && body != nil
+}
+
+// short reads the texts of a message.
+// Danger: what an asker says of itself is kept for as long as it waits, and a frame may hold four million bytes.
+func short(take func(n protowire.Number, number uint64, text []byte)) func(n protowire.Number, number uint64, text []byte) error {
+	return func(n protowire.Number, number uint64, text []byte) error {
+		if len(text) > mostText {
+			return errShape
+		}
+		take(n, number, text)
+		return nil
+	}
 }
 
 // AppendLease writes the body of a message of leases.
@@ -117,13 +135,10 @@
 }
 
 func readAsk(b []byte, a *lease.Ask) error {
-	return fields(b, func(n protowire.Number, number uint64, text []byte) error {
+	err := fields(b, short(func(n protowire.Number, number uint64, text []byte) {
 		switch n {
 		case 1:
-			if number > uint64(lease.Release) {
-				return errShape
-			}
-			a.Op = lease.Op(number)
+			a.Op = lease.Op(min(number, 255))
 		case 2:
 			a.Name = string(text)
 		case 3:
@@ -141,12 +156,15 @@
 		case 9:
 			a.Heard = number
 		}
-		return nil
-	})
+	}))
+	if err == nil && a.Op > lease.Release {
+		err = errShape
+	}
+	return err
 }
 
 func readSeat(b []byte, s *lease.Seat) error {
-	return fields(b, func(n protowire.Number, number uint64, text []byte) error {
+	return fields(b, short(func(n protowire.Number, number uint64, text []byte) {
 		switch n {
 		case 1:
 			s.ID = number
@@ -155,12 +173,11 @@
 		case 3:
 			s.Addr = string(text)
 		}
-		return nil
-	})
+	}))
 }
 
 func readReply(b []byte, r *lease.Reply, addr *string) error {
-	return fields(b, func(n protowire.Number, number uint64, text []byte) error {
+	return fields(b, short(func(n protowire.Number, number uint64, text []byte) {
 		switch n {
 		case 1:
 			r.Name = string(text)
@@ -181,6 +198,5 @@
 		case 9:
 			*addr = string(text)
 		}
-		return nil
-	})
+	}))
 }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -337,20 +337,15 @@
 
 // Lease sends a message of leases, as it is written by its package: a datagram, or a connection where it is longer.
 func (p *Peers) Lease(addr string, body []byte) {
+	if b := appendLease(p.buffer(), p.fleet, body); len(b) <= datagram {
+		p.raw(addr, b)
+		return
+	}
 	to, err := netip.ParseAddrPort(addr)
 	if err != nil || !near(to.Addr()) {
 		p.where.Add(1)
 		return
 	}
-	if b := appendLease(p.buffer(), p.fleet, body); len(b) <= datagram {
-		select {
-		case p.out <- outgoing{to, b}:
-		default:
-			p.full.Add(1)
-			p.free(b)
-		}
-		return
-	}
 	select {
 	case p.begun <- struct{}{}:
 	default:
--- a/internal/peers/watch.go
+++ b/internal/peers/watch.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	kindWatch   = 9
-	mostAddress = 64 // bytes of an address, and of a store's name
+	kindWatch  = 9
+	mostMoment = 1 << 60 // a position, or a need
 )
 
 // AppendQuery and AppendAnswer write messages of the watch, whole.
@@ -40,24 +40,8 @@
 
 // ReadWatch takes a message of the watch apart: a question, which names its asker's address, or an answer.
 func ReadWatch(b []byte, fleet string) (q *watch.Query, a *watch.Answer, err error) {
-	told, named, kind := uint64(0), false, uint64(0)
-	var body []byte
-	err = fields(b, func(n protowire.Number, number uint64, text []byte) error {
-		switch n {
-		case 1:
-			told = number
-		case 2:
-			named = string(text) == fleet
-		case 3:
-			if kind = number; kind != kindWatch {
-				return errShape
-			}
-		case 12:
-			body = text
-		}
-		return nil
-	})
-	if err != nil || told != version || !named || kind != kindWatch {
+	body, ok := framed(b, fleet, kindWatch, 12)
+	if !ok {
 		return nil, nil, errShape
 	}
 	var seq, group, need uint64
@@ -70,37 +54,27 @@
 		case 2:
 			group = number
 		case 3:
-			if need = number; need > 1<<60 {
-				return errShape
-			}
+			need = number
 		case 4:
-			if addr = string(text); len(text) > mostAddress {
-				return errShape
-			}
+			addr = string(text)
 		case 6:
-			if store = string(text); len(text) > mostAddress {
-				return errShape
-			}
+			store = string(text)
 		case 5:
 			var s watch.Seen
-			if len(seen) >= watch.MostSeen {
-				return errShape
-			}
-			err := fields(text, func(n protowire.Number, number uint64, text []byte) error {
+			err := fields(text, short(func(n protowire.Number, number uint64, text []byte) {
 				switch n {
 				case 1:
-					if s.Store = string(text); len(text) > mostAddress {
-						return errShape
-					}
+					s.Store = string(text)
 				case 2:
-					if s.Position = watch.Time(number); number > 1<<60 {
-						return errShape
-					}
+					s.Position = watch.Time(min(number, mostMoment))
 				}
-				return nil
-			})
-			seen = append(seen, s)
-			return err
+			}))
+			if seen = append(seen, s); err != nil || len(seen) > watch.MostSeen {
+				return errShape
+			}
+		}
+		if n != 5 && len(text) > mostText || need > mostMoment {
+			return errShape
 		}
 		return nil
 	})
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -347,9 +347,6 @@
 	return strings.TrimSpace(string(out[strings.LastIndex(string(out), " ")+1:]))
 }
 
-// State is the file of the front's vote.
-func (f *Front) State() string { return f.state }
-
 // Relayed is where the other fronts reach this one.
 func (f *Front) Relayed() string { return f.relayed }
 
--- a/internal/standin/collector.go
+++ b/internal/standin/collector.go
@@ -23,7 +23,6 @@
 	server *httptest.Server
 	mu     sync.Mutex
 	takes  time.Duration
-	trusts bool
 	newest uint64
 	acts   []Acted
 }
@@ -44,9 +43,6 @@
 	c.server.Close()
 }
 
-// Trust has it take acts under any token, so that nothing but the leases' clocks keeps holders apart.
-func (c *Collector) Trust() { c.mu.Lock(); c.trusts = true; c.mu.Unlock() }
-
 // Acts gives all, in the order in which they began.
 func (c *Collector) Acts() []Acted {
 	c.mu.Lock()
@@ -63,7 +59,7 @@
 	}
 	c.mu.Lock()
 	k := len(c.acts)
-	c.acts = append(c.acts, Acted{Token: token, By: s.By, Began: time.Now(), Refused: !c.trusts && token < c.newest})
+	c.acts = append(c.acts, Acted{Token: token, By: s.By, Began: time.Now(), Refused: token < c.newest})
 	refused := c.acts[k].Refused
 	c.newest = max(c.newest, token)
 	c.mu.Unlock()
--- a/internal/world/store.go
+++ b/internal/world/store.go
@@ -25,7 +25,6 @@
 	busy   int
 	waits  []work
 	recent []Time // when jobs came of late, while it is cold
-	slow   float64
 	life   int
 }
 
@@ -64,9 +63,6 @@
 	})
 }
 
-// Slow has every job take so many times as long; 0 ends that.
-func (s *Store) Slow(times float64) { s.slow = times }
-
 // strength is the part of its work that it does now.
 func (s *Store) strength(at Time) float64 {
 	c := &s.w.Charter
@@ -144,9 +140,6 @@
 		s.busy++
 		life := s.life
 		takes := float64(s.w.Takes) / s.strength(s.w.Now)
-		if s.slow > 0 {
-			takes *= s.slow
-		}
 		s.w.At(Time(math.Ceil(takes)), func() {
 			if s.life != life {
 				return
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -253,8 +253,6 @@
 // Front is one front of the world.
 type Front struct {
 	Node
-	Dials int // connections that it began to stores
-
 	w       *World
 	n       int
 	addr    string
@@ -438,7 +436,6 @@
 
 // Dial is front.Sockets.
 func (f *Front) Dial(addr string) (front.Link, error) {
-	f.Dials++
 	s := f.w.byAddr[addr]
 	if s == nil {
 		return nil, fmt.Errorf("%s: refused", addr)
