Discovery: lists on many lines, calls that are never answered, lists that go back

Cause: follow read a line at a time, so an indented list broke each watch at its first brace, for good (Decode of '{'). A call without an answer and a silent watch were given up after 6 s, when what they held up already counted as told; after failures the module waited up to 3/8 of AskWithin, past 6 s where settings allow a minute. A list older than one before opened stores that had drained since. Change: objects are cut out of the stream by their braces, with one bound; patience is 1 s for an answer and 4.5 s for a watch, which an object that never ends does not renew; the module waits 3 s at most; an older list opens no store that it had shut. Tests over real connections for each kind of answer, most of which fail on the text before; the module's fail without its lines.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -20,6 +20,7 @@
 const (
 	never     = Time(1) << 60
 	second    = Time(10000)
+	due       = 6 * second // what discovery has counts as told by then, whether or not a call for it came through
 	fenceBits = 14
 	thrift    = 0.005 // part of the result that probes may cost on the ordinary path
 	search    = 0.125 // part of the credit of what waits that a search for its primary may cost
@@ -64,6 +65,7 @@
 	proven, scouted      bool    // its role as primary may be relied on; a write is out to prove it
 	inFlight, refusals   int     // trips; refusals and failures since the last delivery
 	shut, started        Time    // nothing new goes there until then; its last start, 0 when warm
+	listed               Time    // the start that the list tells
 	limit, strain        float64 // trips in flight it takes in good time; answer times for the expected
 	size, budget         float64 // listed; typical time that may still be sent while it is cold
 	part                 float64 // of its fair share that the plan for its zone lets it have
@@ -190,13 +192,21 @@
 	if news == ListFailed {
 		// Danger: a drain told meanwhile binds within its grace, so the first call follows almost at once. But
 		// fronts that failed together must not call again together: far longer waits each time, and spread.
-		wait := b.askWithin / 256 << (2 * b.watchMiss)
+		// And what it has counts as told by then all the same, so half of that is the longest wait.
+		wait := min(b.askWithin/256<<(2*b.watchMiss), due/3)
 		b.watchMiss, b.watchAt = min(b.watchMiss+1, 3), now+wait/2+b.chance(wait)
 		return
 	}
 	if news != ListCached {
 		b.watchMiss, b.watchAt = 0, never
 	}
+	for i := range list {
+		// Danger: a list older than one before knows nothing of a drain told since, and would open the store again.
+		e := &list[i]
+		if k, ok := b.memberOf[e.Store]; news == ListOlder && ok && !b.members[k].open && e.Started <= b.members[k].listed {
+			e.Condition = Draining
+		}
+	}
 	if news != ListChanges {
 		for i := range b.members {
 			b.members[i].open = b.members[i].open && b.onlyDrains
@@ -292,7 +302,7 @@
 	}
 	m.open = e.Condition == Ready || e.Condition == Gone && b.onlyDrains && (m.open || !known)
 	m.size = cmp.Or(max(e.Size, 0), m.size)
-	if e.Started > m.started && b.now-e.Started < b.cold {
+	if m.listed = max(m.listed, e.Started); e.Started > m.started && b.now-e.Started < b.cold {
 		m.started = e.Started
 	}
 	// The list is the weakest witness: it names a primary only where nothing better is known.
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -670,3 +670,46 @@
 		t.Error("the same events gave other actions")
 	}
 }
+
+// TestOlderList: a list that has gone back was told before a drain, and would have opened the store again.
+func TestOlderList(t *testing.T) {
+	w := three(t, testCharter())
+	w.list(ListChanges, Member{Store: 2, Group: 9, Zone: "a", Condition: Draining, Size: 1})
+	old := []Member{{Store: 1, Group: 9, Zone: "a", Condition: Ready, Primary: true, Size: 1},
+		{Store: 2, Group: 9, Zone: "a", Condition: Ready, Size: 1}, {Store: 4, Group: 9, Zone: "a", Condition: Ready, Size: 1}}
+	w.b.List(w.now, ListOlder, append([]Member(nil), old...))
+	for _, store := range []uint32{1, 2, 3, 4} {
+		if open := w.b.members[w.b.memberOf[store]].open; open != (store == 1 || store == 4) {
+			t.Errorf("store %d: open %v", store, open)
+		}
+	}
+	old[1].Started = w.now // it drained, ended and has started anew
+	w.b.List(w.now, ListOlder, append([]Member(nil), old...))
+	if !w.b.members[w.b.memberOf[2]].open {
+		t.Error("a store that has started since stays shut")
+	}
+	w.list(ListChanges, Member{Store: 2, Group: 9, Zone: "a", Condition: Draining, Size: 1})
+	w.list(ListWhole, old...)
+	if !w.b.members[w.b.memberOf[2]].open {
+		t.Error("a list that is not older does not open a store")
+	}
+}
+
+// TestDiscoveryIsAskedInTime: a front that may go without a list for long still has to know what discovery has had for six
+// seconds, however many calls failed before.
+func TestDiscoveryIsAskedInTime(t *testing.T) {
+	for _, within := range []Time{20000, 100000, 3000000} {
+		c := testCharter()
+		c.AskWithin = within
+		w := three(t, c)
+		for n := range 40 {
+			asked, at := w.watches, w.now
+			for w.b.List(w.now, ListFailed, nil); w.watches == asked && w.now < at+due; {
+				w.pass(10)
+			}
+			if gap := w.now - at; gap > due/2+200 || n > 9 && gap < min(within/16, due/8) {
+				t.Errorf("asked again %d after failure %d, where %d is allowed", gap, n, within)
+			}
+		}
+	}
+}
--- a/balance/front.go
+++ b/balance/front.go
@@ -99,6 +99,7 @@
 	ListWhole
 	ListChanges
 	ListCached // what the front held before it was restarted
+	ListOlder  // whole, but older than one before
 )
 
 // Job is one request as it comes in.
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -3,8 +3,7 @@
 package discovery
 
 import (
-	"bufio"
-	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -21,9 +20,10 @@
 )
 
 const (
-	quiet    = 2 * time.Second // an empty line comes that often while nothing changes
-	silence  = 3 * quiet       // a watch silent for longer is broken
-	mostLine = 4 << 20
+	quiet   = 2 * time.Second // an empty line comes that often while nothing changes
+	silence = quiet * 9 / 4   // a watch that has missed two of them is broken, and what it missed is not yet due
+	answers = quiet / 2       // discovery answers a call at once; one that is silent for so long is given up
+	most    = 4 << 20         // bytes of one object
 )
 
 // Decode reads one object of the list. It gives all of it or an error.
@@ -77,26 +77,31 @@
 
 // Watcher follows the list. Its one goroutine lives as long as the process.
 type Watcher struct {
-	wake    func()
-	log     *slog.Logger
-	ask     chan struct{}
-	silence time.Duration
-	version int64 // -1: the whole list is asked for; run's alone
-	mu      sync.Mutex
-	url     string // and what follows is guarded by mu
-	moved   bool   // since the last watch was opened
-	end     func() // of the watch that stands
-	told    []front.List
+	wake             func()
+	log              *slog.Logger
+	ask              chan struct{}
+	answers, silence time.Duration
+	version          int64 // -1: the whole list is asked for; run's alone, as newest
+	newest           int64 // that the same discovery has told last
+	mu               sync.Mutex
+	url              string // and what follows is guarded by mu
+	moved            bool   // since the last watch was opened
+	end              func() // of the watch that stands
+	told             []front.List
 }
 
 // Watch starts a watcher that knows the list up to version; it opens nothing before Ask.
 func Watch(addr string, version int64, wake func(), log *slog.Logger) *Watcher {
-	w := &Watcher{url: "http://" + addr + "/api/targets", wake: wake, log: log, ask: make(chan struct{}, 1),
-		version: version, silence: silence, end: func() {}}
+	w := watcher(addr, version, wake, log)
 	go w.run()
 	return w
 }
 
+func watcher(addr string, version int64, wake func(), log *slog.Logger) *Watcher {
+	return &Watcher{url: "http://" + addr + "/api/targets", wake: wake, log: log, ask: make(chan struct{}, 1),
+		version: version, newest: version, answers: answers, silence: silence, end: func() {}}
+}
+
 // Ask opens the watch if none is open.
 func (w *Watcher) Ask() {
 	select {
@@ -131,7 +136,8 @@
 }
 
 func (w *Watcher) run() {
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true,
+		MaxResponseHeaderBytes: 64 << 10}}
 	for range w.ask {
 		err := w.follow(client)
 		w.mu.Lock()
@@ -152,16 +158,18 @@
 }
 
 // follow keeps one watch until it breaks, falls silent or says what cannot be.
+// Danger: a call that is never answered, or a watch that has fallen silent, holds up what counts as told meanwhile. So
+// each is given up while there is time for another.
 func (w *Watcher) follow(client *http.Client) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	watchdog := time.AfterFunc(w.silence, cancel)
+	ctx, cancel := context.WithCancelCause(context.Background())
+	defer cancel(nil)
+	watchdog := time.AfterFunc(w.answers, func() { cancel(errSilent) })
 	defer watchdog.Stop()
 	w.mu.Lock()
 	if w.moved {
-		w.moved, w.version = false, -1 // Danger: another discovery need not count as this one did.
+		w.moved, w.version, w.newest = false, -1, -1 // Danger: another discovery need not count as this one did.
 	}
-	w.end = cancel
+	w.end = func() { cancel(errMoved) }
 	url, whole := w.url+"?follow=1", w.version < 0
 	w.mu.Unlock()
 	if !whole {
@@ -173,37 +181,106 @@
 	}
 	resp, err := client.Do(req)
 	if err != nil {
-		return err
+		return cmp.Or(context.Cause(ctx), err)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("status %d", resp.StatusCode)
 	}
-	lines := bufio.NewScanner(resp.Body)
-	lines.Buffer(nil, mostLine)
-	for lines.Scan() {
-		watchdog.Reset(w.silence)
-		line := bytes.TrimSpace(lines.Bytes())
-		if len(line) == 0 {
-			continue
+	watchdog.Reset(w.silence)
+	var o object
+	for piece := make([]byte, 16<<10); ; {
+		n, err := resp.Body.Read(piece)
+		for rest := piece[:n]; len(rest) > 0; {
+			text, used, err := o.take(rest)
+			if err != nil {
+				w.version = -1 // the next watch starts from the whole list
+				return err
+			}
+			rest = rest[used:]
+			if text == nil {
+				continue
+			}
+			watchdog.Reset(w.silence)
+			if err := w.object(text, &whole); err != nil {
+				w.version = -1
+				return err
+			}
 		}
-		version, l, err := Decode(line)
-		switch {
-		case err != nil:
-		case whole && l.News != balance.ListWhole:
-			err = errors.New("changes where the whole list was asked for")
-		case !whole && version < w.version:
-			err = fmt.Errorf("version %d after %d", version, w.version)
+		if n > 0 && o.depth == 0 { // Danger: an object that comes on for ever is silence as well.
+			watchdog.Reset(w.silence)
+		}
+		if err == io.EOF {
+			err = io.ErrUnexpectedEOF
+		}
+		if err != nil && o.depth > 0 {
+			w.version = -1
 		}
 		if err != nil {
-			w.version = -1 // the next watch starts from the whole list
-			return err
+			return cmp.Or(context.Cause(ctx), err)
 		}
-		w.version, whole = version, false
-		w.tell(l)
 	}
-	if err := lines.Err(); err != nil {
+}
+
+var (
+	errSilent = errors.New("discovery is silent")
+	errMoved  = errors.New("discovery has moved")
+)
+
+// object takes in one object of the list as a watch told it.
+func (w *Watcher) object(text []byte, whole *bool) error {
+	version, l, err := Decode(text)
+	switch {
+	case err != nil:
 		return err
+	case *whole && l.News != balance.ListWhole:
+		return errors.New("changes where the whole list was asked for")
+	case !*whole && version < w.version:
+		return fmt.Errorf("version %d after %d", version, w.version)
+	case l.News == balance.ListWhole && version < w.newest:
+		// Danger: a discovery that has gone back knows nothing of drains that it told before.
+		l.News = balance.ListOlder
+	}
+	w.version, w.newest, *whole = version, version, false
+	w.tell(l)
+	return nil
+}
+
+// object gathers one JSON object from the pieces in which it comes, on one line or on many.
+type object struct {
+	text            []byte
+	depth           int
+	quoted, escaped bool
+}
+
+// take looks at more of the stream, and gives the object that ends there, if one does, and how much it has used.
+func (o *object) take(p []byte) (text []byte, used int, err error) {
+	if o.depth == 0 {
+		o.text = o.text[:0]
+	}
+	for n, c := range p {
+		switch {
+		case o.escaped:
+			o.escaped = false
+		case o.quoted:
+			o.escaped, o.quoted = c == '\\', c != '"'
+		case o.depth > 0 && c == '"':
+			o.quoted = true
+		case c == '{':
+			o.depth++
+		case o.depth == 0 && (c == ' ' || c == '\t' || c == '\r' || c == '\n'):
+			continue
+		case o.depth == 0:
+			return nil, n, fmt.Errorf("byte %q between the objects of the list", c)
+		case c == '}':
+			o.depth--
+		}
+		if o.text = append(o.text, c); len(o.text) > most {
+			return nil, n, fmt.Errorf("an object of over %d bytes", most)
+		}
+		if o.depth == 0 {
+			return o.text, n + 1, nil
+		}
 	}
-	return io.ErrUnexpectedEOF
+	return nil, len(p), nil
 }
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -1,12 +1,15 @@
 package discovery
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -81,8 +84,8 @@
 		w.told = w.told[1:]
 		return l.News
 	}
-	const whole, changes, broke = balance.ListWhole, balance.ListChanges, balance.ListFailed
-	for k, want := range [][]balance.ListNews{{whole, changes, broke}, {broke}, {broke}, {whole, broke}, {broke},
+	const whole, changes, broke, older = balance.ListWhole, balance.ListChanges, balance.ListFailed, balance.ListOlder
+	for k, want := range [][]balance.ListNews{{whole, changes, broke}, {broke}, {broke}, {older, broke}, {broke},
 		{broke}, {whole, broke}} {
 		since := answers[0].since
 		w.Ask()
@@ -137,3 +140,168 @@
 		}
 	}
 }
+
+// script is a discovery that answers the k-th call with what stands in its k-th place, over a bare connection, and
+// says when and since which version it was called.
+func script(t *testing.T, answers ...func(c *net.TCPConn)) (addr string, calls chan string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	calls = make(chan string, len(answers)+9)
+	var all sync.WaitGroup
+	t.Cleanup(func() { l.Close(); all.Wait() })
+	all.Go(func() {
+		for k := 0; ; k++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { c.Close() })
+			all.Go(func() {
+				head := make([]byte, 4096)
+				n, _ := c.Read(head)
+				_, since, _ := strings.Cut(strings.SplitN(string(head[:n]), " HTTP", 2)[0], "since=")
+				calls <- since
+				if k < len(answers) {
+					answers[k](c.(*net.TCPConn))
+				}
+			})
+		}
+	})
+	return l.Addr().String(), calls
+}
+
+const open = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n" // an answer without a length
+
+func write(text ...string) func(c *net.TCPConn) {
+	return func(c *net.TCPConn) {
+		for _, p := range text {
+			io.WriteString(c, p)
+		}
+	}
+}
+
+func indented(text string) string {
+	var v any
+	json.Unmarshal([]byte(text), &v)
+	b, _ := json.MarshalIndent(v, "", "  ")
+	return string(b)
+}
+
+// TestWatchAnswers: what a watch may answer, each over a connection of its own. All that came whole is told, nothing else
+// is, and each end is told as a failed list at once, without the patience for a silent watch.
+func TestWatchAnswers(t *testing.T) {
+	const whole, changes, broke, older = balance.ListWhole, balance.ListChanges, balance.ListFailed, balance.ListOlder
+	seven, eight := list(7, true, line), list(8, false, line)
+	bare := func(c *net.TCPConn) { c.Close() }
+	reset := func(c *net.TCPConn) { c.SetLinger(0); c.Close() }
+	for _, c := range []struct {
+		name  string
+		says  string
+		end   func(c *net.TCPConn)
+		news  []balance.ListNews
+		since string // that the next call asks for
+	}{
+		{"indented", indented(seven) + "\n\n" + indented(eight) + "\n", bare, []balance.ListNews{whole, changes, broke}, "8"},
+		{"indented, with brackets in a text", indented(strings.Replace(seven, `"zone":"a"`, `"zone":"}\"{\\"`, 1)), bare,
+			[]balance.ListNews{whole, broke}, "7"},
+		{"two on one line", seven + eight, reset, []balance.ListNews{whole, changes, broke}, "8"},
+		{"lines that end in CR LF", "\r\n" + seven + "\r\n\r\n" + eight + "\r\n", bare, []balance.ListNews{whole, changes, broke}, "8"},
+		{"cut off", seven + "\n" + eight[:len(eight)-1], bare, []balance.ListNews{whole, broke}, ""},
+		{"reset in the middle", seven + "\n" + eight[:9], reset, []balance.ListNews{whole, broke}, ""},
+		{"nothing", "", bare, []balance.ListNews{broke}, ""},
+		{"out of order", seven + list(6, false, line), nil, []balance.ListNews{whole, broke}, ""},
+		{"an older list", list(3, true, line) + eight, bare, []balance.ListNews{older, changes, broke}, "8"},
+		{"no object", seven + "\n[]\n", nil, []balance.ListNews{whole, broke}, ""},
+		{"ends twice", seven + "}\n", nil, []balance.ListNews{whole, broke}, ""},
+		{"spoilt", seven + strings.Replace(eight, `"version"`, `"verzion"`, 1), nil, []balance.ListNews{whole, broke}, ""},
+		{"too much", seven + `{"version":8,"x":"` + strings.Repeat("x", most), nil, []balance.ListNews{whole, broke}, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			says := func(k *net.TCPConn) {
+				if io.WriteString(k, open+c.says); c.end != nil {
+					c.end(k)
+				}
+			}
+			addr, calls := script(t, says)
+			told := make(chan struct{}, 99)
+			w := watcher(addr, 4, func() { told <- struct{}{} }, slog.New(slog.NewTextHandler(io.Discard, nil)))
+			w.version, w.silence = -1, time.Hour
+			go w.run()
+			w.Ask()
+			for k, want := range c.news {
+				select {
+				case <-told:
+				case <-time.After(20 * time.Second):
+					t.Fatalf("only %d told", k)
+				}
+				w.mu.Lock()
+				got := w.told[k].News
+				w.mu.Unlock()
+				if got != want {
+					t.Errorf("told %d as %d, want %d", k, got, want)
+				}
+			}
+			<-calls
+			if w.Ask(); <-calls != c.since {
+				t.Errorf("the next call is not since %q", c.since)
+			}
+		})
+	}
+}
+
+// TestPatience: a call that is not answered, a watch that falls silent behind its answer and one whose object never ends
+// are each given up, and early enough that a second call lies within what counts as told 6 s after the silence began.
+func TestPatience(t *testing.T) {
+	if silence+answers >= 6*time.Second || silence <= 2*quiet || answers > quiet {
+		t.Errorf("patience of %v and %v", silence, answers)
+	}
+	drip := func(c *net.TCPConn) {
+		io.WriteString(c, open+list(7, true, line)+`{"version":8,"servers":[`)
+		for {
+			if _, err := io.WriteString(c, `{"id":"x"},`); err != nil {
+				return
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+	beats := func(c *net.TCPConn) {
+		io.WriteString(c, open+list(7, true, line)+"\n")
+		for range 20 { // twice the patience, but lines come
+			time.Sleep(30 * time.Millisecond)
+			io.WriteString(c, "\n")
+		}
+	}
+	for name, c := range map[string]struct {
+		says   func(c *net.TCPConn)
+		least  time.Duration
+		listed int
+	}{"no answer": {write(), 0, 0}, "half a head": {write(open[:20]), 0, 0}, "a head alone": {write(open), 0, 0},
+		"silent": {write(open, list(7, true, line)), 0, 1}, "no end": {drip, 0, 1},
+		"beats": {beats, 600 * time.Millisecond, 1}} {
+		t.Run(name, func(t *testing.T) {
+			addr, calls := script(t, c.says)
+			told := make(chan struct{}, 99)
+			w := watcher(addr, -1, func() { told <- struct{}{} }, slog.New(slog.NewTextHandler(io.Discard, nil)))
+			w.silence, w.answers = 300*time.Millisecond, 200*time.Millisecond
+			go w.run()
+			began := time.Now()
+			w.Ask()
+			for k := range c.listed + 1 {
+				select {
+				case <-told:
+				case <-time.After(20 * time.Second):
+					t.Fatalf("%d told", k)
+				}
+			}
+			w.mu.Lock()
+			last := w.told[len(w.told)-1].News
+			w.mu.Unlock()
+			if last != balance.ListFailed || time.Since(began) < c.least {
+				t.Errorf("told %d after %v", last, time.Since(began))
+			}
+			<-calls
+		})
+	}
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -394,7 +394,7 @@
 		members[k] = e.Member
 		members[k].Store = i
 	}
-	if l.News == balance.ListWhole {
+	if l.News == balance.ListWhole || l.News == balance.ListOlder {
 		for i := range c.stores {
 			if !named[uint32(i)] {
 				c.hangUp(uint32(i))
