Ends: a read that waits too long, last answers behind unread bytes, cancels, late repeats

Now the module says by when an attempt has to be on its way, for bounded reads and for keyed repeats, whose way to the store now counts into the window; one place (due) tells whether an errand may set out, and a read that missed its moment is placed anew. A peer's word has to be shown in full, not only as far as the read needed it when it was placed, for it may wait as well; TestPeersVouch asks for that now, which is stricter. What the system held of a given-up attempt could reach its store when a cut was over; such connections are reset. A client whose last answer was not out could be evicted; what was accepted in the last moment before the end was dropped; with limits under half a second the end came while new connections did; cancel requests did nothing, for clients were told no key. TestClientsThatKeepTheirConnections sent a query of a wrong length, so its busy client was none; it is one now. Tests over real connections with the order forced: internal/sock, cmd/micatrack/endings_test.go; the module's and the core's beside them.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -99,6 +99,7 @@
 	rank                   float64 // credit for the work, as it came in
 	fence, came            Time
 	wanted, limit, least   Time  // its expected time is up; the client's time; what its answer must have seen
+	by                     Time  // when its last trip had to be on its way
 	member                 int32 // where its last trip went: a job has one out at a time
 	sentAt, ranAt          Time  // when; when the first trip was sent that may have run
 	sent, asks, further    int   // trips; probes sent for it; trips that came back and may have run
@@ -659,8 +660,16 @@
 	}
 	if j.least = b.need(j); m.position >= j.least || b.checks || mi == b.groups[j.group].primary && m.proven {
 		j.least = 0 // it need not show what it has
+	} else if p.Need == Bounded {
+		j.least = m.told // and not only what it needs now: it may wait for a connection
 	}
-	b.front.Send(j.id, m.store, j.limit, j.least)
+	j.by = never
+	if p.Repeat == Numbered && j.ranAt > 0 {
+		j.by = b.edge(j)
+	} else if p.Need == Bounded && !b.checks && (mi != b.groups[j.group].primary || !m.proven) {
+		j.by = cmp.Or(j.least, m.position) + p.Bound // Danger: while it waits for a connection, what is known there grows old.
+	}
+	b.front.Send(j.id, m.store, j.limit, j.by, j.least)
 }
 
 // mayGoAgain: no further trips while overload is seen, up to two otherwise. What cost no store time is free.
@@ -781,7 +790,7 @@
 
 func (b *Balancer) afterTrip(i int32, r Return) {
 	j := &b.jobs[i]
-	if r.Ending == Unsent || b.now >= j.limit-b.beat || !b.mayRepeat(j) {
+	if r.Ending == Unsent && b.now < j.by || b.now >= j.limit-b.beat || !b.mayRepeat(j) {
 		b.giveUp(i)
 	} else {
 		b.place(i)
@@ -798,12 +807,20 @@
 		return true // proven never to have run
 	case p.Repeat == AtMostOnce:
 		return false // Danger: an effect twice.
-	case p.Repeat == Numbered && b.now+b.beat >= j.ranAt+p.Window:
-		return false // Danger: past its window a repeat is not dropped. Trips never leave the job's group.
+	case p.Repeat == Numbered && b.now >= b.edge(j):
+		return false // Trips never leave the job's group.
 	}
 	return b.mayGoAgain(j, j.further)
 }
 
+// edge is when a repeat of what may have run has to be on its way.
+// Danger: past its window a repeat is not dropped, and it counts from when the store begins it: the way there, and what
+// stands before it in the queue, take no longer than such a trip takes in all.
+func (b *Balancer) edge(j *job) Time {
+	p := &b.profiles[j.profile]
+	return j.ranAt + p.Window - b.beat - Time(p.typical)
+}
+
 // giveUp gives the final answer of a job that will not be delivered, at once.
 func (b *Balancer) giveUp(i int32) {
 	j := &b.jobs[i]
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -530,7 +530,7 @@
 	store uint32
 }
 
-func (s *still) Send(id string, store uint32, until, _ Time) { s.store = store }
+func (s *still) Send(id string, store uint32, until, _, _ Time) { s.store = store }
 
 // drive plays a generated day and returns what was done.
 func drive(t testing.TB, seed uint64, shape uint8) []string {
@@ -644,7 +644,7 @@
 	}
 	w.back("a", 0, Return{Ending: Delivered, Note: Report{w.now, Primary}})
 	w.b.Heard(w.now, 2, w.now)
-	if w.take(ask("b", "bounded")); w.at(t, "b") != 2 || last("b").least != w.now-3000 {
+	if w.take(ask("b", "bounded")); w.at(t, "b") != 2 || last("b").least != w.now {
 		t.Errorf("a read went to store %d, and its answer has to show %d", w.at(t, "b"), last("b").least)
 	}
 	w.back("b", 0, Return{Ending: Delivered, Note: Report{w.now - 30000, Replica}})
@@ -713,3 +713,35 @@
 		}
 	}
 }
+
+// TestRepeatInsideItsWindow: a repeat of what may have run is sent only while the way there, as long as such a trip takes in
+// all, ends inside the window, and it may wait for a connection no longer than that.
+func TestRepeatInsideItsWindow(t *testing.T) {
+	for _, c := range []struct {
+		after Time
+		again bool
+	}{{100, true}, {7100, true}, {7410, false}, {8900, false}} {
+		w := three(t, testCharter())
+		w.take(ask("m", "marked"))
+		w.pass(c.after)
+		w.back("m", 0, Return{Ending: Severed})
+		w.pass(210) // the store is shunned for a moment
+		if p := w.jobs["m"]; len(p.trips) > 1 != c.again || !c.again && p.final == 0 {
+			t.Errorf("after %d: %d trips, final %d", c.after, len(p.trips), p.final)
+		}
+	}
+}
+
+// TestReadThatWaitedTooLong: a read whose connection came up after what is known of its replica had grown too old is not
+// sent there, but placed anew: where something newer has been heard, or at the primary.
+func TestReadThatWaitedTooLong(t *testing.T) {
+	w := three(t, testCharter())
+	w.take(ask("r", "bounded"))
+	first := w.at(t, "r")
+	w.pass(2960)
+	w.hear(1, w.now, Primary)
+	w.back("r", 0, Return{Ending: Unsent})
+	if p := w.jobs["r"]; p.final != 0 || first == 1 || !w.held("r") && len(p.trips) > 1 && w.at(t, "r") == first {
+		t.Errorf("first to %d, then final %d, trips %d", first, p.final, len(p.trips))
+	}
+}
--- /dev/null
+++ b/cmd/micatrack/endings_test.go
@@ -0,0 +1,451 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"micatrack/internal/pgwire"
+)
+
+// seen keeps when each request first reached a store, and how often.
+type seen struct {
+	mu    sync.Mutex
+	at    map[string][]time.Time
+	heard chan string
+}
+
+var idOf = regexp.MustCompile(`id=([^,]+),`)
+
+func (w *world) watchIDs() *seen {
+	s := &seen{at: map[string][]time.Time{}, heard: make(chan string, 9999)}
+	return s
+}
+
+func (s *seen) note(query string) {
+	id := idOf.FindStringSubmatch(query)[1]
+	s.mu.Lock()
+	s.at[id] = append(s.at[id], time.Now())
+	s.mu.Unlock()
+	s.heard <- id
+}
+
+func (s *seen) wait(t *testing.T, id string) {
+	t.Helper()
+	for {
+		select {
+		case got := <-s.heard:
+			if got == id {
+				return
+			}
+		case <-time.After(outer):
+			t.Fatalf("%s reaches no store", id)
+		}
+	}
+}
+
+// limit sets a key of the configuration's limits, known or settings.
+func (w *world) configure(change func(c map[string]any)) {
+	w.t.Helper()
+	text, err := os.ReadFile(w.config)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	var c map[string]any
+	if err := json.Unmarshal(text, &c); err != nil {
+		w.t.Fatal(err)
+	}
+	change(c)
+	text, _ = json.Marshal(c)
+	if err := os.WriteFile(w.config, text, 0o600); err != nil {
+		w.t.Fatal(err)
+	}
+}
+
+func (cl *client) send(id, profile string, left int) {
+	cl.c.Write(pgwire.AppendSimple(nil, fmt.Sprintf("/* id=%s,c=%s,d=%d,cluster=1 */ SELECT payload FROM entries WHERE ref = 'k'",
+		id, profile, left)))
+}
+
+// goes ends a client in one of the ways in which clients go, and gives when.
+func (w *world) goes(cl *client, how string) time.Time {
+	switch tcp := cl.c.(*net.TCPConn); how {
+	case "closes":
+		tcp.Close()
+	case "resets":
+		tcp.SetLinger(0)
+		tcp.Close()
+	case "half-closes":
+		tcp.CloseWrite()
+	case "cancels":
+		c, err := net.Dial("tcp", w.addr)
+		if err != nil {
+			w.t.Fatal(err)
+		}
+		c.Write(append([]byte{0, 0, 0, 16, 4, 210, 22, 46}, cl.key...))
+		io.ReadAll(c) // it is hung up on once that is done
+		c.Close()
+	}
+	return time.Now()
+}
+
+var ways = []string{"closes", "resets", "half-closes", "cancels"}
+
+// gone tells of each request whose client had gone for over 0.1 s when an attempt began.
+func (s *seen) gone(t *testing.T, left map[string]time.Time) {
+	t.Helper()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, at := range left {
+		for n, began := range s.at[id] {
+			if late := began.Sub(at); late > 100*time.Millisecond {
+				t.Errorf("%s: attempt %d begins %v after its client has gone", id, n, late)
+			}
+		}
+	}
+}
+
+// TestClientGoesWhileHeld: the request waits for a primary, alone or before others of a pipeline; its client goes; then
+// there is a primary. What stands in the pipeline of one that cancels is served.
+func TestClientGoesWhileHeld(t *testing.T) {
+	for _, door := range []bool{false, true} {
+		w := newWorld(t, "primary", "replica")
+		if door {
+			w.switches = filepath.Join(t.TempDir(), "operators.json")
+			os.WriteFile(w.switches, []byte(`{"door":{"on":true}}`), 0o600)
+		}
+		w.lines["primary"] = "leaving"
+		w.configure(func(c map[string]any) { c["known"] = json.RawMessage(w.list("replica")) })
+		s := w.watchIDs()
+		w.does(func(_, query string) (string, func(*net.TCPConn)) { s.note(query); return value, nil })
+		w.start()
+		left := map[string]time.Time{}
+		var rest []*client
+		for _, how := range ways {
+			cl := w.client()
+			cl.send("held-"+how, "save", 2900)
+			cl.send("next-"+how, "save", 2900)
+			empty := w.client() // what was sent before has been read by then
+			empty.c.Write(pgwire.AppendSimple(nil, ""))
+			empty.answer()
+			left["held-"+how] = w.goes(cl, how)
+			if how != "cancels" {
+				left["next-"+how] = left["held-"+how]
+			} else if rest = append(rest, cl); cl.answer() != pgwire.Cancelled {
+				t.Error("a cancelled request is not answered as one")
+			}
+		}
+		time.Sleep(110 * time.Millisecond) // what the rule allows
+		w.change("primary", "active")
+		stays := w.client()
+		stays.send("stays", "save", 2900)
+		for _, cl := range append(rest, stays) {
+			if got := cl.answer(); got != "value" {
+				t.Errorf("one that stays: %s", got)
+			}
+		}
+		s.gone(t, left)
+	}
+}
+
+// TestClientGoesBeforeTheHandshakeIsOver: the store's connection is up, but not ready; the client goes; then it is.
+func TestClientGoesBeforeTheHandshakeIsOver(t *testing.T) {
+	w := newWorld(t, "primary")
+	w.configure(func(c map[string]any) {
+		c["settings"].(map[string]any)["Ceilings"].(map[string]any)["DialTimeout"] = 5000000
+	})
+	s := w.watchIDs()
+	w.does(func(_, query string) (string, func(*net.TCPConn)) { s.note(query); return value, nil })
+	came, greets := make(chan struct{}, 99), make(chan struct{})
+	w.greets = func(string) { came <- struct{}{}; <-greets }
+	w.start()
+	left := map[string]time.Time{}
+	var rest []*client
+	for _, how := range ways {
+		cl := w.client()
+		cl.send("early-"+how, "save", 2900)
+		<-came
+		left["early-"+how] = w.goes(cl, how)
+		rest = append(rest, cl)
+	}
+	stays := w.client()
+	stays.send("stays", "save", 2900)
+	time.Sleep(110 * time.Millisecond) // what the rule allows
+	close(greets)
+	if got := stays.answer(); got != "value" {
+		t.Errorf("one that stays: %s", got)
+	}
+	if cl := rest[len(rest)-1]; cl.answer() != pgwire.Cancelled {
+		t.Error("a cancelled request is not answered as one")
+	}
+	s.gone(t, left)
+}
+
+// TestClientGoesBetweenAttempts: the first attempt hangs; the client goes; then the store resets it. No further one begins.
+// While the answer is on its way the same.
+func TestClientGoesBetweenAttempts(t *testing.T) {
+	for _, middle := range []bool{false, true} {
+		w := newWorld(t, "primary", "replica", "other")
+		s := w.watchIDs()
+		fails := make(chan struct{})
+		w.does(func(_, query string) (string, func(*net.TCPConn)) {
+			s.note(query)
+			if strings.Contains(query, "id=goes") {
+				part := ""
+				if middle {
+					part = value[:len(value)/2]
+				}
+				return "", func(c *net.TCPConn) { io.WriteString(c, part); <-fails; reset(c) }
+			}
+			return value, nil
+		})
+		w.start()
+		left := map[string]time.Time{}
+		for _, how := range ways {
+			cl, id := w.client(), "goes-"+how
+			cl.send(id, "any", 900)
+			s.wait(t, id)
+			left[id] = w.goes(cl, how)
+			if how == "cancels" && cl.answer() != pgwire.Cancelled {
+				t.Error("a cancelled request is not answered as one")
+			}
+		}
+		time.Sleep(110 * time.Millisecond) // what the rule allows
+		close(fails)
+		w.client().want("save", "value")
+		w.client().want("any", "value")
+		s.gone(t, left)
+	}
+}
+
+// TestPipelineOfOneThatGoes: a client sends hundreds of requests at once and goes; no more than the one in hand is sent on,
+// whether or not all of it had room.
+func TestPipelineOfOneThatGoes(t *testing.T) {
+	for _, n := range []int{20, 3000} {
+		w := newWorld(t, "primary")
+		s := w.watchIDs()
+		goes := make(chan struct{})
+		w.does(func(_, query string) (string, func(*net.TCPConn)) { s.note(query); <-goes; return value, nil })
+		w.start()
+		cl := w.client()
+		var text []byte
+		for k := range n {
+			text = pgwire.AppendSimple(text, fmt.Sprintf("/* id=p%d,c=any,d=900,cluster=1 */ SELECT payload FROM entries WHERE ref = 'k'", k))
+		}
+		sent := make(chan struct{})
+		go func() { cl.c.Write(text); close(sent) }()
+		s.wait(t, "p0")
+		at := w.goes(cl, "resets")
+		<-sent
+		time.Sleep(110 * time.Millisecond) // what the rule allows
+		close(goes)
+		w.client().want("save", "value")
+		left := map[string]time.Time{}
+		for k := range n {
+			left[fmt.Sprintf("p%d", k)] = at
+		}
+		s.gone(t, left)
+	}
+}
+
+// TestTermInAnyState: SIGTERM finds requests held, sent, half read and half answered; a second one follows. Each is answered
+// once and whole, and the front ends well.
+func TestTermInAnyState(t *testing.T) {
+	w := newWorld(t, "primary", "replica")
+	s := w.watchIDs()
+	half, goes := make(chan struct{}), make(chan struct{})
+	w.does(func(_, query string) (string, func(*net.TCPConn)) {
+		s.note(query)
+		if strings.Contains(query, "id=half-answered") {
+			return "", func(c *net.TCPConn) {
+				io.WriteString(c, value[:len(value)/2])
+				close(half)
+				<-goes
+				io.WriteString(c, value[len(value)/2:]+ready)
+				io.Copy(io.Discard, c)
+			}
+		}
+		if strings.Contains(query, "id=sent") {
+			<-goes
+		}
+		return value, nil
+	})
+	cmd := w.start()
+	sent, answered, read := w.client(), w.client(), w.client()
+	sent.send("sent", "save", 2500)
+	s.wait(t, "sent")
+	answered.send("half-answered", "any", 900)
+	<-half
+	whole := pgwire.AppendSimple(nil, "/* id=half-read,c=any,d=900,cluster=1 */ SELECT payload FROM entries WHERE ref = 'k'")
+	read.c.Write(whole[:len(whole)/2])
+	cmd.Process.Signal(syscall.SIGTERM)
+	cmd.Process.Signal(syscall.SIGHUP)
+	late := w.client() // new ones still come
+	late.send("late", "any", 900)
+	cmd.Process.Signal(syscall.SIGTERM)
+	read.c.Write(whole[len(whole)/2:])
+	close(goes)
+	for name, cl := range map[string]*client{"sent": sent, "half answered": answered, "half read": read, "late": late} {
+		if got := cl.answer(); got != "value" {
+			t.Errorf("%s: %s", name, got)
+		}
+		if got := cl.answer(); got != "closed" {
+			t.Errorf("%s: then %s", name, got)
+		}
+		cl.c.Close()
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("it ends with %v", err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, at := range s.at {
+		if len(at) != 1 {
+			t.Errorf("%s: %d attempts", id, len(at))
+		}
+	}
+}
+
+// TestIdleClientsFillTheDescriptors: idle clients take all that there is while discovery is down. Working clients are served,
+// stores reached, and once discovery is back its drain is kept.
+func TestIdleClientsFillTheDescriptors(t *testing.T) {
+	w := newWorld(t, "primary", "replica", "other")
+	w.down = true
+	w.configure(func(c map[string]any) { c["limits"].(map[string]any)["sockets"] = 96 })
+	s := w.watchIDs()
+	stores := map[string]time.Time{} // when each was last asked
+	var mu sync.Mutex
+	w.does(func(store, query string) (string, func(*net.TCPConn)) {
+		s.note(query)
+		mu.Lock()
+		stores[store] = time.Now()
+		mu.Unlock()
+		return value, nil
+	})
+	w.start()
+	var idle []net.Conn
+	fill := func() {
+		for range 150 {
+			c, err := net.Dial("tcp", w.addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			c.Write(pgwire.AppendStartup(nil, "web", "orders"))
+			idle = append(idle, c)
+		}
+	}
+	defer func() {
+		for _, c := range idle {
+			c.Close()
+		}
+	}()
+	fill()
+	for k := range 40 {
+		cl := w.client()
+		cl.want([]string{"any", "save", "mine"}[k%3], "value")
+		cl.c.Close()
+	}
+	fill()
+	w.mu.Lock()
+	w.lines["other"] = "leaving"
+	w.version++
+	w.down = false
+	w.changed.Broadcast()
+	w.mu.Unlock()
+	told := time.Now().Add(6 * time.Second)
+	for time.Now().Before(told.Add(500 * time.Millisecond)) {
+		cl := w.client()
+		cl.want("any", "value")
+		cl.c.Close()
+	}
+	mu.Lock()
+	delete(stores, "other")
+	mu.Unlock()
+	for range 60 {
+		cl := w.client()
+		cl.want("any", "value")
+		cl.c.Close()
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if at, ok := stores["other"]; ok {
+		t.Errorf("a store that drains is asked %v after it counts as told", at.Sub(told))
+	}
+}
+
+// TestRestartOfManyWithoutDiscovery: thirty fronts start at once while discovery takes calls and answers none, with a good
+// list of stores, a stale one and none. Nine in ten are ready within 10 s.
+func TestRestartOfManyWithoutDiscovery(t *testing.T) {
+	w := newWorld(t, "primary", "replica")
+	w.down = true
+	stale := strings.ReplaceAll(w.list("primary", "replica"), w.ports["replica"], "127.0.0.1:1")
+	known := []any{json.RawMessage(w.list("primary", "replica")), json.RawMessage(stale), nil}
+	const fronts = 30
+	var all sync.WaitGroup
+	took := make([]time.Duration, fronts)
+	began := time.Now()
+	for k := range fronts {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		addr := l.Addr().String()
+		l.Close()
+		w.configure(func(c map[string]any) {
+			c["listen"] = addr
+			if c["known"] = known[k%3]; known[k%3] == nil {
+				delete(c, "known")
+			}
+		})
+		text, _ := os.ReadFile(w.config)
+		path := filepath.Join(t.TempDir(), "config.json")
+		os.WriteFile(path, text, 0o600)
+		cmd := exec.Command(program, "serve", "-config", path, "-discovery", strings.TrimPrefix(w.http.URL, "http://"))
+		cmd.Env = []string{"GORACE=halt_on_error=1 exitcode=66"}
+		if err := cmd.Start(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { cmd.Process.Kill(); cmd.Wait() })
+		all.Go(func() {
+			for end := began.Add(outer); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+				c, err := net.Dial("tcp", addr)
+				if err != nil {
+					continue
+				}
+				c.SetDeadline(end)
+				c.Write(append(pgwire.AppendStartup(nil, "web", "orders"), pgwire.AppendSimple(nil, "")...))
+				for {
+					kind, _, err := message(c)
+					if err != nil || kind == 'I' {
+						if err == nil {
+							took[k] = time.Since(began)
+						}
+						break
+					}
+				}
+				c.Close()
+				return
+			}
+		})
+	}
+	all.Wait()
+	ready, most := 0, time.Duration(0)
+	for _, d := range took {
+		if d > 0 && d <= 10*time.Second {
+			ready, most = ready+1, max(most, d)
+		}
+	}
+	if t.Logf("%d of %d ready, the last of them after %v", ready, fronts, most); ready < fronts*9/10 {
+		t.Errorf("%d of %d are ready within 10 s", ready, fronts)
+	}
+}
--- a/cmd/micatrack/main_test.go
+++ b/cmd/micatrack/main_test.go
@@ -51,6 +51,8 @@
 	watches   int
 	done      bool
 	http      *httptest.Server
+	down      bool                                                                // discovery takes calls and answers none
+	greets    func(store string)                                                  // before a store takes a connection in
 	cut       bool                                                                // the next line of the watch is cut off
 	answer    func(store, query string) (reply string, then func(c *net.TCPConn)) // for all but probes
 	config    string
@@ -144,7 +146,7 @@
 	w.watches++
 	w.changed.Broadcast()
 	for at := -1; ; {
-		for at == w.version && !w.done {
+		for (at == w.version || w.down) && !w.done {
 			w.changed.Wait()
 		}
 		if w.done {
@@ -194,6 +196,12 @@
 		return
 	}
 	io.CopyN(io.Discard, c, int64(start[3])-4)
+	w.mu.Lock()
+	greets := w.greets
+	w.mu.Unlock()
+	if greets != nil {
+		greets(name)
+	}
 	io.WriteString(c, "R\x00\x00\x00\x08\x00\x00\x00\x00"+ready)
 	for {
 		_, body, err := message(c)
@@ -277,9 +285,10 @@
 
 // client is one connection to the program.
 type client struct {
-	t *testing.T
-	c net.Conn
-	r *bufio.Reader
+	t   *testing.T
+	c   net.Conn
+	r   *bufio.Reader
+	key []byte // by which it cancels
 }
 
 func (w *world) client() *client {
@@ -290,7 +299,7 @@
 	}
 	w.t.Cleanup(func() { c.Close() })
 	c.SetDeadline(time.Now().Add(outer))
-	cl := &client{w.t, c, bufio.NewReader(c)}
+	cl := &client{w.t, c, bufio.NewReader(c), nil}
 	c.Write(pgwire.AppendStartup(nil, "web", "orders"))
 	cl.answer()
 	return cl
@@ -319,6 +328,8 @@
 			}
 		case kind == 'E':
 			got = pgwire.Code(body)
+		case kind == 'K':
+			cl.key = body
 		case kind == 'Z':
 			return got
 		}
--- a/cmd/micatrack/serve.go
+++ b/cmd/micatrack/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"crypto/rand"
 	"encoding/json"
 	"fmt"
 	"log/slog"
@@ -155,7 +156,8 @@
 	watcher := discovery.Watch(o.discovery, o.version, net.Wake, log)
 	links := o.sockets - reserve
 	limits := front.Limits{Links: links, Clients: links / 2, Answer: answer, Rest: int64(rest / tick), Grace: int64(grace / tick),
-		Longest: int64(longest / tick)}
+		Longest: int64(longest / tick), Secret: make([]byte, 32)}
+	rand.Read(limits.Secret)
 	if d := o.operators.Door; d.On {
 		limits.Door = &door.Bounds{Jobs: d.Jobs, Bytes: d.Kilobytes << 10, Customers: d.Customers, Places: d.Places,
 			Strangers: d.Strangers, Further: d.Further}
@@ -204,7 +206,8 @@
 	}()
 	log.Info("serving", "listen", net.Addr(), "discovery", o.discovery, "stores", len(o.known.Lines))
 	var lists []front.List
-	for deaf := false; !core.Done(); {
+	// What was accepted in the last moment is served as well: the core has yet to hear of it.
+	for deaf := false; !core.Done() || net.Clients() > 0; {
 		next := core.Next()
 		if others != nil {
 			next = min(next, others.Next())
--- a/example/toy/main.go
+++ b/example/toy/main.go
@@ -97,7 +97,7 @@
 	if _, err := message(r, make([]byte, 4)); err != nil {
 		return
 	}
-	c.Write(pgwire.AppendWelcome(nil, 0))
+	c.Write(pgwire.AppendWelcome(nil, 0, make([]byte, 8)))
 	for {
 		head := make([]byte, 5)
 		body, err := message(r, head)
--- a/internal/front/bolt.go
+++ b/internal/front/bolt.go
@@ -75,21 +75,10 @@
 // violate ends a connection whose client does not keep to the protocol. A job in hand is left.
 func (b *boltClient) violate(cl *client, c *Core, code, text string) {
 	cl.write(c, bolt.AppendFailure(c.out[:0], b.v, code, text))
-	b.leave(cl, c)
+	cl.leave(c)
 	cl.finish(c)
 }
 
-// leave gives the job in hand up, if there is one, without an answer to its client.
-func (b *boltClient) leave(cl *client, c *Core) {
-	if cl.job < 0 {
-		return
-	}
-	j := &c.jobs[cl.job]
-	j.client, j.final = nil, true
-	c.leavers = append(c.leavers, cl.job)
-	cl.job = -1
-}
-
 // more takes one message after the other. Those of a job in hand stay in the ring until they are answered.
 func (b *boltClient) more(cl *client, c *Core) {
 	for !cl.ending && cl.at >= 0 {
@@ -122,7 +111,7 @@
 		}
 		switch b.talk.Ask(r, n) {
 		case bolt.Leave:
-			b.leave(cl, c)
+			cl.leave(c)
 			cl.finish(c)
 		case bolt.Violate:
 			b.violate(cl, c, bolt.Invalid, "unexpected "+r.What.String())
@@ -233,7 +222,7 @@
 		c.out = bolt.AppendBare(c.out, bolt.Ignored)
 	}
 	c.out = bolt.AppendSuccess(c.out, 0, nil)
-	b.leave(cl, c)
+	cl.leave(c)
 	cl.write(c, c.out)
 	b.done(cl, false)
 	cl.link.Discard(n)
--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -2,6 +2,10 @@
 
 import (
 	"bytes"
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/binary"
+	"math"
 	"strconv"
 
 	"micatrack/balance"
@@ -92,6 +96,10 @@
 	longest := max(rest, breath)
 	for _, cl := range c.clients {
 		idle := c.now - cl.since
+		if cl.ending && cl.link.Empty() { // it has had all, and only has to hang up
+			idlest = cl
+			break
+		}
 		if !cl.greeted {
 			idle *= 4
 		}
@@ -106,8 +114,10 @@
 	return idlest != nil
 }
 
-// idle: nothing of a command has come.
-func (cl *client) idle() bool { return cl.job < 0 && !cl.ending && len(cl.link.Peek()) == 0 }
+// idle: nothing of a command has come, and the last answer is out.
+func (cl *client) idle() bool {
+	return cl.job < 0 && !cl.ending && len(cl.link.Peek()) == 0 && cl.link.Empty()
+}
 
 func (cl *client) notice(c *Core, what What) {
 	if cl.job >= 0 && !cl.ending {
@@ -150,12 +160,47 @@
 	c.clients = c.clients[:len(c.clients)-1]
 	cl.at, cl.ending = -1, true
 	cl.link.Own(nil)
-	if cl.job >= 0 {
-		j := &c.jobs[cl.job]
-		j.client, j.final = nil, true
-		c.leavers = append(c.leavers, cl.job)
-		cl.job = -1
+	cl.leave(c)
+}
+
+// leave is the one place where a client gives up the job in hand, if there is one: by going, or by a word.
+func (cl *client) leave(c *Core) {
+	if cl.job < 0 {
+		return
 	}
+	j := &c.jobs[cl.job]
+	j.client, j.final = nil, true
+	c.leavers = append(c.leavers, cl.job)
+	cl.job = -1
+}
+
+// cancelled: a client has asked, by the key that another connection of its was told, that the job in hand there be given up.
+func (c *Core) cancelled(key []byte) {
+	for _, cl := range c.clients {
+		if !cl.greeted || len(key) != 8 || binary.BigEndian.Uint32(key) != uint32(cl.serial&math.MaxInt32) {
+			continue
+		}
+		if _, ok := cl.speech.(postgres); ok && cl.job >= 0 && hmac.Equal(c.key(cl), key) {
+			cl.leave(c)
+			c.out = pgwire.AppendError(c.out[:0], "ERROR", pgwire.Cancelled, "canceled at the client's request", "")
+			cl.since = c.now
+			cl.speech.done(cl, true)
+			if cl.write(c, pgwire.AppendReady(c.out)); c.Stopping() {
+				cl.finish(c)
+			} else {
+				cl.read(c)
+			}
+		}
+		return
+	}
+}
+
+// key is what a client is told to cancel by: its number, and what others cannot guess.
+func (c *Core) key(cl *client) []byte {
+	key := binary.BigEndian.AppendUint32(nil, uint32(cl.serial&math.MaxInt32))
+	h := hmac.New(sha256.New, c.limits.Secret)
+	h.Write(key)
+	return h.Sum(key)[:8]
 }
 
 func (cl *client) write(c *Core, p []byte) {
@@ -171,8 +216,8 @@
 }
 
 func (cl *client) finish(c *Core) {
-	if cl.at >= 0 {
-		cl.ending = true
+	if cl.at >= 0 && !cl.ending {
+		cl.ending, cl.since = true, c.now
 		cl.link.Finish()
 	}
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -30,8 +30,10 @@
 	Write(p []byte) bool // queues p whole; false: there is no room for it
 	Flush()              // hands what is queued to the system
 	Sent() int64         // bytes that the system has taken so far
+	Empty() bool         // the system has taken all that was queued
 	Close()              // at once; what is still queued is dropped
-	Finish()             // closes once all that is queued is out
+	Abort()              // the same, and what the system holds of it is dropped too
+	Finish()             // ends the sending once all that is queued is out, and closes when the peer does; what comes is dropped
 	Owner() any          // what Own was told last
 	Own(owner any)
 }
@@ -85,6 +87,7 @@
 	Door    *door.Bounds // nil: jobs go straight to the module
 	Address string       // where Bolt clients reach this front, for ROUTE, if they do not say
 	Drain   Time         // how long an open transaction may go on at a store that drains
+	Secret  []byte       // from which the keys are made by which clients cancel
 	// Saw, if it is set, is told how each trip (of a profile, by its number in the charter) and each probe (-1) came
 	// back, and how long after it set out.
 	Saw   func(store string, how balance.Ending, profile int, took Time)
@@ -113,6 +116,7 @@
 	trip  int
 	store uint32
 	at    Time
+	by    Time
 	least Time
 	any   bool
 }
@@ -232,7 +236,8 @@
 func (c *Core) Stop(now Time) {
 	if c.stopAt == 0 {
 		span := min(c.longest, cmp.Or(c.limits.Longest, c.longest))
-		c.stopAt, c.endAt = now+span*3/4, now+span+c.limits.Grace
+		// Danger: where limits are short, new connections still come when most of that time is over.
+		c.stopAt, c.endAt = now+max(span*3/4, c.limits.Grace), now+span+c.limits.Grace
 		c.module.Closing(now, c.endAt) // Danger: what the end by force finds unanswered is lost.
 	}
 }
@@ -419,11 +424,11 @@
 
 // The rest is balance.Front: what the module asks for waits until the module has seen all that is ready.
 
-func (c *Core) Send(id string, store uint32, until, least Time) {
+func (c *Core) Send(id string, store uint32, until, by, least Time) {
 	if c.door != nil {
 		c.door.Sent(c.now, place(id))
 	}
-	c.tasks = append(c.tasks, task{do: (*Core).depart, job: place(id), store: store, at: until, least: least})
+	c.tasks = append(c.tasks, task{do: (*Core).depart, job: place(id), store: store, at: until, by: by, least: least})
 }
 
 func (c *Core) Cancel(id string, trip int) {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -37,6 +37,8 @@
 }
 func (w *wire) Flush()      {}
 func (w *wire) Sent() int64 { return int64(w.taken + len(w.out) - w.stuck) }
+func (w *wire) Empty() bool { return w.stuck == 0 }
+func (w *wire) Abort()      { w.Close() }
 func (w *wire) Close()      { w.closed, w.stuck = true, w.stuck-w.slips }
 func (w *wire) Finish()     { w.finished = true }
 func (w *wire) Owner() any  { return w.owner }
@@ -522,7 +524,8 @@
 func TestClientsThatKeepTheirConnections(t *testing.T) {
 	s := newStage(t, 40, true)
 	busy, half, old, young := s.client(), s.client(), s.client(), s.client()
-	s.say(busy, strings.Replace(ask("once", 1), "d=1000", "d=30000", 1))
+	s.say(busy, string(pgwire.AppendSimple(nil, "/* id=1,c=once,d=30000,cluster=3 */ SELECT 'k'")))
+	s.store() // it has the query, and hangs
 	s.say(half, ask("any", 2)[:30])
 	s.pass(2 * second)
 	empty := string(pgwire.AppendSimple(nil, ""))
@@ -935,3 +938,188 @@
 		})
 	}
 }
+
+// TestRepeatDoesNotWaitPastItsWindow: a repeat that waits for its connection is not written once it can no longer reach its
+// store inside the window, though its client still waits.
+func TestRepeatDoesNotWaitPastItsWindow(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		s := newStage(t, 20, true)
+		cl := s.client()
+		s.core.host.Dial = 3 * second
+		s.say(cl, string(pgwire.AppendSimple(nil, "/* id=1,c=once,d=9000,cluster=3 */ SELECT 'k'")))
+		for i := range s.core.stores { // as the module would for a repeat
+			for n := range s.core.stores[i].waits {
+				s.core.stores[i].waits[n].by = s.now + second
+			}
+		}
+		w := s.dials[0]
+		if w.take(); late {
+			s.now += second + 1
+		}
+		s.say(w, "R\x00\x00\x00\x08\x00\x00\x00\x00", ready)
+		if got := strings.Contains(w.take(), "id=1"); got == late {
+			t.Errorf("late %v: written %v", late, got)
+		}
+	}
+}
+
+// TestLeftWhileItsConnectionBreaks: a client goes in the same turn in which the connection breaks that its request waits for.
+func TestLeftWhileItsConnectionBreaks(t *testing.T) {
+	for _, order := range [][2]int{{0, 1}, {1, 0}} {
+		s := newStage(t, 20, true)
+		busy, waits := s.client(), s.client()
+		s.say(busy, ask("any", 1))
+		st := s.store()
+		s.say(waits, ask("any", 2))
+		events := []Event{{waits, Closed}, {st, Closed}}
+		s.step(events[order[0]], events[order[1]])
+		for range 20 {
+			s.pass(second / 10)
+		}
+		for _, w := range s.dials {
+			if strings.Contains(w.take(), "id=2") {
+				t.Error("a request is sent on whose client has gone")
+			}
+		}
+	}
+}
+
+// TestCancelled: a client's word on another connection ends the request in hand, held or sent, with one answer, and what
+// follows on the connection is served; a key that is not its own does nothing.
+func TestCancelled(t *testing.T) {
+	for _, sent := range []bool{false, true} {
+		s := newStage(t, 20)
+		w := &wire{in: pgwire.AppendStartup(nil, "web", "orders")}
+		s.step(Event{w, Accepted | Readable})
+		welcome := w.take()
+		at := strings.Index(welcome, "K\x00\x00\x00\x0c")
+		if at < 0 {
+			t.Fatalf("no key in %q", welcome)
+		}
+		key := welcome[at+5 : at+13]
+		s.say(w, ask("any", 1)+ask("any", 2))
+		first := s.dials[0]
+		if sent {
+			s.store()
+		}
+		cancel := func(key string) {
+			other := &wire{in: []byte("\x00\x00\x00\x10\x04\xd2\x16\x2e" + key)}
+			if s.step(Event{other, Accepted | Readable}); !other.finished {
+				t.Error("it is kept open")
+			}
+		}
+		cancel(key[:7] + string(key[7]^1))
+		cancel("\x00\x00\x00\x00" + key[4:])
+		if got := w.take(); got != "" {
+			t.Fatalf("another's key: %q", got)
+		}
+		if cancel(key); sent && !first.closed {
+			t.Error("its attempt goes on")
+		}
+		if got := code(t, w.take()); got != pgwire.Cancelled {
+			t.Fatalf("cancelled: %s", got)
+		}
+		st := s.store()
+		s.say(st, value, ready)
+		if got := w.take(); got != value+ready {
+			t.Errorf("what follows: %q", got)
+		}
+		for _, d := range s.dials {
+			if !sent && strings.Contains(string(d.out), "id=1,") {
+				t.Error("a request that was cancelled is sent on")
+			}
+		}
+		cancel(key) // nothing is in hand
+		if got := w.take(); got != "" {
+			t.Errorf("after the end: %q", got)
+		}
+	}
+}
+
+// TestLastAnswerNotOut: a client whose last answer the system has not taken yet is not hung up on to make room.
+func TestLastAnswerNotOut(t *testing.T) {
+	s := newStage(t, 40, true)
+	slow, other := s.client(), s.client()
+	s.say(slow, ask("any", 1))
+	s.say(s.store(), value, ready)
+	slow.stuck = 10
+	s.core.limits.Clients = 1
+	s.pass(5 * second)
+	if slow.closed || !other.closed {
+		t.Errorf("closed: %v, the other %v", slow.closed, other.closed)
+	}
+}
+
+// TestShortLimitsAndNewConnections: where clients' limits are short, new connections still come when most of them is over.
+func TestShortLimitsAndNewConnections(t *testing.T) {
+	s := newStage(t, 20)
+	s.core.longest = 2 * second / 10
+	s.core.limits.Grace = 6 * second / 10
+	s.core.Stop(s.now)
+	if s.pass(4*second/10 + 1); s.core.Stopping() {
+		t.Error("no more are taken in while they still come")
+	}
+	if s.pass(second / 2); !s.core.Stopping() {
+		t.Error("it goes on for ever")
+	}
+}
+
+// TestClientsThatDoNotHangUp: one that was hung up on and does not do so itself is let go after a rest, at once where room is
+// needed, and at the end by force.
+func TestClientsThatDoNotHangUp(t *testing.T) {
+	s := newStage(t, 20)
+	a, b := s.client(), s.client()
+	s.say(a, "X\x00\x00\x00\x04")
+	if s.pass(second); !a.finished || a.closed {
+		t.Fatal("it is not waited for")
+	}
+	if s.pass(2 * second); !a.closed || b.closed {
+		t.Error("it is waited for without an end")
+	}
+	c := s.client()
+	s.say(c, "X\x00\x00\x00\x04")
+	s.core.limits.Clients = 2
+	if d := s.client(); !c.closed || b.closed || d.closed {
+		t.Error("it is not the first to yield")
+	}
+	s.core.Stop(s.now)
+	if s.pass(6 * second); !b.closed || !s.core.Done() {
+		t.Error("the front's end waits for it")
+	}
+}
+
+// TestBoundedReadWaitsForItsConnection: a read of data no older than a bound waits for its replica's connection; once what
+// the replica was known to have is older than that, it is not sent there.
+func TestBoundedReadWaitsForItsConnection(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		s := newStage(t, 20, true)
+		s.charter.Profiles = append(s.charter.Profiles, balance.Profile{Name: "bounded", Need: balance.Bounded, Bound: 3000,
+			ExpectedTime: 3000, OuterLimit: 12000, Credit: 1})
+		h := charter.Host{Dial: 2500, Idle: 300000, Reports: "on_probe"}
+		var err error
+		if s.core, err = New(s.now, s.charter, h, s.core.limits, s, func() {}, s.core.log); err != nil {
+			t.Fatal(err)
+		}
+		s.core.Tell(List{News: balance.ListWhole, Lines: []Line{
+			{ID: "p", Addr: "127.0.0.1:1", Member: balance.Member{Group: 3, Condition: balance.Ready, Primary: true, Size: 1}},
+			{ID: "r", Addr: "127.0.0.1:2", Member: balance.Member{Group: 3, Condition: balance.Ready, Size: 1}}}})
+		s.step()
+		cl := s.client()
+		s.core.module.Probed(s.now, s.core.storeOf["r"], balance.Return{Load: balance.Report{Position: s.now - 2000, Role: balance.Replica}})
+		s.say(cl, ask("bounded", 1))
+		if len(s.dials) != 1 {
+			t.Fatalf("%d dials", len(s.dials))
+		}
+		w := s.dials[0]
+		if w.take(); late {
+			s.pass(1100) // the beats too: the store's connection is late, and the read is placed anew meanwhile
+		}
+		s.say(w, "R\x00\x00\x00\x08\x00\x00\x00\x00", ready)
+		if got := strings.Contains(w.take(), "id=1"); got == late {
+			t.Errorf("late %v: written %v", late, got)
+		}
+		if late && len(s.dials) < 2 {
+			t.Error("it does not go to the primary")
+		}
+	}
+}
--- a/internal/front/postgres.go
+++ b/internal/front/postgres.go
@@ -79,6 +79,9 @@
 	code, n, err := pgwire.Startup(in)
 	if err == nil && n > 0 && (code == pgwire.SSLReq || code == pgwire.GSSReq) {
 		cl.write(c, []byte{'N'})
+	} else if err == nil && n > 0 && code == pgwire.CancelReq {
+		c.cancelled(in[8:n])
+		cl.finish(c)
 	} else if err != nil || n > 0 {
 		cl.fatal(c, pgwire.TooMany, "too many connections")
 	}
@@ -95,11 +98,12 @@
 	case code == pgwire.SSLReq || code == pgwire.GSSReq:
 		cl.write(c, []byte{'N'})
 	case code == pgwire.CancelReq:
+		c.cancelled(in[8:n])
 		cl.finish(c)
 	case code>>16 != pgwire.Version>>16:
 		cl.fatal(c, pgwire.Unsupported, "only version 3 of the protocol is spoken here")
 	default:
-		c.out = pgwire.AppendWelcome(c.out[:0], code&0xffff)
+		c.out = pgwire.AppendWelcome(c.out[:0], code&0xffff, c.key(cl))
 		cl.write(c, c.out)
 		cl.next, cl.greeted = postgres{}.command, true
 	}
--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -38,6 +38,13 @@
 	since, until Time
 	dialled      bool
 	survey       bool // the watch asks, and not the module
+	by           Time // when it has to be on its way
+}
+
+// due is the one place that tells whether an errand may still set out.
+// Danger: its client may have gone while it waited for a connection, its time or that of its repeats be over.
+func (c *Core) due(e errand) bool {
+	return c.now < e.until && (e.job < 0 || !c.jobs[e.job].final && c.now <= e.by)
 }
 
 // conn is one connection to a store.
@@ -78,7 +85,7 @@
 		return
 	}
 	j.store, j.least = t.store, t.least
-	c.start(t.store, errand{job: t.job, trip: trip, since: c.now, until: t.at})
+	c.start(t.store, errand{job: t.job, trip: trip, since: c.now, until: t.at, by: t.by})
 }
 
 func (c *Core) probe(t task) {
@@ -92,6 +99,10 @@
 // start sends an errand off on the idle connection used last, or lets it wait for a new one.
 func (c *Core) start(i uint32, e errand) {
 	s := &c.stores[i]
+	if !c.due(e) {
+		c.fail(i, e, balance.Unsent)
+		return
+	}
 	for len(s.idle) > 0 {
 		// Danger: some stores close right behind an answer, and what is sent before that is heard is lost.
 		// So of those that have rested for a moment the newest is used, else the one that has rested longest.
@@ -222,11 +233,11 @@
 	for len(s.waits) > 0 {
 		e := s.waits[0]
 		s.waits = append(s.waits[:0], s.waits[1:]...)
-		if e.job < 0 || !c.jobs[e.job].final {
+		if c.due(e) {
 			k.ride(c, e)
 			return
 		}
-		c.fail(k.store, e, balance.Unsent) // its client is gone
+		c.fail(k.store, e, balance.Unsent)
 	}
 	k.dialect.idles(k)
 	k.code = ""
@@ -318,7 +329,12 @@
 	c.conns = c.conns[:len(c.conns)-1]
 	k.at = -1
 	k.link.Own(nil)
-	k.link.Close()
+	if k.ready && !k.idle && !k.spent {
+		// Danger: what a cut-off machine has not been sent yet would reach it when the cut is over, past its window.
+		k.link.Abort()
+	} else {
+		k.link.Close()
+	}
 	if k.idle {
 		k.idle = false
 		s := &c.stores[k.store]
@@ -394,7 +410,7 @@
 			switch {
 			case e.dialled && c.now >= e.since+c.host.Dial:
 				c.fail(uint32(i), e, balance.Unreached)
-			case c.now >= e.until: // Danger: a front that has no descriptor left must not blame the store.
+			case !c.due(e): // Danger: a front that has no descriptor left must not blame the store.
 				c.fail(uint32(i), e, balance.Unsent)
 			default:
 				keep = append(keep, e)
@@ -448,6 +464,16 @@
 		cl := c.clients[n]
 		// At the end a query that has come in part is waited for; its client sends the rest without knowing.
 		over := c.Stopping() && (len(cl.link.Peek()) == 0 || c.now >= c.endAt)
+		// Danger: one that never hangs up on its side would hold its descriptor, and the front's end, for ever.
+		rest := c.longest
+		if cl.ending && cl.link.Empty() {
+			rest = c.limits.Rest
+		}
+		if cl.ending && (c.now >= cl.since+rest || c.Stopping() && c.now >= c.endAt) {
+			cl.link.Close()
+			cl.gone(c)
+			continue
+		}
 		if cl.job < 0 && !cl.ending && (over || !cl.greeted && c.now >= cl.since+c.longest) {
 			cl.finish(c)
 		}
--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -36,6 +36,7 @@
 	BadValue    = "22023"
 	NoDatabase  = "3D000"
 	Duplicate   = "42710"
+	Cancelled   = "57014"
 	Unresolved  = "08007" // whether it took effect is not known
 )
 
@@ -254,8 +255,9 @@
 	return dst
 }
 
-// AppendWelcome answers a startup message: no password, the few parameters that clients look for, ready.
-func AppendWelcome(dst []byte, minor uint32) []byte {
+// AppendWelcome answers a startup message: no password, the few parameters that clients look for, the key by which to
+// cancel, ready.
+func AppendWelcome(dst []byte, minor uint32, key []byte) []byte {
 	if minor > 0 { // it is told that 3.0 is spoken here
 		dst = append(dst, 'v', 0, 0, 0, 12, 0, 0, 0, 0, 0, 0, 0, 0)
 	}
@@ -265,7 +267,8 @@
 		{"standard_conforming_strings", "on"}} {
 		dst = AppendParameter(dst, p[0], p[1])
 	}
-	return AppendReady(dst)
+	dst = append(dst, 'K', 0, 0, 0, byte(4+len(key)))
+	return AppendReady(append(dst, key...))
 }
 
 // AppendParameter writes a ParameterStatus.
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -35,6 +35,9 @@
 	also   []net.Listener
 	mu     sync.Mutex
 	links  map[*nbio.Conn]*Link // what the library knows as connections
+	taken  int                  // of them that were accepted
+	taking sync.WaitGroup       // those who accept
+	deaf   atomic.Bool
 	ready  []*Link
 	events []front.Event
 	wake   chan struct{}
@@ -59,7 +62,9 @@
 	blocked atomic.Bool
 	out     ring.Buffer // the loop's alone, as what follows
 	handed  int64       // bytes given to the library
-	ending  bool
+	ending  atomic.Bool // nothing is to be sent behind what out holds
+	halved  bool        // the sending has ended
+	client  bool        // it was accepted
 }
 
 // Open listens on addr and starts the poller. All rings together grow by no more than memory bytes; the one
@@ -92,6 +97,9 @@
 		if l := n.of(c); l != nil {
 			n.mu.Lock()
 			delete(n.links, c)
+			if l.client {
+				n.taken--
+			}
 			n.mu.Unlock()
 			l.gone()
 		}
@@ -100,7 +108,7 @@
 		l.Close()
 		return nil, err
 	}
-	go n.accept(l, front.Accepted)
+	n.taking.Go(func() { n.accept(l, front.Accepted) })
 	return n, nil
 }
 
@@ -111,7 +119,7 @@
 		return "", err
 	}
 	n.also = append(n.also, l)
-	go n.accept(l, front.Accepted|what)
+	n.taking.Go(func() { n.accept(l, front.Accepted|what) })
 	return l.Addr().String(), nil
 }
 
@@ -124,8 +132,17 @@
 // Addr is where it listens.
 func (n *Net) Addr() string { return n.listen.Addr().String() }
 
-// Deafen stops listening.
+// Clients is how many connections that were accepted are open, whether or not Gather has told of them.
+func (n *Net) Clients() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.taken
+}
+
+// Deafen stops listening. What has been accepted by then is among Clients.
 func (n *Net) Deafen() {
+	defer n.taking.Wait()
+	n.deaf.Store(true)
 	n.listen.Close()
 	for _, l := range n.also {
 		l.Close()
@@ -137,7 +154,7 @@
 // can turn any of them away.
 func (n *Net) accept(from net.Listener, what front.What) {
 	for {
-		for n.full() {
+		for n.full() && !n.deaf.Load() {
 			time.Sleep(time.Millisecond)
 		}
 		c, err := from.Accept()
@@ -169,10 +186,13 @@
 		c.Close()
 		return nil, err
 	}
-	l := &Link{net: n, conn: nc, what: what, in: ring.Buffer{Most: in + spare, Budget: &n.budget},
+	l := &Link{net: n, conn: nc, what: what, client: what&front.Accepted != 0, in: ring.Buffer{Most: in + spare, Budget: &n.budget},
 		out: ring.Buffer{Most: out + spare, Budget: &n.budget}}
 	n.mu.Lock()
 	n.links[nc] = l
+	if l.client {
+		n.taken++
+	}
 	n.mu.Unlock()
 	nc.SetNoDelay(true)
 	_, err = n.engine.AddConn(nc) // on an error it closes the connection
@@ -299,6 +319,9 @@
 	l.mu.Lock()
 	got, failed := false, false
 	for !l.closed {
+		if l.ending.Load() { // Danger: a close over unread bytes is a reset, and takes what the peer was sent last with it.
+			l.in.Discard(l.in.Len())
+		}
 		space := l.in.Space()
 		if l.full = len(space) == 0; l.full {
 			break
@@ -384,14 +407,33 @@
 		l.out.Discard(len(p))
 		l.blocked.Store(l.sent.Load() < l.handed)
 	}
-	if l.ending && l.out.Len() == 0 && l.sent.Load() == l.handed {
-		l.conn.Close()
+	if l.ending.Load() && !l.halved && l.Empty() {
+		l.halved = true
+		l.conn.Lock() // until it is unlocked the descriptor is not another's
+		if closed, _ := l.conn.IsClosed(); !closed {
+			if raw, err := l.conn.SyscallConn(); err == nil {
+				raw.Control(func(fd uintptr) { syscall.Shutdown(int(fd), syscall.SHUT_WR) })
+			}
+		}
+		l.conn.Unlock()
+		l.pump()
 	}
 }
 
+func (l *Link) Empty() bool { return l.out.Len() == 0 && l.sent.Load() == l.handed }
+
 func (l *Link) Finish() {
-	l.ending = true
+	l.ending.Store(true)
 	l.Flush()
 }
 
 func (l *Link) Close() { l.conn.Close() }
+
+func (l *Link) Abort() {
+	l.conn.Lock()
+	if closed, _ := l.conn.IsClosed(); !closed {
+		l.conn.SetLinger(1, 0)
+	}
+	l.conn.Unlock()
+	l.conn.Close()
+}
--- a/internal/sock/sock_test.go
+++ b/internal/sock/sock_test.go
@@ -90,6 +90,7 @@
 	go func() {
 		time.Sleep(10 * time.Millisecond)
 		b, _ := io.ReadAll(c)
+		c.Close()
 		got <- b
 	}()
 	until(t, n, l, front.Closed)
@@ -204,3 +205,83 @@
 		t.Errorf("the socket was bound %d times before it connected", bound)
 	}
 }
+
+// TestLastAnswerBehindUnreadBytes: a client that has sent more than was read when its connection ends gets the whole of its
+// last answer all the same. A close over unread bytes was a reset, which took with it what the client had not read yet.
+func TestLastAnswerBehindUnreadBytes(t *testing.T) {
+	n := open(t)
+	c, err := net.Dial("tcp", n.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	l := until(t, n, nil, front.Accepted)
+	c.(*net.TCPConn).SetReadBuffer(4 << 10)
+	l.(*Link).conn.SetWriteBuffer(4 << 10)
+	text := bytes.Repeat([]byte("0123456789"), 14<<10)
+	if !l.Write(text) {
+		t.Fatal("no room")
+	}
+	l.Flush()
+	l.Finish()
+	more := bytes.Repeat([]byte("x"), 300<<10) // past what the ring holds
+	go c.Write(more)
+	got := make(chan []byte)
+	go func() {
+		var b []byte
+		for p := make([]byte, 1000); ; {
+			k, err := c.Read(p)
+			if b = append(b, p[:k]...); err != nil {
+				got <- b
+				return
+			}
+		}
+	}()
+	var b []byte
+	for end := time.Now().Add(20 * time.Second); b == nil && time.Now().Before(end); {
+		n.Gather(5 * time.Millisecond)
+		select {
+		case b = <-got:
+		default:
+		}
+	}
+	if !bytes.Equal(b, text) {
+		t.Fatalf("%d of %d bytes came", len(b), len(text))
+	}
+	c.Close()
+	until(t, n, l, front.Closed)
+	if n.Gather(0); n.Clients() != 0 {
+		t.Error("it is still open")
+	}
+}
+
+// TestAbortedIsNotSentOn: what the system still holds of an attempt that was given up does not reach a store that reads on.
+func TestAbortedIsNotSentOn(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	n := open(t)
+	link, err := n.Dial(l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.(*net.TCPConn).SetReadBuffer(4 << 10)
+	link.Write(make([]byte, 140<<10))
+	for end := time.Now().Add(200 * time.Millisecond); time.Now().Before(end); {
+		link.Flush()
+		n.Gather(time.Millisecond)
+	}
+	link.Abort()
+	got, err := io.ReadAll(c)
+	if err == nil {
+		t.Errorf("%d bytes, and an end as if nothing were wrong", len(got))
+	}
+	until(t, n, link, front.Closed)
+}
--- a/internal/world/link.go
+++ b/internal/world/link.go
@@ -35,7 +35,7 @@
 	sort.Slice(links, func(a, b int) bool { return links[a].number < links[b].number })
 }
 
-// Peek, Discard, Full, Write, Flush, Sent, Close, Finish, Owner and Own are front.Link.
+// Peek, Discard, Full, Write, Flush, Sent, Empty, Close, Abort, Finish, Owner and Own are front.Link.
 func (l *link) Peek() []byte  { return l.in }
 func (l *link) Discard(n int) { l.in = l.in[n:] }
 func (l *link) Full() bool    { return len(l.in) > 1<<18 }
@@ -44,6 +44,8 @@
 	return true
 }
 func (l *link) Sent() int64 { return l.sent }
+func (l *link) Empty() bool { return len(l.out) == 0 }
+func (l *link) Abort()      { l.Close() }
 func (l *link) Owner() any  { return l.owner }
 func (l *link) Own(o any)   { l.owner = o }
 
