Remembered fences: a write that may have run, or whose answer may be on its way, counts

Checked and ruled out on the way: a wrong primary (the stores were replicas, known as such), slots of the fence (the same for both), answers that stopped short (they now move the fence as well), and clients that had gone. A write that may have run moves its session's fence to when it came back; while one is out, session reads need what lies 0.1 s back, since what its answer tells counts as known that long after it was written. Where reads carry their fence nothing changes.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -20,7 +20,7 @@
 const (
 	never     = Time(1) << 60
 	second    = Time(10000)
-	due       = 6 * second // what discovery has counts as told by then, whether or not a call for it came through
+	due       = 6 * second // what discovery has counts as told by then, whether or not a call came through
 	fenceBits = 14
 	thrift    = 0.005 // part of the result that probes may cost on the ordinary path
 	search    = 0.125 // part of the credit of what waits that a search for its primary may cost
@@ -136,6 +136,7 @@
 	jobs                       []job // the slab
 	free                       []int32
 	fences                     []Time             // newest write of each session, by hash; sharing only tightens
+	writes                     []int32            // that are out, of each session
 	parts                      map[string]float64 // zones that the fleet's plan narrows, and to what part
 	flow, doneWarm             float64            // typical time of what warm members deliver, by size and time
 }
@@ -149,7 +150,8 @@
 		startShare: c.StartShare, cold: c.Cold, coldPart: c.FallMultiple, span: c.FallSpan,
 		mostTrips: max(c.MostTrips, 1), mayProbe: c.MayProbe, mayCancel: c.MayCancel, priced: c.CrossPrice > 0,
 		profileOf: map[string]int32{}, customers: map[string]*customer{}, memberOf: map[uint32]int32{},
-		groupOf: map[uint64]int32{}, jobOf: map[string]int32{}, fences: make([]Time, 1<<fenceBits),
+		groupOf: map[uint64]int32{}, jobOf: map[string]int32{},
+		fences: make([]Time, 1<<fenceBits), writes: make([]int32, 1<<fenceBits),
 		parts: map[string]float64{}, mostPause: c.MostPause, crowded: -never, scarce: -never, spill: 1,
 		watchAt: never, tightest: never, closing: never, quickest: never, least: 3 / float64(max(c.Fronts, 1))}
 	for i, p := range c.Profiles {
@@ -203,7 +205,8 @@
 	for i := range list {
 		// Danger: a list older than one before knows nothing of a drain told since, and would open the store again.
 		e := &list[i]
-		if k, ok := b.memberOf[e.Store]; news == ListOlder && ok && !b.members[k].open && e.Started <= b.members[k].listed {
+		if k, ok := b.memberOf[e.Store]; ok && news == ListOlder && !b.members[k].open &&
+			e.Started <= b.members[k].listed {
 			e.Condition = Draining
 		}
 	}
@@ -478,6 +481,10 @@
 		return b.now - p.Bound
 	} else if p.Need == Session && !b.carried && j.slot >= 0 {
 		j.fence = max(j.fence, b.fences[j.slot]) // Danger: its session may have written while it was held.
+		if b.writes[j.slot] > 0 {
+			// Danger: the answer of a write that is out may be lost, and what it told counts as known soon after.
+			return max(j.fence, b.now-second/10+b.beat)
+		}
 	}
 	return j.fence
 }
@@ -657,6 +664,9 @@
 	if m.started > 0 {
 		m.budget -= p.typical
 	}
+	if p.Need == Write && j.slot >= 0 {
+		b.writes[j.slot]++
+	}
 	if j.least = b.need(j); m.position >= j.least || b.checks || mi == b.groups[j.group].primary && m.proven {
 		j.least = 0 // it need not show what it has
 	} else {
@@ -666,7 +676,7 @@
 }
 
 // Due tells whether a trip that has had to wait may still set out. What comes back for that is placed anew.
-// Danger: meanwhile its store may have begun to drain, what is known there have grown too old, or its window have passed.
+// Danger: meanwhile its store may drain, what is known there be too old, or its window have passed.
 func (b *Balancer) Due(now Time, id string) bool {
 	b.now = now
 	i, ok := b.jobOf[id]
@@ -698,6 +708,9 @@
 	j := &b.jobs[i]
 	gi := j.group
 	j.out = false
+	if b.profiles[j.profile].Need == Write && j.slot >= 0 {
+		b.writes[j.slot]--
+	}
 	b.grade(j, r)
 	if !r.Ending.NeverRan() {
 		j.ranAt = cmp.Or(j.ranAt, j.sentAt)
@@ -728,6 +741,9 @@
 		m.inFlight--
 	}
 	m.backAt = b.now
+	if r.Ending == Delivered || !r.Ending.NeverRan() {
+		b.Written(b.now, j.id, r.Note.Position)
+	}
 	took := b.now - j.sentAt
 	// Danger: lost answers look like load, and load like lost answers. A later trip answered there tells.
 	gone := r.Ending == Severed || r.Ending == Undone || r.Ending >= Expired && j.sentAt < m.answered
@@ -767,9 +783,6 @@
 		if m.started == 0 {
 			b.doneWarm += p.typical // Danger: what overloaded members are sent is no measure of what one can do.
 		}
-		if p.Need == Write && j.slot >= 0 && !j.ended {
-			b.fences[j.slot] = max(b.fences[j.slot], cmp.Or(r.Note.Position, b.now)) // untold: it lies before now
-		}
 		if p.Need == Any && r.Note.Role == Replica && 2*took > b.tightest {
 			p.stills -= p.stills / 8
 			if r.Note.Position < j.sentAt+took/4 {
@@ -800,6 +813,16 @@
 	}
 }
 
+// Written: a write's answer has come, in part at least, or it may have run. Its session must see it.
+// Danger: an answer may stop short, be lost or find its client gone, and the write is there all the same.
+func (b *Balancer) Written(now Time, id string, position Time) {
+	b.now = now
+	if i, ok := b.jobOf[id]; ok && b.jobs[i].slot >= 0 && b.profiles[b.jobs[i].profile].Need == Write {
+		f := &b.fences[b.jobs[i].slot]
+		*f = max(*f, cmp.Or(position, now)) // untold: it lies before now
+	}
+}
+
 func (b *Balancer) afterTrip(i int32, r Return) {
 	j := &b.jobs[i]
 	if r.Ending == Unsent && b.due(j) || b.now >= j.limit-b.beat || !b.mayRepeat(j) {
@@ -826,8 +849,8 @@
 }
 
 // edge is when a repeat of what may have run has to be on its way.
-// Danger: past its window a repeat is not dropped, and it counts from when the store begins it: the way there, and what
-// stands before it in the queue, take no longer than such a trip takes in all.
+// Danger: past its window a repeat is not dropped, and it counts from when the store begins it: the way there
+// and what stands before it in the queue take no longer than such a trip takes in all.
 func (b *Balancer) edge(j *job) Time {
 	p := &b.profiles[j.profile]
 	return j.ranAt + p.Window - b.beat - Time(p.typical)
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -770,3 +770,63 @@
 		t.Errorf("it went to %d, where nobody knows of the write", w.at(t, "r"))
 	}
 }
+
+// TestWrittenInPart: a write's answer that stops short, or that comes when its client has gone, moves the fence of its session.
+func TestWrittenInPart(t *testing.T) {
+	c := testCharter()
+	c.FencesCarried = false
+	for _, position := range []Time{0, 1000090} {
+		for _, left := range []bool{false, true} {
+			w := three(t, c)
+			write, read := ask("w", "once"), ask("r", "session")
+			write.Session, read.Session = "s", "s"
+			w.take(write)
+			w.pass(100)
+			if left {
+				w.b.Left(w.now, "w")
+			}
+			if w.b.Written(w.now, "w", position); !left && position == 0 { // or all of it is lost
+				w.b.fences[w.b.jobs[w.b.jobOf["w"]].slot] = 0
+				w.back("w", 0, Return{Ending: Severed})
+			}
+			w.hear(2, 1000089, Replica)
+			w.take(read)
+			if !w.held("r") && w.at(t, "r") != 1 {
+				t.Errorf("position %d, left %v: a read went to %d, which has not passed the write", position, left, w.at(t, "r"))
+			}
+		}
+	}
+}
+
+// TestReadWhileAWriteIsOut: the answer of a session's write that is out may have been written and lost. A read of the session
+// goes where a write of a moment ago is, which once its answer could have come is the primary or a replica that keeps up.
+func TestReadWhileAWriteIsOut(t *testing.T) {
+	c := testCharter()
+	c.FencesCarried, c.MayProbe = false, false
+	w := three(t, c)
+	write := ask("w", "once")
+	write.Session = "s"
+	w.take(write)
+	w.pass(2000)
+	w.hear(1, w.now, Primary)
+	read := func(id string, session string) uint32 {
+		in := ask(id, "session")
+		in.Session = session
+		w.take(in)
+		return w.at(t, id)
+	}
+	if at := read("r", "s"); at != 1 {
+		t.Errorf("a read went to %d, whose position is 0.2 s old", at)
+	}
+	if at := read("o", "other"); at == 1 {
+		t.Error("another session's read went to the primary")
+	}
+	w.hear(2, w.now-500, Replica)
+	if at := read("k", "s"); at != 2 {
+		t.Errorf("a read went to %d, where 2 keeps up", at)
+	}
+	w.back("w", 0, Return{Ending: Unreached})
+	if n := w.b.writes[w.b.jobs[w.b.jobOf["r"]].slot]; n != 0 {
+		t.Errorf("%d writes are out", n)
+	}
+}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -1160,3 +1160,28 @@
 		t.Errorf("answered %q", got)
 	}
 }
+
+// TestAnswerThatStopsShort: a write's answer comes but for its last message. The session's next read does not go where the
+// write is not known to be, though the write's attempt is still out.
+func TestAnswerThatStopsShort(t *testing.T) {
+	for cut := range 3 {
+		s := newStage(t, 20)
+		s.charter.FencesCarried = false
+		s.with(balance.Profile{Name: "x", ExpectedTime: 3000, OuterLimit: 12000, Credit: 1},
+			Line{ID: "p", Addr: "127.0.0.1:1", Member: balance.Member{Group: 3, Condition: balance.Ready, Primary: true, Size: 1}},
+			Line{ID: "r", Addr: "127.0.0.1:2", Member: balance.Member{Group: 3, Condition: balance.Ready, Size: 1}})
+		s.core.module.Probed(s.now, s.core.storeOf["r"], balance.Return{Load: balance.Report{Position: s.now - 1, Role: balance.Replica}})
+		writer, reader := s.client(), s.client()
+		s.say(writer, ask("once", 1))
+		st := s.store()
+		parts := []string{value[:15], value, value + status("role", "primary") + status("applied_ms", "1767225600100")}
+		s.now += 100
+		s.say(st, parts[cut])
+		s.say(reader, ask("session", 2))
+		for n := range s.core.jobs {
+			if j := &s.core.jobs[n]; j.busy && string(j.terms.ID) == "2" && (j.waits || j.trip != nil) && s.core.stores[j.store].id == "r" {
+				t.Errorf("part %d: the read goes to the replica", cut)
+			}
+		}
+	}
+}
--- a/internal/front/postgres.go
+++ b/internal/front/postgres.go
@@ -186,6 +186,10 @@
 			return
 		}
 		if n == 0 {
+			if e := k.errand; k.parts > 0 && !k.shown && !k.idle && !k.spent && e.job >= 0 {
+				k.shown = true
+				c.module.Written(c.now, c.jobs[e.job].id, k.note.Position)
+			}
 			if k.spent && len(in) == 0 {
 				k.settle(c)
 			} else if k.link.Full() { // more than a value may be, or all rings together may not grow any more
--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -65,9 +65,8 @@
 	up       Time // when it came up
 	since    Time // when it was dialled, sent on its way or fell idle
 	errand   errand
-	wrote    int64 // bytes written so far, the query's last among them
-	row      bool
-	told     bool   // CommandComplete has come
+	wrote    int64  // bytes written so far, the query's last among them
+	shown    bool   // the module has been told that part of a write's answer has come
 	code     string // of the ErrorResponse that has come
 	from, to [3]int // the messages of the value in the link's ring
 	parts    int
@@ -195,7 +194,7 @@
 // ride writes the errand's query on a ready connection.
 func (k *conn) ride(c *Core, e errand) {
 	k.errand, k.idle, k.spent, k.since = e, false, false, c.now
-	k.row, k.told, k.code, k.parts, k.read, k.value = false, false, "", 0, 0, ""
+	k.shown, k.code, k.parts, k.read, k.value = false, "", 0, 0, ""
 	k.note, k.load = balance.Report{}, balance.Report{}
 	if e.job >= 0 {
 		j := &c.jobs[e.job]
