--- a/balance/balance.go
+++ b/balance/balance.go
@@ -26,9 +26,9 @@
 	search    = 0.125 // part of the credit of what waits that a search for its primary may cost
 )
 
-type profile struct {
-	Profile
-	typical float64 // how long a trip of it takes of late
+type class struct {
+	Class
+	typical float64 // how long an attempt of it takes of late
 	stills  float64 // how often a replica's position stood still while it held one; feared until seen
 	tries   Tries
 }
@@ -52,8 +52,8 @@
 	return false
 }
 
-// customer has a bucket of jobs within its share, a second's worth at most.
-type customer struct {
+// tenant has a bucket of requests within its share, a second's worth at most.
+type tenant struct {
 	perTime, bucket float64
 	filled          Time
 }
@@ -63,17 +63,17 @@
 	group                int32
 	far, open, suspect   bool    // reaching it crosses places; the list lets new work go there; unusually silent
 	proven, scouted      bool    // its role as primary may be relied on; a write is out to prove it
-	inFlight, refusals   int     // trips; refusals and failures since the last delivery
+	inFlight, refusals   int     // attempts; refusals and failures since the last delivery
 	shut, started        Time    // nothing new goes there until then; its last start, 0 when warm
 	listed               Time    // the start that the list tells
-	limit, strain        float64 // trips in flight it takes in good time; answer times for the expected
+	limit, strain        float64 // attempts in flight it takes in good time; answer times for the expected
 	size, budget         float64 // listed; typical time that may still be sent while it is cold
 	part                 float64 // of its fair share that the plan for its zone lets it have
 	zone                 string
 	won, told            Time    // when a chance at it while cold was won last; the largest position peers tell
 	unreached            Time    // when the last try to connect set out, if it failed
-	sentLast, sentBefore Time    // its last two trips
-	backAt, answered     Time    // when a trip last came back; when the newest of those delivered was sent
+	sentLast, sentBefore Time    // its last two attempts
+	backAt, answered     Time    // when an attempt last came back; when the newest of those served was sent
 	position, heard      Time    // the largest it has shown, and when it was heard of
 	primaryAt, replicaAt Time    // newest moments at which it surely was, and surely was not, the primary
 	doubted, eased       Time    // claims from before do not count; when the limit was last cut
@@ -86,96 +86,97 @@
 	primary int32   // -1: not known
 	sought  Time    // since when work has waited for one
 	purse   float64 // probes that the search for it may still cost
-	held    []int32 // jobs that wait, the worthiest first
+	held    []int32 // requests that wait, the worthiest first
 }
 
-// step is what a job does next; it is handed the result of the step before.
+// step is what a request does next; it is handed the result of the step before.
 type step func(b *Balancer, i int32, r Return)
 
-type job struct {
+type request struct {
 	id                     string
-	profile, group         int32
+	class, group           int32
 	slot                   int32   // of its session's fence; -1: none
 	rank                   float64 // credit for the work, as it came in
 	fence, came            Time
 	wanted, limit, least   Time  // its expected time is up; the client's time; what its answer must have seen
-	member                 int32 // where its last trip went: a job has one out at a time
-	sentAt, ranAt          Time  // when; when the first trip was sent that may have run
-	sent, asks, further    int   // trips; probes sent for it; trips that came back and may have run
-	ended, held, out, lost bool  // out: a trip is; lost: so long that it no longer counts as work in hand
-	spilled, barred, funds bool  // a read's trip went to the primary; it may not go there; it paid for a search
+	member                 int32 // where its last attempt went: a request has one out at a time
+	sentAt, ranAt          Time  // when; when the first attempt was sent that may have run
+	sent, asks, further    int   // attempts; probes sent for it; attempts that came back and may have run
+	ended, held, out, lost bool  // out: an attempt is; lost: so long that it no longer counts as work in hand
+	spilled, barred, funds bool  // a read's went to the primary; it may not go there; it paid for a search
 	next                   step
 }
 
 type Balancer struct {
-	front                      Front
-	now, beat, cold            Time
-	mostPause, askWithin, span Time
-	mwc                        mwc.Source
-	zone                       string
-	checks, carried            bool // stores check reads; reads carry the age of their fence
-	onlyDrains, priced         bool // being gone does not bind; crossings cost
-	mayProbe, mayCancel        bool
-	mostTrips, watchMiss       int     // trips of a job; failed calls for the list in a row
-	overShare, spill           float64 // credit past a customer's share, as part of the usual; odds of a spill
-	startShare, coldPart       float64 // capacity at a start; of what warm members are sent, a cold one's part
-	trickle, least             float64 // its rate where there is nothing to judge by; limit that a member keeps
-	tightest, quickest         Time    // shortest bound on the age of data, and expected time
-	probeEvery, probeNow       Time    // gap between probes of a member: as wished, and as the price allows
-	probesPerJob, jobRate      float64 // probes that the price allows; jobs taken in a beat, on average
-	perCredit, usual           float64 // probes that the credit of a usual job pays for; that credit
-	watchAt, crowded, scarce   Time    // when to ask for the list next; overload, few connections last seen
-	closing, wary              Time    // by when all must be answered; until when peers are not believed
-	profiles                   []profile
-	customers                  map[string]*customer
-	members                    []member
-	groups                     []group
-	profileOf, jobOf           map[string]int32
-	memberOf                   map[uint32]int32
-	groupOf                    map[uint64]int32
-	jobs                       []job // the slab
-	free                       []int32
-	fences                     []Time             // newest write of each session, by hash; sharing only tightens
-	writes                     []int32            // that are out, of each session
-	parts                      map[string]float64 // zones that the fleet's plan narrows, and to what part
-	flow, doneWarm             float64            // typical time of what warm members deliver, by size and time
+	front                         Front
+	now, beat, cold               Time
+	mostPause, askWithin, span    Time
+	mwc                           mwc.Source
+	zone                          string
+	checks, carried               bool // stores check reads; reads carry the age of their fence
+	onlyDrains, priced            bool // being gone does not bind; crossings cost
+	mayProbe, mayCancel           bool
+	mostAttempts, watchMiss       int     // attempts of a request; failed calls for the list in a row
+	overShare, spill              float64 // credit past a tenant's share, as part of the usual; odds of a spill
+	startShare, coldPart          float64 // capacity at a start; of what warm ones are sent, a cold one's part
+	trickle, least                float64 // its rate with nothing to judge by; limit that a member keeps
+	tightest, quickest            Time    // shortest bound on the age of data, and expected time
+	probeEvery, probeNow          Time    // gap between probes of a member: as wished, and as the price allows
+	probesPerRequest, requestRate float64 // probes that the price allows; requests taken in a beat, on average
+	perCredit, usual              float64 // probes that the credit of a usual request pays for; that credit
+	watchAt, crowded, scarce      Time    // when to ask for the list next; overload, few connections last seen
+	closing, wary                 Time    // by when all must be answered; until when peers are not believed
+	classes                       []class
+	tenants                       map[string]*tenant
+	members                       []member
+	groups                        []group
+	classOf, requestOf            map[string]int32
+	memberOf                      map[uint32]int32
+	groupOf                       map[uint64]int32
+	requests                      []request // the slab
+	free                          []int32
+	fences                        []Time             // newest write of each session, by hash; sharing tightens
+	writes                        []int32            // that are out, of each session
+	parts                         map[string]float64 // zones that the fleet's plan narrows, and to what part
+	flow, doneWarm                float64            // typical time of what warm members serve, by size and time
 }
 
 func New(now Time, c Charter, f Front) (*Balancer, error) {
-	if len(c.Profiles) == 0 {
+	if len(c.Classes) == 0 {
 		return nil, fmt.Errorf("charter: no profiles")
 	}
 	b := &Balancer{front: f, now: now, mwc: mwc.New(c.Seed), zone: c.Zone, overShare: c.OverShare,
 		checks: c.Checks, carried: c.FencesCarried, askWithin: c.AskWithin, onlyDrains: c.OnlyDraining,
 		startShare: c.StartShare, cold: c.Cold, coldPart: c.FallMultiple, span: c.FallSpan,
-		mostTrips: max(c.MostTrips, 1), mayProbe: c.MayProbe, mayCancel: c.MayCancel, priced: c.CrossPrice > 0,
-		profileOf: map[string]int32{}, customers: map[string]*customer{}, memberOf: map[uint32]int32{},
-		groupOf: map[uint64]int32{}, jobOf: map[string]int32{},
+		mostAttempts: max(c.MostAttempts, 1), mayProbe: c.MayProbe, mayCancel: c.MayCancel,
+		priced:  c.CrossPrice > 0,
+		classOf: map[string]int32{}, tenants: map[string]*tenant{}, memberOf: map[uint32]int32{},
+		groupOf: map[uint64]int32{}, requestOf: map[string]int32{},
 		fences: make([]Time, 1<<fenceBits), writes: make([]int32, 1<<fenceBits),
 		parts: map[string]float64{}, mostPause: c.MostPause, crowded: -never, scarce: -never, spill: 1,
 		watchAt: never, tightest: never, closing: never, quickest: never, least: 3 / float64(max(c.Fronts, 1))}
-	for i, p := range c.Profiles {
-		if p.Bound < 0 || p.ExpectedTime <= 0 || p.OuterLimit <= 0 || p.Window < 0 {
+	for i, p := range c.Classes {
+		if p.Bound < 0 || p.ExpectedTime <= 0 || p.Deadline <= 0 || p.Window < 0 {
 			return nil, fmt.Errorf("charter: profile %q: bound, window or times out of range", p.Name)
 		}
-		b.profileOf[p.Name] = int32(i)
-		b.profiles = append(b.profiles, profile{Profile: p, typical: float64(p.ExpectedTime) / 4, stills: 1})
+		b.classOf[p.Name] = int32(i)
+		b.classes = append(b.classes, class{Class: p, typical: float64(p.ExpectedTime) / 4, stills: 1})
 		b.quickest = min(b.quickest, p.ExpectedTime)
-		b.usual += p.Credit / float64(len(c.Profiles))
+		b.usual += p.Credit / float64(len(c.Classes))
 		if p.Need == Bounded {
 			b.tightest = min(b.tightest, p.Bound)
 		}
 	}
-	for _, q := range c.Customers {
+	for _, q := range c.Tenants {
 		rate := q.Quota / float64(second) / float64(max(c.Fronts, 1))
-		b.customers[q.Name] = &customer{perTime: rate, bucket: rate * float64(second), filled: now}
+		b.tenants[q.Name] = &tenant{perTime: rate, bucket: rate * float64(second), filled: now}
 	}
 	// Answers must come within the slack after the limit, so the module looks around twice in it.
 	b.beat = max(c.Round, min(2*c.Round, c.AnswerSlack/2), 1)
-	// Eight short trips in a span, over all fronts, tip no store.
+	// Eight short attempts in a span, over all fronts, tip no store.
 	b.trickle = 2 * float64(b.quickest) / float64(max(b.span, 1)) / float64(max(c.Fronts, 1))
 	b.probeEvery = max(min(b.tightest, b.quickest)/3, b.beat)
-	b.probeNow, b.probesPerJob = b.probeEvery, thrift/max(c.ProbePrice, thrift/10)
+	b.probeNow, b.probesPerRequest = b.probeEvery, thrift/max(c.ProbePrice, thrift/10)
 	b.perCredit = search / max(c.ProbePrice, thrift/10)
 	if !c.ListPushed { // all fronts may be starting together, so the first call is spread
 		b.watchAt = now + b.chance(b.askWithin/8)
@@ -269,7 +270,7 @@
 	for k := range b.members {
 		m, i := &b.members[k], int32(k)
 		if b.now-max(m.gone, m.heard, m.answered) < b.cold ||
-			slices.ContainsFunc(b.jobs, func(j job) bool { return j.out && j.member == i }) {
+			slices.ContainsFunc(b.requests, func(j request) bool { return j.out && j.member == i }) {
 			continue
 		}
 		g := &b.groups[m.group]
@@ -363,7 +364,7 @@
 }
 
 // shun tells until when to stay away from a member that refuses or fails: longer each time.
-// Danger: a store that fails at once, full, broken or draining, looks the least busy and draws every job.
+// Danger: a store that fails at once, full, broken or draining, looks the least busy and draws every request.
 func (b *Balancer) shun(m *member) Time {
 	m.refusals = min(m.refusals+1, 8)
 	return b.now + min(b.beat<<m.refusals, b.quickest)
@@ -422,7 +423,7 @@
 	if !ok {
 		return
 	}
-	if m := &b.members[i]; r.Ending != Delivered && r.Ending != Crowded {
+	if m := &b.members[i]; r.Ending != Served && r.Ending != Crowded {
 		if m.suspect = m.suspect || r.Ending != Unsent; r.Ending == Unreached {
 			m.unreached = m.probed
 		}
@@ -451,20 +452,20 @@
 	return b.startShare + (1-b.startShare)*float64(max(b.now-m.started, 0))/float64(b.cold)
 }
 
-// room tells whether the member takes one more trip in good time.
-func (b *Balancer) room(m *member, p *profile) bool {
+// room tells whether the member takes one more attempt in good time.
+func (b *Balancer) room(m *member, p *class) bool {
 	if m.started == 0 {
 		if m.limit >= 1 || m.inFlight == 0 && float64(b.now-m.backAt) >= p.typical*(1/m.limit-1) {
 			return float64(m.inFlight) < m.limit
 		}
-		// Danger: hundreds of fronts with a trip each crowd a store. Under one trip a front rests after each; what
+		// Danger: hundreds of fronts with one each crowd a store. Under one attempt a front rests after each; what
 		// only a primary takes has nowhere else to go meanwhile, and rests after every two.
 		return p.Need >= Fresh && m.inFlight < 2 && float64(b.now-m.sentBefore) >= 2*p.typical/m.limit
 	}
 	if m.inFlight > 0 && float64(m.inFlight) >= m.limit*min(1, 2*b.warmth(m)) {
 		return false
 	}
-	// Danger: a trip each from hundreds of fronts is too much. A part saved up is a chance, spent won or lost.
+	// Danger: one attempt from each of hundreds of fronts is too much. What is saved is a chance, won or lost.
 	if m.budget < p.typical && !b.odds(m.budget/p.typical) {
 		m.budget = min(m.budget, 0)
 		return false
@@ -476,8 +477,8 @@
 }
 
 // need is the position that a read has to see.
-func (b *Balancer) need(j *job) Time {
-	if p := &b.profiles[j.profile]; p.Need == Bounded {
+func (b *Balancer) need(j *request) Time {
+	if p := &b.classes[j.class]; p.Need == Bounded {
 		return b.now - p.Bound
 	} else if p.Need == Session && !b.carried && j.slot >= 0 {
 		j.fence = max(j.fence, b.fences[j.slot]) // Danger: its session may have written while it was held.
@@ -489,9 +490,9 @@
 	return j.fence
 }
 
-// choose gives the member for the job's next trip, or -1 if it has to wait.
-func (b *Balancer) choose(j *job) int32 {
-	g, p := &b.groups[j.group], &b.profiles[j.profile]
+// choose gives the member for the request's next attempt, or -1 if it has to wait.
+func (b *Balancer) choose(j *request) int32 {
+	g, p := &b.groups[j.group], &b.classes[j.class]
 	primary := b.primary(g)
 	if p.Need >= Fresh {
 		if primary < 0 || !b.members[primary].proven && (p.Need != Write || b.members[primary].scouted) {
@@ -516,7 +517,7 @@
 		// What it lagged by when last heard it may lag by still. Where stores check reads that is enough.
 		reach := m.position + b.now - m.heard
 		past := m.position >= need || b.checks && m.heard > 0 && reach >= need ||
-			m.told >= need && p.Repeat == Reissuable && b.now >= b.wary
+			m.told >= need && p.Repeat == Idempotent && b.now >= b.wary
 		if !past && m.heard > 0 && reach+p.ExpectedTime/10 < need {
 			continue
 		}
@@ -524,13 +525,13 @@
 			full = full || past
 			continue
 		}
-		// How busy, for what it can do. Danger: fronts with few trips find all idle, and all choose alike.
+		// How busy, for what it can do. Danger: fronts with few attempts find all idle, and all choose alike.
 		v := (float64(m.inFlight) - math.Log(float64(b.chance(1<<20)+1)/(1<<20))) / (m.size * b.warmth(m))
 		if m.far {
 			v *= 2 // a crossing is paid for, so the own place may be somewhat busier
 		}
 		if p.stills > 0.5 && p.ExpectedTime > 2*b.tightest {
-			// Danger: long jobs that stop the log, spread, keep all replicas behind. All fronts fill one first.
+			// Danger: long requests that stop the log, spread, keep all replicas behind. All fronts fill one first.
 			v = float64(m.store)
 		}
 		k := 0
@@ -566,7 +567,7 @@
 	return -1
 }
 
-// overload: a job found no room. It counts as seen for twice the shortest expected time.
+// overload: a request found no room. It counts as seen for twice the shortest expected time.
 func (b *Balancer) overload() {
 	if b.now-b.crowded > 2*b.quickest {
 		b.front.Log("overload seen")
@@ -574,26 +575,26 @@
 	b.crowded = b.now
 }
 
-func (b *Balancer) Take(now Time, in Job) error {
+func (b *Balancer) Take(now Time, in Request) error {
 	b.now = now
-	b.jobRate += float64(b.beat) / float64(second)
-	p, ok := b.profileOf[in.Profile]
+	b.requestRate += float64(b.beat) / float64(second)
+	p, ok := b.classOf[in.Class]
 	if !ok {
-		return fmt.Errorf("job %s: profile %q is not in the charter", in.ID, in.Profile)
+		return fmt.Errorf("job %s: profile %q is not in the charter", in.ID, in.Class)
 	}
 	if len(b.free) == 0 {
-		b.jobs = append(b.jobs, job{})
-		b.free = append(b.free, int32(len(b.jobs)-1))
+		b.requests = append(b.requests, request{})
+		b.free = append(b.free, int32(len(b.requests)-1))
 	}
 	i := b.free[len(b.free)-1]
 	b.free = b.free[:len(b.free)-1]
-	b.jobOf[in.ID] = i
-	j, pr := &b.jobs[i], &b.profiles[p]
-	*j = job{id: in.ID, profile: p, group: b.groupAt(in.Group), slot: -1, came: now,
+	b.requestOf[in.ID] = i
+	j, pr := &b.requests[i], &b.classes[p]
+	*j = request{id: in.ID, class: p, group: b.groupAt(in.Group), slot: -1, came: now,
 		limit: min(now+in.Left, b.closing)}
-	j.wanted = now - in.Waited + min(pr.ExpectedTime+Time(pr.Stretch*float64(in.Work)), pr.OuterLimit)
+	j.wanted = now - in.Waited + min(pr.ExpectedTime+Time(pr.Stretch*float64(in.Work)), pr.Deadline)
 	if pr.tries.Further(in.Left+in.Waited, b.beat) {
-		j.wanted -= max(pr.OuterLimit-in.Left-in.Waited, 0)
+		j.wanted -= max(pr.Deadline-in.Left-in.Waited, 0)
 	}
 	if in.Session != "" {
 		h := fnv.New32a()
@@ -605,7 +606,7 @@
 	}
 	j.rank = pr.Credit / pr.typical
 	b.usual += (pr.Credit - b.usual) / 64
-	if q := b.customers[in.Customer]; q != nil {
+	if q := b.tenants[in.Tenant]; q != nil {
 		q.bucket = min(q.bucket+q.perTime*float64(now-q.filled), q.perTime*float64(second))
 		q.filled = now
 		if q.bucket--; q.bucket < 0 {
@@ -617,7 +618,7 @@
 }
 
 func (b *Balancer) place(i int32) {
-	j := &b.jobs[i]
+	j := &b.requests[i]
 	if m := b.choose(j); m >= 0 {
 		b.send(i, m)
 		return
@@ -626,11 +627,11 @@
 	g := &b.groups[j.group]
 	if !j.funds { // Danger: each of hundreds of fronts looks on for what little waits there, at a higher cost.
 		j.funds = true
-		g.purse += b.perCredit * b.profiles[j.profile].Credit / max(b.usual, 1e-6)
+		g.purse += b.perCredit * b.classes[j.class].Credit / max(b.usual, 1e-6)
 	}
 	// Ranks go by powers of two, and within one the newest first: it has the most time left to be in time.
 	at := sort.Search(len(g.held), func(k int) bool {
-		return math.Ilogb(b.jobs[g.held[k]].rank) <= math.Ilogb(j.rank)
+		return math.Ilogb(b.requests[g.held[k]].rank) <= math.Ilogb(j.rank)
 	})
 	g.held = slices.Insert(g.held, at, i)
 }
@@ -639,7 +640,7 @@
 	g := &b.groups[gi]
 	keep := 0
 	for _, i := range g.held {
-		j := &b.jobs[i]
+		j := &b.requests[i]
 		if !j.held || j.group != gi {
 			continue // it went or ended meanwhile
 		} else if !b.mayRepeat(j) { // Danger: what may have run must not wait here past the time of its repeats.
@@ -656,9 +657,10 @@
 }
 
 func (b *Balancer) send(i, mi int32) {
-	j, m := &b.jobs[i], &b.members[mi]
-	p := &b.profiles[j.profile]
-	j.member, j.sentAt, j.sent, j.out, j.lost, j.next = mi, b.now, j.sent+1, true, false, (*Balancer).afterTrip
+	j, m := &b.requests[i], &b.members[mi]
+	p := &b.classes[j.class]
+	j.member, j.sentAt, j.sent, j.out, j.lost = mi, b.now, j.sent+1, true, false
+	j.next = (*Balancer).afterAttempt
 	m.inFlight, m.sentBefore, m.sentLast = m.inFlight+1, m.sentLast, b.now
 	m.scouted = m.scouted || p.Need == Write && !m.proven
 	if m.started > 0 {
@@ -675,18 +677,18 @@
 	b.front.Send(j.id, m.store, j.limit, j.least)
 }
 
-// Due tells whether a trip that has had to wait may still set out. What comes back for that is placed anew.
+// Due tells whether an attempt that has had to wait may still set out; if not it comes back, placed anew.
 // Danger: meanwhile its store may drain, what is known there be too old, or its window have passed.
 func (b *Balancer) Due(now Time, id string) bool {
 	b.now = now
-	i, ok := b.jobOf[id]
-	return ok && b.due(&b.jobs[i])
+	i, ok := b.requestOf[id]
+	return ok && b.due(&b.requests[i])
 }
 
-func (b *Balancer) due(j *job) bool {
-	m, p := &b.members[j.member], &b.profiles[j.profile]
+func (b *Balancer) due(j *request) bool {
+	m, p := &b.members[j.member], &b.classes[j.class]
 	switch {
-	case !m.open || p.Repeat == Numbered && j.ranAt > 0 && b.now >= b.edge(j):
+	case !m.open || p.Repeat == Keyed && j.ranAt > 0 && b.now >= b.edge(j):
 		return false
 	case p.Need != Bounded && p.Need != Session || b.checks || j.member == b.groups[j.group].primary && m.proven:
 		return true
@@ -694,27 +696,27 @@
 	return max(m.position, j.least) >= b.need(j)
 }
 
-// mayGoAgain: no further trips while overload is seen, up to two otherwise. What cost no store time is free.
-func (b *Balancer) mayGoAgain(j *job, further int) bool {
-	return j.sent < b.mostTrips && (further == 0 || further <= 2 && b.now-b.crowded > 2*b.quickest)
+// mayGoAgain: no further attempts while overload is seen, else up to two. What cost no store time is free.
+func (b *Balancer) mayGoAgain(j *request, further int) bool {
+	return j.sent < b.mostAttempts && (further == 0 || further <= 2 && b.now-b.crowded > 2*b.quickest)
 }
 
 func (b *Balancer) Returned(now Time, id string, n int, store uint32, r Return) {
 	b.now = now
-	i, ok := b.jobOf[id]
-	if !ok || !b.jobs[i].out || n != b.jobs[i].sent-1 || b.members[b.jobs[i].member].store != store {
+	i, ok := b.requestOf[id]
+	if !ok || !b.requests[i].out || n != b.requests[i].sent-1 || b.members[b.requests[i].member].store != store {
 		return
 	}
-	j := &b.jobs[i]
+	j := &b.requests[i]
 	gi := j.group
 	j.out = false
-	if b.profiles[j.profile].Need == Write && j.slot >= 0 {
+	if b.classes[j.class].Need == Write && j.slot >= 0 {
 		b.writes[j.slot]--
 	}
 	b.grade(j, r)
 	if !r.Ending.NeverRan() {
 		j.ranAt = cmp.Or(j.ranAt, j.sentAt)
-		if r.Ending != Severed || float64(now-j.sentAt) > b.profiles[j.profile].typical/8 {
+		if r.Ending != Severed || float64(now-j.sentAt) > b.classes[j.class].typical/8 {
 			j.further++ // it may have cost the store time; what breaks off far sooner has not
 		}
 	}
@@ -728,26 +730,26 @@
 }
 
 func (b *Balancer) recycle(i int32) {
-	if j := &b.jobs[i]; j.ended && !j.out && j.id != "" {
-		delete(b.jobOf, j.id)
+	if j := &b.requests[i]; j.ended && !j.out && j.id != "" {
+		delete(b.requestOf, j.id)
 		j.id = ""
 		b.free = append(b.free, i)
 	}
 }
 
-func (b *Balancer) grade(j *job, r Return) {
-	m, p := &b.members[j.member], &b.profiles[j.profile]
+func (b *Balancer) grade(j *request, r Return) {
+	m, p := &b.members[j.member], &b.classes[j.class]
 	if !j.lost {
 		m.inFlight--
 	}
 	m.backAt = b.now
-	if r.Ending == Delivered || !r.Ending.NeverRan() {
+	if r.Ending == Served || !r.Ending.NeverRan() {
 		b.Written(b.now, j.id, r.Note.Position)
 	}
 	took := b.now - j.sentAt
-	// Danger: lost answers look like load, and load like lost answers. A later trip answered there tells.
+	// Danger: lost answers look like load, and load like lost answers. A later attempt answered there tells.
 	gone := r.Ending == Severed || r.Ending == Undone || r.Ending >= Expired && j.sentAt < m.answered
-	if j.spilled && r.Ending == Delivered && took < p.ExpectedTime*3/4 {
+	if j.spilled && r.Ending == Served && took < p.ExpectedTime*3/4 {
 		b.spill = min(b.spill+1.0/16, 1)
 	} else if j.spilled && r.Ending != Behind && !gone {
 		b.spill = max(b.spill*3/4, 1.0/16)
@@ -758,13 +760,13 @@
 		if p.Need == Write {
 			note.Position -= second / 1000 // a commit is told rounded up, a position must not be
 		}
-		m.proven = m.proven && note.Role != Replica || p.Need == Write && r.Ending == Delivered
+		m.proven = m.proven && note.Role != Replica || p.Need == Write && r.Ending == Served
 		b.learn(j.member, note, b.now)
 		b.learn(j.member, r.Load, 0)
 		b.alive(j.member, r.Since)
 	}
 	switch {
-	case r.Ending == Delivered:
+	case r.Ending == Served:
 		m.refusals, m.shut = 0, 0
 	case r.Ending == Behind && j.least > 0:
 		b.wary = b.now + b.cold // Danger: a peer that says too much has reads go there in vain.
@@ -779,7 +781,7 @@
 			m.suspect, m.unreached = true, j.sentAt
 		}
 	}
-	if r.Ending == Delivered {
+	if r.Ending == Served {
 		if m.started == 0 {
 			b.doneWarm += p.typical // Danger: what overloaded members are sent is no measure of what one can do.
 		}
@@ -817,14 +819,14 @@
 // Danger: an answer may stop short, be lost or find its client gone, and the write is there all the same.
 func (b *Balancer) Written(now Time, id string, position Time) {
 	b.now = now
-	if i, ok := b.jobOf[id]; ok && b.jobs[i].slot >= 0 && b.profiles[b.jobs[i].profile].Need == Write {
-		f := &b.fences[b.jobs[i].slot]
+	if i, ok := b.requestOf[id]; ok && b.requests[i].slot >= 0 && b.classes[b.requests[i].class].Need == Write {
+		f := &b.fences[b.requests[i].slot]
 		*f = max(*f, cmp.Or(position, now)) // untold: it lies before now
 	}
 }
 
-func (b *Balancer) afterTrip(i int32, r Return) {
-	j := &b.jobs[i]
+func (b *Balancer) afterAttempt(i int32, r Return) {
+	j := &b.requests[i]
 	if r.Ending == Unsent && b.due(j) || b.now >= j.limit-b.beat || !b.mayRepeat(j) {
 		b.giveUp(i)
 	} else {
@@ -832,45 +834,45 @@
 	}
 }
 
-// mayRepeat tells whether the rules and the house's custom allow the job one more trip.
-func (b *Balancer) mayRepeat(j *job) bool {
-	p := &b.profiles[j.profile]
+// mayRepeat tells whether the rules and the house's custom allow the request one more attempt.
+func (b *Balancer) mayRepeat(j *request) bool {
+	p := &b.classes[j.class]
 	switch {
-	case j.sent >= b.mostTrips:
+	case j.sent >= b.mostAttempts:
 		return false
 	case j.ranAt == 0:
 		return true // proven never to have run
 	case p.Repeat == AtMostOnce:
 		return false // Danger: an effect twice.
-	case p.Repeat == Numbered && b.now >= b.edge(j):
-		return false // Trips never leave the job's group.
+	case p.Repeat == Keyed && b.now >= b.edge(j):
+		return false // Attempts never leave the request's group.
 	}
 	return b.mayGoAgain(j, j.further)
 }
 
 // edge is when a repeat of what may have run has to be on its way.
 // Danger: past its window a repeat is not dropped, and it counts from when the store begins it: the way there
-// and what stands before it in the queue take no longer than such a trip takes in all.
-func (b *Balancer) edge(j *job) Time {
-	p := &b.profiles[j.profile]
+// and what stands before it in the queue take no longer than such an attempt takes in all.
+func (b *Balancer) edge(j *request) Time {
+	p := &b.classes[j.class]
 	return j.ranAt + p.Window - b.beat - Time(p.typical)
 }
 
-// giveUp gives the final answer of a job that will not be delivered, at once.
+// giveUp gives the final answer of a request that will not be served, at once.
 func (b *Balancer) giveUp(i int32) {
-	j := &b.jobs[i]
-	p := &b.profiles[j.profile]
-	if p.Repeat == Reissuable || j.ranAt == 0 && !j.out || p.Repeat == Numbered && p.Anywhere {
-		b.front.TurnBack(j.id, b.mostPause/2+b.chance(b.mostPause/2))
+	j := &b.requests[i]
+	p := &b.classes[j.class]
+	if p.Repeat == Idempotent || j.ranAt == 0 && !j.out || p.Repeat == Keyed && p.Anywhere {
+		b.front.Refuse(j.id, b.mostPause/2+b.chance(b.mostPause/2))
 	} else {
-		b.front.WriteOff(j.id)
+		b.front.Fail(j.id)
 	}
 	b.end(i)
 }
 
-// end closes a job and calls its trip off, so that a store may stop working on them.
+// end closes a request and calls its attempt off, so that a store may stop working on them.
 func (b *Balancer) end(i int32) {
-	j := &b.jobs[i]
+	j := &b.requests[i]
 	j.held, j.ended = false, true
 	if j.out && b.mayCancel {
 		b.front.Cancel(j.id, j.sent-1)
@@ -880,7 +882,7 @@
 
 func (b *Balancer) Left(now Time, id string) {
 	b.now = now
-	if i, ok := b.jobOf[id]; ok && !b.jobs[i].ended {
+	if i, ok := b.requestOf[id]; ok && !b.requests[i].ended {
 		b.end(i)
 	}
 }
@@ -888,26 +890,26 @@
 // Closing: the front is ended by force at that time, and what it finds unanswered then is lost.
 func (b *Balancer) Closing(now, by Time) {
 	b.now, b.closing = now, by
-	for i := range b.jobs {
-		if j := &b.jobs[i]; j.limit < never {
+	for i := range b.requests {
+		if j := &b.requests[i]; j.limit < never {
 			j.limit = min(j.limit, by)
 		}
 	}
 }
 
-// Streams: the job's answer has begun, and its limits no longer run.
+// Streams: the request's answer has begun, and its limits no longer run.
 func (b *Balancer) Streams(now Time, id string) {
 	b.now = now
-	if i, ok := b.jobOf[id]; ok {
-		b.jobs[i].limit, b.jobs[i].wanted = never, never
+	if i, ok := b.requestOf[id]; ok {
+		b.requests[i].limit, b.requests[i].wanted = never, never
 	}
 }
 
 func (b *Balancer) Beat(now Time) {
 	b.now = now
 	b.front.Wake(b.beat)
-	b.jobRate -= b.jobRate * float64(b.beat) / float64(second)
-	every := float64(len(b.members)) * float64(b.beat) / max(b.jobRate*b.probesPerJob, 1e-6)
+	b.requestRate -= b.requestRate * float64(b.beat) / float64(second)
+	every := float64(len(b.members)) * float64(b.beat) / max(b.requestRate*b.probesPerRequest, 1e-6)
 	b.probeNow = max(Time(every), b.probeEvery)
 	if now >= b.watchAt {
 		b.watchAt = now + b.askWithin/2
@@ -945,8 +947,8 @@
 		b.flow += (b.doneWarm/(warm*float64(b.beat)) - b.flow) * float64(b.beat) / float64(max(b.span, b.beat))
 	}
 	b.doneWarm = 0
-	for i := range b.jobs {
-		if b.jobs[i].id != "" && !b.jobs[i].ended {
+	for i := range b.requests {
+		if b.requests[i].id != "" && !b.requests[i].ended {
 			b.review(int32(i))
 		}
 	}
@@ -955,12 +957,12 @@
 	}
 }
 
-// review ends a job whose time is up or can no longer be kept, and calls a trip back from a silent store.
+// review ends a request whose time is up or cannot be kept, and calls an attempt back from a silent store.
 func (b *Balancer) review(i int32) {
-	j := &b.jobs[i]
-	p := &b.profiles[j.profile]
+	j := &b.requests[i]
+	p := &b.classes[j.class]
 	if j.out && !j.lost && float64(b.now-j.sentAt) > 6*p.typical {
-		// Danger: trips whose answers are lost fill a member's limit until their clients give up.
+		// Danger: attempts whose answers are lost fill a member's limit until their clients give up.
 		j.lost = true
 		b.members[j.member].inFlight--
 	}
@@ -969,7 +971,7 @@
 	switch {
 	case b.now >= j.limit-b.beat, j.held && (late || b.now+Time(p.typical/2) > j.limit):
 		b.giveUp(i)
-	case stuck && j.limit < never && p.Repeat == Reissuable && b.mayCancel && b.mayGoAgain(j, j.further+1):
+	case stuck && j.limit < never && p.Repeat == Idempotent && b.mayCancel && b.mayGoAgain(j, j.further+1):
 		b.front.Cancel(j.id, j.sent-1)
 	}
 }
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -29,17 +29,20 @@
 
 func (w *world) at(t *testing.T, id string) uint32 {
 	t.Helper()
-	p := w.jobs[id]
-	if len(p.trips) == 0 {
+	p := w.requests[id]
+	if len(p.attempts) == 0 {
 		t.Fatalf("%s is held", id)
 	}
-	return p.trips[len(p.trips)-1].store
+	return p.attempts[len(p.attempts)-1].store
 }
 
-func (w *world) held(id string) bool { p := w.jobs[id]; return p.final == 0 && len(p.trips) == 0 }
+func (w *world) held(id string) bool {
+	p := w.requests[id]
+	return p.final == 0 && len(p.attempts) == 0
+}
 
-func ask(id, profile string) Job {
-	return Job{ID: id, Profile: profile, Customer: "c", Group: 9, Left: 10000, WriteAge: -1}
+func ask(id, class string) Request {
+	return Request{ID: id, Class: class, Tenant: "c", Group: 9, Left: 10000, WriteAge: -1}
 }
 
 func TestOrdinaryPath(t *testing.T) {
@@ -75,7 +78,7 @@
 	}
 }
 
-// Fronts with few jobs each knew only old positions, and all their reads spilled to the primary.
+// Fronts with few requests each knew only old positions, and all their reads spilled to the primary.
 func TestLikelyReplicaIsAsked(t *testing.T) {
 	w := three(t, testCharter())
 	w.now += 3100
@@ -118,7 +121,7 @@
 	}
 }
 
-// A store that turns all away at once looked the least busy and drew every job.
+// A store that turns all away at once looked the least busy and drew every request.
 func TestFastRefusals(t *testing.T) {
 	w := three(t, testCharter())
 	drawn := 0
@@ -131,9 +134,9 @@
 			drawn++
 			w.back(id, 0, Return{Ending: Crowded})
 		}
-		if w.jobs[id].final == 0 && w.at(t, id) == 3 {
+		if w.requests[id].final == 0 && w.at(t, id) == 3 {
 			w.pass(20)
-			w.back(id, len(w.jobs[id].trips)-1, Return{Note: Report{Position: w.now - 50, Role: Replica}})
+			w.back(id, len(w.requests[id].attempts)-1, Return{Note: Report{Position: w.now - 50, Role: Replica}})
 		}
 	}
 	if drawn == 0 || drawn > 10 {
@@ -156,7 +159,7 @@
 	for range 8 {
 		w.pass(500)
 		w.hear(1, w.now, Primary)
-		if p := w.jobs["w1"]; len(p.trips) > 1 {
+		if p := w.requests["w1"]; len(p.attempts) > 1 {
 			if !w.held("r2") {
 				t.Fatal("a fresh read went along with the write that was to prove the role")
 			}
@@ -169,7 +172,7 @@
 	}
 }
 
-// A numbered job that may have run waited past the time for which its repeats are dropped.
+// A numbered request that may have run waited past the time for which its repeats are dropped.
 func TestNumberedJobKeepsItsWindow(t *testing.T) {
 	w := three(t, testCharter())
 	in := ask("m", "marked")
@@ -178,14 +181,14 @@
 	w.pass(100)
 	w.back("m", 0, Return{Ending: Faulted, Note: Report{Position: w.now, Role: Primary}})
 	w.list(ListChanges, Member{Store: 1, Group: 9, Zone: "a", Condition: Draining, Size: 1})
-	w.pass(testCharter().Profiles[5].Window)
+	w.pass(testCharter().Classes[5].Window)
 	w.hear(2, w.now, Primary)
-	if w.jobs["m"].final != 1 {
+	if w.requests["m"].final != 1 {
 		t.Error("the job outlived its window")
 	}
 }
 
-// Trips whose answers were lost filled a member's limit until their clients gave up, and counted as load.
+// Attempts whose answers were lost filled a member's limit until their clients gave up, and counted as load.
 func TestLostAnswersAreNotLoad(t *testing.T) {
 	w := three(t, testCharter())
 	w.take(ask("a", "marked"))
@@ -260,9 +263,9 @@
 // TestFurtherTrips: two, and under overload none, but what broke off far sooner than an answer comes is free.
 func TestFurtherTrips(t *testing.T) {
 	for _, c := range []struct {
-		crowded bool
-		took    Time
-		trips   int
+		crowded  bool
+		took     Time
+		attempts int
 	}{{false, 500, 3}, {true, 500, 1}, {true, 1, 6}} {
 		w := three(t, testCharter())
 		if c.crowded {
@@ -271,16 +274,16 @@
 		p := w.take(ask("any", "any"))
 		for p.final == 0 {
 			w.pass(c.took)
-			w.back("any", len(p.trips)-1, Return{Ending: Severed})
-			for p.final == 0 && !p.trips[len(p.trips)-1].out {
+			w.back("any", len(p.attempts)-1, Return{Ending: Severed})
+			for p.final == 0 && !p.attempts[len(p.attempts)-1].out {
 				for i := range w.b.members {
 					w.b.members[i].shut, w.b.members[i].position = 0, w.now
 				}
 				w.b.release(0)
 			}
 		}
-		if len(p.trips) != c.trips {
-			t.Errorf("%+v: %d trips", c, len(p.trips))
+		if len(p.attempts) != c.attempts {
+			t.Errorf("%+v: %d trips", c, len(p.attempts))
 		}
 	}
 }
@@ -303,7 +306,7 @@
 	}
 }
 
-// Hundreds of fronts with a trip each pushed a cold store over; what all send together is held against the rule.
+// Hundreds of fronts with an attempt each pushed a cold store over; what all send together is held against the rule.
 func TestManyFrontsBeforeAColdStore(t *testing.T) {
 	c := testCharter()
 	c.Fronts = 200
@@ -330,7 +333,7 @@
 	c.Fronts = 200
 	w := newWorld(t, c)
 	w.list(ListCached, Member{Store: 1, Group: 9, Condition: Ready, Primary: true, Size: 1, Started: w.now})
-	m, p := &w.b.members[0], &w.b.profiles[0]
+	m, p := &w.b.members[0], &w.b.classes[0]
 	for k := 0; k < 1<<16 && !w.b.room(m, p); k++ {
 		m.budget = p.typical / 32
 	}
@@ -344,7 +347,7 @@
 	}
 }
 
-// A trip from each of many fronts crowds a store, so under a limit of one a front rests; good answers end that.
+// An attempt from each of many fronts crowds a store, so under a limit of one a front rests; good answers end that.
 func TestFrontsRestUnderOneTrip(t *testing.T) {
 	c := testCharter()
 	c.Fronts = 240
@@ -359,7 +362,7 @@
 		w.take(ask(fmt.Sprint("w", w.now), "once"))
 		w.pass(second / 10)
 		for _, id := range w.order {
-			if p := w.jobs[id]; len(p.trips) > 0 && p.trips[0].out {
+			if p := w.requests[id]; len(p.attempts) > 0 && p.attempts[0].out {
 				w.back(id, 0, Return{Note: Report{Position: w.now, Role: Primary}})
 			}
 		}
@@ -370,7 +373,7 @@
 	}
 }
 
-// A last try has all the time that is left, more than a first one; first tries were then turned back on arrival.
+// A last try has all the time that is left, more than a first one; first tries were then refused on arrival.
 func TestFirstTriesAreNotTakenForFurtherOnes(t *testing.T) {
 	w := three(t, testCharter())
 	for n := range 20 {
@@ -379,7 +382,7 @@
 			in.Left = 8000
 		}
 		w.take(in)
-		if j := w.b.jobs[w.b.jobOf[in.ID]]; (n%5 == 4) != (j.wanted < j.came) {
+		if j := w.b.requests[w.b.requestOf[in.ID]]; (n%5 == 4) != (j.wanted < j.came) {
 			t.Errorf("job %d with %d left is wanted %d after it came", n, in.Left, j.wanted-j.came)
 		}
 	}
@@ -418,8 +421,8 @@
 			t.Errorf("%d members, %d known, %d in the group", len(w.b.members), len(w.b.memberOf), len(w.b.groups[0].members))
 		}
 		w.hear(last.Store, w.now, Primary)
-		if w.take(ask("once", "once")); len(w.jobs["once"].trips) != 1 || w.jobs["once"].trips[0].store != last.Store {
-			t.Errorf("a write went to %+v", w.jobs["once"].trips)
+		if w.take(ask("once", "once")); len(w.requests["once"].attempts) != 1 || w.requests["once"].attempts[0].store != last.Store {
+			t.Errorf("a write went to %+v", w.requests["once"].attempts)
 		}
 	}
 }
@@ -501,7 +504,7 @@
 
 func TestCharterRefused(t *testing.T) {
 	c := testCharter()
-	c.Profiles[1].Bound = -1
+	c.Classes[1].Bound = -1
 	if _, err := New(0, c, &world{t: t}); err == nil || !strings.Contains(err.Error(), "bounded") {
 		t.Errorf("negative bound: %v", err)
 	}
@@ -524,7 +527,7 @@
 	}
 }
 
-// still is a front that only remembers where the last trip went.
+// still is a front that only remembers where the last attempt went.
 type still struct {
 	*world
 	store uint32
@@ -566,7 +569,7 @@
 	for n := range 1500 {
 		switch k := r.IntN(20); {
 		case k < 6:
-			in := ask(fmt.Sprint("j", n), c.Profiles[r.IntN(len(c.Profiles))].Name)
+			in := ask(fmt.Sprint("j", n), c.Classes[r.IntN(len(c.Classes))].Name)
 			in.Group, in.Session, in.Left = uint64(r.IntN(2)), fmt.Sprint("s", r.IntN(9)), Time(r.IntN(12000))
 			if r.IntN(2) == 0 {
 				in.WriteAge = Time(r.IntN(8000))
@@ -574,7 +577,7 @@
 			w.take(in)
 		case k < 13:
 			if id, i, ok := w.out(r); ok {
-				ending := Delivered
+				ending := Served
 				if r.IntN(3) == 0 {
 					ending = Ending(r.IntN(int(Recalled) + 1))
 				}
@@ -584,7 +587,7 @@
 				}
 				w.back(id, i, back)
 				if r.IntN(9) == 0 { // a repeated result changes nothing
-					w.b.Returned(w.now, id, i, w.jobs[id].trips[i].store, Return{Ending: Faulted})
+					w.b.Returned(w.now, id, i, w.requests[id].attempts[i].store, Return{Ending: Faulted})
 				}
 			}
 		case k < 15 && len(w.ids) > 0:
@@ -595,7 +598,7 @@
 		case k == 15:
 			w.list(ListChanges, member(r.IntN(9)))
 		case k == 16 && len(w.order) > 0:
-			if p := w.jobs[w.order[r.IntN(len(w.order))]]; p.final == 0 {
+			if p := w.requests[w.order[r.IntN(len(w.order))]]; p.final == 0 {
 				p.final = 1
 				w.b.Left(w.now, p.in.ID)
 			}
@@ -638,17 +641,17 @@
 	w := three(t, c)
 	w.pass(40000)
 	w.hear(1, w.now, Primary)
-	last := func(id string) *sending { n := w.jobs[id].trips; return n[len(n)-1] }
+	last := func(id string) *sending { n := w.requests[id].attempts; return n[len(n)-1] }
 	if w.take(ask("a", "bounded")); w.at(t, "a") != 1 {
 		t.Errorf("a read went to store %d, which nobody vouches for", w.at(t, "a"))
 	}
-	w.back("a", 0, Return{Ending: Delivered, Note: Report{w.now, Primary}})
+	w.back("a", 0, Return{Ending: Served, Note: Report{w.now, Primary}})
 	w.b.Heard(w.now, 2, w.now)
 	if w.take(ask("b", "bounded")); w.at(t, "b") != 2 || last("b").least != w.now {
 		t.Errorf("a read went to store %d, and its answer has to show %d", w.at(t, "b"), last("b").least)
 	}
-	w.back("b", 0, Return{Ending: Delivered, Note: Report{w.now - 30000, Replica}})
-	if w.at(t, "b") != 1 || w.jobs["b"].final != 0 {
+	w.back("b", 0, Return{Ending: Served, Note: Report{w.now - 30000, Replica}})
+	if w.at(t, "b") != 1 || w.requests["b"].final != 0 {
 		t.Errorf("after a stale answer it went to store %d", w.at(t, "b"))
 	}
 	w.b.Heard(w.now, 2, w.now)
@@ -714,7 +717,7 @@
 	}
 }
 
-// TestRepeatInsideItsWindow: a repeat of what may have run is sent only while the way there, as long as such a trip takes in
+// TestRepeatInsideItsWindow: a repeat of what may have run is sent only while the way there, as long as such an attempt takes in
 // all, ends inside the window, and it may wait for a connection no longer than that.
 func TestRepeatInsideItsWindow(t *testing.T) {
 	for _, c := range []struct {
@@ -726,8 +729,8 @@
 		w.pass(c.after)
 		w.back("m", 0, Return{Ending: Severed})
 		w.pass(210) // the store is shunned for a moment
-		if p := w.jobs["m"]; len(p.trips) > 1 != c.again || !c.again && p.final == 0 {
-			t.Errorf("after %d: %d trips, final %d", c.after, len(p.trips), p.final)
+		if p := w.requests["m"]; len(p.attempts) > 1 != c.again || !c.again && p.final == 0 {
+			t.Errorf("after %d: %d trips, final %d", c.after, len(p.attempts), p.final)
 		}
 	}
 }
@@ -741,8 +744,8 @@
 	w.pass(2960)
 	w.hear(1, w.now, Primary)
 	w.back("r", 0, Return{Ending: Unsent})
-	if p := w.jobs["r"]; p.final != 0 || first == 1 || !w.held("r") && len(p.trips) > 1 && w.at(t, "r") == first {
-		t.Errorf("first to %d, then final %d, trips %d", first, p.final, len(p.trips))
+	if p := w.requests["r"]; p.final != 0 || first == 1 || !w.held("r") && len(p.attempts) > 1 && w.at(t, "r") == first {
+		t.Errorf("first to %d, then final %d, trips %d", first, p.final, len(p.attempts))
 	}
 }
 
@@ -786,7 +789,7 @@
 				w.b.Left(w.now, "w")
 			}
 			if w.b.Written(w.now, "w", position); !left && position == 0 { // or all of it is lost
-				w.b.fences[w.b.jobs[w.b.jobOf["w"]].slot] = 0
+				w.b.fences[w.b.requests[w.b.requestOf["w"]].slot] = 0
 				w.back("w", 0, Return{Ending: Severed})
 			}
 			w.hear(2, 1000089, Replica)
@@ -826,7 +829,7 @@
 		t.Errorf("a read went to %d, where 2 keeps up", at)
 	}
 	w.back("w", 0, Return{Ending: Unreached})
-	if n := w.b.writes[w.b.jobs[w.b.jobOf["r"]].slot]; n != 0 {
+	if n := w.b.writes[w.b.requests[w.b.requestOf["r"]].slot]; n != 0 {
 		t.Errorf("%d writes are out", n)
 	}
 }
--- a/balance/front.go
+++ b/balance/front.go
@@ -9,9 +9,9 @@
 	Fronts        int // how many there are
 	Zone          string
 	Round         Time // events come no more often than this
-	Profiles      []Profile
-	Customers     []Customer
-	OverShare     float64 // credit of a job past its customer's share, as a part of the usual
+	Classes       []Class
+	Tenants       []Tenant
+	OverShare     float64 // credit of a request past its tenant's share, as a part of the usual
 	Checks        bool    // a member turns away a read that it is too far behind for
 	FencesCarried bool    // reads carry the age of their session's last write; else the front remembers
 	ListPushed    bool    // the list's changes come by themselves; else they must be asked for
@@ -22,53 +22,53 @@
 	Cold          Time    // by then it is warm
 	FallMultiple  float64 // a cold store sent more than this multiple of its capacity
 	FallSpan      Time    // for this long falls over
-	MostTrips     int
+	MostAttempts  int
 	MayProbe      bool
 	MayCancel     bool
-	MostPause     Time // most that a turn-back may name as a time to come back; 0: it may name none
+	MostPause     Time // most that a refusal may name as a time to come back; 0: it may name none
 	CrossPrice    float64
 	ProbePrice    float64
 }
 
-// Need says how recent a profile's data must be.
+// Need says how recent a class's data must be.
 type Need uint8
 
 const (
 	Any     Need = iota // any member's data will do
-	Bounded             // no older than the profile's bound when sent
+	Bounded             // no older than the class's bound when sent
 	Session             // all that its session has written
-	Fresh               // all that was written before the job came
+	Fresh               // all that was written before the request came
 	Write               // taken by the primary alone
 )
 
-// Repeat says what a profile allows once a trip may have run.
+// Repeat says what a class allows once an attempt may have run.
 type Repeat uint8
 
 const (
-	Reissuable Repeat = iota
-	Numbered
+	Idempotent Repeat = iota
+	Keyed
 	AtMostOnce
 )
 
-// Profile is one kind of job.
-type Profile struct {
+// Profile is one kind of request.
+type Class struct {
 	Name         string
 	Need         Need
 	Bound        Time // for Bounded
 	Repeat       Repeat
-	Anywhere     bool // Numbered: every store drops repeats, not the job's group alone
+	Anywhere     bool // Numbered: every store drops repeats, not the request's group alone
 	Window       Time // Numbered: how long repeats are dropped
 	ExpectedTime Time
-	Stretch      float64 // the expected time grows by this multiple of the job's own work
-	OuterLimit   Time
+	Stretch      float64 // the expected time grows by this multiple of the request's own work
+	Deadline     Time
 	Credit       float64
 	LateCredit   float64 // part of the credit left after the expected time
 }
 
 // Customer is one of those who share the service.
-type Customer struct {
+type Tenant struct {
 	Name  string
-	Quota float64 // jobs a second within its share, over all fronts
+	Quota float64 // requests a second within its share, over all fronts
 }
 
 // Condition is what the list says of a member.
@@ -102,11 +102,11 @@
 	ListOlder  // whole, but older than one before
 )
 
-// Job is one request as it comes in.
-type Job struct {
+// Request is one request as it comes in.
+type Request struct {
 	ID       string
-	Profile  string
-	Customer string
+	Class    string
+	Tenant   string
 	Session  string
 	Group    uint64
 	Work     Time // that it is expected to take; 0: not told
@@ -131,11 +131,11 @@
 	Role     Role
 }
 
-// Ending says how a trip or a probe came back.
+// Ending says how an attempt or a probe came back.
 type Ending uint8
 
 const (
-	Delivered Ending = iota
+	Served    Ending = iota
 	Behind           // turned away unprocessed: not primary, or too far behind
 	Crowded          // turned away unseen
 	Unreached        // no connection
@@ -150,23 +150,23 @@
 // NeverRan tells whether the ending proves that nothing was done.
 func (e Ending) NeverRan() bool { return e >= Behind && e <= Undone }
 
-// Return is the result of one trip or probe.
+// Return is the result of one attempt or probe.
 type Return struct {
 	Ending Ending
 	Note   Report // of the very moment of the answer
 	Load   Report // as old as the member's own report
 	Since  Time   // when the connection that brought the answer came up; 0: not told
-	Done   bool   // the job has had its final answer
+	Done   bool   // the request has had its final answer
 }
 
-// Front is what a front can do for the module. A job's trips are numbered from 0 in the order of Send.
+// Front is what a front can do for the module. A request's attempts are numbered from 0 in the order of Send.
 type Front interface {
-	// Send starts a trip. Where it has to wait first, Due is asked before it sets out. least: an answer that does not
+	// Send starts an attempt. Where it has to wait first, Due is asked before it sets out. least: an answer that does not
 	// show a position from there on is none, and came back as Behind; 0: any will do.
-	Send(job string, store uint32, until, least Time)
-	Cancel(job string, trip int)
-	TurnBack(job string, pause Time)
-	WriteOff(job string)
+	Send(request string, store uint32, until, least Time)
+	Cancel(request string, attempt int)
+	Refuse(request string, pause Time)
+	Fail(request string)
 	// Probe asks a member for its position, whose answer may be a peer's word (Heard) if that shows need: any
 	// member's of its group, or this one's. 0: the member itself has to answer.
 	Probe(store uint32, need Time, any bool)
--- a/balance/helper_test.go
+++ b/balance/helper_test.go
@@ -8,14 +8,14 @@
 	"testing"
 )
 
-// past is what the plain model knows of one job.
+// past is what the plain model knows of one request.
 type past struct {
-	in      Job
-	profile Profile
-	came    Time
-	fence   Time
-	trips   []*sending
-	final   int
+	in       Request
+	class    Class
+	came     Time
+	fence    Time
+	attempts []*sending
+	final    int
 }
 
 type sending struct {
@@ -40,37 +40,37 @@
 
 // world is a Front that keeps a slow, plain model of the rules and holds every action against it.
 type world struct {
-	t       testing.TB
-	charter Charter
-	b       *Balancer
-	now     Time
-	jobs    map[string]*past
-	order   []string
-	stores  map[uint32]*known
-	ids     []uint32
-	fences  map[string]Time
-	probes  []uint32
-	watches int
-	wake    Time
-	log     []string
-	listing bool    // a list is being taken in
-	peak    float64 // most trips that a warm store was sent in a span, for its size
+	t        testing.TB
+	charter  Charter
+	b        *Balancer
+	now      Time
+	requests map[string]*past
+	order    []string
+	stores   map[uint32]*known
+	ids      []uint32
+	fences   map[string]Time
+	probes   []uint32
+	watches  int
+	wake     Time
+	log      []string
+	listing  bool    // a list is being taken in
+	peak     float64 // most attempts that a warm store was sent in a span, for its size
 }
 
 func testCharter() Charter {
-	return Charter{Seed: 7, Fronts: 1, Zone: "a", Round: 50, FencesCarried: true, ListPushed: true, AskWithin: 100000, AnswerSlack: 200, StartShare: 0.2, Cold: 100000, FallMultiple: 3, FallSpan: 15000, MostTrips: 6, MayProbe: true, MayCancel: true, ProbePrice: 0.01, OverShare: 0.2, Customers: []Customer{{Name: "c", Quota: 500}},
-		Profiles: []Profile{
-			{Name: "any", Need: Any, ExpectedTime: 3000, OuterLimit: 12000, Credit: 1},
-			{Name: "bounded", Need: Bounded, Bound: 3000, ExpectedTime: 4000, OuterLimit: 15000, Credit: 2},
-			{Name: "session", Need: Session, ExpectedTime: 3000, OuterLimit: 10000, Credit: 1, LateCredit: 0.2},
-			{Name: "fresh", Need: Fresh, ExpectedTime: 6000, OuterLimit: 20000, Credit: 1},
-			{Name: "once", Need: Write, Repeat: AtMostOnce, ExpectedTime: 6000, OuterLimit: 30000, Credit: 4},
-			{Name: "marked", Need: Write, Repeat: Numbered, Window: 9000, ExpectedTime: 6000, OuterLimit: 30000, Credit: 4, LateCredit: 0.5},
+	return Charter{Seed: 7, Fronts: 1, Zone: "a", Round: 50, FencesCarried: true, ListPushed: true, AskWithin: 100000, AnswerSlack: 200, StartShare: 0.2, Cold: 100000, FallMultiple: 3, FallSpan: 15000, MostAttempts: 6, MayProbe: true, MayCancel: true, ProbePrice: 0.01, OverShare: 0.2, Tenants: []Tenant{{Name: "c", Quota: 500}},
+		Classes: []Class{
+			{Name: "any", Need: Any, ExpectedTime: 3000, Deadline: 12000, Credit: 1},
+			{Name: "bounded", Need: Bounded, Bound: 3000, ExpectedTime: 4000, Deadline: 15000, Credit: 2},
+			{Name: "session", Need: Session, ExpectedTime: 3000, Deadline: 10000, Credit: 1, LateCredit: 0.2},
+			{Name: "fresh", Need: Fresh, ExpectedTime: 6000, Deadline: 20000, Credit: 1},
+			{Name: "once", Need: Write, Repeat: AtMostOnce, ExpectedTime: 6000, Deadline: 30000, Credit: 4},
+			{Name: "marked", Need: Write, Repeat: Keyed, Window: 9000, ExpectedTime: 6000, Deadline: 30000, Credit: 4, LateCredit: 0.5},
 		}}
 }
 
 func newWorld(t testing.TB, c Charter) *world {
-	w := &world{t: t, charter: c, now: 1000000, jobs: map[string]*past{}, stores: map[uint32]*known{},
+	w := &world{t: t, charter: c, now: 1000000, requests: map[string]*past{}, stores: map[uint32]*known{},
 		fences: map[string]Time{}}
 	b, err := New(w.now, c, w)
 	if err != nil {
@@ -118,11 +118,11 @@
 	w.listing = false
 }
 
-func (w *world) take(in Job) *past {
+func (w *world) take(in Request) *past {
 	p := &past{in: in, came: w.now}
-	for _, q := range w.charter.Profiles {
-		if q.Name == in.Profile {
-			p.profile = q
+	for _, q := range w.charter.Classes {
+		if q.Name == in.Class {
+			p.class = q
 		}
 	}
 	if w.charter.FencesCarried {
@@ -132,7 +132,7 @@
 	} else {
 		p.fence = w.fences[in.Session]
 	}
-	w.jobs[in.ID] = p
+	w.requests[in.ID] = p
 	w.order = append(w.order, in.ID)
 	w.note("take %+v", in)
 	if err := w.b.Take(w.now, in); err != nil {
@@ -154,28 +154,28 @@
 	}
 }
 
-// back returns a trip.
+// back returns an attempt.
 func (w *world) back(id string, n int, r Return) {
-	p := w.jobs[id]
-	s := p.trips[n]
+	p := w.requests[id]
+	s := p.attempts[n]
 	k := w.stores[s.store]
-	if r.Ending == Delivered && r.Note.Position < s.least { // as the core has it
-		if p.profile.Repeat != Reissuable {
+	if r.Ending == Served && r.Note.Position < s.least { // as the core has it
+		if p.class.Repeat != Idempotent {
 			w.broken("twice", "%s may not run again, and went where only a peer vouched", id)
 		}
 		r.Ending = Behind
 	}
 	s.out, s.mayRan = false, !r.Ending.NeverRan()
-	if r.Ending == Delivered && p.final == 0 {
+	if r.Ending == Served && p.final == 0 {
 		p.final++
 		r.Done = true
-		if p.profile.Need == Write {
+		if p.class.Need == Write {
 			w.fences[p.in.Session] = max(w.fences[p.in.Session], r.Note.Position)
 		}
 	}
 	r.Done = r.Done || p.final > 0
 	w.believe(k, r.Note, true)
-	if r.Ending == Delivered && p.profile.Need == Write {
+	if r.Ending == Served && p.class.Need == Write {
 		k.wroteSince = true
 	}
 	w.note("back %s %d %+v", id, n, r)
@@ -193,17 +193,17 @@
 	}
 }
 
-// overdue holds rule 1 against every job at hand.
+// overdue holds rule 1 against every request at hand.
 func (w *world) overdue() {
 	for _, id := range w.order {
-		if p := w.jobs[id]; p.final == 0 && w.now > p.came+p.in.Left+w.charter.AnswerSlack {
+		if p := w.requests[id]; p.final == 0 && w.now > p.came+p.in.Left+w.charter.AnswerSlack {
 			w.broken("lost", "job %s has no final answer", id)
 		}
 	}
 }
 
 func (w *world) Send(id string, store uint32, until, least Time) {
-	p, k := w.jobs[id], w.stores[store]
+	p, k := w.requests[id], w.stores[store]
 	w.note("send %s to %d", id, store)
 	if p == nil || p.final > 0 {
 		w.broken("lost", "trip for job %s after its end", id)
@@ -211,19 +211,19 @@
 	if k == nil || !k.open || k.group != p.in.Group {
 		w.broken("drain", "trip of %s to store %d", id, store)
 	}
-	for _, s := range p.trips {
+	for _, s := range p.attempts {
 		if s.out {
 			w.broken("twice", "two trips of %s at once", id)
 		}
-		if may := s.out || s.mayRan; may && (p.profile.Repeat == AtMostOnce ||
-			p.profile.Repeat == Numbered && w.now+w.b.beat > s.sent+p.profile.Window) {
+		if may := s.out || s.mayRan; may && (p.class.Repeat == AtMostOnce ||
+			p.class.Repeat == Keyed && w.now+w.b.beat > s.sent+p.class.Window) {
 			w.broken("twice", "a further trip of %s", id)
 		}
 	}
 	need := Time(0)
-	switch p.profile.Need {
+	switch p.class.Need {
 	case Bounded:
-		need = w.now - p.profile.Bound
+		need = w.now - p.class.Bound
 	case Session:
 		if need = p.fence; !w.charter.FencesCarried && p.in.Session != "" {
 			need = max(need, w.fences[p.in.Session])
@@ -232,7 +232,7 @@
 		need = never
 	}
 	role := k.claimed > 0 && (k.denied == 0 || k.wroteSince || k.claimed > k.denied+2*second)
-	if p.profile.Need != Write && k.position < need && least < need && !role && !w.charter.Checks {
+	if p.class.Need != Write && k.position < need && least < need && !role && !w.charter.Checks {
 		w.broken("stale", "%s needs %d, store %d shows %d", id, need, store, k.position)
 	}
 	if k.started > 0 && w.now-k.started < w.charter.Cold {
@@ -242,7 +242,7 @@
 		k.sends = append(k.sends, w.now)
 		w.peak = max(w.peak, w.recent(k)/k.size)
 	}
-	p.trips = append(p.trips, &sending{store: store, sent: w.now, out: true, least: least})
+	p.attempts = append(p.attempts, &sending{store: store, sent: w.now, out: true, least: least})
 }
 
 // cold holds the sends to a cold store against the most that a warm one was ever sent in such a span, for its size.
@@ -263,7 +263,7 @@
 }
 
 func (w *world) final(id string) *past {
-	p := w.jobs[id]
+	p := w.requests[id]
 	if p == nil || p.final > 0 {
 		w.broken("lost", "second final answer for %s", id)
 	}
@@ -271,18 +271,18 @@
 	return p
 }
 
-func (w *world) TurnBack(id string, pause Time) {
+func (w *world) Refuse(id string, pause Time) {
 	w.note("turn back %s", id)
 	p := w.final(id)
-	for _, s := range p.trips {
-		if (s.out || s.mayRan) && p.profile.Repeat != Reissuable && !p.profile.Anywhere {
+	for _, s := range p.attempts {
+		if (s.out || s.mayRan) && p.class.Repeat != Idempotent && !p.class.Anywhere {
 			w.broken("twice", "%s is turned back but may have run", id)
 		}
 	}
 }
 
-func (w *world) WriteOff(id string)         { w.note("write off %s", id); w.final(id) }
-func (w *world) Cancel(id string, trip int) { w.note("cancel %s %d", id, trip) }
+func (w *world) Fail(id string)                { w.note("write off %s", id); w.final(id) }
+func (w *world) Cancel(id string, attempt int) { w.note("cancel %s %d", id, attempt) }
 func (w *world) Probe(store uint32, _ Time, _ bool) {
 	w.note("probe %d", store)
 	w.probes = append(w.probes, store)
@@ -301,8 +301,8 @@
 	if k == nil || k.open && !w.charter.OnlyDraining {
 		w.broken("forget", "store %d is in use", store)
 	}
-	for id, p := range w.jobs {
-		for _, s := range p.trips {
+	for id, p := range w.requests {
+		for _, s := range p.attempts {
 			if s.out && s.store == store {
 				w.broken("forget", "a trip of %s is out at store %d", id, store)
 			}
@@ -312,14 +312,14 @@
 	w.ids = slices.DeleteFunc(w.ids, func(id uint32) bool { return id == store })
 }
 
-// out names a trip that is under way.
+// out names an attempt that is under way.
 func (w *world) out(r *rand.Rand) (string, int, bool) {
 	for range 20 {
 		if len(w.order) == 0 {
 			break
 		}
 		id := w.order[len(w.order)-1-r.IntN(min(len(w.order), 40))]
-		for n, s := range w.jobs[id].trips {
+		for n, s := range w.requests[id].attempts {
 			if s.out {
 				return id, n, true
 			}
--- a/cmd/micatrack/watch.go
+++ b/cmd/micatrack/watch.go
@@ -13,8 +13,8 @@
 
 // look opens a front's part in the watch. wait is for a watcher's answer, at most.
 func look(t *together, o *orders, addr string) *lookout {
-	quickest := o.charter.Profiles[0].ExpectedTime
-	for _, p := range o.charter.Profiles {
+	quickest := o.charter.Classes[0].ExpectedTime
+	for _, p := range o.charter.Classes {
 		quickest = min(quickest, p.ExpectedTime)
 	}
 	l := &lookout{t: t}
--- a/door/crowd_test.go
+++ b/door/crowd_test.go
@@ -286,12 +286,12 @@
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(2, 6).Draw(t, "customers")
 		c := crowd.Charter()
-		c.Profiles = []balance.Profile{{Name: "p", ExpectedTime: 200 * ms, OuterLimit: 1 << 30, Credit: 1, LateCredit: 1}}
+		c.Classes = []balance.Class{{Name: "p", ExpectedTime: 200 * ms, Deadline: 1 << 30, Credit: 1, LateCredit: 1}}
 		l := &line{t: t, now: 1e12, places: rapid.IntRange(1, 4).Draw(t, "places"), owner: map[int32]int{}, served: make([]float64, n),
 			work: 50 * ms}
 		m := &crowd.Ideal{Weights: make([]float64, n), Queued: make([]float64, n), Served: make([]float64, n)}
 		for i := range n {
-			c.Customers = append(c.Customers, balance.Customer{Name: fmt.Sprint(i), Quota: float64(rapid.IntRange(1, 4).Draw(t, "quota"))})
+			c.Tenants = append(c.Tenants, balance.Tenant{Name: fmt.Sprint(i), Quota: float64(rapid.IntRange(1, 4).Draw(t, "quota"))})
 		}
 		var err error
 		if l.door, err = door.New(l.now, c, crowd.Bounds(), l); err != nil {
@@ -299,10 +299,10 @@
 		}
 		mean, all := 0.0, 0.0
 		for i := range n {
-			mean += c.Customers[i].Quota / float64(n)
+			mean += c.Tenants[i].Quota / float64(n)
 		}
 		for i := range n {
-			m.Weights[i] = c.Customers[i].Quota / mean
+			m.Weights[i] = c.Tenants[i].Quota / mean
 			all += m.Weights[i]
 		}
 		type burst struct{ at, customer, jobs int }
@@ -318,7 +318,7 @@
 				for range b.jobs {
 					l.owner[job] = b.customer
 					m.Queued[b.customer] += l.work
-					l.door.Arrive(l.now, door.Arrival{Job: job, Customer: []byte(c.Customers[b.customer].Name), Client: uint64(job), Left: 1 << 30,
+					l.door.Arrive(l.now, door.Arrival{Job: job, Customer: []byte(c.Tenants[b.customer].Name), Client: uint64(job), Left: 1 << 30,
 						Bytes: 1})
 					job++
 				}
--- a/door/door.go
+++ b/door/door.go
@@ -94,7 +94,7 @@
 
 // profile is what the door knows of one kind of job.
 type profile struct {
-	balance.Profile
+	balance.Class
 	work  float64 // of a trip, learned; tenths of a millisecond
 	rank  float64 // credit for the work, as a part of the mean over all profiles
 	tries balance.Tries
@@ -137,37 +137,37 @@
 // New opens a door. The charter gives the profiles, the customers and their quotas, the rounds and the longest
 // pause; a charter or bounds out of range are an error.
 func New(now Time, c balance.Charter, b Bounds, gate Gate) (*Door, error) {
-	if len(c.Profiles) == 0 {
+	if len(c.Classes) == 0 {
 		return nil, fmt.Errorf("door: no profiles")
 	}
 	if b.Jobs < 1 || b.Bytes < 1 || b.Customers < 1 || b.Places < 1 || b.Strangers <= 0 || b.Further < 0 {
 		return nil, fmt.Errorf("door: bounds out of range: %+v", b)
 	}
 	d := &Door{gate: gate, now: now, bounds: b, chance: mwc.New(c.Seed + 1), lateTop: -1, mostPause: c.MostPause,
-		laneOf: make(map[laneKey]int32, mostLanes), lanes: make([]lane, 0, mostLanes), beat: max(c.Round, 1), quickest: c.Profiles[0].ExpectedTime,
-		epoch: c.Profiles[0].OuterLimit}
+		laneOf: make(map[laneKey]int32, mostLanes), lanes: make([]lane, 0, mostLanes), beat: max(c.Round, 1), quickest: c.Classes[0].ExpectedTime,
+		epoch: c.Classes[0].Deadline}
 	credit := 0.0
-	for _, p := range c.Profiles {
-		if p.ExpectedTime <= 0 || p.OuterLimit <= 0 {
+	for _, p := range c.Classes {
+		if p.ExpectedTime <= 0 || p.Deadline <= 0 {
 			return nil, fmt.Errorf("door: profile %q: times out of range", p.Name)
 		}
-		q := profile{Profile: p, work: float64(p.ExpectedTime) / 4}
+		q := profile{Class: p, work: float64(p.ExpectedTime) / 4}
 		d.profiles = append(d.profiles, q)
 		credit += p.Credit / q.work
 		d.quickest = min(d.quickest, p.ExpectedTime)
-		d.epoch = min(d.epoch, p.OuterLimit)
+		d.epoch = min(d.epoch, p.Deadline)
 	}
 	for i := range d.profiles {
 		p := &d.profiles[i]
 		// Credit counts inside one customer, but must not starve what earns little.
-		p.rank = min(max(p.Credit/p.work*float64(len(c.Profiles))/max(credit, 1e-9), 0.25), 4)
+		p.rank = min(max(p.Credit/p.work*float64(len(c.Classes))/max(credit, 1e-9), 0.25), 4)
 	}
 	mean, names := 0.0, []string{}
-	for _, q := range c.Customers {
-		mean += q.Quota / float64(len(c.Customers))
+	for _, q := range c.Tenants {
+		mean += q.Quota / float64(len(c.Tenants))
 		names = append(names, q.Name)
 	}
-	for _, q := range c.Customers {
+	for _, q := range c.Tenants {
 		weight := 1.0
 		if mean > 0 {
 			weight = max(q.Quota/mean, 1.0/64) // one with no quota still gets something
--- a/door/door_test.go
+++ b/door/door_test.go
@@ -21,9 +21,9 @@
 )
 
 func testCharter() balance.Charter {
-	return balance.Charter{Seed: 7, Round: 5 * ms, MostPause: second, Profiles: []balance.Profile{
-		{Name: "read", ExpectedTime: 300 * ms, OuterLimit: 1200 * ms, Credit: 1},
-		{Name: "save", Need: balance.Write, ExpectedTime: 600 * ms, OuterLimit: 3 * second, Credit: 4, LateCredit: 0.3}}}
+	return balance.Charter{Seed: 7, Round: 5 * ms, MostPause: second, Classes: []balance.Class{
+		{Name: "read", ExpectedTime: 300 * ms, Deadline: 1200 * ms, Credit: 1},
+		{Name: "save", Need: balance.Write, ExpectedTime: 600 * ms, Deadline: 3 * second, Credit: 4, LateCredit: 0.3}}}
 }
 
 func testBounds() Bounds {
--- a/internal/bolt/bolt_test.go
+++ b/internal/bolt/bolt_test.go
@@ -152,7 +152,7 @@
 	return extra(AppendMap(b, 0))
 }
 
-func terms(dst []byte) []byte {
+func termsOf(dst []byte) []byte {
 	dst = AppendMap(dst, 5)
 	dst = AppendList(AppendString(dst, "bookmarks"), 3)
 	dst = AppendString(dst, AppendBookmark(nil, 3, 500))
@@ -168,7 +168,7 @@
 }
 
 func TestRequests(t *testing.T) {
-	r, err := ReadRequest(run("MATCH (n) RETURN n", terms))
+	r, err := ReadRequest(run("MATCH (n) RETURN n", termsOf))
 	if err != nil || r.What != Run || string(r.Query) != "MATCH (n) RETURN n" || !r.Extra.Reads || r.Extra.Timeout != 250 {
 		t.Fatalf("%+v, %v", r, err)
 	}
@@ -182,9 +182,9 @@
 		"no time": func(b []byte) []byte {
 			return AppendPair(AppendMap(AppendString(AppendMap(b, 1), "tx_metadata"), 1), "c", "x")
 		},
-		"no group":    func(b []byte) []byte { return bytes.Replace(terms(b), []byte("\x82db\x813"), []byte("\x82db\x81x"), 1) },
-		"no bookmark": func(b []byte) []byte { return bytes.Replace(terms(b), []byte("mt1:3:500"), []byte("mt2:3:500"), 1) },
-		"no position": func(b []byte) []byte { return bytes.Replace(terms(b), []byte("mt1:3:500"), []byte("mt1:3:-50"), 1) },
+		"no group":    func(b []byte) []byte { return bytes.Replace(termsOf(b), []byte("\x82db\x813"), []byte("\x82db\x81x"), 1) },
+		"no bookmark": func(b []byte) []byte { return bytes.Replace(termsOf(b), []byte("mt1:3:500"), []byte("mt2:3:500"), 1) },
+		"no position": func(b []byte) []byte { return bytes.Replace(termsOf(b), []byte("mt1:3:500"), []byte("mt1:3:-50"), 1) },
 	} {
 		r, err := ReadRequest(run("RETURN 1", extra))
 		if _, err2 := r.Extra.Terms(); err != nil || err2 == nil {
@@ -292,7 +292,7 @@
 // FuzzParsers: no input makes a parser give more than came, or what it gave before more came.
 func FuzzParsers(f *testing.F) {
 	f.Add(proposals(Of(5, 4)))
-	f.Add(AppendRaw(nil, run("MATCH (n) RETURN n", terms)))
+	f.Add(AppendRaw(nil, run("MATCH (n) RETURN n", termsOf)))
 	f.Add(AppendFailure(nil, Of(5, 8), TurnedBack, "text"))
 	f.Add(append([]byte{0, 0, 0, 1, 0xb1}, 0, 2, 0x3f, 0xa0, 0, 0))
 	f.Fuzz(func(t *testing.T, in []byte) {
@@ -326,7 +326,7 @@
 }
 
 func BenchmarkMessage(b *testing.B) {
-	whole := AppendRaw(nil, run("MATCH (n) RETURN n", terms))
+	whole := AppendRaw(nil, run("MATCH (n) RETURN n", termsOf))
 	r := Reader{Most: 1 << 16}
 	b.ReportAllocs()
 	for b.Loop() {
--- a/internal/bolt/terms.go
+++ b/internal/bolt/terms.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"strconv"
 
-	"micatrack/internal/request"
+	"micatrack/internal/terms"
 )
 
 // Status codes that are given or understood. What drivers do on each is the specification's: a transient one is tried
@@ -67,7 +67,7 @@
 //	tx_timeout                   how long the client will wait
 //	mode                         "r": the job writes nothing
 //	bookmarks                    the newest of the group is what a read has to see
-func (e *Extra) Terms() (t request.Terms, err error) {
+func (e *Extra) Terms() (t terms.Terms, err error) {
 	t.Left = e.Timeout * 10
 	group := e.Database
 	if e.Metadata != nil {
--- a/internal/bolt/timed_test.go
+++ b/internal/bolt/timed_test.go
@@ -4,7 +4,7 @@
 
 // TestTimed: a statement or a transaction is passed on with another time left and all else as it was.
 func TestTimed(t *testing.T) {
-	for _, body := range [][]byte{run("RETURN 1", terms), terms(AppendStruct(nil, byte(BeginTx), 1)),
+	for _, body := range [][]byte{run("RETURN 1", termsOf), termsOf(AppendStruct(nil, byte(BeginTx), 1)),
 		run("RETURN 1", func(b []byte) []byte { return AppendMap(b, 0) })} {
 		r, err := ReadRequest(body)
 		if err != nil {
--- a/internal/charter/charter.go
+++ b/internal/charter/charter.go
@@ -69,7 +69,7 @@
 		OnlyDraining: w.Contract.OnlyDrainingBinds, AnswerSlack: w.Contract.AnswerSlack / microsPerTime,
 		StartShare: w.Contract.StartCapacity, Cold: w.Contract.Cold / microsPerTime,
 		FallMultiple: w.Contract.FallMultiple, FallSpan: w.Contract.TipAfter / microsPerTime,
-		MostTrips: w.Ceilings.MaxAttempts, MayProbe: w.Ceilings.Probes, MayCancel: w.Ceilings.MayCancel,
+		MostAttempts: w.Ceilings.MaxAttempts, MayProbe: w.Ceilings.Probes, MayCancel: w.Ceilings.MayCancel,
 		CrossPrice: w.Prices.CrossZone, ProbePrice: w.Prices.Probe,
 	}
 	if w.Ceilings.RetryAfter {
@@ -88,7 +88,7 @@
 	}
 	needs := map[string]balance.Need{"any": balance.Any, "bounded": balance.Bounded, "session": balance.Session,
 		"fresh": balance.Fresh, "write": balance.Write}
-	repeats := map[string]balance.Repeat{"repeatable": balance.Reissuable, "by_key": balance.Numbered,
+	repeats := map[string]balance.Repeat{"repeatable": balance.Idempotent, "by_key": balance.Keyed,
 		"once": balance.AtMostOnce}
 	for i, p := range w.Profiles {
 		if w.Extra.OldestData[i] < 0 {
@@ -105,13 +105,13 @@
 		if !ok {
 			return c, h, fmt.Errorf("Profiles[%d].Idempotency: %q is unknown", i, p.Idempotency)
 		}
-		c.Profiles = append(c.Profiles, balance.Profile{Name: p.Name, Need: need,
+		c.Classes = append(c.Classes, balance.Class{Name: p.Name, Need: need,
 			Bound: w.Extra.OldestData[i] / microsPerTime, Repeat: repeat, Anywhere: p.Group == "all",
 			Window: p.Window / microsPerTime, ExpectedTime: p.Aim / microsPerTime,
-			Stretch: p.AimStretch, OuterLimit: p.HardLimit / microsPerTime, Credit: p.Worth, LateCredit: p.LateWorth})
+			Stretch: p.AimStretch, Deadline: p.HardLimit / microsPerTime, Credit: p.Worth, LateCredit: p.LateWorth})
 	}
 	for _, o := range w.Orgs {
-		c.Customers = append(c.Customers, balance.Customer{Name: o.Name, Quota: o.QuotaPerS})
+		c.Tenants = append(c.Tenants, balance.Tenant{Name: o.Name, Quota: o.QuotaPerS})
 	}
 	return c, h, nil
 }
--- a/internal/crowd/crowd.go
+++ b/internal/crowd/crowd.go
@@ -109,10 +109,10 @@
 
 // Charter is a service with a read of any data and a numbered write.
 func Charter() balance.Charter {
-	return balance.Charter{Seed: 7, Fronts: 1, Round: 5 * ms, MostPause: 1000 * ms, Profiles: []balance.Profile{
-		{Name: "read", Need: balance.Any, ExpectedTime: 300 * ms, OuterLimit: 1200 * ms, Credit: 1},
-		{Name: "save", Need: balance.Write, Repeat: balance.Numbered, Window: 3000 * ms, ExpectedTime: 600 * ms,
-			OuterLimit: 3000 * ms, Credit: 4, LateCredit: 0.3},
+	return balance.Charter{Seed: 7, Fronts: 1, Round: 5 * ms, MostPause: 1000 * ms, Classes: []balance.Class{
+		{Name: "read", Need: balance.Any, ExpectedTime: 300 * ms, Deadline: 1200 * ms, Credit: 1},
+		{Name: "save", Need: balance.Write, Repeat: balance.Keyed, Window: 3000 * ms, ExpectedTime: 600 * ms,
+			Deadline: 3000 * ms, Credit: 4, LateCredit: 0.3},
 	}}
 }
 
@@ -199,7 +199,7 @@
 		p.Asked++
 		p.Firsts++
 	}
-	left := w.Charter.Profiles[p.Profile].OuterLimit
+	left := w.Charter.Classes[p.Profile].Deadline
 	client := p.Client
 	if client == 0 {
 		client = uint64(w.chance.Below(int64(max(p.Clients, 1))))
@@ -231,7 +231,7 @@
 }
 
 func (w *World) rank(i int32) int {
-	p := &w.Charter.Profiles[w.jobs[i].profile]
+	p := &w.Charter.Classes[w.jobs[i].profile]
 	return math.Ilogb(p.Credit / float64(p.ExpectedTime))
 }
 
@@ -257,7 +257,7 @@
 		if w.Door != nil {
 			w.Door.Sent(w.Now, i)
 		}
-		work := Time(float64(w.Charter.Profiles[e.profile].ExpectedTime) / 8 / w.Speed * (0.75 + float64(w.chance.Below(1000))/2000))
+		work := Time(float64(w.Charter.Classes[e.profile].ExpectedTime) / 8 / w.Speed * (0.75 + float64(w.chance.Below(1000))/2000))
 		w.after(work, func() { w.done(i, work) })
 	}
 }
@@ -269,12 +269,12 @@
 		w.Door.Back(w.Now, i, true)
 	}
 	e.Of.work += float64(work)
-	if w.Now-e.born <= w.Charter.Profiles[e.profile].ExpectedTime {
+	if w.Now-e.born <= w.Charter.Classes[e.profile].ExpectedTime {
 		e.Of.InTime++
 	} else {
 		e.Of.late++
 	}
-	if e.try == 0 && w.Now-e.came <= w.Charter.Profiles[e.profile].ExpectedTime {
+	if e.try == 0 && w.Now-e.came <= w.Charter.Classes[e.profile].ExpectedTime {
 		e.Of.Given++
 	}
 	w.end(i, "delivered")
@@ -300,7 +300,7 @@
 	var over []int32
 	for _, i := range w.held {
 		e := &w.jobs[i]
-		p := &w.Charter.Profiles[e.profile]
+		p := &w.Charter.Classes[e.profile]
 		late := p.LateCredit == 0 && w.Now+p.ExpectedTime/8 > e.came+p.ExpectedTime
 		if late || w.Now+p.ExpectedTime/8 > e.came+e.left {
 			over = append(over, i)
--- a/internal/front/bolt.go
+++ b/internal/front/bolt.go
@@ -13,7 +13,7 @@
 
 const (
 	mostBolt = pgwire.MostQuery // bytes of a client's message with its headers
-	mostTerm = 256              // bytes of each of a job's terms
+	mostTerm = 256              // bytes of each of a request's terms
 )
 
 // boltClient is one client that speaks Bolt.
@@ -21,9 +21,9 @@
 	v     bolt.Version
 	talk  *bolt.Dialogue
 	in    bolt.Reader
-	read  int    // bytes of the ring that belong to the job in hand
+	read  int    // bytes of the ring that belong to the request in hand
 	late  []byte // a final answer that the client had asked nothing for yet: the next message's
-	terms []byte // what the job's terms point into
+	terms []byte // what the request's terms point into
 }
 
 func newBoltClient() *boltClient { return &boltClient{in: bolt.Reader{Most: mostBolt}} }
@@ -72,14 +72,14 @@
 
 func (b *boltClient) overflow(cl *client, c *Core) { b.violate(cl, c, bolt.Format, "out of memory") }
 
-// violate ends a connection whose client does not keep to the protocol. A job in hand is left.
+// violate ends a connection whose client does not keep to the protocol. A request in hand is left.
 func (b *boltClient) violate(cl *client, c *Core, code, text string) {
 	cl.write(c, bolt.AppendFailure(c.out[:0], b.v, code, text))
 	cl.leave(c)
 	cl.finish(c)
 }
 
-// more takes one message after the other. Those of a job in hand stay in the ring until they are answered.
+// more takes one message after the other. Those of a request in hand stay in the ring until they are answered.
 func (b *boltClient) more(cl *client, c *Core) {
 	for !cl.ending && cl.at >= 0 {
 		body, n, err := b.in.Next(cl.link.Peek()[b.read:])
@@ -176,7 +176,7 @@
 	return dst
 }
 
-// open makes a job of RUN or BEGIN.
+// open makes a request of RUN or BEGIN.
 func (b *boltClient) open(cl *client, c *Core, r bolt.Request) {
 	t, err := r.Extra.Terms()
 	code, why := bolt.Invalid, ""
@@ -200,7 +200,7 @@
 	if t.Carried {
 		t.Session = nil // what the bookmark says goes before what this front remembers
 	}
-	if kind, ok := c.profiles[string(t.Profile)]; ok && r.Extra.Reads && c.needs[kind] == balance.Write {
+	if kind, ok := c.classes[string(t.Profile)]; ok && r.Extra.Reads && c.needs[kind] == balance.Write {
 		why = "a job that writes came in access mode r"
 	}
 	if why == "" {
@@ -215,7 +215,7 @@
 	}
 }
 
-// abort is RESET while a job is in hand: it is given up, and what was asked of it has no answer any more.
+// abort is RESET while a request is in hand: it is given up, and what was asked of it has no answer any more.
 func (b *boltClient) abort(cl *client, c *Core, n int) {
 	c.out = c.out[:0]
 	for range b.talk.Aborted() {
@@ -229,7 +229,7 @@
 	cl.since = c.now
 }
 
-// done gives back what the job had of the ring. What came behind it is read anew.
+// done gives back what the request had of the ring. What came behind it is read anew.
 func (b *boltClient) done(cl *client, failed bool) {
 	if failed {
 		b.talk.Refuse()
@@ -238,7 +238,7 @@
 	b.read, b.in = 0, bolt.Reader{Most: mostBolt}
 }
 
-func (b *boltClient) turnedBack(dst []byte, pause Time) []byte {
+func (b *boltClient) refusal(dst []byte, pause Time) []byte {
 	text := "turned back, try again"
 	if pause >= perMilli {
 		text = fmt.Sprintf("turned back, try again after %d ms", pause/perMilli)
@@ -246,7 +246,7 @@
 	return b.word(dst, bolt.TurnedBack, text)
 }
 
-func (b *boltClient) writtenOff(dst []byte, why string) []byte {
+func (b *boltClient) failure(dst []byte, why string) []byte {
 	return b.word(dst, bolt.WrittenOff, "written off: "+why)
 }
 
@@ -274,14 +274,14 @@
 
 // push passes on what may be passed on.
 func (b *boltClient) push(cl *client, c *Core) {
-	if cl.job < 0 {
+	if cl.request < 0 {
 		return
 	}
-	k := c.jobs[cl.job].trip
+	k := c.requests[cl.request].attempt
 	if k == nil || k.bolt == nil {
 		return
 	}
-	if k.at >= 0 && cl.job >= 0 && c.jobs[cl.job].trip == k {
+	if k.at >= 0 && cl.request >= 0 && c.requests[cl.request].attempt == k {
 		k.pass(c, cl, b)
 	}
 }
@@ -292,7 +292,7 @@
 	in      bolt.Reader
 	owed    []owed // answers that the store owes, the oldest first
 	course  course.Course
-	shown   bool // the client has seen something of the job from here
+	shown   bool // the client has seen something of the request from here
 	ready   bool // records are among what is kept back, so all of it may be shown
 	stalled bool // the client has no room for what has come
 }
@@ -316,7 +316,7 @@
 
 func (boltStore) ask(k *conn, c *Core, e errand) {
 	k.bolt.course, k.bolt.shown, k.bolt.stalled, k.bolt.ready = course.Course{}, false, false, false
-	if e.job < 0 {
+	if e.request < 0 {
 		dst, at := bolt.Begin(c.out[:0])
 		dst = bolt.AppendString(bolt.AppendStruct(dst, byte(bolt.Run), 3), "CALL micatrack.report()")
 		c.out = bolt.End(bolt.AppendMap(bolt.AppendMap(dst, 0), 0), at)
@@ -326,7 +326,7 @@
 		}
 		return
 	}
-	cl := c.jobs[e.job].client
+	cl := c.requests[e.request].client
 	b := cl.speech.(*boltClient) // depart sends no other's
 	b.talk.Again()
 	k.bolt.course.Transaction = b.talk.Transaction()
@@ -339,7 +339,7 @@
 	return bolt.End(bolt.AppendInt(bolt.AppendString(dst, "n"), -1), at)
 }()
 
-// pass writes those messages of the job that may be written now.
+// pass writes those messages of the request that may be written now.
 func (k *conn) pass(c *Core, cl *client, b *boltClient) {
 	s := &c.stores[k.store]
 	for i, w, ok := b.talk.Next(); ok && k.at >= 0; i, w, ok = b.talk.Next() {
@@ -472,15 +472,15 @@
 			return false
 		}
 		return true // settled once nothing more is owed
-	case k.spent: // of a job that is over
+	case k.spent: // of a request that is over
 		drop()
 		return true
-	case k.errand.job < 0:
+	case k.errand.request < 0:
 		return d.probed(k, c, a, drop)
 	}
-	j := &c.jobs[k.errand.job]
+	j := &c.requests[k.errand.request]
 	cl := j.client
-	if cl == nil { // it has left, and the module calls the trip back
+	if cl == nil { // it has left, and the module calls the attempt back
 		drop()
 		return false
 	}
@@ -524,8 +524,8 @@
 	if over {
 		e := k.errand
 		k.spent = true
-		c.end(k, e, balance.Return{Ending: balance.Delivered, Note: k.note, Load: k.load, Since: k.up})
-		c.answer(e.job, c.out, false)
+		c.end(k, e, balance.Return{Ending: balance.Served, Note: k.note, Load: k.load, Since: k.up})
+		c.answer(e.request, c.out, false)
 		return true
 	}
 	cl.write(c, c.out)
@@ -544,7 +544,7 @@
 // flush passes on what was kept back; false: the client has no room for it. Danger: record by record each would move all
 // that the ring holds, and cost the system a call.
 func (boltStore) flush(k *conn, c *Core) bool {
-	j := &c.jobs[k.errand.job]
+	j := &c.requests[k.errand.request]
 	if j.client == nil {
 		return false
 	}
@@ -562,7 +562,7 @@
 
 // show notes that the client has seen a part of an answer. A result that is being read is bounded by how long nothing
 // of it moves, a transaction by its client's time as before.
-func (k *conn) show(c *Core, j *job) {
+func (k *conn) show(c *Core, j *request) {
 	k.bolt.course.Showed()
 	b := j.client.speech.(*boltClient)
 	n := b.talk.Shown()
@@ -578,7 +578,7 @@
 
 // probed takes the answer to a probe.
 func (boltStore) probed(k *conn, c *Core, a bolt.Answer, drop func()) bool {
-	r := balance.Return{Ending: balance.Delivered, Since: k.up}
+	r := balance.Return{Ending: balance.Served, Since: k.up}
 	switch {
 	case a.What == bolt.Record:
 		v := bolt.Unpack(a.Fields)
@@ -614,32 +614,32 @@
 	return balance.Faulted
 }
 
-// failed takes a store's failure: the client is told it, or the module hears that another store may have the job.
+// failed takes a store's failure: the client is told it, or the module hears that another store may have the request.
 func (boltStore) failed(k *conn, c *Core, t *boltClient, a bolt.Answer, raw []byte) {
-	e, j := k.errand, &c.jobs[k.errand.job]
+	e, j := k.errand, &c.requests[k.errand.request]
 	r := balance.Return{Ending: proven(a.Code), Note: k.note, Load: k.load, Since: k.up}
 	var answer []byte
 	failed := true
-	switch k.bolt.course.End(c.repeats[j.kind] == balance.Reissuable) {
+	switch k.bolt.course.End(c.repeats[j.kind] == balance.Idempotent) {
 	case course.Failed:
 		if r.Ending = balance.Faulted; bolt.Clients(a.Code) {
-			r.Ending = balance.Delivered // the store is well; the statement is not
+			r.Ending = balance.Served // the store is well; the statement is not
 		}
 		answer, failed = append(append(answer, k.link.Peek()[:k.read]...), raw...), false
 		t.talk.Answered(false, false)
 	case course.TurnedBack:
-		answer = t.turnedBack(nil, 0)
+		answer = t.refusal(nil, 0)
 	case course.WrittenOff:
 		r.Ending = balance.Faulted
 		if k.bolt.shown {
-			answer = t.writtenOff(nil, "the store failed")
+			answer = t.failure(nil, "the store failed")
 		}
 	}
 	k.link.Discard(k.read + len(raw))
 	k.read, k.spent = 0, true
 	c.end(k, e, r)
 	if answer != nil {
-		c.answer(e.job, answer, failed)
+		c.answer(e.request, answer, failed)
 	}
 	if k.at >= 0 { // what is pipelined behind it the store ignores, up to here
 		k.say(c, bolt.Reset, bolt.AppendBare(c.out[:0], bolt.Reset))
@@ -655,14 +655,14 @@
 			b.course.Wrote(o.what, true)
 		}
 	}
-	if k.errand.job >= 0 && b.shown {
+	if k.errand.request >= 0 && b.shown {
 		// Danger: another store's answer behind this one's beginning would be taken for one.
-		if j := &c.jobs[k.errand.job]; j.client != nil {
+		if j := &c.requests[k.errand.request]; j.client != nil {
 			s := j.client.speech
-			if b.course.End(c.repeats[j.kind] == balance.Reissuable) == course.TurnedBack {
-				c.answer(k.errand.job, s.turnedBack(c.out[:0], 0), true)
+			if b.course.End(c.repeats[j.kind] == balance.Idempotent) == course.TurnedBack {
+				c.answer(k.errand.request, s.refusal(c.out[:0], 0), true)
 			} else {
-				c.answer(k.errand.job, s.writtenOff(c.out[:0], "the store is lost"), true)
+				c.answer(k.errand.request, s.failure(c.out[:0], "the store is lost"), true)
 			}
 		}
 	}
--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -11,7 +11,7 @@
 	"micatrack/balance"
 	"micatrack/door"
 	"micatrack/internal/pgwire"
-	"micatrack/internal/request"
+	"micatrack/internal/terms"
 )
 
 // speech is how one protocol puts to its clients what the core has to say.
@@ -19,10 +19,10 @@
 	greet(cl *client, c *Core, in []byte) (used int)   // the first step of a connection
 	decline(cl *client, c *Core, in []byte) (used int) // the same where there is no room for it
 	overflow(cl *client, c *Core)                      // ends a connection whose message has no room
-	more(cl *client, c *Core)                          // something came, or there is room again, while a job is in hand
-	done(cl *client, failed bool)                      // the job has its final answer; failed: one of the core's own
-	turnedBack(dst []byte, pause Time) []byte          // the final answers, whole
-	writtenOff(dst []byte, why string) []byte
+	more(cl *client, c *Core)                          // something came, or there is room again, while a request is in hand
+	done(cl *client, failed bool)                      // the request has its final answer; failed: one of the core's own
+	refusal(dst []byte, pause Time) []byte             // the final answers, whole
+	failure(dst []byte, why string) []byte
 	faulty(dst []byte, f fault, why string) []byte
 }
 
@@ -32,29 +32,29 @@
 const (
 	sound fault = iota
 	unreadable
-	noProfile
+	noClass
 	noGroup
-	inHand // its id is another job's
+	inHand // its id is another request's
 )
 
-// job is one request in hand. Its query stays in its client's ring until it is answered.
-type job struct {
-	id     string // its place in the slab, as the module knows it
-	client *client
-	terms  request.Terms
-	cut    pgwire.Cut
-	bolt   bool // it came in Bolt
-	kind   int  // its profile, as the charter numbers them
-	left   Time // as its client said, less what has passed since
-	came   Time
-	sent   int   // trips
-	trip   *conn // the one that is out on a connection
-	waits  bool  // the one that is out waits for a connection
-	store  uint32
-	least  Time // position that the answer to the trip that is out has to show; 0: none
-	owed   int  // results that the module has yet to hear of
-	final  bool // it has had its final answer, or needs none
-	busy   bool // the place is taken
+// request is one request in hand. Its query stays in its client's ring until it is answered.
+type request struct {
+	id      string // its place in the slab, as the module knows it
+	client  *client
+	terms   terms.Terms
+	cut     pgwire.Cut
+	bolt    bool // it came in Bolt
+	kind    int  // its class, as the charter numbers them
+	left    Time // as its client said, less what has passed since
+	came    Time
+	sent    int   // attempts
+	attempt *conn // the one that is out on a connection
+	waits   bool  // the one that is out waits for a connection
+	store   uint32
+	least   Time // position that the answer to the attempt that is out has to show; 0: none
+	owed    int  // results that the module has yet to hear of
+	final   bool // it has had its final answer, or needs none
+	busy    bool // the place is taken
 }
 
 // client is one connection of a client.
@@ -65,7 +65,7 @@
 	speech  speech
 	next    func(cl *client, c *Core, in []byte) (used int)
 	since   Time  // when it came, or last said something or was answered
-	job     int32 // in hand, or -1
+	request int32 // in hand, or -1
 	held    int   // bytes of its query
 	skip    bool  // until the next Sync
 	ending  bool
@@ -78,7 +78,7 @@
 		return
 	}
 	c.serial++
-	cl := &client{link: l, at: len(c.clients), serial: c.serial, speech: s, job: -1, since: c.now}
+	cl := &client{link: l, at: len(c.clients), serial: c.serial, speech: s, request: -1, since: c.now}
 	cl.next = cl.speech.greet
 	l.Own(cl)
 	c.clients = append(c.clients, cl)
@@ -116,11 +116,11 @@
 
 // idle: nothing of a command has come, and the last answer is out.
 func (cl *client) idle() bool {
-	return cl.job < 0 && !cl.ending && len(cl.link.Peek()) == 0 && cl.link.Empty()
+	return cl.request < 0 && !cl.ending && len(cl.link.Peek()) == 0 && cl.link.Empty()
 }
 
 func (cl *client) notice(c *Core, what What) {
-	if cl.job >= 0 && !cl.ending {
+	if cl.request >= 0 && !cl.ending {
 		cl.speech.more(cl, c)
 	}
 	if what&Readable != 0 && !cl.ending {
@@ -131,17 +131,17 @@
 	}
 }
 
-// read takes one command after the other; while a job is in hand the rest waits in the ring.
+// read takes one command after the other; while a request is in hand the rest waits in the ring.
 func (cl *client) read(c *Core) {
-	for cl.job < 0 && !cl.ending {
+	for cl.request < 0 && !cl.ending {
 		n := cl.next(cl, c, cl.link.Peek())
 		if n == 0 {
-			if cl.link.Full() && !cl.ending && cl.job < 0 { // a long message, and all rings together may not grow any more
+			if cl.link.Full() && !cl.ending && cl.request < 0 { // a long message, and all rings together may not grow any more
 				cl.speech.overflow(cl, c)
 			}
 			return
 		}
-		if cl.job >= 0 {
+		if cl.request >= 0 {
 			cl.held = n
 			return
 		}
@@ -163,24 +163,24 @@
 	cl.leave(c)
 }
 
-// leave is the one place where a client gives up the job in hand, if there is one: by going, or by a word.
+// leave is the one place where a client gives up the request in hand, if there is one: by going, or by a word.
 func (cl *client) leave(c *Core) {
-	if cl.job < 0 {
+	if cl.request < 0 {
 		return
 	}
-	j := &c.jobs[cl.job]
+	j := &c.requests[cl.request]
 	j.client, j.final = nil, true
-	c.leavers = append(c.leavers, cl.job)
-	cl.job = -1
+	c.leavers = append(c.leavers, cl.request)
+	cl.request = -1
 }
 
-// cancelled: a client has asked, by the key that another connection of its was told, that the job in hand there be given up.
+// cancelled: a client has asked, by the key that another connection of its was told, that the request in hand there be given up.
 func (c *Core) cancelled(key []byte) {
 	for _, cl := range c.clients {
 		if !cl.greeted || len(key) != 8 || binary.BigEndian.Uint32(key) != uint32(cl.serial&math.MaxInt32) {
 			continue
 		}
-		if _, ok := cl.speech.(postgres); ok && cl.job >= 0 && hmac.Equal(c.key(cl), key) {
+		if _, ok := cl.speech.(postgres); ok && cl.request >= 0 && hmac.Equal(c.key(cl), key) {
 			cl.leave(c)
 			c.out = pgwire.AppendError(c.out[:0], "ERROR", pgwire.Cancelled, "canceled at the client's request", "")
 			cl.since = c.now
@@ -222,11 +222,11 @@
 	}
 }
 
-// begin makes a job of a request, or tells what is wrong with it.
-func (cl *client) begin(c *Core, t request.Terms, cut pgwire.Cut) (f fault, why string) {
-	kind, ok := c.profiles[string(t.Profile)]
+// begin makes a request of a request, or tells what is wrong with it.
+func (cl *client) begin(c *Core, t terms.Terms, cut pgwire.Cut) (f fault, why string) {
+	kind, ok := c.classes[string(t.Profile)]
 	if !ok {
-		return noProfile, "unknown class"
+		return noClass, "unknown class"
 	}
 	_, speaks := cl.speech.(*boltClient)
 	if bolt, ok := c.groups[t.Group]; !ok && len(c.groups) > 0 {
@@ -234,30 +234,30 @@
 	} else if ok && bolt != speaks {
 		return noGroup, "the cluster speaks another protocol"
 	}
-	for k := range c.jobs {
-		if j := &c.jobs[k]; j.busy && !j.final && len(t.ID) > 0 && bytes.Equal(j.terms.ID, t.ID) {
+	for k := range c.requests {
+		if j := &c.requests[k]; j.busy && !j.final && len(t.ID) > 0 && bytes.Equal(j.terms.ID, t.ID) {
 			// Danger: a store would turn one of the two away or break off, and count as crowded or broken for it.
 			return inHand, "a request with this id is in hand"
 		}
 	}
-	if len(c.freeJobs) == 0 {
-		i := int32(len(c.jobs))
-		c.jobs = append(c.jobs, job{id: strconv.Itoa(int(i))})
-		c.freeJobs = append(c.freeJobs, i)
+	if len(c.freeRequests) == 0 {
+		i := int32(len(c.requests))
+		c.requests = append(c.requests, request{id: strconv.Itoa(int(i))})
+		c.freeRequests = append(c.freeRequests, i)
 	}
-	i := c.freeJobs[len(c.freeJobs)-1]
-	c.freeJobs = c.freeJobs[:len(c.freeJobs)-1]
+	i := c.freeRequests[len(c.freeRequests)-1]
+	c.freeRequests = c.freeRequests[:len(c.freeRequests)-1]
 	c.inHand++
-	j := &c.jobs[i]
-	*j = job{id: j.id, client: cl, terms: t, cut: cut, kind: kind, bolt: speaks, came: c.now, left: t.Left, busy: true}
-	cl.job = i
+	j := &c.requests[i]
+	*j = request{id: j.id, client: cl, terms: t, cut: cut, kind: kind, bolt: speaks, came: c.now, left: t.Left, busy: true}
+	cl.request = i
 	c.arrivals = append(c.arrivals, i)
 	return sound, ""
 }
 
-// arrive hands a new job to the door, or to the module where there is none.
+// arrive hands a new request to the door, or to the module where there is none.
 func (c *Core) arrive(i int32) {
-	j := &c.jobs[i]
+	j := &c.requests[i]
 	switch {
 	case !j.busy || j.final: // its client left at once
 	case c.door == nil:
@@ -272,12 +272,12 @@
 	}
 }
 
-// take hands a job to the module.
+// take hands a request to the module.
 func (c *Core) take(i int32) {
-	j := &c.jobs[i]
+	j := &c.requests[i]
 	s := &j.terms
 	waited := c.now - j.came
-	in := balance.Job{ID: j.id, Profile: string(s.Profile), Customer: string(s.Customer), Group: s.Group,
+	in := balance.Request{ID: j.id, Class: string(s.Profile), Tenant: string(s.Customer), Group: s.Group,
 		Left: j.left - waited, Waited: waited, Repeated: s.Repeated, WriteAge: -1}
 	if need := c.needs[j.kind]; need == balance.Write || need == balance.Session {
 		in.Session = string(s.Session)
@@ -287,30 +287,30 @@
 		in.WriteAge = max(c.now-s.After, 0)
 	}
 	if err := c.module.Take(c.now, in); err != nil {
-		c.answer(i, j.client.speech.faulty(c.out[:0], noProfile, err.Error()), true)
+		c.answer(i, j.client.speech.faulty(c.out[:0], noClass, err.Error()), true)
 	}
 }
 
-func (c *Core) turnBack(t task) {
-	if cl := c.jobs[t.job].client; cl != nil {
-		c.answer(t.job, cl.speech.turnedBack(c.out[:0], t.at), true)
+func (c *Core) refuse(t task) {
+	if cl := c.requests[t.request].client; cl != nil {
+		c.answer(t.request, cl.speech.refusal(c.out[:0], t.at), true)
 	}
 }
 
-func (c *Core) writeOff(t task) {
-	j := &c.jobs[t.job]
+func (c *Core) failRequest(t task) {
+	j := &c.requests[t.request]
 	switch cl := j.client; {
 	case cl == nil:
-	case j.trip != nil && j.trip.dialect.undone(j.trip): // the module knows of a trip; that it had no effect is known here
-		c.answer(t.job, cl.speech.turnedBack(c.out[:0], 0), true)
+	case j.attempt != nil && j.attempt.dialect.undone(j.attempt): // the module knows of an attempt; that it had no effect is known here
+		c.answer(t.request, cl.speech.refusal(c.out[:0], 0), true)
 	default:
-		c.answer(t.job, cl.speech.writtenOff(c.out[:0], "not known to have run"), true)
+		c.answer(t.request, cl.speech.failure(c.out[:0], "not known to have run"), true)
 	}
 }
 
-// answer gives the job's final answer, text, which is the core's own where it failed, and lets its client's next command follow.
+// answer gives the request's final answer, text, which is the core's own where it failed, and lets its client's next command follow.
 func (c *Core) answer(i int32, text []byte, failed bool) {
-	j := &c.jobs[i]
+	j := &c.requests[i]
 	if !j.busy || j.final {
 		return
 	}
@@ -320,10 +320,10 @@
 	cl := j.client
 	j.final, j.client = true, nil
 	c.out = text
-	cl.job, cl.since = -1, c.now
+	cl.request, cl.since = -1, c.now
 	cl.speech.done(cl, failed)
-	if cl.at >= 0 && !cl.link.Write(c.out) { // Danger: a job is lost if its client is hung up on for want of room here.
-		cl.write(c, cl.speech.writtenOff(c.out[:0], "no memory for the answer"))
+	if cl.at >= 0 && !cl.link.Write(c.out) { // Danger: a request is lost if its client is hung up on for want of room here.
+		cl.write(c, cl.speech.failure(c.out[:0], "no memory for the answer"))
 	} else if cl.at >= 0 {
 		c.dirty = append(c.dirty, cl.link)
 	}
@@ -335,13 +335,13 @@
 	c.free(i)
 }
 
-// free is the one place where a job's place is given back: after its answer and the return of its last trip.
+// free is the one place where a request's place is given back: after its answer and the return of its last attempt.
 func (c *Core) free(i int32) {
-	j := &c.jobs[i]
-	if !j.busy || !j.final || j.trip != nil || j.waits || j.owed > 0 {
+	j := &c.requests[i]
+	if !j.busy || !j.final || j.attempt != nil || j.waits || j.owed > 0 {
 		return
 	}
-	*j = job{id: j.id}
+	*j = request{id: j.id}
 	c.inHand--
-	c.freeJobs = append(c.freeJobs, i)
+	c.freeRequests = append(c.freeRequests, i)
 }
--- a/internal/front/door_test.go
+++ b/internal/front/door_test.go
@@ -10,12 +10,12 @@
 )
 
 // crowd brings clients that each ask once; the last of them wait at the door, for the store's answers do not come.
-func crowd(s *stage, n int, profile string) []*wire {
+func crowd(s *stage, n int, class string) []*wire {
 	var clients []*wire
 	for i := range n {
 		cl := s.client()
 		clients = append(clients, cl)
-		s.say(cl, ask(profile, 1000+i))
+		s.say(cl, ask(class, 1000+i))
 		if i == 0 {
 			s.store()
 		}
@@ -38,7 +38,7 @@
 	return s
 }
 
-// queries counts the jobs' queries that the stores were sent.
+// queries counts the requests' queries that the stores were sent.
 func (s *stage) queries() (n int) {
 	for _, w := range s.dials {
 		n += w.seen + strings.Count(string(w.out), "/* id=1")
@@ -46,8 +46,8 @@
 	return n
 }
 
-// TestDoorWhenTheFrontOrItsStoresEnd (hard case 6): while jobs wait at the door the front is told to stop, or its store
-// drains, or is lost. Each job has its one answer in its time, and nothing is sent for it after that.
+// TestDoorWhenTheFrontOrItsStoresEnd (hard case 6): while requests wait at the door the front is told to stop, or its store
+// drains, or is lost. Each request has its one answer in its time, and nothing is sent for it after that.
 func TestDoorWhenTheFrontOrItsStoresEnd(t *testing.T) {
 	for name, happens := range map[string]func(s *stage){
 		"SIGTERM": func(s *stage) { s.core.Stop(s.now) },
@@ -63,12 +63,12 @@
 			s.deny = errLost
 		},
 	} {
-		for _, profile := range []string{"any", "once"} {
+		for _, class := range []string{"any", "once"} {
 			s := doorStage(t)
-			clients := crowd(s, 60, profile)
+			clients := crowd(s, 60, class)
 			held := s.core.door.Waiting()
 			if held < 20 {
-				t.Fatalf("%s, %s: %d wait at the door", name, profile, held)
+				t.Fatalf("%s, %s: %d wait at the door", name, class, held)
 			}
 			sent := s.queries()
 			happens(s)
@@ -78,10 +78,10 @@
 				answers[code(t, cl.take())]++
 			}
 			if s.core.door.Waiting() != 0 || s.core.inHand != 0 || answers[pgwire.TooMany] < held {
-				t.Errorf("%s, %s: %d waited, answers %v, %v, %d still wait", name, profile, held, answers, s.core, s.core.door.Waiting())
+				t.Errorf("%s, %s: %d waited, answers %v, %v, %d still wait", name, class, held, answers, s.core, s.core.door.Waiting())
 			}
 			if name == "drain" && s.queries() > sent {
-				t.Errorf("%s: %d queries after the drain was told", profile, s.queries()-sent)
+				t.Errorf("%s: %d queries after the drain was told", class, s.queries()-sent)
 			}
 			sent = s.queries()
 			for _, cl := range clients {
@@ -89,15 +89,15 @@
 			}
 			s.pass(4 * second)
 			if s.queries() > sent {
-				t.Errorf("%s, %s: %d queries after the answers", name, profile, s.queries()-sent)
+				t.Errorf("%s, %s: %d queries after the answers", name, class, s.queries()-sent)
 			}
 			s.idle(0)
 		}
 	}
 }
 
-// TestDoorLeft (hard case 7): clients that hang up while their jobs wait at the door; an id that waits and is asked
-// again; a job whose time ends there.
+// TestDoorLeft (hard case 7): clients that hang up while their requests wait at the door; an id that waits and is asked
+// again; a request whose time ends there.
 func TestDoorLeft(t *testing.T) {
 	s := doorStage(t)
 	clients := crowd(s, 60, "any")
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -1,4 +1,4 @@
-// Package front is the router's core without I/O: it keeps jobs, trips and store connections, speaks the
+// Package front is the router's core without I/O: it keeps requests, attempts and store connections, speaks the
 // protocol on links that it is handed, and asks the decision module (package balance) what to do. It decides
 // nothing by itself. One loop owns all of it: Step is given the time and what is ready, hands that to the
 // module in one go and carries out what comes back.
@@ -82,15 +82,15 @@
 	Clients int          // of them at most
 	Answer  int          // bytes of one message of a store
 	Rest    Time         // a client that asked nothing for that long may be hung up on to make room
-	Grace   Time         // from Stop to the end by force, beside the longest outer limit
-	Longest Time         // that outer limit counts as no more than this there; 0: it counts in full
-	Door    *door.Bounds // nil: jobs go straight to the module
+	Grace   Time         // from Stop to the end by force, beside the longest deadline
+	Longest Time         // that deadline counts as no more than this there; 0: it counts in full
+	Door    *door.Bounds // nil: requests go straight to the module
 	Address string       // where Bolt clients reach this front, for ROUTE, if they do not say
 	Drain   Time         // how long an open transaction may go on at a store that drains
 	Secret  []byte       // from which the keys are made by which clients cancel
-	// Saw, if it is set, is told how each trip (of a profile, by its number in the charter) and each probe (-1) came
+	// Saw, if it is set, is told how each attempt (of a class, by its number in the charter) and each probe (-1) came
 	// back, and how long after it set out.
-	Saw   func(store string, how balance.Ending, profile int, took Time)
+	Saw   func(store string, how balance.Ending, class int, took Time)
 	Watch Watch // nil: every question goes to the store itself
 }
 
@@ -111,13 +111,13 @@
 
 // task is something that the module asked for.
 type task struct {
-	do    func(c *Core, t task)
-	job   int32
-	trip  int
-	store uint32
-	at    Time
-	least Time
-	any   bool
+	do      func(c *Core, t task)
+	request int32
+	attempt int
+	store   uint32
+	at      Time
+	least   Time
+	any     bool
 }
 
 // plan is the part of ordinary work that may go to a zone.
@@ -128,63 +128,63 @@
 
 // back is a result that the module has yet to be handed.
 type back struct {
-	job   int32 // -1: of a probe
-	trip  int
-	store uint32
-	r     balance.Return
+	request int32 // -1: of a probe
+	attempt int
+	store   uint32
+	r       balance.Return
 }
 
 // Core is one front.
 type Core struct {
-	module     *balance.Balancer
-	door       *door.Door // nil: there is none
-	sockets    Sockets
-	log        *slog.Logger
-	host       charter.Host
-	limits     Limits
-	profiles   map[string]int // as the charter numbers them
-	needs      []balance.Need
-	repeats    []balance.Repeat
-	longest    Time // of the profiles' outer limits
-	now        Time
-	wakeAt     Time
-	watch      func()
-	jobs       []job
-	freeJobs   []int32
-	inHand     int
-	stores     []store
-	storeOf    map[string]uint32
-	freeStores []uint32
-	groups     map[uint64]bool // that are listed; true: their stores speak Bolt
-	clients    []*client
-	serial     uint64 // of the newest client
-	conns      []*conn
-	lists      []List
-	plans      []plan
-	words      []word
-	arrivals   []int32
-	leavers    []int32
-	backs      []back
-	tasks      []task
-	dirty      []Link
-	stalled    []*conn // whose clients had no room for a piece of a result
-	out        []byte  // scratch for what is being written
-	stopAt     Time    // 0: not stopping; from then on idle clients are hung up
-	endAt      Time    // by then all must be answered
-	logged     int     // lines in this second; more are dropped
-	loggedAt   Time
+	module       *balance.Balancer
+	door         *door.Door // nil: there is none
+	sockets      Sockets
+	log          *slog.Logger
+	host         charter.Host
+	limits       Limits
+	classes      map[string]int // as the charter numbers them
+	needs        []balance.Need
+	repeats      []balance.Repeat
+	longest      Time // of the classes' deadlines
+	now          Time
+	wakeAt       Time
+	watch        func()
+	requests     []request
+	freeRequests []int32
+	inHand       int
+	stores       []store
+	storeOf      map[string]uint32
+	freeStores   []uint32
+	groups       map[uint64]bool // that are listed; true: their stores speak Bolt
+	clients      []*client
+	serial       uint64 // of the newest client
+	conns        []*conn
+	lists        []List
+	plans        []plan
+	words        []word
+	arrivals     []int32
+	leavers      []int32
+	backs        []back
+	tasks        []task
+	dirty        []Link
+	stalled      []*conn // whose clients had no room for a piece of a result
+	out          []byte  // scratch for what is being written
+	stopAt       Time    // 0: not stopping; from then on idle clients are hung up
+	endAt        Time    // by then all must be answered
+	logged       int     // lines in this second; more are dropped
+	loggedAt     Time
 }
 
 // New starts a front. watch is called when the module asks discovery for changes.
 func New(now Time, c balance.Charter, h charter.Host, l Limits, s Sockets, watch func(),
 	log *slog.Logger) (*Core, error) {
 	f := &Core{sockets: s, log: log, host: h, limits: l, now: now, watch: watch,
-		profiles: map[string]int{}, storeOf: map[string]uint32{}, groups: map[uint64]bool{}}
-	for i, p := range c.Profiles {
-		f.profiles[p.Name] = i
+		classes: map[string]int{}, storeOf: map[string]uint32{}, groups: map[uint64]bool{}}
+	for i, p := range c.Classes {
+		f.classes[p.Name] = i
 		f.needs = append(f.needs, p.Need)
 		f.repeats = append(f.repeats, p.Repeat)
-		f.longest = max(f.longest, p.OuterLimit)
+		f.longest = max(f.longest, p.Deadline)
 	}
 	var err error
 	if f.module, err = balance.New(now, c, f); err == nil && l.Door != nil {
@@ -208,16 +208,16 @@
 }
 func (c *Core) Survey(store string) {
 	c.words = append(c.words, word{store: store, do: func(c *Core, i uint32, _ word) {
-		c.start(i, errand{job: -1, survey: true, since: c.now, until: c.now + c.host.Dial})
+		c.start(i, errand{request: -1, survey: true, since: c.now, until: c.now + c.host.Dial})
 	}})
 }
 func (c *Core) Proxied(store string, answered bool) {
 	c.words = append(c.words, word{store: store, answered: answered, do: func(c *Core, i uint32, w word) {
 		if w.answered { // it says nothing of the store, but that the question is settled
-			c.owe(back{-1, 0, i, balance.Return{Ending: balance.Delivered}})
+			c.owe(back{-1, 0, i, balance.Return{Ending: balance.Served}})
 			return
 		}
-		c.start(i, errand{job: -1, since: c.now, until: c.now + c.host.Dial})
+		c.start(i, errand{request: -1, since: c.now, until: c.now + c.host.Dial})
 	}})
 }
 
@@ -230,7 +230,7 @@
 }
 
 // Stop begins the end. Clients are served on for most of the time that there is, for where they would go
-// another front may be ending as well. Then each is hung up on between two jobs, and all that was taken is
+// another front may be ending as well. Then each is hung up on between two requests, and all that was taken is
 // answered before the front is ended by force.
 func (c *Core) Stop(now Time) {
 	if c.stopAt == 0 {
@@ -241,10 +241,10 @@
 	}
 }
 
-// Done tells that Stop is complete: no client is left and no job in hand.
+// Done tells that Stop is complete: no client is left and no request in hand.
 func (c *Core) Done() bool { return c.Stopping() && len(c.clients) == 0 && c.inHand == 0 }
 
-// InHand gives the jobs that have not had their final answer, or whose trips are still out.
+// InHand gives the requests that have not had their final answer, or whose attempts are still out.
 func (c *Core) InHand() int { return c.inHand }
 
 // Stopping tells that new connections are no longer expected.
@@ -299,7 +299,7 @@
 			if c.door != nil {
 				c.door.Ended(now, i)
 			}
-			c.module.Left(now, c.jobs[i].id)
+			c.module.Left(now, c.requests[i].id)
 			c.free(i)
 		}
 		c.leavers = c.leavers[:0]
@@ -334,10 +334,10 @@
 // gate is what the core does for the door.
 type gate struct{ c *Core }
 
-func (g gate) LetIn(job int32) { g.c.take(job) }
-func (g gate) Log(text string) { g.c.note(text) }
-func (g gate) TurnBack(job int32, pause Time) {
-	g.c.tasks = append(g.c.tasks, task{do: (*Core).turnBack, job: job, at: pause})
+func (g gate) LetIn(request int32) { g.c.take(request) }
+func (g gate) Log(text string)     { g.c.note(text) }
+func (g gate) TurnBack(request int32, pause Time) {
+	g.c.tasks = append(g.c.tasks, task{do: (*Core).refuse, request: request, at: pause})
 }
 
 func (c *Core) carryOut() {
@@ -348,15 +348,15 @@
 }
 
 func (c *Core) handBack(b back) {
-	if b.job < 0 {
+	if b.request < 0 {
 		c.module.Probed(c.now, b.store, b.r)
 		return
 	}
-	j := &c.jobs[b.job]
+	j := &c.requests[b.request]
 	j.owed--
 	b.r.Done = j.final
-	c.module.Returned(c.now, j.id, b.trip, b.store, b.r)
-	c.free(b.job)
+	c.module.Returned(c.now, j.id, b.attempt, b.store, b.r)
+	c.free(b.request)
 }
 
 // list hands a list on, with the stores numbered.
@@ -427,22 +427,22 @@
 	if c.door != nil {
 		c.door.Sent(c.now, place(id))
 	}
-	c.tasks = append(c.tasks, task{do: (*Core).depart, job: place(id), store: store, at: until, least: least})
+	c.tasks = append(c.tasks, task{do: (*Core).depart, request: place(id), store: store, at: until, least: least})
 }
 
-func (c *Core) Cancel(id string, trip int) {
-	c.tasks = append(c.tasks, task{do: (*Core).recall, job: place(id), trip: trip})
+func (c *Core) Cancel(id string, attempt int) {
+	c.tasks = append(c.tasks, task{do: (*Core).recall, request: place(id), attempt: attempt})
 }
 
-func (c *Core) TurnBack(id string, pause Time) {
+func (c *Core) Refuse(id string, pause Time) {
 	if c.door != nil {
 		pause = c.door.Promise(c.now, place(id), pause)
 	}
-	c.tasks = append(c.tasks, task{do: (*Core).turnBack, job: place(id), at: pause})
+	c.tasks = append(c.tasks, task{do: (*Core).refuse, request: place(id), at: pause})
 }
 
-func (c *Core) WriteOff(id string) {
-	c.tasks = append(c.tasks, task{do: (*Core).writeOff, job: place(id)})
+func (c *Core) Fail(id string) {
+	c.tasks = append(c.tasks, task{do: (*Core).failRequest, request: place(id)})
 }
 
 func (c *Core) Probe(store uint32, need Time, any bool) {
@@ -464,7 +464,7 @@
 
 func (c *Core) Log(text string) { c.note(text) }
 
-// place gives the job's place in the slab, which its name among the module's jobs stands for.
+// place gives the request's place in the slab, which its name among the module's requests stands for.
 func place(id string) int32 {
 	n, _ := strconv.Atoi(id)
 	return int32(n)
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -79,11 +79,11 @@
 func newStage(t testing.TB, links int, silent ...bool) *stage {
 	s := &stage{t: t, now: 17672256000000}
 	c := balance.Charter{Seed: 7, Fronts: 1, Round: 50, FencesCarried: true, ListPushed: true, AskWithin: 100000,
-		AnswerSlack: 200, StartShare: 0.2, Cold: 100000, FallMultiple: 3, FallSpan: 15000, MostTrips: 4,
-		MayProbe: len(silent) == 0, MayCancel: true, ProbePrice: 0.01, MostPause: 10000, Profiles: []balance.Profile{
-			{Name: "any", ExpectedTime: 3000, OuterLimit: 12000, Credit: 1},
-			{Name: "session", Need: balance.Session, ExpectedTime: 3000, OuterLimit: 12000, Credit: 1},
-			{Name: "once", Need: balance.Write, Repeat: balance.AtMostOnce, ExpectedTime: 6000, OuterLimit: 30000,
+		AnswerSlack: 200, StartShare: 0.2, Cold: 100000, FallMultiple: 3, FallSpan: 15000, MostAttempts: 4,
+		MayProbe: len(silent) == 0, MayCancel: true, ProbePrice: 0.01, MostPause: 10000, Classes: []balance.Class{
+			{Name: "any", ExpectedTime: 3000, Deadline: 12000, Credit: 1},
+			{Name: "session", Need: balance.Session, ExpectedTime: 3000, Deadline: 12000, Credit: 1},
+			{Name: "once", Need: balance.Write, Repeat: balance.AtMostOnce, ExpectedTime: 6000, Deadline: 30000,
 				Credit: 4, LateCredit: 0.5}}}
 	s.charter = c
 	h := charter.Host{Dial: 2500, Idle: 300000, Reports: "on_probe"}
@@ -143,14 +143,14 @@
 	if c.inHand != 0 || len(c.clients) != clients || len(c.backs)+len(c.tasks)+len(c.arrivals) != 0 {
 		s.t.Errorf("not all is given back: %v", c)
 	}
-	for i := range c.jobs {
-		if j := &c.jobs[i]; j.busy || j.owed != 0 {
+	for i := range c.requests {
+		if j := &c.requests[i]; j.busy || j.owed != 0 {
 			s.t.Errorf("job %d is still taken", i)
 		}
 	}
 	for i := range c.stores {
 		for _, e := range c.stores[i].waits {
-			if e.job >= 0 {
+			if e.request >= 0 {
 				s.t.Errorf("store %d: a trip waits", i)
 			}
 		}
@@ -159,8 +159,8 @@
 
 const ready = "Z\x00\x00\x00\x05I"
 
-func ask(profile string, n int) string {
-	return string(pgwire.AppendSimple(nil, fmt.Sprintf("/* id=%d,c=%s,d=1000,cluster=3 */ SELECT 'k'", n, profile)))
+func ask(class string, n int) string {
+	return string(pgwire.AppendSimple(nil, fmt.Sprintf("/* id=%d,c=%s,d=1000,cluster=3 */ SELECT 'k'", n, class)))
 }
 
 func failed(code string) string { return string(pgwire.AppendError(nil, "ERROR", code, "m", "")) }
@@ -184,13 +184,13 @@
 	return pgwire.Code(body)
 }
 
-// TestOutcomes: what each answer of a store is to a job that may run again and to one that may not.
+// TestOutcomes: what each answer of a store is to a request that may run again and to one that may not.
 func TestOutcomes(t *testing.T) {
 	for _, c := range []struct {
 		name, answer string
 		what         What
 		stuck        bool
-		read, write  string // the client's answer; "trip": the job goes on instead
+		read, write  string // the client's answer; "attempt": the request goes on instead
 	}{
 		{"value", value + status("role", "primary") + ready, 0, false, "value", "value"},
 		{"behind", failed("72000") + ready, 0, false, "trip", "trip"},
@@ -211,10 +211,10 @@
 		{"note that is no number", value + status("applied_ms", "soon") + ready, 0, false, "value", "value"},
 		{"length out of bounds", "D\xff\xff\xff\xff", 0, false, "trip", "08007"},
 	} {
-		for profile, want := range map[string]string{"any": c.read, "once": c.write} {
+		for class, want := range map[string]string{"any": c.read, "once": c.write} {
 			s := newStage(t, 20)
 			cl := s.client()
-			s.say(cl, ask(profile, 1))
+			s.say(cl, ask(class, 1))
 			st := s.store()
 			if !strings.Contains(string(st.out), "id=1,") {
 				t.Fatalf("%s: store was sent %q", c.name, st.out)
@@ -229,15 +229,15 @@
 			s.step(Event{st, Readable | c.what})
 			if want == "trip" {
 				if len(cl.out) > 0 {
-					t.Errorf("%s, %s: answered %q", c.name, profile, cl.out)
+					t.Errorf("%s, %s: answered %q", c.name, class, cl.out)
 				}
 				s.pass(2 * second) // it goes again, which then is not answered, or ends as what never ran
 				again := s.dials[len(s.dials)-1] != st || strings.Count(string(st.out), "id=1,") > 1
 				if got := code(t, cl.take()); got != pgwire.TooMany && !(again && got == pgwire.Unresolved) {
-					t.Errorf("%s, %s: ended with %s", c.name, profile, got)
+					t.Errorf("%s, %s: ended with %s", c.name, class, got)
 				}
 			} else if got := code(t, cl.take()); got != want {
-				t.Errorf("%s, %s: answered %s, want %s", c.name, profile, got, want)
+				t.Errorf("%s, %s: answered %s, want %s", c.name, class, got, want)
 			}
 			s.step(Event{cl, Closed})
 			s.pass(second)
@@ -387,7 +387,7 @@
 	s.idle(0)
 }
 
-// TestLateAnswer: a trip that was given up takes its connection along, so what comes late is nobody's answer.
+// TestLateAnswer: an attempt that was given up takes its connection along, so what comes late is nobody's answer.
 func TestLateAnswer(t *testing.T) {
 	s := newStage(t, 20)
 	cl := s.client()
@@ -411,7 +411,7 @@
 	s.idle(0)
 }
 
-// TestMoreThanAnAnswer: what stands behind an answer is nobody's, though a trip waits for the connection or is
+// TestMoreThanAnAnswer: what stands behind an answer is nobody's, though an attempt waits for the connection or is
 // sent before the loop has heard of it.
 func TestMoreThanAnAnswer(t *testing.T) {
 	for _, more := range []string{value + ready, value[:30], "\x00", ready, failed("53300") + ready} {
@@ -520,7 +520,7 @@
 }
 
 // TestClientsThatKeepTheirConnections: where room is short those yield that asked nothing for longest, after a rest
-// that is the shorter the less room there is; never in the middle of a query, nor with a job in hand.
+// that is the shorter the less room there is; never in the middle of a query, nor with a request in hand.
 func TestClientsThatKeepTheirConnections(t *testing.T) {
 	s := newStage(t, 40, true)
 	busy, half, old, young := s.client(), s.client(), s.client(), s.client()
@@ -609,8 +609,8 @@
 	}
 }
 
-// TestEndByForceBeforeTheLongestLimit: where the longest outer limit is past what the end by force waits for, clients
-// are hung up on and all that was taken is answered before it, a job that was in hand at the signal too.
+// TestEndByForceBeforeTheLongestLimit: where the longest deadline is past what the end by force waits for, clients
+// are hung up on and all that was taken is answered before it, a request that was in hand at the signal too.
 func TestEndByForceBeforeTheLongestLimit(t *testing.T) {
 	s := newStage(t, 20)
 	s.core.longest, s.core.limits.Longest = 13*second, 3*second
@@ -838,7 +838,7 @@
 	if s.pass(3000); len(s.dials) != 1 || len(s.core.stores[0].waits) != 0 {
 		t.Fatalf("%d connections, %d errands wait", len(s.dials), len(s.core.stores[0].waits))
 	}
-	s.say(b, ask("any", 2)) // it is tried, and turned back for want of a descriptor
+	s.say(b, ask("any", 2)) // it is tried, and refused for want of a descriptor
 	if got := code(t, b.take()); got != pgwire.TooMany {
 		t.Errorf("the store is taken for silent: %q", got)
 	}
@@ -869,7 +869,7 @@
 	}
 }
 
-// BenchmarkJob is one job on the ordinary path, from its query to its answer, without the sockets.
+// BenchmarkJob is one request on the ordinary path, from its query to its answer, without the sockets.
 func BenchmarkJob(b *testing.B) {
 	s := newStage(b, 20, true)
 	cl := s.client()
@@ -892,7 +892,7 @@
 	}
 }
 
-// BenchmarkStores: a job, and a turn of the loop with its beat, among so many stores in groups of three.
+// BenchmarkStores: a request, and a turn of the loop with its beat, among so many stores in groups of three.
 func BenchmarkStores(b *testing.B) {
 	for _, n := range []int{10, 120, 1000} {
 		s := newStage(b, 2*n+100, true)
@@ -939,9 +939,9 @@
 	}
 }
 
-// with starts the core anew with one more profile, and these stores.
-func (s *stage) with(p balance.Profile, lines ...Line) {
-	s.charter.Profiles = append(s.charter.Profiles, p)
+// with starts the core anew with one more class, and these stores.
+func (s *stage) with(p balance.Class, lines ...Line) {
+	s.charter.Classes = append(s.charter.Classes, p)
 	var err error
 	if s.core, err = New(s.now, s.charter, s.core.host, s.core.limits, s, func() {}, s.core.log); err != nil {
 		s.t.Fatal(err)
@@ -955,8 +955,8 @@
 func TestRepeatDoesNotWaitPastItsWindow(t *testing.T) {
 	for _, late := range []bool{false, true} {
 		s := newStage(t, 20, true)
-		s.with(balance.Profile{Name: "keyed", Need: balance.Write, Repeat: balance.Numbered, Window: 2 * second,
-			ExpectedTime: 6000, OuterLimit: 9 * second, Credit: 1, LateCredit: 0.5},
+		s.with(balance.Class{Name: "keyed", Need: balance.Write, Repeat: balance.Keyed, Window: 2 * second,
+			ExpectedTime: 6000, Deadline: 9 * second, Credit: 1, LateCredit: 0.5},
 			Line{ID: "s", Addr: "127.0.0.1:1", Member: balance.Member{Group: 3, Condition: balance.Ready, Primary: true, Size: 1}})
 		cl := s.client()
 		s.core.host.Dial = 3 * second
@@ -1106,7 +1106,7 @@
 func TestBoundedReadWaitsForItsConnection(t *testing.T) {
 	for _, late := range []bool{false, true} {
 		s := newStage(t, 20, true)
-		s.with(balance.Profile{Name: "bounded", Need: balance.Bounded, Bound: 3000, ExpectedTime: 3000, OuterLimit: 12000, Credit: 1},
+		s.with(balance.Class{Name: "bounded", Need: balance.Bounded, Bound: 3000, ExpectedTime: 3000, Deadline: 12000, Credit: 1},
 			Line{ID: "p", Addr: "127.0.0.1:1", Member: balance.Member{Group: 3, Condition: balance.Ready, Primary: true, Size: 1}},
 			Line{ID: "r", Addr: "127.0.0.1:2", Member: balance.Member{Group: 3, Condition: balance.Ready, Size: 1}})
 		cl := s.client()
@@ -1167,7 +1167,7 @@
 	for cut := range 3 {
 		s := newStage(t, 20)
 		s.charter.FencesCarried = false
-		s.with(balance.Profile{Name: "x", ExpectedTime: 3000, OuterLimit: 12000, Credit: 1},
+		s.with(balance.Class{Name: "x", ExpectedTime: 3000, Deadline: 12000, Credit: 1},
 			Line{ID: "p", Addr: "127.0.0.1:1", Member: balance.Member{Group: 3, Condition: balance.Ready, Primary: true, Size: 1}},
 			Line{ID: "r", Addr: "127.0.0.1:2", Member: balance.Member{Group: 3, Condition: balance.Ready, Size: 1}})
 		s.core.module.Probed(s.now, s.core.storeOf["r"], balance.Return{Load: balance.Report{Position: s.now - 1, Role: balance.Replica}})
@@ -1178,8 +1178,8 @@
 		s.now += 100
 		s.say(st, parts[cut])
 		s.say(reader, ask("session", 2))
-		for n := range s.core.jobs {
-			if j := &s.core.jobs[n]; j.busy && string(j.terms.ID) == "2" && (j.waits || j.trip != nil) && s.core.stores[j.store].id == "r" {
+		for n := range s.core.requests {
+			if j := &s.core.requests[n]; j.busy && string(j.terms.ID) == "2" && (j.waits || j.attempt != nil) && s.core.stores[j.store].id == "r" {
 				t.Errorf("part %d: the read goes to the replica", cut)
 			}
 		}
--- a/internal/front/postgres.go
+++ b/internal/front/postgres.go
@@ -17,7 +17,7 @@
 
 func (postgres) overflow(cl *client, c *Core) { cl.fatal(c, pgwire.TooMany, "out of memory") }
 
-func (postgres) turnedBack(dst []byte, pause Time) []byte {
+func (postgres) refusal(dst []byte, pause Time) []byte {
 	detail := ""
 	if pause >= perMilli {
 		detail = strconv.FormatInt(pause/perMilli, 10)
@@ -25,12 +25,12 @@
 	return pgwire.AppendReady(pgwire.AppendError(dst, "ERROR", pgwire.TooMany, "turned back, try again", detail))
 }
 
-func (postgres) writtenOff(dst []byte, why string) []byte {
+func (postgres) failure(dst []byte, why string) []byte {
 	return pgwire.AppendReady(pgwire.AppendError(dst, "ERROR", pgwire.Unresolved, "written off: "+why, ""))
 }
 
 func (postgres) faulty(dst []byte, f fault, why string) []byte {
-	code := [...]string{unreadable: pgwire.Syntax, noProfile: pgwire.BadValue, noGroup: pgwire.NoDatabase, inHand: pgwire.Duplicate}[f]
+	code := [...]string{unreadable: pgwire.Syntax, noClass: pgwire.BadValue, noGroup: pgwire.NoDatabase, inHand: pgwire.Duplicate}[f]
 	return pgwire.AppendReady(pgwire.AppendError(dst, "ERROR", code, why, ""))
 }
 
@@ -41,8 +41,8 @@
 
 func (postgres) ask(k *conn, c *Core, e errand) {
 	switch {
-	case e.job >= 0:
-		j := &c.jobs[e.job]
+	case e.request >= 0:
+		j := &c.requests[e.request]
 		text, _, _ := pgwire.Text(j.client.link.Peek()[5:])
 		c.out = j.cut.AppendQuery(c.out[:0], text, max((e.until-c.now)/perMilli, 1))
 	case c.host.Reports == "inline" || c.host.Reports == "on_probe":
@@ -110,7 +110,7 @@
 	return n
 }
 
-// command reads one message between jobs.
+// command reads one message between requests.
 func (postgres) command(cl *client, c *Core, in []byte) int {
 	kind, body, n, err := pgwire.Message(in, pgwire.MostQuery)
 	switch {
@@ -137,7 +137,7 @@
 	return n
 }
 
-// reject answers a command that is no job.
+// reject answers a command that is no request.
 func (cl *client) reject(c *Core, code, text string) {
 	c.out = pgwire.AppendError(c.out[:0], "ERROR", code, text, "")
 	cl.write(c, pgwire.AppendReady(c.out))
@@ -186,9 +186,9 @@
 			return
 		}
 		if n == 0 {
-			if e := k.errand; k.parts > 0 && !k.shown && !k.idle && !k.spent && e.job >= 0 {
+			if e := k.errand; k.parts > 0 && !k.shown && !k.idle && !k.spent && e.request >= 0 {
 				k.shown = true
-				c.module.Written(c.now, c.jobs[e.job].id, k.note.Position)
+				c.module.Written(c.now, c.requests[e.request].id, k.note.Position)
 			}
 			if k.spent && len(in) == 0 {
 				k.settle(c)
@@ -243,7 +243,7 @@
 			if !ok {
 				return false
 			}
-			if k.errand.job < 0 {
+			if k.errand.request < 0 {
 				k.value = string(v)
 			}
 		}
@@ -326,7 +326,7 @@
 	r := balance.Return{Note: k.note, Load: k.load, Since: k.up}
 	switch {
 	case k.code == "" && k.parts == 3:
-		r.Ending = balance.Delivered
+		r.Ending = balance.Served
 	case k.code == "":
 		return false
 	case k.parts > 0: // a refusal after part of an answer is none
@@ -334,18 +334,18 @@
 	default:
 		r.Ending = ending(k.code)
 	}
-	if e.job < 0 {
-		if r.Ending == balance.Delivered {
+	if e.request < 0 {
+		if r.Ending == balance.Served {
 			r.Load, _ = report(k.value)
 		}
 		c.end(k, e, r)
 		return true
 	}
-	if r.Ending == balance.Delivered && k.note.Position < c.jobs[e.job].least {
+	if r.Ending == balance.Served && k.note.Position < c.requests[e.request].least {
 		// Danger: another front's word that this store has the log so far may be wrong, and the read stale.
 		r.Ending = balance.Behind
 	}
-	if r.Ending == balance.Delivered && !c.jobs[e.job].final {
+	if r.Ending == balance.Served && !c.requests[e.request].final {
 		in := k.link.Peek()
 		c.out = c.out[:0]
 		for p := range k.parts {
@@ -353,8 +353,8 @@
 		}
 	}
 	c.end(k, e, r)
-	if r.Ending == balance.Delivered {
-		c.answer(e.job, pgwire.AppendReady(c.out), false)
+	if r.Ending == balance.Served {
+		c.answer(e.request, pgwire.AppendReady(c.out), false)
 	}
 	return true
 }
--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -13,7 +13,7 @@
 	hail(dst []byte) []byte                 // what a new connection begins with
 	rises(k *conn)                          // prepares a connection that comes up,
 	idles(k *conn)                          // and one on which nothing is asked
-	ask(k *conn, c *Core, e errand)         // writes a job's request, or a probe
+	ask(k *conn, c *Core, e errand)         // writes a request's request, or a probe
 	gather(k *conn, c *Core)                // looks at what has come in
 	broken(k *conn, c *Core) balance.Ending // what is proven of what a connection that is closed now was asked
 	undone(k *conn) bool                    // tells whether it is proven so far that it had no effect
@@ -28,13 +28,13 @@
 	bolt      bool     // it speaks Bolt
 	cutAt     Time     // it drains, and an open transaction may go on until then; 0: it does not
 	idle      []*conn  // the newest last
-	waits     []errand // trips and probes that wait for a connection, the oldest first
+	waits     []errand // attempts and probes that wait for a connection, the oldest first
 }
 
-// errand is a trip, or a probe if it has no job, until a connection carries it.
+// errand is an attempt, or a probe if it has no request, until a connection carries it.
 type errand struct {
-	job          int32 // -1: a probe
-	trip         int
+	request      int32 // -1: a probe
+	attempt      int
 	since, until Time
 	dialled      bool
 	survey       bool // the watch asks, and not the module
@@ -43,10 +43,10 @@
 // due is the one place that tells whether an errand may still set out.
 // Danger: while it waited for a connection its client may have gone, its time be over, or the module think otherwise.
 func (c *Core) due(e errand) bool {
-	if c.now >= e.until || e.job < 0 {
+	if c.now >= e.until || e.request < 0 {
 		return c.now < e.until
 	}
-	j := &c.jobs[e.job]
+	j := &c.requests[e.request]
 	return !j.final && (c.now == e.since || c.module.Due(c.now, j.id))
 }
 
@@ -76,18 +76,18 @@
 	value    string // of a probe
 }
 
-// depart starts a trip.
+// depart starts an attempt.
 func (c *Core) depart(t task) {
-	j := &c.jobs[t.job]
-	trip := j.sent
+	j := &c.requests[t.request]
+	attempt := j.sent
 	j.sent++
-	if !j.busy || j.final || j.trip != nil || j.waits || int(t.store) >= len(c.stores) ||
+	if !j.busy || j.final || j.attempt != nil || j.waits || int(t.store) >= len(c.stores) ||
 		c.stores[t.store].bolt != j.bolt {
-		c.owe(back{t.job, trip, t.store, balance.Return{Ending: balance.Unsent}})
+		c.owe(back{t.request, attempt, t.store, balance.Return{Ending: balance.Unsent}})
 		return
 	}
 	j.store, j.least = t.store, t.least
-	c.start(t.store, errand{job: t.job, trip: trip, since: c.now, until: t.at})
+	c.start(t.store, errand{request: t.request, attempt: attempt, since: c.now, until: t.at})
 }
 
 func (c *Core) probe(t task) {
@@ -95,7 +95,7 @@
 	if w := c.limits.Watch; w != nil && t.least > 0 && !s.bolt && w.Ask(s.id, t.least, t.any) {
 		return
 	}
-	c.start(t.store, errand{job: -1, since: c.now, until: c.now + c.host.Dial})
+	c.start(t.store, errand{request: -1, since: c.now, until: c.now + c.host.Dial})
 }
 
 // start sends an errand off on the idle connection used last, or lets it wait for a new one.
@@ -129,7 +129,7 @@
 		link, err = c.sockets.Dial(s.addr)
 	}
 	if err == NoRoom {
-		if e.job < 0 { // it can wait for a connection to fall free
+		if e.request < 0 { // it can wait for a connection to fall free
 			s.waits = append(s.waits, e)
 			return
 		}
@@ -145,8 +145,8 @@
 	k.dialect.rises(k)
 	link.Own(k)
 	c.conns = append(c.conns, k)
-	if e.job >= 0 {
-		c.jobs[e.job].waits = true
+	if e.request >= 0 {
+		c.requests[e.request].waits = true
 	}
 	s.waits = append(s.waits, e)
 	k.write(c, k.dialect.hail(c.out[:0]))
@@ -168,25 +168,25 @@
 
 // fail ends an errand that was never written whole.
 func (c *Core) fail(i uint32, e errand, how balance.Ending) {
-	if e.job >= 0 {
-		c.jobs[e.job].waits = false
+	if e.request >= 0 {
+		c.requests[e.request].waits = false
 	}
 	c.saw(i, e, how)
 	if e.survey {
 		c.limits.Watch.Failed(c.stores[i].id)
 		return
 	}
-	c.owe(back{e.job, e.trip, i, balance.Return{Ending: how}})
+	c.owe(back{e.request, e.attempt, i, balance.Return{Ending: how}})
 }
 
-// saw tells who asked for it how a trip or a probe came back.
+// saw tells who asked for it how an attempt or a probe came back.
 func (c *Core) saw(i uint32, e errand, how balance.Ending) {
 	if c.limits.Saw == nil {
 		return
 	}
 	kind := -1
-	if e.job >= 0 {
-		kind = c.jobs[e.job].kind
+	if e.request >= 0 {
+		kind = c.requests[e.request].kind
 	}
 	c.limits.Saw(c.stores[i].id, how, kind, c.now-e.since)
 }
@@ -196,9 +196,9 @@
 	k.errand, k.idle, k.spent, k.since = e, false, false, c.now
 	k.shown, k.code, k.parts, k.read, k.value = false, "", 0, 0, ""
 	k.note, k.load = balance.Report{}, balance.Report{}
-	if e.job >= 0 {
-		j := &c.jobs[e.job]
-		j.waits, j.trip = false, k
+	if e.request >= 0 {
+		j := &c.requests[e.request]
+		j.waits, j.attempt = false, k
 	}
 	k.dialect.ask(k, c, e)
 }
@@ -247,10 +247,10 @@
 	s.idle = append(s.idle, k)
 }
 
-// cut tells that the store drains, that its grace is over, and that the job needs more of it than it was asked.
+// cut tells that the store drains, that its grace is over, and that the request needs more of it than it was asked.
 func (k *conn) cut(c *Core) bool {
 	s := &c.stores[k.store]
-	return k.bolt != nil && k.errand.job >= 0 && s.cutAt > 0 && c.now >= s.cutAt && !k.bolt.course.Drained()
+	return k.bolt != nil && k.errand.request >= 0 && s.cutAt > 0 && c.now >= s.cutAt && !k.bolt.course.Drained()
 }
 
 // resume starts the oldest errand that waits anew: the connection that would have carried it is no more.
@@ -287,33 +287,33 @@
 
 // owe keeps a result for the module.
 func (c *Core) owe(b back) {
-	if b.job >= 0 {
-		c.jobs[b.job].owed++
+	if b.request >= 0 {
+		c.requests[b.request].owed++
 		if c.door != nil {
-			c.door.Back(c.now, b.job, b.r.Ending == balance.Delivered)
+			c.door.Back(c.now, b.request, b.r.Ending == balance.Served)
 		}
 	}
 	c.backs = append(c.backs, b)
 }
 
 func (c *Core) end(k *conn, e errand, r balance.Return) {
-	if e.job >= 0 {
-		c.jobs[e.job].trip = nil
+	if e.request >= 0 {
+		c.requests[e.request].attempt = nil
 	}
 	c.saw(k.store, e, r.Ending)
 	if w := c.limits.Watch; w != nil && (r.Ending <= balance.Crowded || e.survey) {
 		c.learned(w, k.store, e, r)
 	}
-	if e.survey && r.Ending != balance.Delivered {
+	if e.survey && r.Ending != balance.Served {
 		return // the module has not asked, and would blame the store for an older question
 	}
-	c.owe(back{e.job, e.trip, k.store, r})
+	c.owe(back{e.request, e.attempt, k.store, r})
 }
 
 // learned tells the watch what an answer has shown. A commit's position is told rounded up, so it is none.
 func (c *Core) learned(w Watch, i uint32, e errand, r balance.Return) {
 	position := r.Load.Position
-	if e.job >= 0 && c.needs[c.jobs[e.job].kind] != balance.Write {
+	if e.request >= 0 && c.needs[c.requests[e.request].kind] != balance.Write {
 		position = max(position, r.Note.Position)
 	}
 	switch {
@@ -349,23 +349,23 @@
 	}
 }
 
-// recall gives up a trip: a connection that carries it is closed, so that no late answer is taken for another's.
+// recall gives up an attempt: a connection that carries it is closed, so that no late answer is taken for another's.
 func (c *Core) recall(t task) {
-	j := &c.jobs[t.job]
-	if !j.busy || t.trip != j.sent-1 {
+	j := &c.requests[t.request]
+	if !j.busy || t.attempt != j.sent-1 {
 		return
 	}
 	if j.waits {
 		s := &c.stores[j.store]
 		for n, e := range s.waits {
-			if e.job == t.job {
+			if e.request == t.request {
 				s.waits = append(s.waits[:n], s.waits[n+1:]...)
 				c.fail(j.store, e, balance.Recalled)
 				return
 			}
 		}
 	}
-	if k := j.trip; k != nil {
+	if k := j.attempt; k != nil {
 		e := k.errand
 		k.drop(c)
 		c.end(k, e, balance.Return{Ending: balance.Recalled})
@@ -397,7 +397,7 @@
 	for _, e := range s.waits {
 		c.fail(t.store, e, balance.Unsent)
 	}
-	c.backs = slices.DeleteFunc(c.backs, func(b back) bool { return b.job < 0 && b.store == t.store })
+	c.backs = slices.DeleteFunc(c.backs, func(b back) bool { return b.request < 0 && b.store == t.store })
 	delete(c.storeOf, s.id)
 	*s = store{}
 	c.freeStores = append(c.freeStores, t.store)
@@ -439,14 +439,14 @@
 			if how := k.dialect.broken(k, c); how == balance.Unreached || how == balance.Undone {
 				r.Ending = how
 			}
-			if e.job < 0 {
+			if e.request < 0 {
 				silent = append(silent, k)
 			}
 			c.end(k, e, r)
 		}
 	}
 	for _, k := range silent {
-		// Danger: a machine that is cut off leaves its connections open, and each would cost a trip of its own.
+		// Danger: a machine that is cut off leaves its connections open, and each would cost an attempt of its own.
 		// Those that stood idle through a probe's whole silence are as dead as the one that carried it.
 		for _, o := range append([]*conn(nil), c.stores[k.store].idle...) {
 			if o.since <= k.errand.since {
@@ -476,7 +476,7 @@
 			cl.gone(c)
 			continue
 		}
-		if cl.job < 0 && !cl.ending && (over || !cl.greeted && c.now >= cl.since+c.longest) {
+		if cl.request < 0 && !cl.ending && (over || !cl.greeted && c.now >= cl.since+c.longest) {
 			cl.finish(c)
 		}
 	}
--- a/internal/joined/joined.go
+++ b/internal/joined/joined.go
@@ -26,7 +26,7 @@
 // NewBridge takes the profiles' expected times; Zones is set once it is there.
 func NewBridge(c *balance.Charter) Bridge {
 	var b Bridge
-	for _, p := range c.Profiles {
+	for _, p := range c.Classes {
 		b.Expected = append(b.Expected, p.ExpectedTime)
 	}
 	return b
@@ -89,8 +89,8 @@
 func (b *Bridge) Saw(now front.Time, store string, how balance.Ending, profile int, took front.Time) {
 	end, expected := zones.Answered, balance.Time(0)
 	switch how {
-	case balance.Delivered, balance.Behind, balance.Crowded, balance.Faulted:
-		if how == balance.Delivered && profile >= 0 {
+	case balance.Served, balance.Behind, balance.Crowded, balance.Faulted:
+		if how == balance.Served && profile >= 0 {
 			expected = b.Expected[profile]
 		}
 	case balance.Unreached:
--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -11,7 +11,7 @@
 	"slices"
 	"strconv"
 
-	"micatrack/internal/request"
+	"micatrack/internal/terms"
 )
 
 const (
@@ -112,7 +112,7 @@
 
 // Statement is a client's query with what its comment says. Its slices point into the query.
 type Statement struct {
-	request.Terms
+	terms.Terms
 	Cut
 }
 
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -328,7 +328,7 @@
 	if err != nil {
 		return err
 	}
-	j := balance.Job{ID: h.fields["Tid"], Profile: h.fields["Cls"], Customer: h.fields["Account"],
+	j := balance.Request{ID: h.fields["Tid"], Class: h.fields["Cls"], Tenant: h.fields["Account"],
 		Session: h.fields["Session"], Group: group, Work: int64(effort) / microsPerTime, Left: left / microsPerTime,
 		Repeated: h.fields["Resent"] == "1", WriteAge: -1}
 	if age > 0 {
@@ -340,11 +340,11 @@
 	return nil
 }
 
-var endings = map[string]balance.Ending{"0": balance.Delivered, "1": balance.Behind, "249": balance.Unsent,
+var endings = map[string]balance.Ending{"0": balance.Served, "1": balance.Behind, "249": balance.Unsent,
 	"250": balance.Recalled, "251": balance.Severed, "252": balance.Unreached, "253": balance.Expired,
 	"254": balance.Crowded, "255": balance.Faulted}
 
-func (h *host) result(f *front, trip bool) error {
+func (h *host) result(f *front, attempt bool) error {
 	store, err := h.store()
 	if err != nil {
 		return err
@@ -360,7 +360,7 @@
 	if r.Load, err = f.load(h.fields["Usage"]); err != nil {
 		return err
 	}
-	if !trip {
+	if !attempt {
 		f.module.Probed(h.now, store, r)
 		return nil
 	}
@@ -430,8 +430,8 @@
 	f.host.out.Write(strconv.AppendInt(f.host.out.AvailableBuffer(), v, 10))
 }
 
-func (f *front) onJob(word, job string) {
-	f.start(word).WriteString(" Tid=" + job)
+func (f *front) onRequest(word, request string) {
+	f.start(word).WriteString(" Tid=" + request)
 }
 
 func (f *front) end() { f.host.out.WriteByte('\n') }
@@ -441,27 +441,27 @@
 	f.end()
 }
 
-func (f *front) Send(job string, store uint32, until, _ balance.Time) {
-	f.onJob("SEND", job)
+func (f *front) Send(request string, store uint32, until, _ balance.Time) {
+	f.onRequest("SEND", request)
 	f.field(" Store=", int64(store))
 	f.field(" TryUntil=", until*microsPerTime)
 	f.end()
 }
 
-func (f *front) Cancel(job string, trip int) {
-	f.onJob("REVOKE", job)
-	f.field(" Hop=", int64(trip))
+func (f *front) Cancel(request string, attempt int) {
+	f.onRequest("REVOKE", request)
+	f.field(" Hop=", int64(attempt))
 	f.end()
 }
 
-func (f *front) TurnBack(job string, pause balance.Time) {
-	f.onJob("OVERLOAD_REPLY", job)
+func (f *front) Refuse(request string, pause balance.Time) {
+	f.onRequest("OVERLOAD_REPLY", request)
 	f.field(" Pause=", pause*microsPerTime)
 	f.end()
 }
 
-func (f *front) WriteOff(job string) {
-	f.onJob("ABORT", job)
+func (f *front) Fail(request string) {
+	f.onRequest("ABORT", request)
 	f.end()
 }
 
--- a/internal/request/request.go
+++ b/internal/terms/request.go
@@ -1,5 +1,5 @@
-// Package request holds what requests say of themselves in whatever protocol they come.
-package request
+// Package terms holds what requests say of themselves in whatever protocol they come.
+package terms
 
 // Terms is what a request says of the job that it is, beside its statement. Its slices point into the request.
 type Terms struct {
--- a/internal/world/load.go
+++ b/internal/world/load.go
@@ -11,17 +11,17 @@
 
 const sessions = 97 // of each group
 
-// Kind is one kind of job that clients send.
+// Kind is one kind of request that clients send.
 type Kind struct {
-	Profile string
-	Write   bool
-	Numbered,
+	Class string
+	Write bool
+	Keyed,
 	Fenced bool // it carries the position of its session's last write
 	Bound Time // of the data's age when it is sent; 0: none
-	Share int  // of all jobs, beside those of the others
+	Share int  // of all requests, beside those of the others
 }
 
-// Done is one job as its client saw it end.
+// Done is one request as its client saw it end.
 type Done struct {
 	standin.Told
 	Front    string
@@ -31,7 +31,7 @@
 	Lost     bool // no answer within the client's time, or its connection broke
 }
 
-// asked is the job that a client's connection waits for.
+// asked is the request that a client's connection waits for.
 type asked struct {
 	Done
 	text    []byte
@@ -40,7 +40,7 @@
 	session int
 }
 
-// Load has clients send jobs to every front from now on, each at a steady rate and whether or not others came back.
+// Load has clients send requests to every front from now on, each at a steady rate and whether or not others came back.
 func (w *World) Load() {
 	w.load = true
 	for _, f := range w.Fronts {
@@ -51,7 +51,7 @@
 	}
 }
 
-// Rest stops new jobs and waits for what is out.
+// Rest stops new requests and waits for what is out.
 func (w *World) Rest() {
 	w.load = false
 	w.Run(3 * w.Patience)
@@ -79,11 +79,11 @@
 		pick -= max(w.Kinds[k].Share, 1)
 	}
 	k, g := &w.Kinds[kind], int(f.chance.Below(int64(len(w.Groups))))
-	w.jobs++
+	w.requests++
 	a := &asked{session: int(f.chance.Below(sessions)), Done: Done{Front: f.Name, Kind: kind, Group: g, At: w.Now,
-		Told: standin.Told{Job: fmt.Sprint("j", w.jobs), Write: k.Write}}}
-	text := fmt.Sprintf("/* id=%s,c=%s,t=t%d,d=%d,cluster=%d", a.Job, k.Profile, w.jobs%5, w.Patience/Millisecond, g+1)
-	if k.Numbered {
+		Told: standin.Told{Job: fmt.Sprint("j", w.requests), Write: k.Write}}}
+	text := fmt.Sprintf("/* id=%s,c=%s,t=t%d,d=%d,cluster=%d", a.Job, k.Class, w.requests%5, w.Patience/Millisecond, g+1)
+	if k.Keyed {
 		a.Mark = "m" + a.Job
 		text += ",k=" + a.Mark
 	}
@@ -175,7 +175,7 @@
 	w.Done = append(w.Done, a.Done)
 }
 
-// Check holds all jobs against the ledgers, over all fronts together, and gives the rules that were broken.
+// Check holds all requests against the ledgers, over all fronts together, and gives the rules that were broken.
 func (w *World) Check(grace Time) (broken []string) {
 	told := make([][]standin.Told, len(w.Groups))
 	for _, d := range w.Done {
@@ -211,18 +211,18 @@
 	return broken
 }
 
-// Tally is what became of jobs that set out in a span.
+// Tally is what became of requests that set out in a span.
 type Tally struct {
-	Jobs, InTime, Late, Back, Off, Lost int
+	Requests, InTime, Late, Back, Off, Lost int
 }
 
-// Tally counts the jobs that set out from one moment to another; in time is an answer within so long.
+// Tally counts the requests that set out from one moment to another; in time is an answer within so long.
 func (w *World) Tally(from, to, within Time) (t Tally) {
 	for _, d := range w.Done {
 		if d.At < from || d.At >= to {
 			continue
 		}
-		t.Jobs++
+		t.Requests++
 		switch {
 		case d.Lost:
 			t.Lost++
--- a/internal/world/store.go
+++ b/internal/world/store.go
@@ -13,7 +13,7 @@
 type Store struct {
 	Node
 	Group *standin.Group
-	Probes, Connects, Trips,
+	Probes, Connects, Attempts,
 	Full, Fell int
 	Peak float64 // largest part of what it bears while cold that it was sent; at 1 it falls over
 	Told float64 // the same of what fronts sent that had been told of its start, and with less put down to chance
@@ -25,12 +25,12 @@
 	upAt   Time // when it came up cold; 0: long ago
 	busy   int
 	waits  []work
-	recent []Time // when jobs came of late, while it is cold
+	recent []Time // when requests came of late, while it is cold
 	aware  []Time // of them those of fronts that had been told of the start
 	life   int
 }
 
-// work is one job at a store.
+// work is one request at a store.
 type work struct {
 	l    *link
 	text []byte
@@ -120,7 +120,7 @@
 		j.l.push(s.Group.Answer(s.Name, j.text))
 		return
 	}
-	s.Trips++
+	s.Attempts++
 	s.bears(j.l.f.knows[s.Name] >= s.upAt)
 	if s.w.Queue > 0 && len(s.waits) >= s.w.Queue {
 		s.Full++
@@ -155,7 +155,7 @@
 	}
 }
 
-// bears notes a job while the store is cold, and lets it fall over where too many come in one span.
+// bears notes a request while the store is cold, and lets it fall over where too many come in one span.
 func (s *Store) bears(told bool) {
 	c, now := &s.w.Charter, s.w.Now
 	if s.upAt == 0 || now >= s.upAt+c.Cold+c.FallSpan {
@@ -180,7 +180,7 @@
 	}
 }
 
-// budget is how many jobs the settings allow in a span that begins then.
+// budget is how many requests the settings allow in a span that begins then.
 func (s *Store) budget(at Time) float64 {
 	c := &s.w.Charter
 	return float64(s.w.Cores) / float64(s.w.Takes) * s.strength(at) * c.FallMultiple * float64(c.FallSpan)
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -3,7 +3,7 @@
 // the bytes of the real protocols, on links in memory that can be cut, delayed and lost by pair, zone and direction. One
 // goroutine, one queue of events, one seed: the same plan leads to the same ledgers.
 //
-// It decides nothing that a front decides, and judges by what the stores did: probes, connections, trips, what was turned
+// It decides nothing that a front decides, and judges by what the stores did: probes, connections, attempts, what was turned
 // away, how near a cold store came to falling over, and the rules over all fronts together.
 package world
 
@@ -46,7 +46,7 @@
 	Members   int // of a group in each zone; 0: one
 	Cores     int // of a store
 	Takes     Time
-	Queue     int  // jobs that wait at a store before it turns others away; 0: any
+	Queue     int  // requests that wait at a store before it turns others away; 0: any
 	Lag       Time // of every replica
 	Delay     Time // one way, between any two
 	ListDelay Time // beside that, until a change of the list is told
@@ -104,19 +104,19 @@
 	Done   []Done
 	Peers  struct{ Datagrams, Bytes int } // sent between fronts
 
-	queue   queue
-	seq     uint64
-	chance  mwc.Source
-	rules   []*rule
-	held    []parcel // what waits for a cut to end
-	lists   []front.Line
-	listing bool // a change of it is on its way
-	byAddr  map[string]*Store
-	byPeer  map[string]*Front
-	after   [][]int64 // of each group and session, the newest write's position
-	jobs    int
-	load    bool
-	sent    map[string]Time // when a read's newest trip set out
+	queue    queue
+	seq      uint64
+	chance   mwc.Source
+	rules    []*rule
+	held     []parcel // what waits for a cut to end
+	lists    []front.Line
+	listing  bool // a change of it is on its way
+	byAddr   map[string]*Store
+	byPeer   map[string]*Front
+	after    [][]int64 // of each group and session, the newest write's position
+	requests int
+	load     bool
+	sent     map[string]Time // when a read's newest attempt set out
 }
 
 // rule is a cut of the links that it names, one way.
@@ -306,8 +306,8 @@
 			seeds = append(seeds, w.Fronts[k].addr)
 		}
 		f.bridge = joined.NewBridge(&c)
-		limits.Saw = func(store string, how balance.Ending, profile int, took Time) {
-			f.bridge.Saw(w.Now, store, how, profile, took)
+		limits.Saw = func(store string, how balance.Ending, class int, took Time) {
+			f.bridge.Saw(w.Now, store, how, class, took)
 		}
 		f.fleet = fleet.New(w.Now, membership.Self{Name: f.Name, Zone: f.Zone, Addr: f.addr, Incarnation: uint64(f.life), Seed: c.Seed,
 			Period: w.Period, Seeds: seeds, Members: 1024, NoteLife: 20 * w.Period},
--- a/internal/world/world_test.go
+++ b/internal/world/world_test.go
@@ -39,8 +39,8 @@
 	text, _ = json.Marshal(s)
 	p := Plan{Fronts: fronts, Zones: []string{"a", "b", "c"}, Groups: groups, Members: members, Cores: 2, Takes: 10 * Millisecond, Queue: 64,
 		Lag: 20 * Millisecond, Delay: Millisecond, Rate: rate, Patience: Second, Period: 500 * Millisecond, PeerDelay: 10 * Millisecond, Seed: 1,
-		Kinds: []Kind{{Profile: "any", Share: 8}, {Profile: "near", Share: 4, Bound: 400 * Millisecond}, {Profile: "mine", Fenced: true, Share: 4},
-			{Profile: "save", Write: true}, {Profile: "order", Write: true, Numbered: true}}}
+		Kinds: []Kind{{Class: "any", Share: 8}, {Class: "near", Share: 4, Bound: 400 * Millisecond}, {Class: "mine", Fenced: true, Share: 4},
+			{Class: "save", Write: true}, {Class: "order", Write: true, Keyed: true}}}
 	if p.Charter, p.Host, err = charter.Read(text); err != nil {
 		t.Fatal(err)
 	}
@@ -265,8 +265,8 @@
 func watched(t testing.TB, fronts, groups int, on bool) Plan {
 	p := plan(t, fronts, groups, 1, 10)
 	p.Fleet, p.Watch, p.PeerDelay, p.WatchWait, p.Takes = true, on, 2*Millisecond, 15*Millisecond, 10*Millisecond
-	p.Kinds = []Kind{{Profile: "any", Share: 4}, {Profile: "near", Share: 6, Bound: 400 * Millisecond}, {Profile: "mine", Fenced: true, Share: 6},
-		{Profile: "save", Write: true}, {Profile: "order", Write: true, Numbered: true}}
+	p.Kinds = []Kind{{Class: "any", Share: 4}, {Class: "near", Share: 6, Bound: 400 * Millisecond}, {Class: "mine", Fenced: true, Share: 6},
+		{Class: "save", Write: true}, {Class: "order", Write: true, Keyed: true}}
 	return p
 }
 
@@ -290,7 +290,7 @@
 		}
 		t.Logf("watch %v: %.0f probes a second, replicas serve %.3f, %+v; %d asked of watchers, %d answered, %d surveys", on, probes, replicas, all,
 			asked, answered, surveys)
-		if rate[k] = probes; replicas < 0.99 || all.InTime < all.Jobs*99/100 {
+		if rate[k] = probes; replicas < 0.99 || all.InTime < all.Requests*99/100 {
 			t.Errorf("watch %v: replicas serve %.3f, %+v", on, replicas, all)
 		}
 	}
@@ -344,7 +344,7 @@
 				}
 			})
 			t.Logf("with %+v, without %+v", with, without)
-			if float64(with.InTime)/float64(with.Jobs) < 0.98*float64(without.InTime)/float64(without.Jobs) {
+			if float64(with.InTime)/float64(with.Requests) < 0.98*float64(without.InTime)/float64(without.Requests) {
 				t.Error("too few come in time")
 			}
 			asked := uint64(0)
