--- a/balance/balance.go
+++ b/balance/balance.go
@@ -601,7 +601,7 @@
 		h.Write([]byte(in.Session))
 		j.slot = int32(h.Sum32() >> (32 - fenceBits))
 	}
-	if pr.Need == Session && b.carried && in.WriteAge >= 0 {
+	if pr.Need == Session && (b.carried || j.slot < 0) && in.WriteAge >= 0 {
 		j.fence = now - in.WriteAge
 	}
 	j.rank = pr.Credit / pr.typical
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -833,3 +833,16 @@
 		t.Errorf("%d writes are out", n)
 	}
 }
+
+// TestCarriedBesideRemembered: where the front remembers fences, a read that comes without a session but says how old its
+// last write is (a bookmark, say) goes by that.
+func TestCarriedBesideRemembered(t *testing.T) {
+	c := testCharter()
+	c.FencesCarried, c.MayProbe = false, false
+	w := three(t, c)
+	in := ask("r", "session")
+	in.WriteAge = 10
+	if w.take(in); w.at(t, "r") != 1 {
+		t.Errorf("it went to %d, which is not known to have the write", w.at(t, "r"))
+	}
+}
