Sockets: what a message leaves behind when its connection ends in its middle

Seen by reading: Finish empties the ring, and the core then drops the message that made it hang up, so the ring's length fell below nothing (a Terminate or a malformed message is enough); the next read could divide by a length of 0 and end the front. Discard drops no more than there is. TestDropsWhatEndedWithIt fails without it.

--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -382,7 +382,7 @@
 
 func (l *Link) Discard(n int) {
 	l.mu.Lock()
-	l.in.Discard(n)
+	l.in.Discard(min(n, l.in.Len())) // Danger: where the link is ending, what came is gone before the core drops it.
 	again := l.full && n > 0
 	l.mu.Unlock()
 	if again {
--- a/internal/sock/sock_test.go
+++ b/internal/sock/sock_test.go
@@ -285,3 +285,31 @@
 	}
 	until(t, n, link, front.Closed)
 }
+
+// TestDropsWhatEndedWithIt: the core hangs up in the middle of a message and drops that message then. The ring is empty by
+// that time; what comes later is still read and dropped, and nothing is left behind.
+func TestDropsWhatEndedWithIt(t *testing.T) {
+	n := open(t)
+	for _, size := range []int{5, 60 << 10} { // one that the ring was grown for, too
+		c, err := net.Dial("tcp", n.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		l := until(t, n, nil, front.Accepted)
+		c.Write(make([]byte, size))
+		for end := time.Now().Add(20 * time.Second); len(l.Peek()) < size && time.Now().Before(end); {
+			n.Gather(5 * time.Millisecond)
+		}
+		l.Finish()
+		l.Discard(size)
+		if got := l.(*Link).in.Len(); got != 0 {
+			t.Errorf("%d bytes are left", got)
+		}
+		c.Write(make([]byte, 100<<10))
+		c.Close()
+		until(t, n, l, front.Closed)
+	}
+	if n.Gather(0); n.budget.Load() != 1<<20 || n.Clients() != 0 {
+		t.Errorf("budget %d, %d clients after the end", n.budget.Load(), n.Clients())
+	}
+}
