--- a/internal/bolt/bolt_test.go
+++ b/internal/bolt/bolt_test.go
@@ -182,7 +182,9 @@
 		"no time": func(b []byte) []byte {
 			return AppendPair(AppendMap(AppendString(AppendMap(b, 1), "tx_metadata"), 1), "c", "x")
 		},
-		"no group":    func(b []byte) []byte { return bytes.Replace(termsOf(b), []byte("\x82db\x813"), []byte("\x82db\x81x"), 1) },
+		"no group": func(b []byte) []byte {
+			return bytes.Replace(termsOf(b), []byte("\x82db\x813"), []byte("\x82db\x81x"), 1)
+		},
 		"no bookmark": func(b []byte) []byte { return bytes.Replace(termsOf(b), []byte("mt1:3:500"), []byte("mt2:3:500"), 1) },
 		"no position": func(b []byte) []byte { return bytes.Replace(termsOf(b), []byte("mt1:3:500"), []byte("mt1:3:-50"), 1) },
 	} {
