--- a/internal/sock/sock_test.go
+++ b/internal/sock/sock_test.go
@@ -302,9 +302,11 @@
 		}
 		l.Finish()
 		l.Discard(size)
+		l.(*Link).mu.Lock()
 		if got := l.(*Link).in.Len(); got != 0 {
 			t.Errorf("%d bytes are left", got)
 		}
+		l.(*Link).mu.Unlock()
 		c.Write(make([]byte, 100<<10))
 		c.Close()
 		until(t, n, l, front.Closed)
