--- a/balance/balance.go
+++ b/balance/balance.go
@@ -20,7 +20,7 @@
 const (
 	never     = Time(1) << 60
 	second    = Time(10000)
-	due       = 6 * second // what discovery has counts as told by then, whether or not a call came through
+	toldBy    = 6 * second // what discovery has counts as told by then, whether or not a call came through
 	fenceBits = 14
 	thrift    = 0.005 // part of the result that probes may cost on the ordinary path
 	search    = 0.125 // part of the credit of what waits that a search for its primary may cost
@@ -196,7 +196,7 @@
 		// Danger: a drain told meanwhile binds within its grace, so the first call follows almost at once. But
 		// fronts that failed together must not call again together: far longer waits each time, and spread.
 		// And what it has counts as told by then all the same, so half of that is the longest wait.
-		wait := min(b.askWithin/256<<(2*b.watchMiss), due/3)
+		wait := min(b.askWithin/256<<(2*b.watchMiss), toldBy/3)
 		b.watchMiss, b.watchAt = min(b.watchMiss+1, 3), now+wait/2+b.chance(wait)
 		return
 	}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -157,7 +157,8 @@
 	}
 }
 
-// follow keeps one watch until it breaks, falls silent or says what cannot be.
+// follow keeps one watch until it breaks, falls silent or says what cannot be. After the last, and after an object that was
+// cut off, the next one starts from the whole list.
 // Danger: a call that is never answered, or a watch that has fallen silent, holds up what counts as told meanwhile. So
 // each is given up while there is time for another.
 func (w *Watcher) follow(client *http.Client) error {
@@ -189,13 +190,13 @@
 	}
 	watchdog.Reset(w.silence)
 	var o object
+	spoilt := func(err error) error { w.version = -1; return err }
 	for piece := make([]byte, 16<<10); ; {
 		n, err := resp.Body.Read(piece)
 		for rest := piece[:n]; len(rest) > 0; {
 			text, used, err := o.take(rest)
 			if err != nil {
-				w.version = -1 // the next watch starts from the whole list
-				return err
+				return spoilt(err)
 			}
 			rest = rest[used:]
 			if text == nil {
@@ -203,8 +204,7 @@
 			}
 			watchdog.Reset(w.silence)
 			if err := w.object(text, &whole); err != nil {
-				w.version = -1
-				return err
+				return spoilt(err)
 			}
 		}
 		if n > 0 && o.depth == 0 { // Danger: an object that comes on for ever is silence as well.
@@ -213,11 +213,10 @@
 		if err == io.EOF {
 			err = io.ErrUnexpectedEOF
 		}
-		if err != nil && o.depth > 0 {
-			w.version = -1
-		}
-		if err != nil {
-			return cmp.Or(context.Cause(ctx), err)
+		if err = cmp.Or(context.Cause(ctx), err); err != nil && o.depth > 0 {
+			return spoilt(err)
+		} else if err != nil {
+			return err
 		}
 	}
 }
--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -93,10 +93,11 @@
 // not even greeted counts its silence fourfold.
 func (c *Core) evict(rest Time) bool {
 	var idlest *client
-	longest := max(rest, breath)
+	rest = max(rest, breath)
+	longest := rest
 	for _, cl := range c.clients {
 		idle := c.now - cl.since
-		if cl.ending && cl.link.Empty() { // it has had all, and only has to hang up
+		if cl.ending && cl.link.Empty() && idle >= rest { // it has had all, and only has to hang up
 			idlest = cl
 			break
 		}
@@ -222,7 +223,7 @@
 	}
 }
 
-// begin makes a request of a request, or tells what is wrong with it.
+// begin takes a request in hand, or tells what is wrong with it.
 func (cl *client) begin(c *Core, t terms.Terms, cut pgwire.Cut) (f fault, why string) {
 	kind, ok := c.classes[string(t.Profile)]
 	if !ok {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -1091,6 +1091,7 @@
 	}
 	c := s.client()
 	s.say(c, "X\x00\x00\x00\x04")
+	s.pass(breath)
 	s.core.limits.Clients = 2
 	if d := s.client(); !c.closed || b.closed || d.closed {
 		t.Error("it is not the first to yield")
