Settings below nothing or with one name twice are refused; cases of the acceptance that had no test

Need: of the issue's cases, floods, SIGTERM before the front is ready, a keyed write's lost answer and a store that closes behind its answer had no test by themselves, and bad input none that tries each value. TestFaultySettings showed that fifteen figures might stand below nothing and two classes under one name (requests held to the last one's rules); they are refused in one line that names the key now. Nothing changes for settings that were sound.

--- a/cmd/micatrack/endings_test.go
+++ b/cmd/micatrack/endings_test.go
@@ -545,3 +545,187 @@
 		t.Errorf("a store that drains is asked %v after the return", after)
 	}
 }
+
+// TestTermBeforeReady: SIGTERM, and SIGHUP before it, while the front still waits for its configuration. It reads it, hears
+// what came meanwhile, and ends well.
+func TestTermBeforeReady(t *testing.T) {
+	w := newWorld(t, "primary")
+	text, err := os.ReadFile(w.config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "pipe")
+	if err := syscall.Mkfifo(path, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(program, "serve", "-config", path)
+	cmd.Env = []string{"GORACE=halt_on_error=1 exitcode=66"}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { cmd.Process.Kill() })
+	pipe, err := os.OpenFile(path, os.O_WRONLY, 0) // comes back once the front has it open
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Rename(w.config, path); err != nil { // for SIGHUP's reading
+		t.Fatal(err)
+	}
+	cmd.Process.Signal(syscall.SIGHUP)
+	cmd.Process.Signal(syscall.SIGTERM)
+	pipe.Write(text)
+	pipe.Close()
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("it ends with %v", err)
+	}
+}
+
+// TestKeyedAnswerLost: a keyed write's answer is lost, early in its window or near its end. A repeat reaches the store inside
+// the window, or there is none.
+func TestKeyedAnswerLost(t *testing.T) {
+	const window = 700 * time.Millisecond
+	for _, after := range []time.Duration{50 * time.Millisecond, 500 * time.Millisecond, 690 * time.Millisecond, 800 * time.Millisecond} {
+		w := newWorld(t, "primary")
+		w.configure(func(c map[string]any) {
+			s := c["settings"].(map[string]any)
+			s["Profiles"] = append(s["Profiles"].([]any), map[string]any{"Name": "keyed", "Idempotency": "by_key", "Group": "cell",
+				"Window": window.Microseconds(), "Aim": 750000, "HardLimit": 3000000, "Worth": 4, "LateWorth": 0.5})
+			extra := s["Extra"].(map[string]any)
+			extra["Freshness"], extra["OldestData"] = append(extra["Freshness"].([]any), "write"), append(extra["OldestData"].([]any), 0)
+		})
+		s := w.watchIDs()
+		w.does(func(_, query string) (string, func(*net.TCPConn)) {
+			s.note(query)
+			if s.mu.Lock(); len(s.at["k"]) == 1 {
+				s.mu.Unlock()
+				return "", func(c *net.TCPConn) { time.Sleep(after); reset(c) } // it has run
+			}
+			s.mu.Unlock()
+			return value, nil
+		})
+		w.start()
+		cl := w.client()
+		cl.send("k", "keyed", 2900)
+		got := cl.answer()
+		s.mu.Lock()
+		at := s.at["k"]
+		s.mu.Unlock()
+		for _, again := range at[1:] {
+			if late := again.Sub(at[0]); late > window {
+				t.Errorf("lost after %v: a repeat %v after the first", after, late)
+			}
+		}
+		if want := map[bool]string{true: "value", false: "08007"}[len(at) > 1]; got != want {
+			t.Errorf("lost after %v: %s after %d attempts", after, got, len(at))
+		}
+		if after == 50*time.Millisecond && len(at) < 2 {
+			t.Error("there is no repeat where there is time for one")
+		}
+	}
+}
+
+// descriptors gives how many a process has open.
+func descriptors(t *testing.T, pid int) int {
+	t.Helper()
+	open, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return len(open)
+}
+
+// TestFloods: clients that send what is no protocol, that send requests by the thousand and read no answer, and that come and
+// go without a word, some at a time and again. A working client is served after each, and what they took is given back.
+func TestFloods(t *testing.T) {
+	w := newWorld(t, "primary", "replica")
+	w.configure(func(c map[string]any) { c["limits"].(map[string]any)["sockets"] = 256 })
+	cmd := w.start()
+	noise := make([]byte, 200<<10)
+	for i := range noise {
+		noise[i] = byte(i * 7)
+	}
+	var requests []byte
+	for k := range 3000 {
+		requests = pgwire.AppendSimple(requests, fmt.Sprintf("/* id=f%d,c=any,d=900,cluster=1 */ SELECT payload FROM entries WHERE ref = 'k'", k))
+	}
+	flood := func(n int, do func(c net.Conn)) {
+		var all sync.WaitGroup
+		for range n {
+			all.Go(func() {
+				c, err := net.Dial("tcp", w.addr)
+				if err != nil {
+					return
+				}
+				c.SetDeadline(time.Now().Add(2 * time.Second))
+				do(c)
+				c.Close()
+			})
+		}
+		all.Wait()
+	}
+	hello := pgwire.AppendStartup(nil, "web", "orders")
+	round := func() {
+		flood(30, func(c net.Conn) { c.Write(noise) })
+		flood(30, func(c net.Conn) { c.Write(append(append([]byte(nil), hello...), noise...)) })
+		flood(10, func(c net.Conn) { c.Write(append(append([]byte(nil), hello...), requests...)) })
+		flood(300, func(net.Conn) {})
+		flood(100, func(c net.Conn) { c.Write(hello); c.(*net.TCPConn).SetLinger(0) })
+	}
+	w.client().want("any", "value")
+	before := descriptors(t, cmd.Process.Pid)
+	var memory []int
+	for range 4 {
+		round()
+		for end := time.Now().Add(outer); ; {
+			cl := w.client()
+			cl.ask("any")
+			got := cl.answer()
+			if cl.c.Close(); got == "value" {
+				break
+			} else if got != "53300" || time.Now().After(end) {
+				t.Fatalf("a working client: %s", got)
+			}
+		}
+		for end := time.Now().Add(outer); descriptors(t, cmd.Process.Pid) > before+12; time.Sleep(10 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("%d descriptors are open, %d before", descriptors(t, cmd.Process.Pid), before)
+			}
+		}
+		memory = append(memory, resident(t, cmd.Process.Pid))
+	}
+	if t.Logf("descriptors %d, memory in KiB after each round: %v", before, memory); memory[3] > memory[1]*5/4+16<<10 {
+		t.Errorf("memory grows: %v KiB", memory)
+	}
+}
+
+// TestStoreClosesBehindItsAnswer: a store ends its connection right behind each answer, in the moment in which the next write
+// might use it again. A write that meets the end may have run and is told so, once, and never sent again; nearly none does.
+func TestStoreClosesBehindItsAnswer(t *testing.T) {
+	for _, how := range []func(c *net.TCPConn){func(c *net.TCPConn) { c.Close() }, reset} {
+		w := newWorld(t, "primary")
+		s := w.watchIDs()
+		w.does(func(_, query string) (string, func(*net.TCPConn)) {
+			s.note(query)
+			return value, func(c *net.TCPConn) { time.Sleep(100 * time.Microsecond); how(c) } // the answer is out by then
+		})
+		w.start()
+		cl := w.client()
+		met := 0
+		for range 60 {
+			cl.ask("save")
+			if got := cl.answer(); got == "08007" {
+				met++
+			} else if got != "value" {
+				t.Errorf("a write: %s", got)
+			}
+		}
+		if met > 6 {
+			t.Errorf("%d of 60 writes met the end of their connection", met)
+		}
+		for id, at := range s.at {
+			if len(at) != 1 {
+				t.Errorf("%s: %d attempts", id, len(at))
+			}
+		}
+	}
+}
--- a/internal/charter/charter.go
+++ b/internal/charter/charter.go
@@ -75,6 +75,20 @@
 	if w.Ceilings.RetryAfter {
 		c.MostPause = w.Ceilings.MaxRetryAfter / microsPerTime
 	}
+	for _, k := range [...]struct {
+		key   string
+		value float64
+	}{{"Ceilings.MaxAttempts", float64(w.Ceilings.MaxAttempts)}, {"Ceilings.MaxRetryAfter", float64(w.Ceilings.MaxRetryAfter)},
+		{"Ceilings.ConnIdle", float64(w.Ceilings.ConnIdle)}, {"Ceilings.DialTimeout", float64(w.Ceilings.DialTimeout)},
+		{"Contract.AnswerSlack", float64(w.Contract.AnswerSlack)}, {"Contract.AskWithin", float64(w.Contract.AskWithin)},
+		{"Contract.Cold", float64(w.Contract.Cold)}, {"Contract.TipAfter", float64(w.Contract.TipAfter)},
+		{"Contract.FallMultiple", w.Contract.FallMultiple}, {"Contract.StartCapacity", w.Contract.StartCapacity},
+		{"OverShareWorth", w.OverShareWorth}, {"Prices.CrossZone", w.Prices.CrossZone}, {"Prices.Probe", w.Prices.Probe},
+		{"ReplicasOfMe", float64(w.ReplicasOfMe)}, {"Round", float64(w.Round)}} {
+		if k.value < 0 {
+			return c, h, fmt.Errorf("%s is negative", k.key)
+		}
+	}
 	if len(w.Profiles) == 0 {
 		return c, h, fmt.Errorf("Profiles is missing or empty")
 	}
@@ -90,13 +104,19 @@
 		"fresh": balance.Fresh, "write": balance.Write}
 	repeats := map[string]balance.Repeat{"repeatable": balance.Idempotent, "by_key": balance.Keyed,
 		"once": balance.AtMostOnce}
+	named := map[string]bool{}
 	for i, p := range w.Profiles {
 		if w.Extra.OldestData[i] < 0 {
 			return c, h, fmt.Errorf("Extra.OldestData[%d] is negative", i)
 		}
-		if p.Aim <= 0 || p.HardLimit <= 0 || p.Window < 0 {
-			return c, h, fmt.Errorf("Profiles[%d]: Aim, HardLimit or Window is out of range", i)
+		if p.Aim <= 0 || p.HardLimit <= 0 || p.Window < 0 || p.AimStretch < 0 || p.Worth < 0 || p.LateWorth < 0 {
+			return c, h, fmt.Errorf("Profiles[%d]: Aim, HardLimit, Window, AimStretch, Worth or LateWorth is out of range", i)
 		}
+		if p.Name == "" || named[p.Name] {
+			// Danger: of two classes by one name, requests would be held to the rules of the last.
+			return c, h, fmt.Errorf("Profiles[%d].Name is missing or used twice", i)
+		}
+		named[p.Name] = true
 		need, ok := needs[w.Extra.Freshness[i]]
 		if !ok {
 			return c, h, fmt.Errorf("Extra.Freshness: %q is unknown", w.Extra.Freshness[i])
@@ -110,7 +130,10 @@
 			Window: p.Window / microsPerTime, ExpectedTime: p.Aim / microsPerTime,
 			Stretch: p.AimStretch, Deadline: p.HardLimit / microsPerTime, Credit: p.Worth, LateCredit: p.LateWorth})
 	}
-	for _, o := range w.Orgs {
+	for i, o := range w.Orgs {
+		if o.QuotaPerS < 0 {
+			return c, h, fmt.Errorf("Orgs[%d].QuotaPerS is negative", i)
+		}
 		c.Tenants = append(c.Tenants, balance.Tenant{Name: o.Name, Quota: o.QuotaPerS})
 	}
 	return c, h, nil
