Pipelined requests run side by side, each with its time from its last byte

Cause: client.read took one command at a time, and begin set a request's arrival when the command was parsed. Ruled out: answers held back in the front (none was late by its own count), connections closed by the front (all that were left unread ended by their clients).

Change: internal/front/pipeline.go. Reads behind a request in hand begin at once; a request of the same session as a write before it waits, and writes keep their order. Answers go out in the order of the commands and wait for it within a bound of bytes. A request's time counts from when its last byte was in the ring; what is handed to the module with its time over is answered at once (proceed, balance.go).

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -613,7 +613,7 @@
 			q.bucket, j.rank = q.bucket+1, j.rank*b.overShare
 		}
 	}
-	b.place(i)
+	b.proceed(i, Return{})
 	return nil
 }
 
@@ -660,7 +660,7 @@
 	j, m := &b.requests[i], &b.members[mi]
 	p := &b.classes[j.class]
 	j.member, j.sentAt, j.sent, j.out, j.lost = mi, b.now, j.sent+1, true, false
-	j.next = (*Balancer).afterAttempt
+	j.next = (*Balancer).proceed
 	m.inFlight, m.sentBefore, m.sentLast = m.inFlight+1, m.sentLast, b.now
 	m.scouted = m.scouted || p.Need == Write && !m.proven
 	if m.started > 0 {
@@ -825,7 +825,8 @@
 	}
 }
 
-func (b *Balancer) afterAttempt(i int32, r Return) {
+// proceed places a request that is new or whose attempt came back, or gives it up.
+func (b *Balancer) proceed(i int32, r Return) {
 	j := &b.requests[i]
 	if r.Ending == Unsent && b.due(j) || b.now >= j.limit-b.beat || !b.mayRepeat(j) {
 		b.giveUp(i)
--- a/cmd/micatrack/endings_test.go
+++ b/cmd/micatrack/endings_test.go
@@ -228,7 +228,7 @@
 	}
 }
 
-// TestPipelineOfOneThatGoes: a client sends hundreds of requests at once and goes; no more than the one in hand is sent on,
+// TestPipelineOfOneThatGoes: a client sends hundreds of requests at once and goes; no more than those in hand are sent on,
 // whether or not all of it had room.
 func TestPipelineOfOneThatGoes(t *testing.T) {
 	for _, n := range []int{20, 3000} {
--- a/cmd/micatrack/serve.go
+++ b/cmd/micatrack/serve.go
@@ -163,7 +163,7 @@
 	now := clock()
 	watcher := discovery.Watch(o.discovery, o.version, net.Wake, log)
 	links := o.sockets - reserve
-	limits := front.Limits{Links: links, Clients: links / 2, Answer: answer, Rest: int64(rest / tick), Grace: int64(grace / tick),
+	limits := front.Limits{Links: links, Clients: links / 2, Answer: answer, Kept: int(o.memory / 16), Rest: int64(rest / tick), Grace: int64(grace / tick),
 		Longest: int64(longest / tick), Secret: make([]byte, 32)}
 	rand.Read(limits.Secret)
 	if d := o.operators.Door; d.On {
--- a/internal/front/bolt.go
+++ b/internal/front/bolt.go
@@ -205,13 +205,17 @@
 	}
 	if why == "" {
 		var f fault
-		if f, why = cl.begin(c, t, pgwire.Cut{}); f == noGroup {
+		var index int32
+		switch index, f, why = cl.begin(c, t, pgwire.Cut{}); f {
+		case sound:
+			cl.request = index
+		case noGroup:
 			code = bolt.NoDatabase
 		}
 	}
 	if why != "" {
 		cl.write(c, bolt.AppendFailure(c.out[:0], b.v, code, why))
-		b.done(cl, true)
+		b.done(cl, c, true)
 	}
 }
 
@@ -224,13 +228,13 @@
 	c.out = bolt.AppendSuccess(c.out, 0, nil)
 	cl.leave(c)
 	cl.write(c, c.out)
-	b.done(cl, false)
+	b.done(cl, c, false)
 	cl.link.Discard(n)
 	cl.since = c.now
 }
 
 // done gives back what the request had of the ring. What came behind it is read anew.
-func (b *boltClient) done(cl *client, failed bool) {
+func (b *boltClient) done(cl *client, _ *Core, failed bool) {
 	if failed {
 		b.talk.Refuse()
 	}
--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -20,7 +20,7 @@
 	decline(cl *client, c *Core, in []byte) (used int) // the same where there is no room for it
 	overflow(cl *client, c *Core)                      // ends a connection whose message has no room
 	more(cl *client, c *Core)                          // something came, or there is room again, while a request is in hand
-	done(cl *client, failed bool)                      // the request has its final answer; failed: one of the core's own
+	done(cl *client, c *Core, failed bool)             // the request has its final answer; failed: one of the core's own
 	refusal(dst []byte, pause Time) []byte             // the final answers, whole
 	failure(dst []byte, why string) []byte
 	faulty(dst []byte, f fault, why string) []byte
@@ -43,10 +43,11 @@
 	client  *client
 	terms   terms.Terms
 	cut     pgwire.Cut
-	bolt    bool // it came in Bolt
-	kind    int  // its class, as the charter numbers them
-	left    Time // as its client said, less what has passed since
-	came    Time
+	bolt    bool  // it came in Bolt
+	offset  int   // of its command in its client's ring
+	kind    int   // its class, as the charter numbers them
+	left    Time  // as its client said, less what has passed since
+	came    Time  // when its last byte had come
 	sent    int   // attempts
 	attempt *conn // the one that is out on a connection
 	waits   bool  // the one that is out waits for a connection
@@ -59,17 +60,18 @@
 
 // client is one connection of a client.
 type client struct {
-	link    Link
-	at      int // in Core.clients
-	serial  uint64
-	speech  speech
-	next    func(cl *client, c *Core, in []byte) (used int)
-	since   Time  // when it came, or last said something or was answered
-	request int32 // in hand, or -1
-	held    int   // bytes of its query
-	skip    bool  // until the next Sync
-	ending  bool
-	greeted bool
+	link     Link
+	at       int // in Core.clients
+	serial   uint64
+	speech   speech
+	next     func(cl *client, c *Core, in []byte) (used int)
+	since    Time  // when it came, or last said something or was answered
+	request  int32 // in hand, or -1
+	held     int   // bytes of its query
+	pipeline pipeline
+	skip     bool // until the next Sync
+	ending   bool
+	greeted  bool
 }
 
 func (c *Core) accept(l Link, what What, s speech) {
@@ -125,6 +127,7 @@
 		cl.speech.more(cl, c)
 	}
 	if what&Readable != 0 && !cl.ending {
+		cl.pipeline.marks.note(len(cl.link.Peek()), c.now)
 		cl.read(c)
 	}
 	if what&Closed != 0 {
@@ -132,9 +135,15 @@
 	}
 }
 
-// read takes one command after the other; while a request is in hand the rest waits in the ring.
+// read takes one command after the other. While a request is in hand, what may not run beside it waits in the ring.
 func (cl *client) read(c *Core) {
-	for cl.request < 0 && !cl.ending {
+	for !cl.ending {
+		if cl.request >= 0 {
+			if !cl.takeAhead(c) {
+				return
+			}
+			continue
+		}
 		n := cl.next(cl, c, cl.link.Peek())
 		if n == 0 {
 			if cl.link.Full() && !cl.ending && cl.request < 0 { // a long message, and all rings together may not grow any more
@@ -143,10 +152,11 @@
 			return
 		}
 		if cl.request >= 0 {
-			cl.held = n
-			return
+			cl.held, cl.pipeline.parsed = n, n
+			c.requests[cl.request].came = cl.pipeline.marks.came(n, c.now)
+			continue
 		}
-		cl.link.Discard(n)
+		cl.discard(c, n)
 		cl.since = c.now
 	}
 }
@@ -164,15 +174,20 @@
 	cl.leave(c)
 }
 
-// leave is the one place where a client gives up the request in hand, if there is one: by going, or by a word.
+// leave gives up all that a client has in hand, if there is anything: it has gone, or ends the connection.
 func (cl *client) leave(c *Core) {
-	if cl.request < 0 {
-		return
+	cl.drop(c)
+	if cl.request >= 0 {
+		c.giveUp(cl.request)
+		cl.request = -1
 	}
-	j := &c.requests[cl.request]
-	j.client, j.final = nil, true
-	c.leavers = append(c.leavers, cl.request)
-	cl.request = -1
+}
+
+// giveUp is the one place where a request ends without an answer to its client.
+func (c *Core) giveUp(index int32) {
+	request := &c.requests[index]
+	request.client, request.final = nil, true
+	c.leavers = append(c.leavers, index)
 }
 
 // cancelled: a client has asked, by the key that another connection of its was told, that the request in hand there be given up.
@@ -182,15 +197,9 @@
 			continue
 		}
 		if _, ok := cl.speech.(postgres); ok && cl.request >= 0 && hmac.Equal(c.key(cl), key) {
-			cl.leave(c)
+			c.giveUp(cl.request)
 			c.out = pgwire.AppendError(c.out[:0], "ERROR", pgwire.Cancelled, "canceled at the client's request", "")
-			cl.since = c.now
-			cl.speech.done(cl, true)
-			if cl.write(c, pgwire.AppendReady(c.out)); c.Stopping() {
-				cl.finish(c)
-			} else {
-				cl.read(c)
-			}
+			cl.conclude(c, pgwire.AppendReady(c.out), true)
 		}
 		return
 	}
@@ -224,21 +233,21 @@
 }
 
 // begin takes a request in hand, or tells what is wrong with it.
-func (cl *client) begin(c *Core, t terms.Terms, cut pgwire.Cut) (f fault, why string) {
+func (cl *client) begin(c *Core, t terms.Terms, cut pgwire.Cut) (index int32, f fault, why string) {
 	kind, ok := c.classes[string(t.Profile)]
 	if !ok {
-		return noClass, "unknown class"
+		return -1, noClass, "unknown class"
 	}
 	_, speaks := cl.speech.(*boltClient)
 	if bolt, ok := c.groups[t.Group]; !ok && len(c.groups) > 0 {
-		return noGroup, "unknown cluster"
+		return -1, noGroup, "unknown cluster"
 	} else if ok && bolt != speaks {
-		return noGroup, "the cluster speaks another protocol"
+		return -1, noGroup, "the cluster speaks another protocol"
 	}
 	for k := range c.requests {
 		if j := &c.requests[k]; j.busy && !j.final && len(t.ID) > 0 && bytes.Equal(j.terms.ID, t.ID) {
 			// Danger: a store would turn one of the two away or break off, and count as crowded or broken for it.
-			return inHand, "a request with this id is in hand"
+			return -1, inHand, "a request with this id is in hand"
 		}
 	}
 	if len(c.freeRequests) == 0 {
@@ -251,9 +260,8 @@
 	c.inHand++
 	j := &c.requests[i]
 	*j = request{id: j.id, client: cl, terms: t, cut: cut, kind: kind, bolt: speaks, came: c.now, left: t.Left, busy: true}
-	cl.request = i
 	c.arrivals = append(c.arrivals, i)
-	return sound, ""
+	return i, sound, ""
 }
 
 // arrive hands a new request to the door, or to the module where there is none.
@@ -269,7 +277,7 @@
 			mark = j.terms.Session
 		}
 		c.door.Arrive(c.now, door.Arrival{Job: i, Profile: j.kind, Customer: j.terms.Customer, Client: j.client.serial,
-			Mark: mark, Group: j.terms.Group, Left: j.left, Repeated: j.terms.Repeated, Bytes: len(j.client.link.Peek())})
+			Mark: mark, Group: j.terms.Group, Left: j.left - (c.now - j.came), Repeated: j.terms.Repeated, Bytes: len(j.client.link.Peek())})
 	}
 }
 
@@ -321,19 +329,40 @@
 	cl := j.client
 	j.final, j.client = true, nil
 	c.out = text
-	cl.request, cl.since = -1, c.now
-	cl.speech.done(cl, failed)
-	if cl.at >= 0 && !cl.link.Write(c.out) { // Danger: a request is lost if its client is hung up on for want of room here.
-		cl.write(c, cl.speech.failure(c.out[:0], "no memory for the answer"))
-	} else if cl.at >= 0 {
-		c.dirty = append(c.dirty, cl.link)
+	if cl.request == i {
+		cl.conclude(c, text, failed)
+	} else {
+		cl.keep(c, i, text)
 	}
-	if c.Stopping() && cl.at >= 0 {
+	c.free(i)
+}
+
+// conclude answers the first request that the client has in hand and goes on with what stands behind it.
+func (cl *client) conclude(c *Core, text []byte, failed bool) {
+	cl.since = c.now
+	cl.request = -1
+	cl.speech.done(cl, c, failed)
+	cl.reply(c, text)
+	cl.advance(c)
+	switch {
+	case cl.at < 0:
+	case c.Stopping() && cl.request < 0:
 		cl.finish(c)
-	} else {
+	default:
 		cl.read(c)
 	}
-	c.free(i)
+}
+
+// reply queues a final answer.
+func (cl *client) reply(c *Core, text []byte) {
+	if cl.at < 0 {
+		return
+	}
+	if !cl.link.Write(text) { // Danger: a request is lost if its client is hung up on for want of room here.
+		cl.write(c, cl.speech.failure(c.out[:0], "no memory for the answer"))
+		return
+	}
+	c.dirty = append(c.dirty, cl.link)
 }
 
 // free is the one place where a request's place is given back: after its answer and the return of its last attempt.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -80,6 +80,7 @@
 type Limits struct {
 	Links   int          // sockets of clients and stores together
 	Clients int          // of them at most
+	Kept    int          // bytes of answers that wait for those before them on their connections; 0: defaultKept
 	Answer  int          // bytes of one message of a store
 	Rest    Time         // a client that asked nothing for that long may be hung up on to make room
 	Grace   Time         // from Stop to the end by force, beside the longest deadline
@@ -158,6 +159,8 @@
 	groups       map[uint64]bool // that are listed; true: their stores speak Bolt
 	clients      []*client
 	serial       uint64 // of the newest client
+	behind       int    // commands in all pipelines
+	kept         int    // bytes of their replies
 	conns        []*conn
 	lists        []List
 	plans        []plan
--- /dev/null
+++ b/internal/front/pipeline.go
@@ -0,0 +1,209 @@
+package front
+
+import (
+	"bytes"
+	"cmp"
+
+	"micatrack/balance"
+	"micatrack/internal/pgwire"
+	"micatrack/internal/terms"
+)
+
+const (
+	mostBehind    = 16      // requests of one client that may be in hand behind its first
+	mostBehindAll = 1024    // the same of all clients
+	mostMarks     = 8       // arrivals of one client's bytes that are told apart
+	defaultKept   = 1 << 20 // bytes of answers that wait for their turn, where the limits name no other bound
+)
+
+// command is a request that is in hand, or answered, behind another of its client. The answers go out in the order of
+// the commands, so its own waits here until all before it are out.
+type command struct {
+	request int32  // in hand, or -1 once reply is complete
+	size    int    // bytes of the command in the client's ring
+	reply   []byte // final answer
+}
+
+// pipeline is what a client has sent behind the request in hand.
+//
+// Danger: a client counts each request's time from its last byte. Were the commands taken one after the other, the
+// last of n would wait for n-1 deadlines and be lost.
+type pipeline struct {
+	behind []command // in the order of the commands
+	parsed int       // bytes of the ring that the request in hand and those behind it have
+	marks  arrivals
+}
+
+// arrivals tells when bytes of a stream came in, for those that have not been parsed yet. It keeps at most mostMarks
+// moments: past that bytes count as come with the ones before them, which is never later than they did.
+type arrivals struct {
+	marks [mostMarks]arrival
+	count int
+}
+
+// arrival is the moment by which the ring held end bytes.
+type arrival struct {
+	end int
+	at  Time
+}
+
+// note tells that the ring holds size bytes now.
+func (a *arrivals) note(size int, now Time) {
+	if a.count > 0 && a.marks[a.count-1].end >= size {
+		return
+	}
+	if a.count == mostMarks {
+		a.marks[a.count-1].end = size
+		return
+	}
+	a.marks[a.count] = arrival{size, now}
+	a.count++
+}
+
+// came gives the moment by which the ring held end bytes; now if nobody noted it.
+func (a *arrivals) came(end int, now Time) Time {
+	for _, mark := range a.marks[:a.count] {
+		if mark.end >= end {
+			return mark.at
+		}
+	}
+	return now
+}
+
+// discard tells that the ring's first size bytes are gone.
+func (a *arrivals) discard(size int) {
+	kept := 0
+	for _, mark := range a.marks[:a.count] {
+		if mark.end > size {
+			a.marks[kept] = arrival{mark.end - size, mark.at}
+			kept++
+		}
+	}
+	a.count = kept
+}
+
+// discard drops the ring's first size bytes, which belong to no request in hand any more.
+func (cl *client) discard(c *Core, size int) {
+	cl.link.Discard(size)
+	cl.pipeline.marks.discard(size)
+	cl.pipeline.parsed = max(cl.pipeline.parsed-size, 0)
+	for _, behind := range cl.pipeline.behind {
+		if behind.request >= 0 {
+			c.requests[behind.request].offset -= size
+		}
+	}
+}
+
+// takeAhead begins the client's next command while others of its are in hand; false: it has to wait for them. What is
+// no sound request waits, so that everything else is said between requests.
+func (cl *client) takeAhead(c *Core) bool {
+	if _, speaks := cl.speech.(postgres); !speaks || c.Stopping() {
+		return false
+	}
+	if len(cl.pipeline.behind) >= mostBehind || c.behind >= mostBehindAll {
+		return false
+	}
+	offset := cl.pipeline.parsed
+	kind, body, size, err := pgwire.Message(cl.link.Peek()[offset:], pgwire.MostQuery)
+	if err != nil || size == 0 || kind != 'Q' {
+		return false
+	}
+	text, rest, whole := pgwire.Text(body)
+	if !whole || len(rest) > 0 || blank(text) {
+		return false
+	}
+	query, err := pgwire.Query(text)
+	if err != nil {
+		return false
+	}
+	class, known := c.classes[string(query.Terms.Profile)]
+	if !known || !cl.independent(c, class, &query.Terms) {
+		return false
+	}
+	index, fault, _ := cl.begin(c, query.Terms, query.Cut)
+	if fault != sound {
+		return false
+	}
+	request := &c.requests[index]
+	request.offset = offset
+	request.came = cl.pipeline.marks.came(offset+size, c.now)
+	cl.pipeline.behind = append(cl.pipeline.behind, command{request: index, size: size})
+	cl.pipeline.parsed += size
+	c.behind++
+	return true
+}
+
+// independent tells whether a request may run beside all that its client has in hand.
+func (cl *client) independent(c *Core, class int, query *terms.Terms) bool {
+	if !c.beside(cl.request, class, query) {
+		return false
+	}
+	for _, behind := range cl.pipeline.behind {
+		if behind.request >= 0 && !c.beside(behind.request, class, query) {
+			return false
+		}
+	}
+	return true
+}
+
+// beside tells whether a request may run beside an earlier one of its connection: reads beside reads, writes never
+// beside writes, and both beside each other where their sessions differ, since no fence holds from one to another.
+//
+// Danger: within its session a command has to see the effect of those before it, and none of those behind it.
+func (c *Core) beside(earlier int32, class int, query *terms.Terms) bool {
+	before := &c.requests[earlier]
+	writes, wrote := c.needs[class] == balance.Write, c.needs[before.kind] == balance.Write
+	if !writes && !wrote {
+		return true
+	}
+	if writes && wrote {
+		return false
+	}
+	return len(query.Session) > 0 && len(before.terms.Session) > 0 &&
+		(query.Group != before.terms.Group || !bytes.Equal(query.Session, before.terms.Session))
+}
+
+// keep stores the final answer of a request behind others until its turn comes.
+func (cl *client) keep(c *Core, index int32, text []byte) {
+	if c.kept+len(text) > cmp.Or(c.limits.Kept, defaultKept) {
+		text = cl.speech.failure(nil, "no memory for the answer")
+	}
+	for i := range cl.pipeline.behind {
+		behind := &cl.pipeline.behind[i]
+		if behind.request == index {
+			behind.request, behind.reply = -1, bytes.Clone(text)
+			c.kept += len(behind.reply)
+			return
+		}
+	}
+}
+
+// advance puts the next request of the client in hand, behind the one that was just answered. Answers that waited for
+// their turn go out.
+func (cl *client) advance(c *Core) {
+	cl.request = -1
+	for cl.at >= 0 && len(cl.pipeline.behind) > 0 {
+		next := cl.pipeline.behind[0]
+		cl.pipeline.behind = append(cl.pipeline.behind[:0], cl.pipeline.behind[1:]...)
+		c.behind--
+		if next.request >= 0 {
+			cl.request, cl.held = next.request, next.size
+			return
+		}
+		c.kept -= len(next.reply)
+		cl.discard(c, next.size)
+		cl.reply(c, next.reply)
+	}
+}
+
+// drop gives up all that the client has in hand behind its first request.
+func (cl *client) drop(c *Core) {
+	for _, behind := range cl.pipeline.behind {
+		if behind.request >= 0 {
+			c.giveUp(behind.request)
+		}
+		c.kept -= len(behind.reply)
+	}
+	c.behind -= len(cl.pipeline.behind)
+	cl.pipeline.behind = nil
+}
--- /dev/null
+++ b/internal/front/pipeline_test.go
@@ -0,0 +1,243 @@
+package front
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"micatrack/internal/pgwire"
+)
+
+// keyed is a query of that class and time on the entry of that key.
+func keyed(class string, id int, milliseconds int, key string) string {
+	return string(pgwire.AppendSimple(nil,
+		fmt.Sprintf("/* id=%d,c=%s,d=%d,cluster=3 */ SELECT '%s'", id, class, milliseconds, key)))
+}
+
+// row is a store's value, with the text told apart.
+func row(text string) string { return strings.Replace(value, "ab", text, 1) + ready }
+
+// asked gives the open connection to the store that carries the request of that id.
+func (s *stage) asked(id int) *wire {
+	s.t.Helper()
+	for _, dial := range s.dials {
+		if !dial.closed && strings.Contains(string(dial.out), fmt.Sprintf("id=%d,", id)) {
+			return dial
+		}
+	}
+	return nil
+}
+
+// up answers the start of all connections to the store.
+func (s *stage) up() {
+	for n := 0; n < len(s.dials); n++ {
+		if dial := s.dials[n]; strings.HasPrefix(string(dial.out), "\x00") {
+			dial.take()
+			s.say(dial, "R\x00\x00\x00\x08\x00\x00\x00\x00", ready)
+		}
+	}
+}
+
+// TestPipelinedReadsRunTogether: reads that came behind another are sent on with it, each with its own time; the answers
+// go out in the order of the commands, whichever the store gives first.
+func TestPipelinedReadsRunTogether(t *testing.T) {
+	s := newStage(t, 20)
+	cl := s.client()
+	s.say(cl, keyed("any", 1, 1000, "a"), keyed("any", 2, 1000, "b"), keyed("session", 3, 1000, "c"))
+	s.up()
+	first, second, third := s.asked(1), s.asked(2), s.asked(3)
+	if first == nil || second == nil || third == nil {
+		t.Fatal("not all are sent on")
+	}
+	s.say(third, row("cc"))
+	s.say(second, row("bb"))
+	if got := cl.take(); got != "" {
+		t.Fatalf("answered out of order: %q", got)
+	}
+	if s.core.kept != 2*len(row("bb")) {
+		t.Errorf("%d bytes kept", s.core.kept)
+	}
+	s.say(first, row("aa"))
+	if got := cl.take(); got != row("aa")+row("bb")+row("cc") {
+		t.Fatalf("answers %q", got)
+	}
+	if len(cl.in) != 0 || s.core.kept != 0 || s.core.behind != 0 {
+		t.Errorf("%d bytes unread, %d kept, %d behind", len(cl.in), s.core.kept, s.core.behind)
+	}
+	s.step(Event{cl, Closed})
+	s.idle(0)
+}
+
+// TestPipelinedTimeCountsFromItsLastByte: what waits behind a write of its session is answered as soon as the write is,
+// once its own time is over, and is not sent on then.
+func TestPipelinedTimeCountsFromItsLastByte(t *testing.T) {
+	s := newStage(t, 20)
+	cl := s.client()
+	write, read := keyed("once", 1, 3000, "k"), keyed("session", 2, 1000, "k")
+	s.say(cl, write, read[:len(read)-1])
+	s.up()
+	s.pass(second / 2)
+	s.say(cl, read[len(read)-1:]) // its time begins here
+	s.pass(second * 9 / 10)
+	s.say(s.asked(1), value, ready)
+	if got := cl.take(); got != value+ready {
+		t.Fatalf("the write is answered %q", got)
+	}
+	s.up()
+	carrier := s.asked(2)
+	if carrier == nil {
+		t.Fatal("a read with a tenth of its time left is not sent on")
+	}
+	if left := string(carrier.out); !strings.Contains(left, "d=99,") && !strings.Contains(left, "d=98,") {
+		t.Errorf("it tells its store %q", left[strings.Index(left, "id=2"):])
+	}
+	s.say(carrier, value, ready)
+	cl.take()
+
+	s.say(cl, strings.Replace(write, "id=1", "id=3", 1), strings.Replace(read, "id=2", "id=4", 1))
+	s.up()
+	s.pass(second * 11 / 10)
+	s.say(s.asked(3), value, ready)
+	got := cl.take()
+	if !strings.HasPrefix(got, value+ready) || code(t, strings.TrimPrefix(got, value+ready)) != pgwire.TooMany {
+		t.Errorf("answers %q", got)
+	}
+	if s.asked(4) != nil {
+		t.Error("it is sent on after its time")
+	}
+	s.step(Event{cl, Closed})
+	s.idle(0)
+}
+
+// TestPipelinedOrderWithinASession: a read waits for the write before it on the same entry, a write for a read; entries
+// of other sessions go on beside them, and writes keep their order.
+func TestPipelinedOrderWithinASession(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		before, behind string
+		together       bool
+	}{
+		{"read behind a write", keyed("once", 1, 1000, "k"), keyed("session", 2, 1000, "k"), false},
+		{"read of another session behind a write", keyed("once", 1, 1000, "k"), keyed("session", 2, 1000, "l"), true},
+		{"write behind a read", keyed("session", 1, 1000, "k"), keyed("once", 2, 1000, "k"), false},
+		{"write of another session behind a read", keyed("any", 1, 1000, "k"), keyed("once", 2, 1000, "l"), true},
+		{"write behind a write", keyed("once", 1, 1000, "k"), keyed("once", 2, 1000, "l"), false},
+		{"read behind a read", keyed("session", 1, 1000, "k"), keyed("session", 2, 1000, "k"), true},
+	} {
+		s := newStage(t, 20)
+		cl := s.client()
+		s.say(cl, c.before, c.behind)
+		s.up()
+		if got := s.asked(2) != nil; got != c.together {
+			t.Errorf("%s: together %v", c.name, got)
+			continue
+		}
+		s.say(s.asked(1), value, ready)
+		s.up()
+		if s.asked(2) == nil {
+			t.Errorf("%s: never sent on", c.name)
+			continue
+		}
+		s.say(s.asked(2), value, ready)
+		if got := cl.take(); got != value+ready+value+ready {
+			t.Errorf("%s: answers %q", c.name, got)
+		}
+		s.step(Event{cl, Closed})
+		s.idle(0)
+	}
+}
+
+// TestPipelineBounds: of what one client sends at once no more than mostBehind requests are in hand behind the first, and
+// answers past the bound of memory are failures; all are answered once, in order.
+func TestPipelineBounds(t *testing.T) {
+	s := newStage(t, 200)
+	s.core.limits.Kept = 2 * len(value+ready)
+	cl := s.client()
+	text, asked := "", 3*mostBehind
+	for id := 1; id <= asked; id++ {
+		text += keyed("any", id, 1000, "k")
+	}
+	s.say(cl, text)
+	if s.core.inHand != mostBehind+1 {
+		t.Errorf("%d in hand", s.core.inHand)
+	}
+	s.up()
+	for id := mostBehind + 1; id > 0; id-- {
+		if carrier := s.asked(id); carrier != nil {
+			s.say(carrier, value, ready)
+			carrier.take()
+		}
+		if s.core.kept > s.core.limits.Kept+mostBehind*80 {
+			t.Errorf("%d bytes kept", s.core.kept)
+		}
+	}
+	s.pass(3 * second)
+	answers := strings.Count(cl.take(), ready)
+	if answers != asked {
+		t.Errorf("%d answers", answers)
+	}
+	s.step(Event{cl, Closed})
+	s.idle(0)
+}
+
+// TestPipelineOfOneThatGoesAhead: a client that goes leaves nothing behind of what it had in hand, answered or not.
+func TestPipelineOfOneThatGoesAhead(t *testing.T) {
+	s := newStage(t, 20)
+	cl := s.client()
+	s.say(cl, keyed("any", 1, 1000, "a"), keyed("any", 2, 1000, "b"), keyed("any", 3, 1000, "c"))
+	s.up()
+	s.say(s.asked(3), value, ready)
+	carriers := []*wire{s.asked(1), s.asked(2)}
+	s.step(Event{cl, Closed})
+	for _, carrier := range carriers {
+		if !carrier.closed {
+			t.Error("an attempt goes on")
+		}
+	}
+	if s.core.kept != 0 || s.core.behind != 0 {
+		t.Errorf("%d kept, %d behind", s.core.kept, s.core.behind)
+	}
+	s.idle(0)
+}
+
+// TestStopWithAPipeline: at the end all that was taken is answered before the connection ends; what comes later is not
+// taken.
+func TestStopWithAPipeline(t *testing.T) {
+	s := newStage(t, 20)
+	cl := s.client()
+	s.core.Stop(s.now)
+	s.pass(s.core.stopAt - s.now - second/100)
+	s.say(cl, keyed("any", 1, 5000, "a"), keyed("any", 2, 5000, "b"))
+	s.up()
+	s.pass(second / 50)
+	s.say(cl, keyed("any", 3, 5000, "c"))
+	s.say(s.asked(2), value, ready)
+	s.say(s.asked(1), value, ready)
+	if got := cl.take(); got != value+ready+value+ready {
+		t.Errorf("answers %q", got)
+	}
+	if !cl.finished || s.asked(3) != nil {
+		t.Errorf("ended %v, sent on what came after the end: %v", cl.finished, s.asked(3) != nil)
+	}
+	s.step(Event{cl, Closed})
+	s.pass(second)
+	s.idle(0)
+}
+
+// TestArrivals: moments are told apart up to the bound, and past it bytes never count as come too late.
+func TestArrivals(t *testing.T) {
+	var a arrivals
+	for n := 1; n <= 2*mostMarks; n++ {
+		a.note(10*n, Time(n))
+	}
+	if a.came(5, 99) != 1 || a.came(11, 99) != 2 || a.came(20*mostMarks, 99) != mostMarks {
+		t.Errorf("%+v", a)
+	}
+	a.discard(15)
+	if a.came(5, 99) != 2 || a.came(6, 99) != 3 || a.count != mostMarks-1 {
+		t.Errorf("after 15 bytes were dropped: %+v", a)
+	}
+	if a.came(1000, 99) != 99 {
+		t.Error("what was never noted came now")
+	}
+}
--- a/internal/front/postgres.go
+++ b/internal/front/postgres.go
@@ -8,12 +8,14 @@
 	"micatrack/internal/pgwire"
 )
 
+const messageHead = 5 // bytes of a message's kind and length
+
 // postgres is version 3 of PostgreSQL's protocol, to clients and to stores.
 type postgres struct{}
 
 func (postgres) more(*client, *Core) {}
 
-func (postgres) done(cl *client, _ bool) { cl.link.Discard(cl.held) }
+func (postgres) done(cl *client, c *Core, _ bool) { cl.discard(c, cl.held) }
 
 func (postgres) overflow(cl *client, c *Core) { cl.fatal(c, pgwire.TooMany, "out of memory") }
 
@@ -43,7 +45,7 @@
 	switch {
 	case e.request >= 0:
 		j := &c.requests[e.request]
-		text, _, _ := pgwire.Text(j.client.link.Peek()[5:])
+		text, _, _ := pgwire.Text(j.client.link.Peek()[j.offset+messageHead:])
 		c.out = j.cut.AppendQuery(c.out[:0], text, max((e.until-c.now)/perMilli, 1))
 	case c.host.Reports == "inline" || c.host.Reports == "on_probe":
 		c.out = pgwire.AppendSimple(c.out[:0], "SHOW load")
@@ -158,9 +160,12 @@
 		cl.write(c, cl.speech.faulty(c.out[:0], unreadable, err.Error()))
 		return
 	}
-	if f, why := cl.begin(c, s.Terms, s.Cut); f != sound {
+	index, f, why := cl.begin(c, s.Terms, s.Cut)
+	if f != sound {
 		cl.write(c, cl.speech.faulty(c.out[:0], f, why))
+		return
 	}
+	cl.request = index
 }
 
 func blank(text []byte) bool {
