--- a/internal/front/pipeline.go
+++ b/internal/front/pipeline.go
@@ -12,7 +12,7 @@
 const (
 	mostBehind    = 16      // requests of one client that may be in hand behind its first
 	mostBehindAll = 1024    // the same of all clients
-	mostMarks     = 8       // arrivals of one client's bytes that are told apart
+	mostMarks     = 16      // arrivals of one client's bytes that are told apart
 	defaultKept   = 1 << 20 // bytes of answers that wait for their turn, where the limits name no other bound
 )
 
