Membership: split into files by job, with the terms of SWIM and Lifeguard

Cause: one file of 1,015 lines with names of the withdrawn style (favour, greeting, twin, oblige, tell) and assignments behind the semicolons of if. Change: one file a job: table, facts, suspicion, self, probe, verify, relay, receive, gossip, notes, sync, tick. Named constants with units, doc comments, one step a line. Exported names: Ask is PingRequest, Rumour is Gossip, Beat is Tick, Hush is StopSpreading; of Host, Member is MemberChanged and Heard is NoteReceived. The play's digest is the same as before.

--- a/cmd/micatrack/zones_test.go
+++ b/cmd/micatrack/zones_test.go
@@ -582,7 +582,7 @@
 		defer c.Close()
 		chance := rand.New(rand.NewPCG(1, 2))
 		said := func(name string, m membership.Message) []byte {
-			m.Kind = cmp.Or(m.Kind, membership.Rumour)
+			m.Kind = cmp.Or(m.Kind, membership.Gossip)
 			m.Sender = membership.Fact{Name: []byte(name), Zone: []byte("a"), Addr: []byte("127.0.0.1:9"), Incarnation: 1}
 			return peers.Append(nil, "rig", &m)
 		}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -46,12 +46,12 @@
 func (t told) Exchange(addr string)                    { t.f.host.Exchange(addr) }
 func (t told) Part(zone string, part float64)          { t.f.host.Part(zone, part) }
 func (t told) Log(text string)                         { t.f.host.Log(text) }
-func (t told) Member(name, zone string, to membership.State) {
+func (t told) MemberChanged(name, zone string, state membership.State) {
 	t.f.Changed = true
-	t.f.Zones.Member(t.f.now, name, zone, to <= membership.Suspect)
+	t.f.Zones.Member(t.f.now, name, zone, state <= membership.Suspect)
 }
-func (t told) Hush(key string) { t.f.Members.Hush(key) }
-func (t told) Heard(key []byte, n membership.Note, age Time) bool {
+func (t told) Hush(key string) { t.f.Members.StopSpreading(key) }
+func (t told) NoteReceived(key []byte, n membership.Note, age Time) bool {
 	return t.f.Zones.Heard(t.f.now, key, n.Version, age, n.Body)
 }
 func (t told) Publish(key string, version uint64, body []byte, urgent bool) {
@@ -77,7 +77,7 @@
 	case late > f.period/2:
 		f.Zones.Numb(now)
 	}
-	f.Members.Beat(now)
+	f.Members.Tick(now)
 	for _, z := range f.Members.Zones() {
 		f.Zones.Spoke(z, f.Members.ZoneHeard(z))
 	}
--- a/fleet/membership/digest_test.go
+++ b/fleet/membership/digest_test.go
@@ -7,13 +7,13 @@
 	"testing"
 )
 
-// playDigest is the FNV-1a hash of every action of the play below: datagrams with all that is in them, exchanges,
-// changes of members, notes handed on, log lines and final tables. It was recorded before the package was split into
-// files by job. A change that is meant to change actions records it anew and says so.
+// playDigest is the FNV-1a hash of every action of the play below: datagrams with all that is in them,
+// exchanges, changes of members, notes handed on, log lines and final tables. It was recorded before the
+// package was split into files by job. A change that is meant to change actions records it anew and says so.
 const playDigest = "06fde82b493032e4"
 
-// TestPlayDigest plays one seeded fleet through loss, a kill, a leave, a cut, a stopped process, a second process of one
-// name, unknown members and notes, and compares the hash of all actions.
+// TestPlayDigest plays one seeded fleet through loss, a kill, a leave, a cut, a stopped process, a second
+// process of one name, unknown members and notes, and compares the hash of all actions.
 func TestPlayDigest(t *testing.T) {
 	hash := fnv.New64a()
 	n := newNet(20)
@@ -33,7 +33,7 @@
 			n.nodes[from].m.Publish(n.now, fmt.Sprintf("p%s", from), uint64(round+1), []byte{byte(round)}, true)
 			n.nodes[from].m.Publish(n.now, fmt.Sprintf("e%s", from), uint64(round+1), []byte{1, byte(round)}, false)
 		}
-		n.nodes["b1"].m.Hush("pa1")
+		n.nodes["b1"].m.StopSpreading("pa1")
 		n.run(5 * period)
 	}
 	n.start("c3", "c", "c3", 2)
@@ -61,8 +61,9 @@
 	n.run(20 * period)
 	n.nodes["a1"].m.self.Members = 60 // so that the dead make room
 	for k := range 300 {
-		sender := Fact{Name: fmt.Appendf(nil, "x%d", k), Zone: fmt.Appendf(nil, "z%d", k), Addr: []byte("nowhere"), Incarnation: 1}
-		n.nodes["a1"].m.Take(n.now, &Message{Kind: Rumour, Sender: sender})
+		sender := Fact{Name: fmt.Appendf(nil, "x%d", k), Zone: fmt.Appendf(nil, "z%d", k), Addr: []byte("nowhere"),
+			Incarnation: 1}
+		n.nodes["a1"].m.Take(n.now, &Message{Kind: Gossip, Sender: sender})
 		n.run(100)
 	}
 	n.run(20 * period)
--- a/fleet/membership/membership_test.go
+++ b/fleet/membership/membership_test.go
@@ -125,13 +125,13 @@
 	})
 }
 
-func (d *node) Member(name, zone string, to State) {
-	d.act("member %s %s %v", name, zone, to)
-	if to == Dead {
+func (d *node) MemberChanged(name, zone string, state State) {
+	d.act("member %s %s %v", name, zone, state)
+	if state == Dead {
 		d.dead[name]++
 	}
 }
-func (d *node) Heard(key []byte, n Note, sinceMade Time) bool {
+func (d *node) NoteReceived(key []byte, n Note, sinceMade Time) bool {
 	d.act("heard %s %+v %d", key, n, sinceMade)
 	d.heard[string(key)] = n.Version
 	return true
@@ -184,7 +184,7 @@
 		}
 		for _, d := range n.order {
 			if !d.stopped && d.m.Next() <= n.now {
-				d.m.Beat(n.now)
+				d.m.Tick(n.now)
 			}
 		}
 	}
@@ -356,13 +356,13 @@
 	n.run(20 * period)
 	d := n.nodes["a1"]
 	for k := range 2000 {
-		d.m.Take(n.now, &Message{Kind: Rumour, Sender: Fact{Name: fmt.Appendf(nil, "x%d", k), Zone: fmt.Appendf(nil, "z%d", k), Addr: []byte("nowhere"), Incarnation: 1}})
+		d.m.Take(n.now, &Message{Kind: Gossip, Sender: Fact{Name: fmt.Appendf(nil, "x%d", k), Zone: fmt.Appendf(nil, "z%d", k), Addr: []byte("nowhere"), Incarnation: 1}})
 		n.run(50)
 	}
 	if got := len(d.m.members); got > 100 {
 		t.Errorf("%d members are held", got)
 	}
-	if len(d.m.zones) > mostZones {
+	if len(d.m.zones) > maxZones {
 		t.Errorf("%d zones are held", len(d.m.zones))
 	}
 	n.run(400 * period)
@@ -396,14 +396,14 @@
 	if late > 1 {
 		t.Errorf("%d of %d have not heard it after a period", late, len(n.order))
 	}
-	n.nodes["b3"].m.Take(n.now, &Message{Kind: Rumour, Sender: Fact{Name: []byte("a1"), Addr: []byte("a1"), Zone: []byte("a"), Incarnation: 1},
+	n.nodes["b3"].m.Take(n.now, &Message{Kind: Gossip, Sender: Fact{Name: []byte("a1"), Addr: []byte("a1"), Zone: []byte("a"), Incarnation: 1},
 		Notes: []Note{{Key: []byte("pz"), Version: 2}, {Key: []byte("old"), Version: 1, Age: 21 * period}}})
 	if d := n.nodes["b3"]; d.heard["pz"] != 3 || d.heard["old"] != 0 {
 		t.Error("an older version, or an old note, was taken")
 	}
 	n.run(30 * period)
-	if d := n.nodes["c3"]; len(d.m.byKey) != 0 {
-		t.Errorf("%d notes are kept past their life", len(d.m.byKey))
+	if d := n.nodes["c3"]; len(d.m.noteByKey) != 0 {
+		t.Errorf("%d notes are kept past their life", len(d.m.noteByKey))
 	}
 }
 
@@ -473,12 +473,12 @@
 	n := newNet(13)
 	d := n.start("a1", "a", "a1", 1)
 	for k := range 1000 {
-		d.m.Take(n.now, &Message{Kind: Rumour, Sender: Fact{Name: fmt.Appendf(nil, "m%d", k), Zone: fmt.Appendf(nil, "z%d", k%3), Addr: []byte("x"), Incarnation: 1}})
+		d.m.Take(n.now, &Message{Kind: Gossip, Sender: Fact{Name: fmt.Appendf(nil, "m%d", k), Zone: fmt.Appendf(nil, "z%d", k%3), Addr: []byte("x"), Incarnation: 1}})
 	}
 	fact := func(k int) Fact {
 		return Fact{Name: fmt.Appendf(nil, "m%d", k), Zone: fmt.Appendf(nil, "z%d", k%3), Addr: []byte("x"), Incarnation: 1}
 	}
-	in := &Message{Kind: Rumour, Sender: fact(1), Facts: []Fact{fact(2), fact(3), fact(4)}}
+	in := &Message{Kind: Gossip, Sender: fact(1), Facts: []Fact{fact(2), fact(3), fact(4)}}
 	b.ReportAllocs()
 	for b.Loop() {
 		d.m.Take(n.now, in)
--- /dev/null
+++ b/fleet/membership/notes.go
@@ -0,0 +1,126 @@
+package membership
+
+// Quiet is the first byte of the keys of notes that few fronts need: they are sent half as often as others.
+const Quiet = 'e'
+
+// notesPerMember bounds the notes of a view, for each place of the table.
+const notesPerMember = 2
+
+// note is one place for a note.
+type note struct {
+	key       string
+	version   uint64
+	madeAt    Time
+	body      []byte
+	timesSent int
+	maxSends  int // 0: it is not spread
+	queued    bool
+	used      bool
+}
+
+// noteMessage returns a note as a message carries it.
+func (m *Members) noteMessage(n *note) Note {
+	return Note{Key: bytesOf(n.key), Version: n.version, Age: m.now - n.madeAt, Body: n.body}
+}
+
+func (m *Members) noteExpired(n *note) bool { return m.now-n.madeAt > m.self.NoteLife }
+
+// Publish spreads a note of this front's own. Its version must be larger than any known of its key. An urgent
+// note goes before all else and is sent more often. Without a free place the note is counted in Dropped.
+func (m *Members) Publish(now Time, key string, version uint64, body []byte, urgent bool) {
+	m.now = now
+	index, known := m.noteByKey[key]
+	if !known {
+		index = m.allocateNote(key)
+	}
+	if index < 0 {
+		m.Dropped++
+		return
+	}
+	n := &m.notes[index]
+	n.version = version
+	n.madeAt = now
+	n.body = append(n.body[:0], body...)
+	m.spreadNote(index, urgent)
+}
+
+// StopSpreading ends the sending of a note. Full exchanges carry it all the same.
+func (m *Members) StopSpreading(key string) {
+	index, known := m.noteByKey[key]
+	if !known {
+		return
+	}
+	m.notes[index].timesSent = 0
+	m.notes[index].maxSends = 0
+}
+
+// allocateNote returns the index of a place for a note of a new key, or -1 if there is none.
+func (m *Members) allocateNote(key string) int32 {
+	if len(m.freeNotes) == 0 {
+		if len(m.notes) >= notesPerMember*m.self.Members {
+			return -1
+		}
+		m.notes = append(m.notes, note{})
+		m.freeNotes = append(m.freeNotes, int32(len(m.notes)-1))
+	}
+	index := m.freeNotes[len(m.freeNotes)-1]
+	m.freeNotes = m.freeNotes[:len(m.freeNotes)-1]
+	n := &m.notes[index]
+	*n = note{key: key, used: true, queued: n.queued, body: n.body[:0]}
+	m.noteByKey[key] = index
+	return index
+}
+
+// applyNote takes in a received note, if it is newer than what is known of its key.
+func (m *Members) applyNote(in *Note) {
+	if !in.valid() || in.Age > m.self.NoteLife {
+		m.Dropped++
+		return
+	}
+	index, known := m.noteByKey[string(in.Key)]
+	if known && in.Version <= m.notes[index].version {
+		return
+	}
+	if !known {
+		index = m.allocateNote(string(in.Key))
+	}
+	if index < 0 {
+		m.Dropped++
+		return
+	}
+	n := &m.notes[index]
+	n.version = in.Version
+	n.madeAt = m.now - in.Age
+	n.body = append(n.body[:0], in.Body...)
+	received := Note{Key: in.Key, Version: in.Version, Age: in.Age, Body: n.body}
+	if m.host.NoteReceived(in.Key, received, in.Age) {
+		m.spreadNote(index, in.Key[0] != Quiet)
+	} else {
+		m.StopSpreading(m.notes[index].key) // not through n: the host may have published, which moves the places
+	}
+}
+
+// replayNotes gives the host all notes once more, as after a stall the host acts on none from before.
+func (m *Members) replayNotes() {
+	for index := 0; index < len(m.notes); index++ { // the host may publish, which adds notes
+		n := &m.notes[index]
+		if !n.used || m.noteExpired(n) {
+			continue
+		}
+		message := m.noteMessage(n)
+		m.host.NoteReceived(message.Key, message, message.Age)
+	}
+}
+
+// expireNotes frees the places of notes that are too old.
+func (m *Members) expireNotes() {
+	for index := range m.notes {
+		n := &m.notes[index]
+		if !n.used || !m.noteExpired(n) {
+			continue
+		}
+		delete(m.noteByKey, n.key)
+		n.used = false
+		m.freeNotes = append(m.freeNotes, int32(index))
+	}
+}
--- /dev/null
+++ b/fleet/membership/probe.go
@@ -0,0 +1,143 @@
+package membership
+
+// Figures of the probe.
+const (
+	probeHelpers = 3 // members asked to ping a target in this front's place
+	maxHealth    = 8 // bound of the local health multiplier: a period then takes nine times as long
+)
+
+// Parts of a probe's period, which local health lengthens: after the first the helpers are asked, after the
+// second the probe has failed.
+const (
+	indirectNumerator, indirectDenominator = 2, 5
+	failureNumerator, failureDenominator   = 9, 10
+)
+
+// probe is the ping of this period. There is one at a time.
+type probe struct {
+	target       int32 // noMember: there is none
+	sequence     uint64
+	sentAt       Time
+	indirect     bool // helpers have been asked
+	missingNacks int  // of helpers that have not said yet that they are well
+}
+
+// periodNow returns the protocol period as local health lengthens it.
+func (m *Members) periodNow() Time { return m.self.Period * Time(1+m.health) }
+
+// raiseHealth makes the local health multiplier worse.
+func (m *Members) raiseHealth(by int) { m.health = min(m.health+by, maxHealth) }
+
+// startProbe pings the next member of the next zone: within as many periods as there are zones each zone is
+// probed.
+func (m *Members) startProbe() {
+	if m.probe.target >= 0 {
+		return
+	}
+	for range m.zones {
+		m.nextZone = (m.nextZone + 1) % len(m.zones)
+		target := m.nextInRing(&m.zones[m.nextZone])
+		if target == noMember {
+			continue
+		}
+		m.sequence++
+		m.probe = probe{target: target, sequence: m.sequence, sentAt: m.now}
+		m.sendTo(target, Ping, m.sequence)
+		return
+	}
+}
+
+// nextInRing advances a zone's cursor to the next verified member that is not known to be dead, or returns
+// noMember.
+func (m *Members) nextInRing(z *zone) int32 {
+	for range z.ring {
+		z.cursor++
+		if z.cursor >= len(z.ring) {
+			z.cursor = 0
+			m.shuffle(z.ring)
+		}
+		index := z.ring[z.cursor]
+		e := &m.members[index]
+		if e.verified && e.state <= Suspect {
+			return index
+		}
+	}
+	return noMember
+}
+
+// shuffle puts a ring into a random order (Fisher and Yates): SWIM probes in another order in each round.
+func (m *Members) shuffle(ring []int32) {
+	for last := len(ring) - 1; last > 0; last-- {
+		other := m.random.Below(int64(last + 1))
+		ring[last], ring[other] = ring[other], ring[last]
+	}
+}
+
+// checkProbe asks helpers once the target is late, and ends the probe once it has failed.
+func (m *Members) checkProbe() {
+	if m.probe.target < 0 {
+		return
+	}
+	waited, period := m.now-m.probe.sentAt, m.periodNow()
+	switch {
+	case !m.probe.indirect && waited >= period*indirectNumerator/indirectDenominator:
+		m.probe.indirect = true
+		m.probe.missingNacks = m.askHelpers(m.probe.target, m.probe.sequence)
+	case waited >= period*failureNumerator/failureDenominator:
+		m.failProbe()
+	}
+}
+
+// failProbe suspects the target of a probe that nobody has answered. If helpers did not even send a Nack the
+// fault may be this front's, so its local health gets worse.
+func (m *Members) failProbe() {
+	target := m.probe.target
+	e := &m.members[target]
+	if e.verified && (m.probe.missingNacks > 0 || m.Alone()) {
+		m.raiseHealth(1)
+	}
+	if e.state == Alive {
+		m.suspect(target)
+	}
+	m.probe.target = noMember
+}
+
+// askHelpers asks members of different zones to ping a target, and returns how many were asked.
+func (m *Members) askHelpers(target int32, sequence uint64) (asked int) {
+	e := &m.members[target]
+	for k := range probeHelpers {
+		helper := m.pickMember((m.nextZone+k)%len(m.zones), target)
+		if helper == noMember {
+			continue
+		}
+		asked++
+		m.message.Target = bytesOf(e.name)
+		m.message.TargetAddr = bytesOf(e.addr)
+		m.sendTo(helper, PingRequest, sequence)
+	}
+	return asked
+}
+
+// receiveAck takes in an Ack: of a first ping, of the probe, or of a ping on another front's behalf.
+func (m *Members) receiveAck(from int32, sequence uint64) {
+	m.finishFirstPing(sequence)
+	if m.probe.target == from && m.probe.sequence == sequence {
+		m.members[from].verified = true
+		m.probe.target = noMember
+		if !m.probe.indirect {
+			m.health = max(m.health-1, 0)
+		}
+		return
+	}
+	m.finishRelay(sequence)
+	if m.probe.target >= 0 && m.probe.indirect && m.probe.sequence == sequence {
+		m.probe.target = noMember // a helper has sent it: the target has answered the helper
+	}
+}
+
+// receiveNack takes in that a helper is well.
+func (m *Members) receiveNack(sequence uint64) {
+	if m.probe.target >= 0 && sequence == m.probe.sequence && m.probe.missingNacks > 0 {
+		m.probe.missingNacks--
+	}
+}
--- /dev/null
+++ b/fleet/membership/relay.go
@@ -0,0 +1,65 @@
+package membership
+
+// maxRelays bounds the pings on behalf of others whose answer is awaited.
+const maxRelays = 16
+
+// nackDivisor gives the part of a period after which a helper sends a Nack.
+const nackDivisor = 4
+
+// relay is a ping on behalf of another front.
+type relay struct {
+	sequence          uint64 // of this front's ping
+	requesterSequence uint64 // that the requester awaits
+	requesterAddr     string // empty: the place is free
+	requesterName     string
+	sentAt            Time
+	nackSent          bool
+}
+
+// startRelay pings the target of a PingRequest.
+//
+// Danger: a front that pings whatever address it is told can be used to flood others. It pings members that
+// it holds itself, at the address that it holds.
+func (m *Members) startRelay(from int32, request *Message) {
+	addrLength := len(request.TargetAddr)
+	if addrLength == 0 || addrLength > MostAddr || len(request.Target) > MostName {
+		m.Dropped++
+		return
+	}
+	target, known := m.byName[string(request.Target)]
+	if !known || target == selfIndex {
+		m.Dropped++
+		return
+	}
+	m.sequence++
+	m.relays[m.sequence%maxRelays] = relay{
+		sequence:          m.sequence,
+		requesterSequence: request.Seq,
+		requesterAddr:     m.members[from].addr,
+		requesterName:     m.members[from].name,
+		sentAt:            m.now,
+	}
+	m.sendTo(target, Ping, m.sequence)
+}
+
+// finishRelay passes an Ack on to the front that asked for the ping.
+func (m *Members) finishRelay(sequence uint64) {
+	r := &m.relays[sequence%maxRelays]
+	if r.sequence != sequence || r.requesterAddr == "" {
+		return
+	}
+	m.send(r.requesterAddr, Ack, r.requesterSequence, noMember, r.requesterName)
+	*r = relay{}
+}
+
+// sendNacks tells requesters whose target has not answered in time that this front is well.
+func (m *Members) sendNacks() {
+	for k := range m.relays {
+		r := &m.relays[k]
+		if r.requesterAddr == "" || r.nackSent || m.now-r.sentAt < m.self.Period/nackDivisor {
+			continue
+		}
+		r.nackSent = true
+		m.send(r.requesterAddr, Nack, r.requesterSequence, noMember, r.requesterName)
+	}
+}
--- /dev/null
+++ b/fleet/membership/sync.go
@@ -0,0 +1,97 @@
+package membership
+
+// Mean times between full exchanges, in periods.
+const (
+	syncPeriods   = 60 // with any member
+	rejoinPeriods = 8  // with a member that is dead, or with a seed
+	joinPeriods   = 1  // with the seeds, until one has answered
+)
+
+// Open returns the message that begins a full exchange (Whole) or answers one (Answer). It is valid until the
+// next call.
+func (m *Members) Open(kind Kind) *Message {
+	m.messageFacts = m.messageFacts[:0]
+	m.messageNotes = m.messageNotes[:0]
+	for index := 1; index < len(m.members); index++ {
+		if m.members[index].used {
+			m.messageFacts = append(m.messageFacts, m.factOf(int32(index)))
+		}
+	}
+	for index := range m.notes {
+		n := &m.notes[index]
+		if n.used && !m.noteExpired(n) {
+			m.messageNotes = append(m.messageNotes, m.noteMessage(n))
+		}
+	}
+	m.message = Message{Kind: kind, Sender: m.factOf(selfIndex), Facts: m.messageFacts, Notes: m.messageNotes}
+	return &m.message
+}
+
+// startExchanges asks for the full exchanges that are due.
+func (m *Members) startExchanges() {
+	if m.now >= m.nextRejoinAt {
+		m.nextRejoinAt = m.now + m.jitter(rejoinPeriods)
+		m.rejoin()
+	}
+	if m.now >= m.nextSyncAt {
+		m.nextSyncAt = m.now + m.jitter(syncPeriods)
+		partner := m.pickAnyZone()
+		if partner > selfIndex {
+			m.host.Exchange(m.members[partner].addr)
+		}
+	}
+}
+
+// rejoin contacts the seeds until one has answered, and after that one address at a time that may belong to
+// another half of a cut fleet.
+func (m *Members) rejoin() {
+	if m.joined {
+		addr := m.unreachedAddr()
+		if addr != "" {
+			m.host.Exchange(addr)
+		}
+		return
+	}
+	m.nextRejoinAt = m.now + m.jitter(joinPeriods)
+	for _, addr := range m.self.Seeds {
+		if addr != m.self.Addr {
+			m.host.Exchange(addr)
+		}
+	}
+}
+
+// unreachedAddr returns the address of a member that is dead, or of a seed that no living member has, from a
+// random position on; or "".
+func (m *Members) unreachedAddr() string {
+	count := len(m.members) + len(m.self.Seeds)
+	start := int(m.random.Below(int64(count)))
+	for k := range count {
+		position := (start + k) % count
+		if position >= len(m.members) {
+			seed := m.self.Seeds[position-len(m.members)]
+			if !m.holdsAddr(seed) {
+				return seed
+			}
+			continue
+		}
+		e := &m.members[position]
+		if e.used && e.state == Dead && e.lastDirectAt > 0 {
+			return e.addr
+		}
+	}
+	return ""
+}
+
+// holdsAddr reports whether an address is this front's or that of a member that is not known to be dead.
+func (m *Members) holdsAddr(addr string) bool {
+	if addr == m.self.Addr {
+		return true
+	}
+	for index := range m.members {
+		e := &m.members[index]
+		if e.addr == addr && e.state <= Suspect {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -148,7 +148,7 @@
 // BenchmarkRead: a rumour of three facts and a note.
 func BenchmarkRead(b *testing.B) {
 	fact := membership.Fact{Name: []byte("front-17"), Zone: []byte("zone-a"), Addr: []byte("10.0.0.17:7400"), Incarnation: 1 << 40}
-	m := &membership.Message{Kind: membership.Rumour, Sender: fact, Facts: []membership.Fact{fact, fact, fact},
+	m := &membership.Message{Kind: membership.Gossip, Sender: fact, Facts: []membership.Fact{fact, fact, fact},
 		Notes: []membership.Note{{Key: []byte("efront-17"), Version: 1, Body: make([]byte, 60)}}}
 	text := Append(nil, "fleet", m)
 	var into membership.Message
