Zones: split into files by job, with the terms of draining and recovery

Cause: one file of 1,174 lines with names of the withdrawn style (voice, sight, hush, wipe, outdone, numb, Away) and assignments behind the semicolons of if. Change: one file a job: state, tables of zones, stores and observers, outcomes, evidence, publish, report, verdict, capacity, plan, recovery, orders, receive, tick, status, encoding. Named constants with units, doc comments, one step a line. Exported names: the states are InService, Suspected, Draining, Drained, Recovering; Silent is TimedOut, BrokenOff is ConnectionLost; Beat is Tick, Spoke is ZoneHeard, Overslept is Stalled, Numb is Overloaded; of Host, Part is SetShare and Hush is StopSpreading. fleet.Fleet.Beat is Tick. What logs, commands and the HTTP interface show is as before. The play's digest is the same as before. Passed: fleet/membership, fleet/zones, fleet, internal/world.

--- a/cmd/micatrack/fleet.go
+++ b/cmd/micatrack/fleet.go
@@ -114,7 +114,7 @@
 		break
 	}
 	if now >= t.Fleet.Next() {
-		t.Beat(now)
+		t.Tick(now)
 	}
 	if t.deputy != nil {
 		t.deputy.turn(now)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -1,5 +1,6 @@
-// Package fleet joins what one front decides together with the others of its fleet: who is there (membership) and what
-// is thought of zones (zones). It carries facts from one to the other, does no I/O and reads no clock.
+// Package fleet joins what one front decides together with the others of its fleet: which fronts there are
+// (membership) and which share of traffic may go to each zone (zones). It carries facts from one to the
+// other, does no I/O and reads no clock.
 package fleet
 
 import (
@@ -10,79 +11,101 @@
 // Time is a moment or a span in whole tenths of a millisecond.
 type Time = int64
 
-// Host is what a front does for its fleet.
+// overloadDivisor gives the part of a protocol period by which a late tick shows that the front is short of
+// processor time. A tick that is late by a whole period shows that the process stood still.
+const overloadDivisor = 2
+
+// Host carries out the actions of a front's fleet.
 type Host interface {
-	Send(addr string, m *membership.Message) // a datagram; m is only valid during the call
-	Exchange(addr string)                    // a whole exchange with whoever is there; Whole gives the message
-	Part(zone string, part float64)          // of ordinary traffic that may go to a zone
+	// Send sends a datagram, which may be lost. The message is valid only during the call.
+	Send(addr string, message *membership.Message)
+	// Exchange starts a full exchange with an address; Members.Open gives the message to send.
+	Exchange(addr string)
+	// Part is told the share of ordinary traffic that may go to a zone, from 0 to 1.
+	Part(zone string, share float64)
+	// Log writes one line of the front's log.
 	Log(text string)
 }
 
-// Fleet is the view of one front.
+// Fleet is the view of one front. It is not safe for concurrent use.
 type Fleet struct {
 	Members *membership.Members
 	Zones   *zones.Zones
-	Changed bool // a member has come, gone or moved; whoever has looked takes it back
-	host    Host
-	now     Time
-	due     Time // when Beat was to be called last
-	period  Time
+	// Changed is set when a member has come, gone or moved. Whoever has taken that in sets it back.
+	Changed bool
+
+	host   Host
+	now    Time // of the call in hand
+	dueAt  Time // when Tick was due last
+	period Time // of the membership protocol
 }
 
-// New starts a view. What zones needs of the front itself is taken from who.
-func New(now Time, who membership.Self, z zones.Self, h Host) *Fleet {
-	f := &Fleet{host: h, now: now, due: now, period: who.Period}
-	z.Name, z.Zone, z.Incarnation, z.Period = who.Name, who.Zone, who.Incarnation, who.Period
-	z.Observers, z.NoteLife = who.Members, who.NoteLife
-	f.Zones = zones.New(now, z, told{f})
-	f.Members = membership.New(now, who, told{f})
+// New returns a view. What zones needs of the front itself is taken from its configuration for membership.
+func New(now Time, self membership.Self, zonesSelf zones.Self, host Host) *Fleet {
+	f := &Fleet{host: host, now: now, dueAt: now, period: self.Period}
+	zonesSelf.Name = self.Name
+	zonesSelf.Zone = self.Zone
+	zonesSelf.Incarnation = self.Incarnation
+	zonesSelf.Period = self.Period
+	zonesSelf.Observers = self.Members
+	zonesSelf.NoteLife = self.NoteLife
+	f.Zones = zones.New(now, zonesSelf, adapter{f})
+	f.Members = membership.New(now, self, adapter{f})
 	return f
 }
 
-// told is what the two packages say.
-type told struct{ f *Fleet }
+// adapter is the host of both packages: it passes notes and members between them, and all else on.
+type adapter struct{ fleet *Fleet }
+
+func (a adapter) Send(addr string, message *membership.Message) { a.fleet.host.Send(addr, message) }
+
+func (a adapter) Exchange(addr string) { a.fleet.host.Exchange(addr) }
+
+func (a adapter) SetShare(zone string, share float64) { a.fleet.host.Part(zone, share) }
 
-func (t told) Send(addr string, m *membership.Message) { t.f.host.Send(addr, m) }
-func (t told) Exchange(addr string)                    { t.f.host.Exchange(addr) }
-func (t told) Part(zone string, part float64)          { t.f.host.Part(zone, part) }
-func (t told) Log(text string)                         { t.f.host.Log(text) }
-func (t told) MemberChanged(name, zone string, state membership.State) {
-	t.f.Changed = true
-	t.f.Zones.Member(t.f.now, name, zone, state <= membership.Suspect)
+func (a adapter) Log(text string) { a.fleet.host.Log(text) }
+
+func (a adapter) MemberChanged(name, zone string, state membership.State) {
+	a.fleet.Changed = true
+	a.fleet.Zones.Member(a.fleet.now, name, zone, state <= membership.Suspect)
 }
-func (t told) Hush(key string) { t.f.Members.StopSpreading(key) }
-func (t told) NoteReceived(key []byte, n membership.Note, age Time) bool {
-	return t.f.Zones.Heard(t.f.now, key, n.Version, age, n.Body)
+
+func (a adapter) StopSpreading(key string) { a.fleet.Members.StopSpreading(key) }
+
+func (a adapter) NoteReceived(key []byte, note membership.Note, age Time) bool {
+	return a.fleet.Zones.Heard(a.fleet.now, key, note.Version, age, note.Body)
 }
-func (t told) Publish(key string, version uint64, body []byte, urgent bool) {
-	t.f.Members.Publish(t.f.now, key, version, body, urgent)
+
+func (a adapter) Publish(key string, version uint64, body []byte, urgent bool) {
+	a.fleet.Members.Publish(a.fleet.now, key, version, body, urgent)
 }
 
-// Take takes a message of another front in; answer: a whole exchange wants Whole(membership.Answer).
-func (f *Fleet) Take(now Time, m *membership.Message) (answer bool) {
+// Take takes in a received message. It returns whether the sender expects Members.Open(membership.Answer) in
+// answer.
+func (f *Fleet) Take(now Time, message *membership.Message) (answer bool) {
 	f.now = now
-	return f.Members.Take(now, m)
+	return f.Members.Take(now, message)
 }
 
-// Next is when Beat must be called again.
+// Next returns when Tick must be called again.
 func (f *Fleet) Next() Time { return min(f.Members.Next(), f.Zones.Next()) }
 
-// Beat does what is due.
-func (f *Fleet) Beat(now Time) {
-	late := now - f.due
+// Tick does what is due. It must be called at the time that Next returns.
+func (f *Fleet) Tick(now Time) {
+	late := now - f.dueAt
 	f.now = now
 	switch {
 	case late > f.period:
-		f.Zones.Overslept(now)
-	case late > f.period/2:
-		f.Zones.Numb(now)
+		f.Zones.Stalled(now)
+	case late > f.period/overloadDivisor:
+		f.Zones.Overloaded(now)
 	}
 	f.Members.Tick(now)
-	for _, z := range f.Members.Zones() {
-		f.Zones.Spoke(z, f.Members.ZoneHeard(z))
+	for _, zone := range f.Members.Zones() {
+		f.Zones.ZoneHeard(zone, f.Members.ZoneHeard(zone))
 	}
 	if !f.Members.Replaced() {
-		f.Zones.Beat(now)
+		f.Zones.Tick(now)
 	}
-	f.due = f.Next()
+	f.dueAt = f.Next()
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -208,10 +208,10 @@
 func (w *world) reaches(o *one, s int) (end zones.End, took Time) {
 	h, z := &w.stores[s], s/w.each
 	if h.silent || w.cut != nil && (w.cut(o.zone, z) || w.cut(z, o.zone)) {
-		return zones.Silent, timeout
+		return zones.TimedOut, timeout
 	}
 	if w.chance.Below(1000) < int64(h.fails) {
-		return zones.BrokenOff, 5 * millisecond
+		return zones.ConnectionLost, 5 * millisecond
 	}
 	return zones.Answered, 5*millisecond + h.slow
 }
@@ -282,7 +282,7 @@
 		}
 	}
 	if w.on && !o.off && o.f.Next() <= w.now {
-		o.f.Beat(w.now)
+		o.f.Tick(w.now)
 	}
 }
 
--- a/fleet/zones/digest_test.go
+++ b/fleet/zones/digest_test.go
@@ -11,9 +11,9 @@
 	"micatrack/internal/mwc"
 )
 
-// playDigest is the FNV-1a hash of every action of the play below: parts, notes with their bodies, log lines and what
-// people are shown. It was recorded before the package was split into files by job. A change that is meant to change
-// actions records it anew and says so. Shares are hashed with six digits.
+// playDigest is the FNV-1a hash of every action of the play below: parts, notes with their bodies, log lines
+// and what people are shown. It was recorded before the package was split into files by job. A change that is
+// meant to change actions records it anew and says so. Shares are hashed with six digits.
 const playDigest = "cf3761ec947358b7"
 
 const (
@@ -57,9 +57,9 @@
 	fmt.Fprintf(f.play.actions, format+"\n", values...)
 }
 
-func (f *front) Part(zone string, part float64) { f.act("part %s %.6f", zone, part) }
-func (f *front) Hush(key string)                { f.act("hush %s", key) }
-func (f *front) Log(text string)                { f.act("log %s", text) }
+func (f *front) SetShare(zone string, share float64) { f.act("part %s %.6f", zone, share) }
+func (f *front) StopSpreading(key string)            { f.act("hush %s", key) }
+func (f *front) Log(text string)                     { f.act("log %s", text) }
 
 // Publish sends the note to every other front that the sender's zone reaches, one in ten is lost.
 func (f *front) Publish(key string, version uint64, body []byte, urgent bool) {
@@ -127,11 +127,11 @@
 			}
 			for zone := range zoneCount {
 				if !p.cut(zone, f.zone) {
-					f.view.Spoke(zoneName(zone), p.now)
+					f.view.ZoneHeard(zoneName(zone), p.now)
 				}
 			}
 			p.requests(f)
-			f.view.Beat(p.now)
+			f.view.Tick(p.now)
 		}
 	}
 }
@@ -145,7 +145,7 @@
 		took := zones.Time(float64(expected) * p.slow * (1 + float64(p.chance.Below(100))/200))
 		switch {
 		case p.cut(f.zone, zone):
-			f.view.Ended(p.now, id, zones.Silent, 2000, 0)
+			f.view.Ended(p.now, id, zones.TimedOut, 2000, 0)
 		case float64(k) < p.down[zone]*storeCount:
 			f.view.Ended(p.now, id, zones.End(1+p.chance.Below(3)), took, 0)
 		default:
@@ -178,8 +178,9 @@
 	f.act("order %v", f.view.Order(p.now, zone, leave, force, span, version))
 }
 
-// TestPlayDigest plays one seeded fleet through single bad stores, the loss of a zone and its way back, a cut, orders by
-// hand, stopped and busy fronts, malformed notes and changes of the list, and compares the hash of all actions.
+// TestPlayDigest plays one seeded fleet through single bad stores, the loss of a zone and its way back, a
+// cut, orders by hand, stopped and busy fronts, malformed notes and changes of the list, and compares the
+// hash of all actions.
 func TestPlayDigest(t *testing.T) {
 	actions := fnv.New64a()
 	p := newPlay(actions)
@@ -193,7 +194,7 @@
 	p.show()
 	p.down[1] = 1 // the whole zone
 	p.run(15 * digestPeriod)
-	p.fronts[2].view.Overslept(p.now)
+	p.fronts[2].view.Stalled(p.now)
 	p.show()
 	p.run(45 * digestPeriod)
 	p.down[1] = 0
@@ -237,8 +238,8 @@
 	p.run(100 * digestPeriod)
 	p.show()
 
-	p.fronts[3].view.Overslept(p.now)
-	p.fronts[7].view.Numb(p.now)
+	p.fronts[3].view.Stalled(p.now)
+	p.fronts[7].view.Overloaded(p.now)
 	p.fronts[9].gone = true
 	for k := range 200 { // made-up members of made-up zones, which find no place
 		p.fronts[0].view.Member(p.now, fmt.Sprint("ghost", k), fmt.Sprint("nowhere", k), true)
--- /dev/null
+++ b/fleet/zones/observers.go
@@ -0,0 +1,57 @@
+package zones
+
+// observer is another front.
+type observer struct {
+	name        string
+	zone        int
+	present     bool
+	hasEvidence bool
+	evidenceAt  Time // when its evidence was made
+	evidence
+}
+
+// Member takes in whether another front is a member. Fronts past the bound of Observers are left out.
+func (z *Zones) Member(now Time, name, zone string, present bool) {
+	z.now = now
+	zoneIndex := z.zoneIndex(zone, false)
+	if zoneIndex == noZone || name == z.self.Name {
+		return
+	}
+	index, known := z.observerByName[name]
+	if !known {
+		if !present || len(z.observers)-len(z.freeObservers) >= z.self.Observers {
+			return
+		}
+		index = z.allocateObserver(name, zoneIndex)
+	}
+	o := &z.observers[index]
+	if o.present {
+		z.zones[o.zone].fronts--
+	}
+	if !present {
+		delete(z.observerByName, name)
+		z.observers[index] = observer{}
+		z.freeObservers = append(z.freeObservers, index)
+		return
+	}
+	o.present = true
+	o.zone = zoneIndex
+	z.zones[zoneIndex].fronts++
+}
+
+func (z *Zones) allocateObserver(name string, zoneIndex int) int {
+	if len(z.freeObservers) == 0 {
+		z.observers = append(z.observers, observer{})
+		z.freeObservers = append(z.freeObservers, len(z.observers)-1)
+	}
+	index := z.freeObservers[len(z.freeObservers)-1]
+	z.freeObservers = z.freeObservers[:len(z.freeObservers)-1]
+	z.observerByName[name] = index
+	z.observers[index] = observer{name: name, zone: zoneIndex}
+	return index
+}
+
+// hasCurrentEvidence reports whether an observer is a member with evidence that is not older than a span.
+func (z *Zones) hasCurrentEvidence(o *observer, span Time) bool {
+	return o.present && o.hasEvidence && z.now-o.evidenceAt <= span
+}
--- /dev/null
+++ b/fleet/zones/receive.go
@@ -0,0 +1,123 @@
+package zones
+
+import "slices"
+
+// Heard takes in a note of another front, by the first byte of its key, and returns whether it should be
+// spread further. Notes that cannot be read are counted in Dropped. Keys of other packages return false.
+func (z *Zones) Heard(now Time, key []byte, version uint64, age Time, body []byte) bool {
+	z.now = now
+	switch key[0] {
+	case keyEvidence:
+		return z.receiveEvidence(string(key[1:]), age, body)
+	case keyPlan:
+		z.receivePlan(key[1:], version, age, body)
+	case keyOrder:
+		z.receiveOrder(string(key[1:]), version, age, body)
+	default:
+		return false
+	}
+	return true
+}
+
+// receiveEvidence takes in an observer's evidence. That of a front that is no member counts for nothing here.
+func (z *Zones) receiveEvidence(name string, age Time, body []byte) (spread bool) {
+	index, known := z.observerByName[name]
+	if !known {
+		return true
+	}
+	o := &z.observers[index]
+	o.hasEvidence = o.read(body) == nil
+	if !o.hasEvidence {
+		z.Dropped++
+	}
+	o.evidenceAt = z.now - age
+	return !z.superseded(o.zone, o.rows)
+}
+
+// receivePlan takes in a row; the key has the zone that it is for, a zero byte, and the zone that it is
+// about. Rows of other zones are not adopted, and kept as testimony.
+func (z *Zones) receivePlan(key []byte, version uint64, age Time, body []byte) {
+	separator := slices.Index(key, 0)
+	if separator < 0 {
+		z.Dropped++
+		return
+	}
+	received, err := readPlan(body)
+	if err != nil {
+		z.Dropped++
+		return
+	}
+	about, aboutKnown := z.zoneByName[string(key[separator+1:])]
+	from, fromKnown := z.zoneByName[string(key[:separator])]
+	switch {
+	case !aboutKnown || !fromKnown:
+	case from == ownZone:
+		z.adopt(about, received, version, age)
+	default:
+		z.keepOtherRow(from, about, otherRow{
+			state:      received.state,
+			byOperator: received.byOperator,
+			baseEpoch:  received.baseEpoch,
+			heardAt:    z.now - age,
+		})
+	}
+}
+
+func (z *Zones) keepOtherRow(from, about int, received otherRow) {
+	zn := &z.zones[about]
+	for len(zn.otherRows) <= from {
+		zn.otherRows = append(zn.otherRows, otherRow{})
+	}
+	zn.otherRows[from] = received
+	z.stopSuperseded(from)
+}
+
+// receiveOrder takes in an order if it is newer than the one that is held.
+func (z *Zones) receiveOrder(zone string, version uint64, age Time, body []byte) {
+	received, err := readOrder(body)
+	if err != nil {
+		z.Dropped++
+		return
+	}
+	index, known := z.zoneByName[zone]
+	if known && version > z.zones[index].order.refreshVersion {
+		z.applyOrder(index, received, version, age)
+	}
+}
+
+// superseded reports whether all evidence of a front is from before its zone drained the zones that it is
+// about. The row is spread before all else and says as much, so nobody needs that evidence any more.
+func (z *Zones) superseded(from int, rows []zoneEvidence) bool {
+	for k := range rows {
+		about, known := z.zoneByName[rows[k].zone]
+		if !known || !z.rowSupersedes(from, about, rows[k].baseEpoch) {
+			return false
+		}
+	}
+	return len(rows) > 0
+}
+
+// rowSupersedes reports whether a zone has drained another one since the given base epoch.
+func (z *Zones) rowSupersedes(from, about int, baseEpoch uint32) bool {
+	if from == ownZone {
+		r := &z.zones[about].row
+		return r.state.drains() && baseEpoch < r.baseEpoch
+	}
+	return z.drainedBy(from, about) && baseEpoch < z.zones[about].otherRows[from].baseEpoch
+}
+
+// stopSuperseded ends the spreading of superseded evidence of a zone's fronts.
+//
+// Danger: when a zone fails each of hundreds of fronts has something to publish, and most of it would still
+// be spread when all have long drained the zone.
+func (z *Zones) stopSuperseded(from int) {
+	for k := range z.observers {
+		o := &z.observers[k]
+		if o.present && o.hasEvidence && o.zone == from && z.superseded(from, o.rows) {
+			z.host.StopSpreading(string(keyEvidence) + o.name)
+		}
+	}
+	if from == ownZone && z.superseded(ownZone, z.published) {
+		z.host.StopSpreading(string(keyEvidence) + z.self.Name)
+	}
+}
--- /dev/null
+++ b/fleet/zones/status.go
@@ -0,0 +1,76 @@
+package zones
+
+import "fmt"
+
+// Row is what this front holds of a zone, as people are shown it.
+type Row struct {
+	Zone   string  `json:"zone"`
+	State  string  `json:"state"`
+	Part   float64 `json:"part"`  // share that this front may send there, from 0 to 1
+	Fleet  float64 `json:"fleet"` // share that the fronts of its zone send there, from 0 to 1
+	Epoch  uint32  `json:"epoch"`
+	AgeMS  int64   `json:"age_ms"` // of the epoch
+	By     string  `json:"by,omitempty"`
+	Hand   bool    `json:"by_hand,omitempty"`
+	Size   float64 `json:"size"` // of its open stores
+	Fronts int     `json:"fronts"`
+	Reason string  `json:"reason,omitempty"`
+}
+
+// Rows returns what is held of each zone with stores or fronts.
+func (z *Zones) Rows(now Time) (rows []Row) {
+	for index := range z.zones {
+		zn := &z.zones[index]
+		r := &zn.row
+		state := r.state
+		if state == InService && r.suspected {
+			state = Suspected
+		}
+		rows = append(rows, Row{
+			Zone:   zn.name,
+			State:  state.String(),
+			Part:   zn.appliedShare,
+			Fleet:  r.share(),
+			Epoch:  r.epoch,
+			AgeMS:  (now - r.since) / timePerMillisecond,
+			By:     r.setBy,
+			Hand:   r.byOperator,
+			Size:   zn.size,
+			Fronts: zn.fronts,
+			Reason: r.reason,
+		})
+	}
+	return rows
+}
+
+// Why returns what is seen of a zone, in lines for people: the report of each zone, the outcomes of this
+// front's requests, the verdict, the capacity. It returns an error if the zone is not known.
+func (z *Zones) Why(now Time, name string) (lines []string, err error) {
+	z.now = now
+	index, known := z.zoneByName[name]
+	if !known {
+		return nil, fmt.Errorf("no zone %q is known", name)
+	}
+	for from := range z.zones {
+		f := &z.zones[from]
+		heard := ""
+		if from != ownZone && !z.heardLately(from) {
+			heard = ", not heard"
+		}
+		seen := z.reportOf(from, index)
+		lines = append(lines, fmt.Sprintf("from %s (%d fronts%s): %s", f.name, f.fronts, heard, seen))
+	}
+	counts := &z.zones[index].outcomeCounts
+	lines = append(lines, fmt.Sprintf(
+		"of late from here: answered %.0f, refused %.0f, silent %.0f, broken off %.0f",
+		counts[Answered], counts[Refused], counts[TimedOut], counts[ConnectionLost]))
+	_, why := z.verdict(index)
+	if why == "" {
+		why = "nothing is held against it"
+	}
+	lines = append(lines, "verdict: "+why)
+	may, zonePart := z.drainable(index)
+	lines = append(lines, fmt.Sprintf(
+		"load %.2f; %.2f of all stores may be left beside what is, this zone is %.2f", z.load(), may, zonePart))
+	return lines, nil
+}
--- a/fleet/zones/zones_test.go
+++ b/fleet/zones/zones_test.go
@@ -13,14 +13,14 @@
 	versions []uint64 // of the plans told
 }
 
-func (h *told) Part(zone string, part float64) { h.parts[zone] = part }
+func (h *told) SetShare(zone string, share float64) { h.parts[zone] = share }
 func (h *told) Publish(key string, version uint64, _ []byte, _ bool) {
 	if key[0] == keyPlan {
 		h.versions = append(h.versions, version)
 	}
 }
-func (h *told) Hush(string)     {}
-func (h *told) Log(text string) { h.log = append(h.log, text) }
+func (h *told) StopSpreading(string) {}
+func (h *told) Log(text string)      { h.log = append(h.log, text) }
 func (h *told) says(parts ...string) (n int) {
 next:
 	for _, l := range h.log {
@@ -47,14 +47,14 @@
 		for k := range 3 {
 			z.Member(1000, fmt.Sprint(zone, k), zone, true)
 		}
-		z.Spoke(zone, 1000)
+		z.ZoneHeard(zone, 1000)
 	}
 	z.Listed(1000, true, list)
 	return z, h
 }
 
 func (z *Zones) hears(now Time, zone string, p plan, refresh uint16) {
-	r := row{plan: p, refresh: refresh}
+	r := row{plan: p, refreshes: refresh}
 	z.Heard(now, []byte("pa\x00"+zone), r.version(), 0, p.append(nil))
 }
 
@@ -62,15 +62,15 @@
 // says so, and what was seen before counts no more.
 func TestTwoSetOneEpoch(t *testing.T) {
 	z, h := three()
-	z.hears(2000, "c", plan{epoch: 3, base: 2, state: Returning, part: 256, step: 1, by: "a1"}, 0)
-	z.Ended(2100, "sc0", Silent, 0, 0)
-	z.hears(2200, "c", plan{epoch: 4, base: 2, state: Returning, part: 150, by: "a1"}, 0)
-	z.hears(2300, "c", plan{epoch: 4, base: 4, state: Away, dwell: 90_000, by: "a2"}, 0)
-	z.hears(2400, "c", plan{epoch: 4, base: 2, state: Returning, part: 150, by: "a1"}, 9)
+	z.hears(2000, "c", plan{epoch: 3, baseEpoch: 2, state: Recovering, permille: 256, step: 1, setBy: "a1"}, 0)
+	z.Ended(2100, "sc0", TimedOut, 0, 0)
+	z.hears(2200, "c", plan{epoch: 4, baseEpoch: 2, state: Recovering, permille: 150, setBy: "a1"}, 0)
+	z.hears(2300, "c", plan{epoch: 4, baseEpoch: 4, state: Drained, dwell: 90_000, setBy: "a2"}, 0)
+	z.hears(2400, "c", plan{epoch: 4, baseEpoch: 2, state: Recovering, permille: 150, setBy: "a1"}, 9)
 	if h.parts["c"] != 0 || h.says("zone c", "to away") != 1 {
 		t.Errorf("part %v, %q", h.parts["c"], h.log)
 	}
-	if z.look(); z.zones[z.zoneOf["c"]].seen != 0 {
+	if z.gatherEvidence(); z.zones[z.zoneByName["c"]].seen != 0 {
 		t.Error("what was seen before still counts")
 	}
 }
@@ -78,19 +78,19 @@
 // TestReturnBeginsAnew: failures that were seen while a zone was away do not end the return as it begins.
 func TestReturnBeginsAnew(t *testing.T) {
 	z, h := three()
-	z.hears(2000, "c", plan{epoch: 1, base: 1, state: Away, dwell: 90_000, by: "a1"}, 0)
+	z.hears(2000, "c", plan{epoch: 1, baseEpoch: 1, state: Drained, dwell: 90_000, setBy: "a1"}, 0)
 	z.Ended(2050, "sa0", Answered, 0, 0)
 	for k := range 4 {
-		z.Ended(2100, fmt.Sprint("sc", k), Silent, 0, 0)
+		z.Ended(2100, fmt.Sprint("sc", k), TimedOut, 0, 0)
 	}
-	rows := []sight{{"c", 1, z.zones[z.zoneOf["c"]].total, z.zones[z.zoneOf["c"]].total}}
+	rows := []zoneEvidence{{"c", 1, z.zones[z.zoneByName["c"]].stores, z.zones[z.zoneByName["c"]].stores}}
 	for _, o := range []string{"a1", "a2"} {
 		z.Heard(2200, []byte("e"+o), 1, 0, appendEvidence(nil, "a", 0, rows))
 	}
-	z.Beat(2300)
-	z.set(z.zoneOf["c"], Returning, 150, 0, "trials came back")
-	z.Beat(z.Next())
-	z.Beat(z.Next())
+	z.Tick(2300)
+	z.setRow(z.zoneByName["c"], Recovering, 150, 0, "trials came back")
+	z.Tick(z.Next())
+	z.Tick(z.Next())
 	if h.says("failed on the way back") > 0 || h.parts["c"] != 0.15 {
 		t.Errorf("part %v, %q", h.parts["c"], h.log)
 	}
@@ -99,27 +99,27 @@
 // TestHostileNotes: notes that are cut, long or of another shape are counted and change nothing.
 func TestHostileNotes(t *testing.T) {
 	z, h := three()
-	good := (&plan{epoch: 1, base: 1, state: Away, by: "a1"}).append(nil)
+	good := (&plan{epoch: 1, baseEpoch: 1, state: Drained, setBy: "a1"}).append(nil)
 	for n := range good {
 		z.Heard(2000, []byte("pa\x00c"), 1<<40, 0, good[:n])
 	}
-	for _, bad := range []plan{{epoch: 1, base: 2, state: Away}, {epoch: 1, state: Doubted}, {epoch: 1, state: Returning, step: steps + 1}, {epoch: 1, state: 9}} {
+	for _, bad := range []plan{{epoch: 1, baseEpoch: 2, state: Drained}, {epoch: 1, state: Suspected}, {epoch: 1, state: Recovering, step: rampSteps + 1}, {epoch: 1, state: 9}} {
 		z.Heard(2000, []byte("pa\x00c"), 1<<40, 0, bad.append(nil))
 	}
 	z.Heard(2000, []byte("p"), 1, 0, good)
 	z.Heard(2000, []byte("oc"), 1, 0, []byte{9})
-	z.Heard(2000, []byte("ea1"), 1, 0, []byte{format, 1, 'a', 0, 200})
+	z.Heard(2000, []byte("ea1"), 1, 0, []byte{noteFormat, 1, 'a', 0, 200})
 	if z.Dropped == 0 || len(h.parts) > 0 || len(h.log) > 0 {
 		t.Errorf("%d dropped, %v, %q", z.Dropped, h.parts, h.log)
 	}
 	for n := range 1000 {
 		z.Member(2000, fmt.Sprint("x", n), fmt.Sprint("y", n), true)
 	}
-	if len(z.zones) > mostZones/2 || len(z.observers) > 64 {
+	if len(z.zones) > maxZones/2 || len(z.observers) > 64 {
 		t.Errorf("%d zones, %d observers", len(z.zones), len(z.observers))
 	}
 	z.Listed(3000, true, []Store{{ID: "n", Zone: "new", Size: 1, Open: true}})
-	if _, ok := z.zoneOf["new"]; !ok {
+	if _, ok := z.zoneByName["new"]; !ok {
 		t.Error("a zone with stores finds no place")
 	}
 }
@@ -128,11 +128,11 @@
 func TestToldAgainIsNewer(t *testing.T) {
 	for _, refresh := range []uint16{5, 65535} {
 		z, h := three()
-		p := plan{epoch: 3, base: 3, state: Away, dwell: 900_000, by: "a1"}
+		p := plan{epoch: 3, baseEpoch: 3, state: Drained, dwell: 900_000, setBy: "a1"}
 		z.hears(2000, "c", p, refresh)
-		heard := (&row{plan: p, refresh: refresh}).version()
+		heard := (&row{plan: p, refreshes: refresh}).version()
 		for z.now < 200_000 && len(h.versions) == 0 {
-			z.Beat(z.Next())
+			z.Tick(z.Next())
 		}
 		if len(h.versions) == 0 || h.versions[0] <= heard {
 			t.Errorf("refresh %d: told %v after %d", refresh, h.versions, heard)
--- a/internal/joined/joined.go
+++ b/internal/joined/joined.go
@@ -96,9 +96,9 @@
 	case balance.Unreached:
 		end = zones.Refused
 	case balance.Expired:
-		end = zones.Silent
+		end = zones.TimedOut
 	case balance.Severed, balance.Undone:
-		end = zones.BrokenOff
+		end = zones.ConnectionLost
 	default: // never sent, or called back: that says nothing of the way there
 		return
 	}
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -432,7 +432,7 @@
 	}
 	f.lists = f.lists[:0]
 	if f.fleet != nil && w.Now >= f.fleet.Next() {
-		f.fleet.Beat(w.Now)
+		f.fleet.Tick(w.Now)
 	}
 	if f.watch != nil {
 		f.bridge.Peers(f.fleet)
