--- a/door/door.go
+++ b/door/door.go
@@ -437,7 +437,7 @@
 	return d.jobs < d.bounds.Jobs && d.bytes+int(t.bytes) <= d.bounds.Bytes
 }
 
-// Sent: a trip of the job has set out.
+// Sent takes in that an attempt of the request has started.
 func (d *Door) Sent(now Time, job int32) {
 	d.now = now
 	if int(job) >= len(d.tickets) || d.tickets[job].state != inside {
@@ -449,7 +449,8 @@
 	d.lanes[t.lane].out++
 }
 
-// Back: the job's trip is over, and no other is out so far. A trip that was answered tells what its profile costs.
+// Back takes in that the request's attempt is over, and no other has started so far. The time of an attempt that was
+// answered is averaged into the cost of its class.
 func (d *Door) Back(now Time, job int32, delivered bool) {
 	d.now = now
 	if int(job) >= len(d.tickets) || d.tickets[job].state != out {
@@ -463,7 +464,8 @@
 	d.lanes[t.lane].out--
 }
 
-// Ended: the job has had its final answer, or its client is gone. It may stand anywhere, or nowhere any more.
+// Ended takes in that the request has had its final answer, or its client is gone. It may be in any state, or not be
+// held any more.
 func (d *Door) Ended(now Time, job int32) {
 	d.now = now
 	if int(job) >= len(d.tickets) {
--- a/internal/bolt/dialogue.go
+++ b/internal/bolt/dialogue.go
@@ -87,7 +87,7 @@
 	return Reply
 }
 
-// Replied: a message that is answered here was carried out, or failed.
+// Replied takes in that a message that is answered here was carried out, or failed.
 func (d *Dialogue) Replied(w What, ok bool) { d.state = d.state.After(w, ok, false, 0) }
 
 // Pad counts bytes of the stream that mean nothing to what is asked next.
@@ -116,7 +116,7 @@
 	return d.sent, w, carried
 }
 
-// Sent: the message that Next gave was passed on.
+// Sent takes in that the message that Next gave was passed on.
 func (d *Dialogue) Sent() {
 	m := d.queue[d.sent]
 	d.sent++
@@ -149,9 +149,9 @@
 	return d.queue[d.told].what, true
 }
 
-// Answered: the store has answered Asked, and not with a record. hold tells that the answer had better be kept back:
-// as long as the client has seen nothing of a job another store may still have it, and the client waits for more
-// anyway, since it has asked already. over tells that the job is complete.
+// Answered takes in that the store has answered Asked, and not with a record. It returns hold if the answer should be
+// kept back: as long as the client has seen nothing of a request another store may still have it, and the client waits
+// for more anyway, since it has asked already; and over if the request is complete.
 func (d *Dialogue) Answered(ok, more bool) (hold, over bool) {
 	m := d.queue[d.told]
 	d.told++
@@ -170,7 +170,8 @@
 	return (m.what == Run || m.what == BeginTx) && d.told < len(d.queue), d.state == Ready
 }
 
-// Again: the trip came to nothing that the client has seen, and another store is to have the job from its beginning.
+// Again takes in that an attempt ended before the client saw anything of it, and that another store is to have the
+// request from its beginning.
 func (d *Dialogue) Again() {
 	d.state, d.ahead = Ready, Ready
 	d.sent, d.told, d.seen, d.open, d.unsure = 0, 0, 0, 0, false
@@ -182,9 +183,9 @@
 	d.state = Failed
 }
 
-// Shown: the client has been answered all that the store has answered. No other store can have the job from now on, so
-// what was answered is done with: size is its bytes in the stream. Danger: a long result is pulled in more pieces than
-// are kept.
+// Shown takes in that the client has been sent all that the store has answered, and returns the size of that in the
+// stream, in bytes. No other store can have the request from now on, so what was answered need not be kept. Danger: a
+// long result is pulled in more pieces than are kept.
 func (d *Dialogue) Shown() (size int) {
 	for _, m := range d.queue[:d.told] {
 		size += m.size
--- a/internal/bolt/terms.go
+++ b/internal/bolt/terms.go
@@ -57,8 +57,8 @@
 	return bytes.HasPrefix(code, []byte("Neo.ClientError.")) && !Invites(code)
 }
 
-// FaultyBookmark: a bookmark that cannot be read, which no read may pass over.
-var FaultyBookmark = errors.New("a bookmark was not handed out here")
+// ErrFaultyBookmark is the error of a bookmark that cannot be read; no read may ignore one.
+var ErrFaultyBookmark = errors.New("a bookmark was not handed out here")
 
 // Terms reads what transaction metadata, timeout, database, access mode and bookmarks say of a job.
 //
@@ -131,14 +131,14 @@
 	rest, ok := bytes.CutPrefix(text, []byte(bookmark))
 	a, b, ok2 := bytes.Cut(rest, []byte(":"))
 	if !ok || !ok2 {
-		return 0, 0, FaultyBookmark
+		return 0, 0, ErrFaultyBookmark
 	}
 	group, err = strconv.ParseUint(string(a), 10, 63)
 	if err == nil {
 		position, err = strconv.ParseInt(string(b), 10, 58)
 	}
 	if err != nil || position <= 0 {
-		return 0, 0, FaultyBookmark
+		return 0, 0, ErrFaultyBookmark
 	}
 	return group, position, nil
 }
@@ -161,7 +161,7 @@
 		}
 	}
 	if v.Err() != nil {
-		return 0, FaultyBookmark
+		return 0, ErrFaultyBookmark
 	}
 	return position, nil
 }
--- a/internal/course/course.go
+++ b/internal/course/course.go
@@ -46,8 +46,8 @@
 	open       int  // messages written and not answered
 }
 
-// Wrote: a message was written to the store. Whole is false for one of which a part may be missing; nothing may be
-// written behind it.
+// Wrote takes in that a message was written to the store. Whole is false for one of which a part may be missing;
+// nothing may be written behind it.
 func (c *Course) Wrote(w bolt.What, whole bool) {
 	if !whole {
 		return
@@ -62,8 +62,8 @@
 	}
 }
 
-// Answered: the store's answer to the oldest message without one has come: to which, how it ended, and for a result
-// whether there is more of it.
+// Answered takes in the store's answer to the oldest message without one: to which message, how it ended, and for a
+// result whether there is more of it.
 func (c *Course) Answered(w bolt.What, ok, more bool, code []byte) {
 	c.open--
 	switch {
@@ -85,7 +85,7 @@
 	}
 }
 
-// Showed: the client was passed a part of an answer. From now on no other store's answer may follow it.
+// Showed takes in that the client was passed a part of an answer. From now on no other store's answer may follow it.
 func (c *Course) Showed() { c.shown = true }
 
 // Complete tells that the store's last answer has come, and was good.
--- a/internal/front/bolt.go
+++ b/internal/front/bolt.go
@@ -181,7 +181,7 @@
 	t, err := r.Extra.Terms()
 	code, why := bolt.Invalid, ""
 	switch {
-	case err == bolt.FaultyBookmark:
+	case err == bolt.ErrFaultyBookmark:
 		code, why = bolt.BadBookmark, err.Error()
 	case err != nil:
 		why = err.Error()
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -415,7 +415,7 @@
 	return false
 }
 
-// Zone, To and From choose links.
+// Zone chooses the nodes of a zone.
 func Zone(zone string) func(n Node) bool { return func(n Node) bool { return n.Zone == zone } }
 
 // Stores chooses a zone's stores alone.
--- a/internal/standin/bolt.go
+++ b/internal/standin/bolt.go
@@ -194,7 +194,7 @@
 			return true
 		}
 		t, err := r.Extra.Terms()
-		if err == bolt.FaultyBookmark {
+		if err == bolt.ErrFaultyBookmark {
 			return s.fail(r.What, bolt.BadBookmark, err.Error())
 		}
 		if err != nil {
