Door: split into files by job, with the terms of admission control

Change: one file a job: request, arrive, waiting, refuse, attempts, tick, lane, order, wait, room, contention. Named constants, doc comments, one step a line.

--- a/door/calendar.go
+++ b/door/calendar.go
@@ -26,8 +26,8 @@
 	}
 }
 
-// due is the work that may be taken up now: of slots that have passed, of this one and of the next, since whoever
-// comes back is early or late by a little.
+// due is the work that may be taken up now: of slots that have passed, of this one and of the next, since
+// whoever comes back is early or late by a little.
 func (c *calendar) due() float32 {
 	return c.ripe + c.booked[c.at%slots] + c.booked[(c.at+1)%slots]
 }
@@ -41,9 +41,10 @@
 	*b = max(*b-work, 0)
 }
 
-// book finds the first slot in which that much work fits, and gives how many slots ahead it is; 0: there is none.
-// Before promises comes what is queued already, carried; each slot takes room. Where the drain has slowed, what
-// was promised for a slot runs over into those behind it, and new promises are pushed back by as much.
+// book finds the first slot in which that much work fits, and gives how many slots ahead it is; 0: there is
+// none. Before promises comes what is queued already, carried; each slot takes room. Where the drain has
+// slowed, what was promised for a slot runs over into those behind it, and new promises are pushed back by as
+// much.
 func (c *calendar) book(work, carried, room float32) int {
 	if room <= 0 {
 		return 0
@@ -68,18 +69,19 @@
 	lane, place int32
 }
 
-// promises remembers who was told when to come, on shelves of a few by the token's hash. Danger: where anybody could
-// take a promise up, those that come back unasked would use up the places of those that do as they were told.
+// promises remembers who was told when to come, on shelves of a few by the token's hash. Danger: where
+// anybody could take a promise up, those that come back unasked would use up the places of those that do as
+// they were told.
 type promises [][ways]promise
 
 func newPromises(n int) promises { return make(promises, max(n/ways, 1)) }
 
 func (p promises) shelf(token uint64) *[ways]promise {
-	return &p[(token*0x9fb21c651e98df25>>32)%uint64(len(p))]
+	return &p[(token*hashFactor>>32)%uint64(len(p))]
 }
 
-// free gives a place for a promise to token: one that has lapsed by the slot at, or that token's own; nil: there is
-// none, and no promise can be made.
+// free gives a place for a promise to token: one that has lapsed by the slot at, or that token's own; nil:
+// there is none, and no promise can be made.
 func (p promises) free(token uint64, at int64) (place *promise) {
 	shelf := p.shelf(token)
 	for i := range shelf {
--- a/door/door_test.go
+++ b/door/door_test.go
@@ -48,22 +48,22 @@
 			job++
 		}
 	}
-	come("a", begin, 10) // they fill the module
+	come("a", quietRoom, 10) // they fill the module
 	come("a", 30, 10)
 	if d.Waiting() != 20 || len(l.back) != 10 {
 		t.Errorf("%d wait, %d are turned back", d.Waiting(), len(l.back))
 	}
 	come("b", 5, 10)
-	if d.Waiting() != 20 || l.back[begin+30] || l.back[begin+34] || !l.back[begin+19] {
+	if d.Waiting() != 20 || l.back[quietRoom+30] || l.back[quietRoom+34] || !l.back[quietRoom+19] {
 		t.Errorf("%d wait, of those turned back: %v", d.Waiting(), l.back)
 	}
 	come("b", 1, 9_900)
-	if d.Waiting() > 20 || d.bytes > b.Bytes || l.back[begin+35] {
+	if d.Waiting() > 20 || d.bytes > b.Bytes || l.back[quietRoom+35] {
 		t.Errorf("%d wait with %d bytes", d.Waiting(), d.bytes)
 	}
 	l.now += 2 * second
 	d.Beat(l.now)
-	if d.Waiting() != 0 || d.bytes != 0 || d.lateTop != -1 {
+	if d.Waiting() != 0 || d.bytes != 0 || d.nextToFail != -1 {
 		t.Errorf("%d wait with %d bytes after all their time", d.Waiting(), d.bytes)
 	}
 	for _, bad := range []Bounds{{}, {Jobs: 1, Bytes: 1, Customers: 1, Places: 1}, {Jobs: 1, Bytes: 1, Customers: 1, Places: 1, Strangers: 1, Further: -1}} {
@@ -129,11 +129,11 @@
 		for i := range here {
 			d.Ended(l.now, i)
 		}
-		if d.jobs != 0 || d.bytes != 0 || d.lateTop != -1 {
-			t.Fatalf("%d wait, %d bytes", d.jobs, d.bytes)
+		if d.waiting != 0 || d.bytes != 0 || d.nextToFail != -1 {
+			t.Fatalf("%d wait, %d bytes", d.waiting, d.bytes)
 		}
 		for i := range d.lanes {
-			if l := &d.lanes[i]; l.inside != 0 || l.out != 0 || l.waiting != 0 || l.top != -1 || l.own != 0 || l.shared != 0 {
+			if l := &d.lanes[i]; l.admitted != 0 || l.attempting != 0 || l.waiting != 0 || l.next != -1 || l.ownWeight != 0 || l.sharedWaiting != 0 {
 				t.Fatalf("lane %d: %+v", i, *l)
 			}
 		}
--- a/door/export_test.go
+++ b/door/export_test.go
@@ -4,7 +4,7 @@
 
 // What tests outside the package look at.
 
-const Begin = begin
+const Begin = quietRoom
 
 // Epoch is how long places are spread alike.
 func Epoch(d *Door) Time { return d.epoch }
@@ -27,7 +27,7 @@
 		return otherwise
 	}
 	place := d.names.at([]byte(customer))
-	return Time(l.wait(d, &l.flows[place], d.weigh(l, place), further, client))
+	return Time(l.expectedWait(d, &l.flows[place], d.weight(l, place), retry, client))
 }
 
 // HeapNow is how many bytes are in use after a collection.
--- a/door/names.go
+++ b/door/names.go
@@ -17,8 +17,8 @@
 )
 
 // names tells which place a customer has: one of its own, or one that it shares with all that hash to it. The
-// settings' customers have their own from the start; of the others those get one that come steadily, as long as
-// there are any. What is kept does not grow with the names ever seen.
+// settings' customers have their own from the start; of the others those get one that come steadily, as long
+// as there are any. What is kept does not grow with the names ever seen.
 //
 // Places are numbered: the settings' customers, then the steady ones, then the shared ones.
 type names struct {
@@ -87,7 +87,7 @@
 		return i + int32(len(n.fixed))
 	}
 	n.count(h)
-	h = (h ^ n.salt) * 0x9fb21c651e98df25
+	h = (h ^ n.salt) * hashFactor
 	h ^= h >> 32
 	return int32(len(n.fixed)+len(n.steady)) + int32(h%uint64(n.shared))
 }
@@ -103,8 +103,8 @@
 	return max(n.digest.Sum64(), 1)
 }
 
-// count finds the customer on its shelf, or gives it the entry with the fewest jobs there, whose count it takes
-// over as slack: no count is ever too low.
+// count finds the customer on its shelf, or gives it the entry with the fewest jobs there, whose count it
+// takes over as slack: no count is ever too low.
 func (n *names) count(h uint64) {
 	shelf := &n.shelves[(h>>32)%uint64(len(n.shelves))]
 	least := 0
@@ -122,8 +122,8 @@
 }
 
 // turn ends an epoch: customers that came often in one after the other get places of their own, all at once;
-// steady ones that have long been away lose theirs if free says that nothing hangs on it; and the others are spread
-// anew, so that whoever shares a place with a heavy one does so for one epoch.
+// steady ones that have long been away lose theirs if free says that nothing hangs on it; and the others are
+// spread anew, so that whoever shares a place with a heavy one does so for one epoch.
 func (n *names) turn(free func(place int32) bool) {
 	n.epoch++
 	for i := range n.steady {
--- a/door/pile.go
+++ b/door/pile.go
@@ -2,8 +2,8 @@
 
 // piles keeps any number of pairing heaps over one slab of numbered things (Fredman, Sedgewick, Sleator and
 // Tarjan 1986). A thing is in one heap at most, and a heap is known by the thing on top of it, -1 if it is
-// empty. Nothing is allocated but when the slab grows, and a thing can be taken out from anywhere, which is why
-// this is no slice: half of what is queued leaves from the middle.
+// empty. Nothing is allocated but when the slab grows, and a thing can be taken out from anywhere, which is
+// why this is no slice: half of what is queued leaves from the middle.
 type piles struct {
 	knots  []knot
 	before func(a, b int32) bool // a comes out first; a strict order
