--- /dev/null
+++ b/internal/front/standing_test.go
@@ -0,0 +1,176 @@
+package front
+
+import (
+	"fmt"
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+
+	"micatrack/balance"
+	"micatrack/door"
+	"micatrack/internal/pgwire"
+)
+
+// pieces sends text in pieces of that many bytes, a turn of the loop for each.
+func (s *stage) pieces(w *wire, text string, size int) {
+	for ; text != ""; text = text[min(size, len(text)):] {
+		s.say(w, text[:min(size, len(text))])
+	}
+}
+
+// forms are the requests that the protocol page allows, each with the time that its client waits, in ms.
+var forms = []struct {
+	name, text string
+	left       int
+}{
+	{"read", "/* id=9b1f03aa5c7e2d41,c=any,t=acme,d=480,cluster=3 */ SELECT payload FROM entries WHERE ref = '7f3a9c21e0b4d655'", 480},
+	{"read with a position", "/* id=9b1f03aa5c7e2d41,c=session,t=acme,d=480,cluster=3,after=1767225600123 */ SELECT payload FROM entries " +
+		"WHERE ref = '7f3a9c21e0b4d655'", 480},
+	{"write", "/* id=9b1f03aa5c7e2d41,c=once,d=2480,cluster=3 */ INSERT INTO entries (ref, payload) VALUES ('7f3a9c21e0b4d655', '\\x9f03') " +
+		"RETURNING payload", 2480},
+	{"keyed write", "/* id=9b1f03aa5c7e2d41,c=keyed,t=acme,d=480,k=5c0f6e1a2b3d4c59,cluster=3 */ INSERT INTO entries (ref, payload) " +
+		"VALUES ('7f3a9c21e0b4d655', '\\x9f03') RETURNING payload", 480},
+	{"a client's further try", "/* id=9b1f03aa5c7e2d41,c=any,t=acme,d=80,cluster=3,r=1 */ SELECT payload FROM entries WHERE ref = '7f3a'", 80},
+	{"another order", "/* cluster=3,d=480,k=5c0f,r=1,t=acme,c=keyed,id=9b1f */ INSERT INTO entries (ref) VALUES ('7f3a') RETURNING payload", 480},
+	{"no blanks", "/*id=9b1f,c=any,d=480,cluster=3*/SELECT payload FROM entries WHERE ref = '7f3a'", 480},
+	{"no key", "/* id=9b1f,c=any,d=480,cluster=3 */ SELECT payload FROM entries", 480},
+	{"the longest value", "/* id=9b1f,c=once,d=480,cluster=3 */ INSERT INTO entries (ref, payload) VALUES ('7f3a', '\\x" +
+		strings.Repeat("9f", 64<<10) + "') RETURNING payload", 480},
+}
+
+// TestEveryFormInPieces forces each form of request that the protocol page allows to come in pieces, down to a byte at a
+// time and from the startup message on, and its answer too, among all that a store may say beside it. The store is sent the
+// statement unchanged but for the time that is left, the client the value; both connections serve on.
+func TestEveryFormInPieces(t *testing.T) {
+	const welcome = "R\x00\x00\x00\x08\x00\x00\x00\x00"
+	notes := status("role", "primary") + status("applied_ms", "1767225600100") + status("load", "inflight=7,util=0.61")
+	notice := "N" + string(pgwire.AppendError(nil, "NOTICE", "00000", "m", ""))[1:]
+	hello := "\x00\x00\x00\x08\x04\xd2\x16\x2f" + string(pgwire.AppendStartup(nil, "web", "orders"))
+	empty := string(pgwire.AppendSimple(nil, ""))
+	for _, form := range forms {
+		for _, size := range []int{1, 2, 7, 1 << 20} {
+			s := newStage(t, 20, true)
+			s.with(balance.Class{Name: "keyed", Need: balance.Write, Repeat: balance.Keyed, Window: 2 * second, ExpectedTime: 6000,
+				Deadline: 12000, Credit: 1}, Line{ID: "s", Addr: "127.0.0.1:1", Member: balance.Member{Group: 3, Condition: balance.Ready,
+				Primary: true, Size: 1}})
+			cl := &wire{}
+			s.step(Event{cl, Accepted})
+			s.pieces(cl, hello+string(pgwire.AppendSimple(nil, form.text)), size)
+			if got := cl.take(); !strings.HasPrefix(got, "NR") || !strings.HasSuffix(got, ready) || len(s.dials) != 1 {
+				t.Fatalf("%s in pieces of %d: %q and %d dials", form.name, size, got, len(s.dials))
+			}
+			st := s.dials[0]
+			for n := range 2 { // the same connections serve another one
+				if n == 0 {
+					st.take()
+					s.pieces(st, welcome+status("server_version", "15.0")+ready, size)
+				} else {
+					s.pieces(cl, empty+string(pgwire.AppendSimple(nil, form.text)), size)
+				}
+				sent, left := untold(t, st.take())
+				if want, _ := untold(t, string(pgwire.AppendSimple(nil, form.text))); sent != want {
+					t.Fatalf("%s in pieces of %d: the store is sent %.200q, want %.200q", form.name, size, sent, want)
+				}
+				if left > form.left || left < form.left-10 {
+					t.Errorf("%s in pieces of %d: the store is told %d ms, the client waits %d", form.name, size, left, form.left)
+				}
+				s.pieces(st, notice+value+notes+notice+ready, size)
+				want := value + ready
+				if n > 0 {
+					want = "I\x00\x00\x00\x04" + ready + want
+				}
+				if got := cl.take(); got != want {
+					t.Fatalf("%s in pieces of %d: answered %q", form.name, size, got)
+				}
+			}
+			s.pieces(cl, "X\x00\x00\x00\x04", size)
+			if !cl.finished || len(s.dials) != 1 || st.closed {
+				t.Errorf("%s in pieces of %d: finished %v, %d dials, store's closed %v", form.name, size, cl.finished, len(s.dials), st.closed)
+			}
+			s.step(Event{cl, Closed})
+			s.idle(0)
+		}
+	}
+}
+
+var told = regexp.MustCompile(`([ ,*])d=(\d+)`)
+
+// untold gives the statement of one query message without the time that it tells, and that time.
+func untold(t *testing.T, message string) (text string, left int) {
+	t.Helper()
+	kind, body, n, err := pgwire.Message([]byte(message), pgwire.MostQuery)
+	if kind != 'Q' || n != len(message) || err != nil || body[len(body)-1] != 0 {
+		t.Fatalf("%.200q is no query", message)
+	}
+	times := told.FindAllSubmatch(body, -1)
+	if len(times) != 1 {
+		t.Fatalf("%.200q tells %d times", body, len(times))
+	}
+	left, err = strconv.Atoi(string(times[0][2]))
+	if err != nil || left < 1 {
+		t.Errorf("%.200q tells no time", body)
+	}
+	return string(told.ReplaceAll(body[:len(body)-1], []byte("${1}d=?"))), left
+}
+
+// TestTimeToldOnFurtherAttempts forces a request to be sent on up to four times, each attempt ended in another way and after
+// another span, some behind a connection that is late, with the door and without. No attempt tells its store more
+// than what is left to the client then.
+func TestTimeToldOnFurtherAttempts(t *testing.T) {
+	const patience = 1000 // ms
+	ways := map[string]func(s *stage, st *wire){
+		"broken":     func(s *stage, st *wire) { s.step(Event{st, Closed}) },
+		"turned":     func(s *stage, st *wire) { s.say(st, failed("53300"), ready) },
+		"behind":     func(s *stage, st *wire) { s.say(st, failed("72000"), ready) },
+		"failed":     func(s *stage, st *wire) { s.say(st, failed("XX000"), ready) },
+		"no sense":   func(s *stage, st *wire) { s.say(st, "?\x00\x00\x00\x04") },
+		"half value": func(s *stage, st *wire) { s.say(st, value[:20]); s.step(Event{st, Closed}) },
+	}
+	for name, end := range ways {
+		for _, with := range []bool{false, true} {
+			for _, span := range []Time{1, 150 * perMilli, 400 * perMilli} {
+				s := newStage(t, 20, true)
+				if with {
+					s.core.limits.Door = &door.Bounds{Jobs: 100, Bytes: 1 << 20, Customers: 10, Places: 10, Strangers: 10, Further: 10}
+				}
+				s.with(balance.Class{Name: "x", ExpectedTime: 3000, Deadline: 12000, Credit: 1, LateCredit: 0.5},
+					Line{ID: "s", Addr: "127.0.0.1:1", Member: balance.Member{Group: 3, Condition: balance.Ready, Primary: true, Size: 1}},
+					Line{ID: "r", Addr: "127.0.0.1:2", Member: balance.Member{Group: 3, Condition: balance.Ready, Size: 1}})
+				cl := s.client()
+				s.say(cl, string(pgwire.AppendSimple(nil, fmt.Sprintf("/* id=1,c=x,d=%d,cluster=3 */ SELECT 'k'", patience))))
+				until, attempts, looked := s.now+patience*perMilli, 0, 0
+				for s.now < until+second && len(cl.out) == 0 {
+					for ; looked < len(s.dials); looked++ { // a new connection is late
+						w := s.dials[looked]
+						w.take()
+						s.pass(span / 2)
+						if w.closed {
+							continue
+						}
+						s.say(w, "R\x00\x00\x00\x08\x00\x00\x00\x00", ready)
+					}
+					for _, w := range s.dials {
+						if w.closed || len(w.out) == 0 {
+							continue
+						}
+						_, left := untold(t, w.take())
+						written := s.now - perMilli // at the earliest: it is looked for that often
+						if attempts++; Time(left)*perMilli > until-written {
+							t.Errorf("%s, door %v, %d ms each: attempt %d tells %d ms, %d are left", name, with, span/perMilli, attempts, left,
+								(until-written)/perMilli)
+						}
+						s.pass(span)
+						if !w.closed {
+							end(s, w)
+						}
+					}
+					s.pass(perMilli)
+				}
+				if least := map[bool]int{false: 2, true: 1}[span > 200*perMilli]; attempts < least {
+					t.Errorf("%s, door %v, %d ms each: %d attempts", name, with, span/perMilli, attempts)
+				}
+			}
+		}
+	}
+}
--- a/internal/world/store.go
+++ b/internal/world/store.go
@@ -121,6 +121,7 @@
 		return
 	}
 	s.Attempts++
+	j.l.f.Sent++
 	s.bears(j.l.f.knows[s.Name] >= s.upAt)
 	if s.w.Queue > 0 && len(s.waits) >= s.w.Queue {
 		s.Full++
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -282,6 +282,7 @@
 	lists   []front.List
 	knows   map[string]Time // the start of each store as it was told
 	idle    []*link         // of its clients
+	Sent    int             // attempts that have reached a store
 	chance  mwc.Source
 	stepAt  Time // 0: no step is planned
 	frozen  bool
