--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -77,6 +77,7 @@
 
 // Watcher follows the list. Its one goroutine lives as long as the process.
 type Watcher struct {
+	client           *http.Client
 	wake             func()
 	log              *slog.Logger
 	ask              chan struct{}
@@ -98,7 +99,9 @@
 }
 
 func watcher(addr string, version int64, wake func(), log *slog.Logger) *Watcher {
-	return &Watcher{url: "http://" + addr + "/api/targets", wake: wake, log: log, ask: make(chan struct{}, 1),
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true,
+		MaxResponseHeaderBytes: 64 << 10}}
+	return &Watcher{client: client, url: "http://" + addr + "/api/targets", wake: wake, log: log, ask: make(chan struct{}, 1),
 		version: version, newest: version, answers: answers, silence: silence, end: func() {}}
 }
 
@@ -136,10 +139,8 @@
 }
 
 func (w *Watcher) run() {
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true,
-		MaxResponseHeaderBytes: 64 << 10}}
 	for range w.ask {
-		err := w.follow(client)
+		err := w.follow()
 		w.mu.Lock()
 		moved := w.moved
 		if !moved {
@@ -161,7 +162,7 @@
 // cut off, the next one starts from the whole list.
 // Danger: a call that is never answered, or a watch that has fallen silent, holds up what counts as told meanwhile. So
 // each is given up while there is time for another.
-func (w *Watcher) follow(client *http.Client) error {
+func (w *Watcher) follow() error {
 	ctx, cancel := context.WithCancelCause(context.Background())
 	defer cancel(nil)
 	watchdog := time.AfterFunc(w.answers, func() { cancel(errSilent) })
@@ -180,7 +181,7 @@
 	if err != nil {
 		return err
 	}
-	resp, err := client.Do(req)
+	resp, err := w.client.Do(req)
 	if err != nil {
 		return cmp.Or(context.Cause(ctx), err)
 	}
