A list from before a drain, told by the agent that SIGHUP names, does not open the store again

Cause: discovery.go, follow: after Move the number of the newest list told was forgotten with the version ("another discovery need not count as this one did"), so a new agent that lags had its older list taken as a whole one, and a store that the old agent had told to drain was sent to again, for as long as the list stood. object: after one older list the next one, older too, was taken as whole.

Change: what was told last is kept over a Move, and for 6 s, after which each agent of one discovery has it: until then each whole list with a lower number closes stores and opens none that was shut. Later the number of another discovery is taken over as before. A store that has started anew since, or that changes tell to be active, opens as before.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -24,6 +24,7 @@
 	silence = quiet * 9 / 4   // a watch that has missed two of them is broken, and what it missed is not yet due
 	answers = quiet / 2       // discovery answers a call at once; one that is silent for so long is given up
 	most    = 4 << 20         // bytes of one object
+	knownBy = 6 * time.Second // what one agent of a discovery has told, each other one has by then
 )
 
 // Decode reads one object of the list. It gives all of it or an error.
@@ -83,7 +84,8 @@
 	ask              chan struct{}
 	answers, silence time.Duration
 	version          int64 // -1: the whole list is asked for; run's alone, as newest
-	newest           int64 // that the same discovery has told last
+	newest           int64 // that was told, by this discovery or the one before
+	newestAt         time.Time
 	mu               sync.Mutex
 	url              string // and what follows is guarded by mu
 	moved            bool   // since the last watch was opened
@@ -169,7 +171,8 @@
 	defer watchdog.Stop()
 	w.mu.Lock()
 	if w.moved {
-		w.moved, w.version, w.newest = false, -1, -1 // Danger: another discovery need not count as this one did.
+		// Danger: what was told before still holds, though the other agent may not know of it yet.
+		w.moved, w.version = false, -1
 	}
 	w.end = func() { cancel(errMoved) }
 	url, whole := w.url+"?follow=1", w.version < 0
@@ -241,7 +244,11 @@
 		// Danger: a discovery that has gone back knows nothing of drains that it told before.
 		l.News = balance.ListOlder
 	}
-	w.version, w.newest, *whole = version, version, false
+	// Danger: a discovery may count anew, and one that lags may tell more than one list from before.
+	if version >= w.newest || time.Since(w.newestAt) > knownBy {
+		w.newest, w.newestAt = version, time.Now()
+	}
+	w.version, *whole = version, false
 	w.tell(l)
 	return nil
 }
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -227,7 +227,7 @@
 			addr, calls := script(t, says)
 			told := make(chan struct{}, 99)
 			w := watcher(addr, 4, func() { told <- struct{}{} }, slog.New(slog.NewTextHandler(io.Discard, nil)))
-			w.version, w.silence = -1, time.Hour
+			w.version, w.silence, w.answers = -1, time.Hour, time.Hour
 			go w.run()
 			w.Ask()
 			for k, want := range c.news {
