Test: the sum at cold stores holds under bad clients and spoilt answers

Cause: the newest standing test plays cold stores among 20 to 30 fronts with bad clients and spoilt answers; TestColdSum has neither.

Change: TestColdSumWithBadClients plays the same with clients that send noise, twenty requests at once and go, half a request, or five further tries at once, at a fifth of the good ones' rate, and stores that spoil one answer in twenty (broken off, without an end, no answer). A store of the world can spoil answers for that.

--- a/internal/world/standing_test.go
+++ b/internal/world/standing_test.go
@@ -1,10 +1,13 @@
 package world
 
 import (
+	"fmt"
 	"testing"
 
 	"micatrack/balance"
 	"micatrack/internal/front"
+	"micatrack/internal/mwc"
+	"micatrack/internal/pgwire"
 )
 
 // cause is something that leaves fronts without a store that they may send to, and its end.
@@ -118,3 +121,119 @@
 		})
 	}
 }
+
+// bad is a client that reads its answers and, where it is refused, asks again at once, so many times.
+type bad struct {
+	again int
+	ask   func() []byte
+}
+
+func (b *bad) ended(*link) {}
+
+func (b *bad) took(l *link, text []byte) {
+	l.buf = append(l.buf, text...)
+	refused := false
+	for {
+		kind, _, n, err := pgwire.Message(l.buf, 1<<20)
+		if err != nil || n == 0 {
+			return
+		}
+		l.buf = l.buf[n:]
+		if refused = refused || kind == 'E'; kind == 'Z' && refused && b.again > 0 {
+			b.again, refused = b.again-1, false
+			l.push(b.ask())
+		}
+	}
+}
+
+// harass has bad clients come to all fronts, at a fifth of the good ones' rate, and stores spoil one answer in twenty.
+func harass(w *World, seed uint64) {
+	draws, asked := mwc.New(seed*7+5), 0
+	ask := func() []byte {
+		asked++
+		return pgwire.AppendSimple(nil, fmt.Sprintf("/* id=bad%d,c=any,t=t1,d=1000,cluster=1 */ SELECT payload FROM entries "+
+			"WHERE ref = 's1'", asked))
+	}
+	hello := pgwire.AppendStartup(nil, "web", "orders")
+	comes := func(f *Front) {
+		text, stays := append([]byte(nil), hello...), w.Patience
+		b := &bad{ask: ask}
+		switch draws.Below(4) {
+		case 0: // noise
+			text = append(text, "\x00\xffnoise and more noise"...)
+		case 1: // much at once, and it goes
+			for range 20 {
+				text = append(text, ask()...)
+			}
+			stays = 30 * Millisecond
+		case 2: // it goes in the middle of its request
+			text = append(text, ask()[:40]...)
+			stays = 10 * Millisecond
+		case 3: // it comes again at once, and too often
+			text, b.again = append(text, ask()...), 5
+		}
+		l := &link{f: f, other: Node{Name: "bad clients of " + f.Name}, side: b, in: text}
+		f.own(l)
+		l.news(front.Accepted | front.Readable)
+		w.At(stays, l.hang)
+	}
+	var arrive func(f *Front)
+	arrive = func(f *Front) {
+		if !w.load {
+			return
+		}
+		if f.core != nil && !f.core.Stopping() {
+			comes(f)
+		}
+		w.At(Time(5*(0.5+float64(draws.Below(1000))/1000)/w.Rate*float64(Second)), func() { arrive(f) })
+	}
+	for _, f := range w.Fronts {
+		w.At(1+draws.Below(Second), func() { arrive(f) })
+	}
+	for _, s := range w.Stores {
+		s.Spoils = func(answer []byte) ([]byte, bool) {
+			switch draws.Below(60) {
+			case 0: // it breaks off
+				return answer[:len(answer)/2], true
+			case 1: // it never ends
+				return []byte("D\x7f\xff\xff\xff\x00\x01"), false
+			case 2: // it is no answer
+				return []byte("?\x00\x00\x00\x04noise"), false
+			}
+			return answer, false
+		}
+	}
+}
+
+// TestColdSumWithBadClients forces what TestColdSum does, while bad clients come (noise, twenty requests at once and gone, half a
+// request, five further tries at once) and stores spoil one answer in twenty. What 20 or 30 fronts send to a cold store
+// stays within its budget all the same, and no rule is broken.
+func TestColdSumWithBadClients(t *testing.T) {
+	seeds := 100
+	if raced {
+		seeds = 2
+	}
+	for _, fronts := range []int{20, 30} {
+		t.Run(fmt.Sprint(fronts), func(t *testing.T) {
+			t.Parallel()
+			most, over, used := 0.0, 0, 0
+			for seed := range uint64(seeds) {
+				told, w := coldSum(t, fronts, seed+1, func(w *World) { harass(w, seed) })
+				rules(t, w)
+				if most = max(most, told); told > 1 {
+					over++
+				}
+				if told > 0 {
+					used++
+				}
+			}
+			t.Logf("%d seeds: greatest %.2f of the budget and chance, over it %d times", seeds, most, over)
+			if over > 0 {
+				t.Errorf("over its budget in %d of %d plays, %.2f of it at most", over, seeds, most)
+			}
+			if used < seeds/2 {
+				t.Errorf("the cold store was used in %d of %d plays", used, seeds)
+			}
+		})
+	}
+}
--- a/internal/world/store.go
+++ b/internal/world/store.go
@@ -17,6 +17,8 @@
 	Full, Fell int
 	Peak float64 // largest part of what it bears while cold that it was sent; at 1 it falls over
 	Told float64 // the same of what fronts sent that had been told of its start, and with less put down to chance
+	// Spoils, if it is set, gives what is said in place of an answer, and whether the connection breaks behind it.
+	Spoils func(answer []byte) (said []byte, breaks bool)
 
 	w      *World
 	addr   string
@@ -148,9 +150,17 @@
 				return
 			}
 			s.busy--
-			if answer := s.Group.Answer(s.Name, j.text); s.conns[j.l] {
+			answer, breaks := s.Group.Answer(s.Name, j.text), false
+			if s.Spoils != nil {
+				answer, breaks = s.Spoils(answer)
+			}
+			if s.conns[j.l] {
 				j.l.push(answer)
 			}
+			if breaks && s.conns[j.l] {
+				delete(s.conns, j.l)
+				j.l.hang()
+			}
 			s.work()
 		})
 	}
--- a/internal/world/world_test.go
+++ b/internal/world/world_test.go
@@ -362,12 +362,13 @@
 
 // coldSum plays a store that starts anew under fronts of which each is told of it at another moment, some of which start
 // anew meanwhile, and a reset of all its connections. It gives the largest part of its budget that those sent who knew.
-func coldSum(t testing.TB, fronts int, seed uint64) (told float64, w *World) {
+func coldSum(t testing.TB, fronts int, seed uint64, with func(w *World)) (told float64, w *World) {
 	p := plan(t, fronts, 1, 1, 0)
 	p.Takes = []Time{10, 40, 100}[seed%3] * Millisecond // the longer, the fewer bring a cold store down
 	p.Rate = 1.8 * float64(p.Cores) / float64(p.Takes) * float64(Second) / float64(fronts)
 	p.Seed, p.Spread, p.ListDelay = seed, Second, 100*Millisecond
 	w = New(p)
+	with(w)
 	w.Load()
 	w.Run(2 * Second)
 	s, also := w.Stores[1+int(seed%2)], w.Stores[2-int(seed%2)]
@@ -412,7 +413,7 @@
 			t.Parallel()
 			most, over, sum, used := 0.0, 0, 0.0, 0
 			for seed := range uint64(seeds) {
-				told, w := coldSum(t, fronts, seed+1)
+				told, w := coldSum(t, fronts, seed+1, func(*World) {})
 				rules(t, w)
 				if most, sum = max(most, told), sum+told; told > 1 {
 					over++
