--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -24,6 +24,7 @@
 	silence = quiet * 9 / 4   // a watch that has missed two of them is broken, and what it missed is not yet due
 	answers = quiet / 2       // discovery answers a call at once; one that is silent for so long is given up
 	most    = 4 << 20         // bytes of one object
+	knownBy = 6 * time.Second // what one agent of a discovery has told, each other one has by then
 )
 
 // Decode reads one object of the list. It gives all of it or an error.
@@ -77,12 +78,14 @@
 
 // Watcher follows the list. Its one goroutine lives as long as the process.
 type Watcher struct {
+	client           *http.Client
 	wake             func()
 	log              *slog.Logger
 	ask              chan struct{}
 	answers, silence time.Duration
 	version          int64 // -1: the whole list is asked for; run's alone, as newest
-	newest           int64 // that the same discovery has told last
+	newest           int64 // that was told, by this discovery or the one before
+	newestAt         time.Time
 	mu               sync.Mutex
 	url              string // and what follows is guarded by mu
 	moved            bool   // since the last watch was opened
@@ -98,7 +101,9 @@
 }
 
 func watcher(addr string, version int64, wake func(), log *slog.Logger) *Watcher {
-	return &Watcher{url: "http://" + addr + "/api/targets", wake: wake, log: log, ask: make(chan struct{}, 1),
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true,
+		MaxResponseHeaderBytes: 64 << 10}}
+	return &Watcher{client: client, url: "http://" + addr + "/api/targets", wake: wake, log: log, ask: make(chan struct{}, 1),
 		version: version, newest: version, answers: answers, silence: silence, end: func() {}}
 }
 
@@ -136,10 +141,8 @@
 }
 
 func (w *Watcher) run() {
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true,
-		MaxResponseHeaderBytes: 64 << 10}}
 	for range w.ask {
-		err := w.follow(client)
+		err := w.follow()
 		w.mu.Lock()
 		moved := w.moved
 		if !moved {
@@ -161,14 +164,15 @@
 // cut off, the next one starts from the whole list.
 // Danger: a call that is never answered, or a watch that has fallen silent, holds up what counts as told meanwhile. So
 // each is given up while there is time for another.
-func (w *Watcher) follow(client *http.Client) error {
+func (w *Watcher) follow() error {
 	ctx, cancel := context.WithCancelCause(context.Background())
 	defer cancel(nil)
 	watchdog := time.AfterFunc(w.answers, func() { cancel(errSilent) })
 	defer watchdog.Stop()
 	w.mu.Lock()
 	if w.moved {
-		w.moved, w.version, w.newest = false, -1, -1 // Danger: another discovery need not count as this one did.
+		// Danger: what was told before still holds, though the other agent may not know of it yet.
+		w.moved, w.version = false, -1
 	}
 	w.end = func() { cancel(errMoved) }
 	url, whole := w.url+"?follow=1", w.version < 0
@@ -180,7 +184,7 @@
 	if err != nil {
 		return err
 	}
-	resp, err := client.Do(req)
+	resp, err := w.client.Do(req)
 	if err != nil {
 		return cmp.Or(context.Cause(ctx), err)
 	}
@@ -240,7 +244,11 @@
 		// Danger: a discovery that has gone back knows nothing of drains that it told before.
 		l.News = balance.ListOlder
 	}
-	w.version, w.newest, *whole = version, version, false
+	// Danger: a discovery may count anew, and one that lags may tell more than one list from before.
+	if version >= w.newest || time.Since(w.newestAt) > knownBy {
+		w.newest, w.newestAt = version, time.Now()
+	}
+	w.version, *whole = version, false
 	w.tell(l)
 	return nil
 }
