A message's moment of arrival is its last byte's, in however many pieces it comes

Cause: arrivals.note counted each piece of a message as a moment; past sixteen a message counted as come with an earlier piece (pipeline.go, note), so one written slowly lost up to all of its time.

Change: arrivals.scan follows the ends of messages, and only those are moments.

--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -127,7 +127,9 @@
 		cl.speech.more(cl, c)
 	}
 	if what&Readable != 0 && !cl.ending {
-		cl.pipeline.marks.note(len(cl.link.Peek()), c.now)
+		if _, speaks := cl.speech.(postgres); speaks && cl.greeted {
+			cl.pipeline.marks.scan(cl.link.Peek(), c.now)
+		}
 		cl.read(c)
 	}
 	if what&Closed != 0 {
--- a/internal/front/pipeline.go
+++ b/internal/front/pipeline.go
@@ -12,7 +12,7 @@
 const (
 	mostBehind    = 16      // requests of one client that may be in hand behind its first
 	mostBehindAll = 1024    // the same of all clients
-	mostMarks     = 16      // arrivals of one client's bytes that are told apart
+	mostMarks     = 16      // arrivals of one client's messages that are told apart
 	defaultKept   = 1 << 20 // bytes of answers that wait for their turn, where the limits name no other bound
 )
 
@@ -34,11 +34,12 @@
 	marks  arrivals
 }
 
-// arrivals tells when bytes of a stream came in, for those that have not been parsed yet. It keeps at most mostMarks
-// moments: past that bytes count as come with the ones before them, which is never later than they did.
+// arrivals tells when the last bytes of messages came in that have not been parsed yet. It keeps at most mostMarks moments:
+// past that a message counts as come with the one before it, which is never later than it did.
 type arrivals struct {
-	marks [mostMarks]arrival
-	count int
+	scanned int // bytes of the ring that whole messages have
+	marks   [mostMarks]arrival
+	count   int
 }
 
 // arrival is the moment by which the ring held end bytes.
@@ -47,16 +48,25 @@
 	at  Time
 }
 
-// note tells that the ring holds size bytes now.
-func (a *arrivals) note(size int, now Time) {
-	if a.count > 0 && a.marks[a.count-1].end >= size {
-		return
+// scan looks for the ends of messages in what the ring holds now.
+func (a *arrivals) scan(ring []byte, now Time) {
+	for a.scanned <= len(ring) {
+		_, _, size, err := pgwire.Message(ring[a.scanned:], pgwire.MostQuery)
+		if err != nil || size == 0 {
+			return
+		}
+		a.scanned += size
+		a.note(a.scanned, now)
 	}
-	if a.count == mostMarks {
-		a.marks[a.count-1].end = size
+}
+
+// note tells that a message ends where the ring holds end bytes.
+func (a *arrivals) note(end int, now Time) {
+	if a.count > 0 && (a.count == mostMarks || a.marks[a.count-1].at == now) {
+		a.marks[a.count-1].end = end
 		return
 	}
-	a.marks[a.count] = arrival{size, now}
+	a.marks[a.count] = arrival{end, now}
 	a.count++
 }
 
@@ -72,6 +82,7 @@
 
 // discard tells that the ring's first size bytes are gone.
 func (a *arrivals) discard(size int) {
+	a.scanned = max(a.scanned-size, 0)
 	kept := 0
 	for _, mark := range a.marks[:a.count] {
 		if mark.end > size {
--- a/internal/front/pipeline_test.go
+++ b/internal/front/pipeline_test.go
@@ -224,20 +224,34 @@
 	s.idle(0)
 }
 
-// TestArrivals: moments are told apart up to the bound, and past it bytes never count as come too late.
+// TestArrivals: moments are told apart up to the bound, past it messages never count as come too late, and one that comes
+// in more pieces than that counts from its last byte.
 func TestArrivals(t *testing.T) {
+	const size = 10 // bytes of a message
+	message := "S\x00\x00\x00\x09-----"
 	var a arrivals
+	ring := ""
 	for n := 1; n <= 2*mostMarks; n++ {
-		a.note(10*n, Time(n))
+		ring += message
+		a.scan([]byte(ring), Time(n))
 	}
-	if a.came(5, 99) != 1 || a.came(11, 99) != 2 || a.came(20*mostMarks, 99) != mostMarks {
+	if a.came(size, 99) != 1 || a.came(2*size, 99) != 2 || a.came(2*mostMarks*size, 99) != mostMarks {
 		t.Errorf("%+v", a)
 	}
-	a.discard(15)
-	if a.came(5, 99) != 2 || a.came(6, 99) != 3 || a.count != mostMarks-1 {
-		t.Errorf("after 15 bytes were dropped: %+v", a)
+	a.discard(size)
+	if a.came(size, 99) != 2 || a.came(2*size, 99) != 3 || a.count != mostMarks-1 {
+		t.Errorf("after a message was dropped: %+v", a)
 	}
 	if a.came(1000, 99) != 99 {
 		t.Error("what was never noted came now")
 	}
+	a = arrivals{}
+	long := "Q\x00\x00\x03\xe8" + strings.Repeat("-", 996)
+	for n := 1; n <= len(long); n++ {
+		a.scan([]byte(long[:n]), Time(n))
+	}
+	if got := a.came(len(long), 99); got != Time(len(long)) || a.count != 1 {
+		t.Errorf("in pieces: came at %d, of %d", got, len(long))
+	}
+	a.scan([]byte("?\xff\xff\xff\xff"), 5) // what cannot be read ends nothing
 }
