--- a/balance/balance.go
+++ b/balance/balance.go
@@ -125,7 +125,7 @@
 	probesPerRequest, requestRate float64 // probes that the price allows; requests taken in a beat, on average
 	perCredit, usual              float64 // probes that the credit of a usual request pays for; that credit
 	watchAt, crowded, scarce      Time    // when to ask for the list next; overload, few connections last seen
-	closing, wary                 Time    // by when all must be answered; until when peers are not believed
+	closing, wary, askPace        Time    // by when all must be answered; no peer is believed; between calls
 	classes                       []class
 	tenants                       map[string]*tenant
 	members                       []member
@@ -149,12 +149,12 @@
 		checks: c.Checks, carried: c.FencesCarried, askWithin: c.AskWithin, onlyDrains: c.OnlyDraining,
 		startShare: c.StartShare, cold: c.Cold, coldPart: c.FallMultiple, span: c.FallSpan,
 		mostAttempts: max(c.MostAttempts, 1), mayProbe: c.MayProbe, mayCancel: c.MayCancel,
-		priced:  c.CrossPrice > 0,
 		classOf: map[string]int32{}, tenants: map[string]*tenant{}, memberOf: map[uint32]int32{},
 		groupOf: map[uint64]int32{}, requestOf: map[string]int32{},
 		fences: make([]Time, 1<<fenceBits), writes: make([]int32, 1<<fenceBits),
 		parts: map[string]float64{}, mostPause: c.MostPause, crowded: -never, scarce: -never, spill: 1,
-		watchAt: never, tightest: never, closing: never, quickest: never, least: 3 / float64(max(c.Fronts, 1))}
+		askPace: cmp.Or(c.AgentGrace/4, never), tightest: never, closing: never, quickest: never,
+		least: 3 / float64(max(c.Fronts, 1)), priced: c.CrossPrice > 0}
 	for i, p := range c.Classes {
 		if p.Bound < 0 || p.ExpectedTime <= 0 || p.Deadline <= 0 || p.Window < 0 {
 			return nil, fmt.Errorf("charter: profile %q: bound, window or times out of range", p.Name)
@@ -178,7 +178,7 @@
 	b.probeEvery = max(min(b.tightest, b.quickest)/3, b.beat)
 	b.probeNow, b.probesPerRequest = b.probeEvery, thrift/max(c.ProbePrice, thrift/10)
 	b.perCredit = search / max(c.ProbePrice, thrift/10)
-	if !c.ListPushed { // all fronts may be starting together, so the first call is spread
+	if b.watchAt = now + b.askPace; !c.ListPushed { // all may be starting together, so it is spread
 		b.watchAt = now + b.chance(b.askWithin/8)
 	}
 	f.Wake(b.beat)
@@ -196,7 +196,7 @@
 		// Danger: a drain told meanwhile binds within its grace, so the first call follows almost at once. But
 		// fronts that failed together must not call again together: far longer waits each time, and spread.
 		// And what it has counts as told by then all the same, so half of that is the longest wait.
-		wait := min(b.askWithin/256<<(2*b.watchMiss), toldBy/3)
+		wait := min(b.askWithin/256<<(2*b.watchMiss), toldBy/3, b.askPace) // an own agent is asked for nothing
 		b.watchMiss, b.watchAt = min(b.watchMiss+1, 3), now+wait/2+b.chance(wait)
 		return
 	}
@@ -913,7 +913,7 @@
 	every := float64(len(b.members)) * float64(b.beat) / max(b.requestRate*b.probesPerRequest, 1e-6)
 	b.probeNow = max(Time(every), b.probeEvery)
 	if now >= b.watchAt {
-		b.watchAt = now + b.askWithin/2
+		b.watchAt = now + min(b.askWithin/2, b.askPace)
 		b.front.Watch()
 	}
 	warm := 0.0
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -717,6 +717,32 @@
 	}
 }
 
+// TestAgentIsAskedWithinTheGrace: a front with an agent of its own asks it anew well inside the grace of a drain, from its
+// start and from each failure on, for as long as there is no list, and no more once there is one.
+func TestAgentIsAskedWithinTheGrace(t *testing.T) {
+	for _, grace := range []Time{2500, 5000, 20000} {
+		c := testCharter()
+		c.AskWithin, c.AgentGrace, c.ListPushed = 100000, grace, true
+		w := three(t, c)
+		asked, last := w.watches, w.now
+		for n := range 3000 {
+			if n == 1000 || n == 1010 || n == 1020 {
+				w.b.List(w.now, ListFailed, nil)
+			}
+			if w.pass(10); w.watches > asked {
+				asked, last = w.watches, w.now
+			}
+			if w.now-last > grace/2+200 {
+				t.Fatalf("grace %d: no call for %d", grace, w.now-last)
+			}
+		}
+		w.b.List(w.now, ListWhole, nil)
+		if w.pass(100000); w.watches != asked {
+			t.Errorf("grace %d: %d calls while a watch stands", grace, w.watches-asked)
+		}
+	}
+}
+
 // TestRepeatInsideItsWindow: a repeat of what may have run is sent only while the way there, as long as such an attempt takes in
 // all, ends inside the window, and it may wait for a connection no longer than that.
 func TestRepeatInsideItsWindow(t *testing.T) {
--- a/balance/front.go
+++ b/balance/front.go
@@ -16,6 +16,7 @@
 	FencesCarried bool    // reads carry the age of their session's last write; else the front remembers
 	ListPushed    bool    // the list's changes come by themselves; else they must be asked for
 	AskWithin     Time    // a front without a watch must ask this often
+	AgentGrace    Time    // a drain binds so long after the front's own agent had it, told or not; 0: no such agent
 	OnlyDraining  bool    // being gone from the list does not bind, only a drain does
 	AnswerSlack   Time
 	StartShare    float64 // part of its capacity with which a store starts, at least
--- a/cmd/micatrack/serve.go
+++ b/cmd/micatrack/serve.go
@@ -190,6 +190,9 @@
 	if others != nil && others.look != nil {
 		limits.Watch = others.look
 	}
+	if o.charter.ListPushed {
+		o.charter.AgentGrace = o.host.Grace
+	}
 	core, err := front.New(now(), o.charter, o.host, limits, net, watcher.Ask, log)
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
--- a/cmd/micatrack/standing_test.go
+++ b/cmd/micatrack/standing_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"io"
 	"maps"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -213,3 +214,50 @@
 		})
 	}
 }
+
+// TestDrainToldAtTheReturn: discovery is silent for some seconds, and a store begins to drain in the moment in which it
+// speaks again. It counts as told then, whichever calls are open; no call from before is ever answered. Nothing new reaches
+// the store past its grace of half a second.
+func TestDrainToldAtTheReturn(t *testing.T) {
+	for _, outage := range []time.Duration{5500 * time.Millisecond, 7 * time.Second, 9 * time.Second} {
+		t.Run(outage.String(), func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, "primary", "replica", "other")
+			last := map[string]time.Time{}
+			var mu sync.Mutex
+			w.does(func(store, _ string) (string, func(*net.TCPConn)) {
+				mu.Lock()
+				last[store] = time.Now()
+				mu.Unlock()
+				return value, nil
+			})
+			w.start()
+			cl := w.client()
+			cl.want("any", "value")
+			w.mu.Lock()
+			for w.watches == 0 {
+				w.changed.Wait()
+			}
+			w.silent = math.MaxInt
+			w.mu.Unlock()
+			serve := func(span time.Duration) {
+				for began := time.Now(); time.Since(began) < span; time.Sleep(time.Millisecond) {
+					cl.want("any", "value")
+				}
+			}
+			serve(outage)
+			w.mu.Lock()
+			w.silent = w.watches
+			w.lines["other"] = "leaving"
+			w.version++
+			back := time.Now()
+			w.mu.Unlock()
+			serve(2 * time.Second)
+			mu.Lock()
+			defer mu.Unlock()
+			if after := last["other"].Sub(back); after > 500*time.Millisecond || after < -time.Second {
+				t.Errorf("the store that drains is asked until %v after discovery came back", after)
+			}
+		})
+	}
+}
--- a/internal/charter/charter.go
+++ b/internal/charter/charter.go
@@ -15,6 +15,7 @@
 	PositionZero int64        // microseconds from which the simulator's positions count
 	Dial, Idle   balance.Time // a connection comes up within Dial; a store closes one that stood idle for Idle
 	Reports      string       // where load reports come: "inline", "on_probe" or "off"
+	Grace        balance.Time // nothing new goes to a store that long after a drain of it was told
 }
 
 // Read turns the settings into the module's charter. Keys that it does not know are passed over.
@@ -28,9 +29,9 @@
 			MayCancel, Probes, RetryAfter bool
 		}
 		Contract struct {
-			AnswerSlack, AskWithin, Cold, TipAfter int64
-			FallMultiple, StartCapacity            float64
-			OnlyDrainingBinds                      bool
+			AnswerSlack, AskWithin, Cold, DrainGrace, TipAfter int64
+			FallMultiple, StartCapacity                        float64
+			OnlyDrainingBinds                                  bool
 		}
 		Extra struct {
 			Behind, SessionMarks string
@@ -59,7 +60,7 @@
 		return balance.Charter{}, Host{}, err
 	}
 	h := Host{PositionZero: w.Extra.PositionZero, Dial: w.Ceilings.DialTimeout / microsPerTime,
-		Idle: w.Ceilings.ConnIdle / microsPerTime, Reports: w.Report.Source}
+		Idle: w.Ceilings.ConnIdle / microsPerTime, Reports: w.Report.Source, Grace: w.Contract.DrainGrace / microsPerTime}
 	c := balance.Charter{
 		Fronts: w.ReplicasOfMe, Zone: w.Az, Round: w.Round / microsPerTime,
 		OverShare:     w.OverShareWorth,
@@ -81,7 +82,8 @@
 	}{{"Ceilings.MaxAttempts", float64(w.Ceilings.MaxAttempts)}, {"Ceilings.MaxRetryAfter", float64(w.Ceilings.MaxRetryAfter)},
 		{"Ceilings.ConnIdle", float64(w.Ceilings.ConnIdle)}, {"Ceilings.DialTimeout", float64(w.Ceilings.DialTimeout)},
 		{"Contract.AnswerSlack", float64(w.Contract.AnswerSlack)}, {"Contract.AskWithin", float64(w.Contract.AskWithin)},
-		{"Contract.Cold", float64(w.Contract.Cold)}, {"Contract.TipAfter", float64(w.Contract.TipAfter)},
+		{"Contract.Cold", float64(w.Contract.Cold)}, {"Contract.DrainGrace", float64(w.Contract.DrainGrace)},
+		{"Contract.TipAfter", float64(w.Contract.TipAfter)},
 		{"Contract.FallMultiple", w.Contract.FallMultiple}, {"Contract.StartCapacity", w.Contract.StartCapacity},
 		{"OverShareWorth", w.OverShareWorth}, {"Prices.CrossZone", w.Prices.CrossZone}, {"Prices.Probe", w.Prices.Probe},
 		{"ReplicasOfMe", float64(w.ReplicasOfMe)}, {"Round", float64(w.Round)}} {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -76,7 +76,7 @@
 	return *w.Version, l, nil
 }
 
-// Watcher follows the list. Its one goroutine lives as long as the process.
+// Watcher follows the list. One goroutine of its lives as long as the process, the others as long as a call.
 type Watcher struct {
 	client           *http.Client
 	wake             func()
@@ -107,7 +107,7 @@
 		version: version, newest: version, answers: answers, silence: silence, end: func() {}}
 }
 
-// Ask opens the watch if none is open.
+// Ask opens the watch if none is open; where a call for it has no answer yet, one more.
 func (w *Watcher) Ask() {
 	select {
 	case w.ask <- struct{}{}:
@@ -152,7 +152,8 @@
 			}
 		}
 		w.mu.Unlock()
-		if moved { // nothing has failed, and Move has asked for the next one
+		if moved { // nothing has failed; what Move asked for may have been taken by the call that it ended
+			w.Ask()
 			continue
 		}
 		w.log.Warn("watch of the list broke", "error", err.Error())
@@ -167,8 +168,6 @@
 func (w *Watcher) follow() error {
 	ctx, cancel := context.WithCancelCause(context.Background())
 	defer cancel(nil)
-	watchdog := time.AfterFunc(w.answers, func() { cancel(errSilent) })
-	defer watchdog.Stop()
 	w.mu.Lock()
 	if w.moved {
 		// Danger: what was told before still holds, though the other agent may not know of it yet.
@@ -180,11 +179,7 @@
 	if !whole {
 		url += fmt.Sprintf("&since=%d", w.version)
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return err
-	}
-	resp, err := w.client.Do(req)
+	resp, err := w.call(ctx, url)
 	if err != nil {
 		return cmp.Or(context.Cause(ctx), err)
 	}
@@ -192,7 +187,8 @@
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("status %d", resp.StatusCode)
 	}
-	watchdog.Reset(w.silence)
+	watchdog := time.AfterFunc(w.silence, func() { cancel(errSilent) })
+	defer watchdog.Stop()
 	var o object
 	spoilt := func(err error) error { w.version = -1; return err }
 	for piece := make([]byte, 16<<10); ; {
