Package crowd is tenantsim, split into files by job

Change: internal/tenantsim with world, tenant, try, module, events and ideal; Party is Tenant, Steadily ConstantRate, Charter Settings, Hasty Impatient, Crowd NewNames, Tell OverridePause, Hook OnEnd, Broken Violations. The unread counts late and work are gone. door/crowd_test.go is door/fairness_test.go, its checks as before.

--- a/door/crowd_test.go
+++ b/door/fairness_test.go
@@ -10,7 +10,7 @@
 
 	"micatrack/balance"
 	"micatrack/door"
-	"micatrack/internal/crowd"
+	"micatrack/internal/tenantsim"
 )
 
 const (
@@ -19,18 +19,18 @@
 )
 
 // newWorld makes a world with a door or without one; at the end of the test it says what must not have happened.
-func newWorld(t *testing.T, places int, on bool, parties ...*crowd.Party) *crowd.World {
+func newWorld(t *testing.T, places int, on bool, parties ...*tenantsim.Tenant) *tenantsim.World {
 	var b *door.Bounds
 	if on {
-		bounds := crowd.Bounds()
+		bounds := tenantsim.Bounds()
 		b = &bounds
 	}
-	w, err := crowd.New(places, b, parties...)
+	w, err := tenantsim.New(places, b, parties...)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() {
-		for _, b := range w.Broken {
+		for _, b := range w.Violations {
 			t.Error(b)
 		}
 	})
@@ -38,10 +38,10 @@
 }
 
 // crowd is twenty steady customers of 10 jobs a second each.
-func steadyOnes(n int, rate float64) []*crowd.Party {
-	var list []*crowd.Party
+func steadyOnes(n int, rate float64) []*tenantsim.Tenant {
+	var list []*tenantsim.Tenant
 	for i := range n {
-		list = append(list, &crowd.Party{Name: fmt.Sprintf("steady %d", i), Rate: crowd.Steadily(rate), Clients: 8, Tries: 2, Marked: true})
+		list = append(list, &tenantsim.Tenant{Name: fmt.Sprintf("steady %d", i), Rate: tenantsim.ConstantRate(rate), Clients: 8, Retries: 2, Marked: true})
 	}
 	return list
 }
@@ -58,10 +58,10 @@
 	for _, r := range []row{{"door, no surge", false, true, false}, {"arrival", true, false, true},
 		{"credit, newest first", false, false, true}, {"door", false, true, true}} {
 		parties := steadyOnes(20, 10)
-		big := &crowd.Party{Name: "surge", Rate: crowd.Steadily(10), Clients: 8, Tries: 2, Marked: true}
+		big := &tenantsim.Tenant{Name: "surge", Rate: tenantsim.ConstantRate(10), Clients: 8, Retries: 2, Marked: true}
 		if r.surge {
 			big.Rate = func(now balance.Time) float64 {
-				if now-crowd.Start >= 5*second {
+				if now-tenantsim.Start >= 5*second {
 					return 130
 				}
 				return 10
@@ -85,7 +85,7 @@
 			shares[i] = float64(parties[i].InTime) / ideal[i]
 		}
 		shares = append(shares, float64(big.InTime)/ideal[20])
-		t.Logf("%-22s Jain %.4f, worst %.3f, mean %.3f; %v", r.name, crowd.Jain(shares), worst, sum, big)
+		t.Logf("%-22s Jain %.4f, worst %.3f, mean %.3f; %v", r.name, tenantsim.Jain(shares), worst, sum, big)
 		if r.door && (sum < calm-0.02 || worst < calm-0.05) {
 			t.Errorf("%s: mean %.3f and worst %.3f of the steady ones, %.3f without the surge", r.name, sum, worst, calm)
 		}
@@ -98,10 +98,10 @@
 }
 
 // fair gives each customer's jobs at max-min fair sharing of that many.
-func fair(parties []*crowd.Party, more *crowd.Party, jobs float64) []float64 {
-	m := &crowd.Ideal{}
+func fair(parties []*tenantsim.Tenant, more *tenantsim.Tenant, jobs float64) []float64 {
+	m := &tenantsim.Ideal{}
 	for _, p := range append(slices.Clone(parties), more) {
-		m.Weights, m.Queued, m.Served = append(m.Weights, 1), append(m.Queued, float64(p.Asked)), append(m.Served, 0)
+		m.Weights, m.Queued, m.Served = append(m.Weights, 1), append(m.Queued, float64(p.Requests)), append(m.Served, 0)
 	}
 	m.Pass(jobs)
 	return m.Served
@@ -110,20 +110,20 @@
 // TestRetriesAreTheirOwn (hard case 2): a customer whose further tries come to ten times its first ones.
 func TestRetriesAreTheirOwn(t *testing.T) {
 	parties := steadyOnes(20, 10)
-	hasty := &crowd.Party{Name: "hasty", Rate: crowd.Steadily(100), Clients: 8, Tries: 40, Hasty: true, Marked: true}
+	hasty := &tenantsim.Tenant{Name: "hasty", Rate: tenantsim.ConstantRate(100), Clients: 8, Retries: 40, Impatient: true, Marked: true}
 	w := newWorld(t, 10, true, append(parties, hasty)...)
 	w.Play(30 * 1000 * ms)
-	t.Log(hasty, w.Door.Totals(), hasty.Given, hasty.Firsts)
+	t.Log(hasty, w.Door.Totals(), hasty.FirstsInTime, hasty.FirstTries)
 	for _, p := range parties {
 		if p.Share() < 0.97 {
 			t.Errorf("%v", p)
 		}
 	}
-	if hasty.Turned < 10*hasty.Firsts/2 {
-		t.Errorf("only %d turned back of %d", hasty.Turned, hasty.Firsts)
+	if hasty.Refused < 10*hasty.FirstTries/2 {
+		t.Errorf("only %d turned back of %d", hasty.Refused, hasty.FirstTries)
 	}
-	if float64(hasty.Given) < 0.5*float64(hasty.Firsts) {
-		t.Errorf("of %d first tries %d were in time", hasty.Firsts, hasty.Given)
+	if float64(hasty.FirstsInTime) < 0.5*float64(hasty.FirstTries) {
+		t.Errorf("of %d first tries %d were in time", hasty.FirstTries, hasty.FirstsInTime)
 	}
 }
 
@@ -132,21 +132,23 @@
 	for _, r := range []struct {
 		name string
 		door bool
-		set  func(w *crowd.World)
+		set  func(w *tenantsim.World)
 	}{
-		{"a constant time", false, func(w *crowd.World) { w.Pause = func(w *crowd.World) balance.Time { return w.Charter.MostPause / 2 } }},
-		{"drawn, as the module does", false, func(w *crowd.World) {}},
-		{"by what waits, not booked", true, func(w *crowd.World) {
-			w.Tell = func(p *crowd.Party, client uint64, pause balance.Time) balance.Time {
-				return min(door.Expected(w.Door, p.Name, client, pause), w.Charter.MostPause)
+		{"a constant time", false, func(w *tenantsim.World) {
+			w.Pause = func(w *tenantsim.World) balance.Time { return w.Settings.MostPause / 2 }
+		}},
+		{"drawn, as the module does", false, func(w *tenantsim.World) {}},
+		{"by what waits, not booked", true, func(w *tenantsim.World) {
+			w.OverridePause = func(p *tenantsim.Tenant, client uint64, pause balance.Time) balance.Time {
+				return min(door.Expected(w.Door, p.Name, client, pause), w.Settings.MostPause)
 			}
 		}},
-		{"booked", true, func(w *crowd.World) {}},
+		{"booked", true, func(w *tenantsim.World) {}},
 	} {
 		parties := steadyOnes(20, 8)
 		for i := range 4 {
-			parties = append(parties, &crowd.Party{Name: fmt.Sprintf("surge %d", i), Clients: 50, Tries: 3, Marked: true, Rate: func(now balance.Time) float64 {
-				if s := (now - crowd.Start) / 10000; s >= 5 && s < 25 {
+			parties = append(parties, &tenantsim.Tenant{Name: fmt.Sprintf("surge %d", i), Clients: 50, Retries: 3, Marked: true, Rate: func(now balance.Time) float64 {
+				if s := (now - tenantsim.Start) / 10000; s >= 5 && s < 25 {
 					return 60
 				}
 				return 8
@@ -161,7 +163,7 @@
 		w.Play(10 * 1000 * ms)
 		told, kept, missed, offs := 0, 0, 0, []float64{}
 		for _, p := range parties {
-			told, kept, missed, offs = told+p.Promised, kept+p.Kept, missed+p.Missed, append(offs, p.Offs...)
+			told, kept, missed, offs = told+p.Promised, kept+p.Kept, missed+p.Missed, append(offs, p.PauseErrors...)
 		}
 		slices.Sort(offs)
 		part, median := float64(kept)/float64(kept+missed), 0.0
@@ -182,8 +184,8 @@
 // minute, beside twenty steady customers.
 func TestBurstOfStrangers(t *testing.T) {
 	parties := steadyOnes(20, 8)
-	flood := &crowd.Party{Name: "crowd", Crowd: true, Rate: func(now balance.Time) float64 {
-		switch s := (now - crowd.Start) / 10000; {
+	flood := &tenantsim.Tenant{Name: "crowd", NewNames: true, Rate: func(now balance.Time) float64 {
+		switch s := (now - tenantsim.Start) / 10000; {
 		case s >= 10 && s < 11:
 			return 210_000
 		case s >= 20:
@@ -195,11 +197,11 @@
 	w.Play(9 * 1000 * ms)
 	before := door.HeapNow()
 	w.Play(3 * 1000 * ms)
-	burst := flood.Asked
+	burst := flood.Requests
 	grown := int64(door.HeapNow()) - int64(before)
 	w.Play(68 * 1000 * ms)
 	more := int64(door.HeapNow()) - int64(before)
-	t.Logf("%d strangers in the burst, %d in all, %d served; heap grown by %d KiB after the burst, %d at the end", burst, flood.Asked,
+	t.Logf("%d strangers in the burst, %d in all, %d served; heap grown by %d KiB after the burst, %d at the end", burst, flood.Requests,
 		flood.InTime, grown>>10, more>>10)
 	if burst < 200_000 || grown > 8<<20 || more > 8<<20 {
 		t.Errorf("%d in the burst, heap grown by %d and %d", burst, grown, more)
@@ -217,17 +219,17 @@
 // TestSharedPlace (hard case 5): two customers without places of their own, the small one hashed to the heavy one's
 // place. The small one is served again after one change of the seed at the latest.
 func TestSharedPlace(t *testing.T) {
-	small := &crowd.Party{Name: "small", Rate: crowd.Steadily(4), Clients: 2}
-	heavy := &crowd.Party{Name: "heavy", Rate: crowd.Steadily(900), Clients: 64}
+	small := &tenantsim.Tenant{Name: "small", Rate: tenantsim.ConstantRate(4), Clients: 2}
+	heavy := &tenantsim.Tenant{Name: "heavy", Rate: tenantsim.ConstantRate(900), Clients: 64}
 	w := newWorld(t, 4, true, small, heavy)
 	changed := door.Collide(w.Door, "small", "heavy")
 	last, worst := w.Now, balance.Time(0)
-	w.Hook = func(w *crowd.World, e *crowd.Try, how string) {
-		if e.Of == small && how == "delivered" {
+	w.OnEnd = func(w *tenantsim.World, e *tenantsim.Try, how string) {
+		if e.Tenant == small && how == "delivered" {
 			worst, last = max(worst, w.Now-last), w.Now
 		}
 	}
-	for w.Now-crowd.Start < 20*second {
+	for w.Now-tenantsim.Start < 20*second {
 		w.Play(100 * ms)
 	}
 	t.Logf("%v; longest without: %d ms; an epoch is %d ms", small, worst/ms, door.Epoch(w.Door)/ms)
@@ -239,8 +241,8 @@
 // TestClientsOfOneCustomer: one client of a customer that asks thirty times as much as each of its others does not keep
 // them from their part.
 func TestClientsOfOneCustomer(t *testing.T) {
-	greedy := &crowd.Party{Name: "one", Rate: crowd.Steadily(300), Client: 1000}
-	modest := &crowd.Party{Name: "one", Rate: crowd.Steadily(100), Clients: 10}
+	greedy := &tenantsim.Tenant{Name: "one", Rate: tenantsim.ConstantRate(300), Client: 1000}
+	modest := &tenantsim.Tenant{Name: "one", Rate: tenantsim.ConstantRate(100), Clients: 10}
 	w := newWorld(t, 6, true, greedy, modest)
 	w.Play(10 * second)
 	t.Log(greedy, modest)
@@ -285,16 +287,16 @@
 	worst := 0.0
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(2, 6).Draw(t, "customers")
-		c := crowd.Charter()
+		c := tenantsim.Settings()
 		c.Classes = []balance.Class{{Name: "p", ExpectedTime: 200 * ms, Deadline: 1 << 30, Credit: 1, LateCredit: 1}}
 		l := &line{t: t, now: 1e12, places: rapid.IntRange(1, 4).Draw(t, "places"), owner: map[int32]int{}, served: make([]float64, n),
 			work: 50 * ms}
-		m := &crowd.Ideal{Weights: make([]float64, n), Queued: make([]float64, n), Served: make([]float64, n)}
+		m := &tenantsim.Ideal{Weights: make([]float64, n), Queued: make([]float64, n), Served: make([]float64, n)}
 		for i := range n {
 			c.Tenants = append(c.Tenants, balance.Tenant{Name: fmt.Sprint(i), Quota: float64(rapid.IntRange(1, 4).Draw(t, "quota"))})
 		}
 		var err error
-		if l.door, err = door.New(l.now, c, crowd.Bounds(), l); err != nil {
+		if l.door, err = door.New(l.now, c, tenantsim.Bounds(), l); err != nil {
 			t.Fatal(err)
 		}
 		mean, all := 0.0, 0.0
--- /dev/null
+++ b/internal/tenantsim/events.go
@@ -0,0 +1,39 @@
+package tenantsim
+
+import "container/heap"
+
+// event is something that is to happen.
+type event struct {
+	at     Time
+	number int // events of one moment happen in the order in which they were planned
+	do     func()
+}
+
+// events is a heap of events, the next first.
+type events struct {
+	list []event
+	last int // number of the event that was planned last
+}
+
+func (e *events) Len() int { return len(e.list) }
+
+func (e *events) Less(i, k int) bool {
+	a, b := &e.list[i], &e.list[k]
+	return a.at < b.at || a.at == b.at && a.number < b.number
+}
+
+func (e *events) Swap(i, k int) { e.list[i], e.list[k] = e.list[k], e.list[i] }
+
+func (e *events) Push(x any) { e.list = append(e.list, x.(event)) }
+
+func (e *events) Pop() any {
+	last := e.list[len(e.list)-1]
+	e.list = e.list[:len(e.list)-1]
+	return last
+}
+
+// after plans an event.
+func (w *World) after(span Time, do func()) {
+	w.events.last++
+	heap.Push(&w.events, event{w.Now + max(span, 0), w.events.last, do})
+}
--- /dev/null
+++ b/internal/tenantsim/ideal.go
@@ -0,0 +1,44 @@
+package tenantsim
+
+import "math"
+
+// negligible is the work below which nothing is left to serve.
+const negligible = 1e-9
+
+// Ideal shares the stores' time as if work could be divided without limit: whoever has work gets time by
+// weight. It is the slow, plain model that admission control is compared with. The slices have one element
+// for each tenant.
+type Ideal struct {
+	Weights, Queued, Served []float64
+}
+
+// Pass serves that much work.
+func (m *Ideal) Pass(work float64) {
+	for work > negligible {
+		weight, least := m.backlog()
+		if weight == 0 {
+			return
+		}
+		part := min(least, work/weight)
+		for k := range m.Queued {
+			if m.Queued[k] > negligible {
+				m.Queued[k] -= part * m.Weights[k]
+				m.Served[k] += part * m.Weights[k]
+			}
+		}
+		work -= part * weight
+	}
+}
+
+// backlog returns the weight of the tenants that have work, and how much for a weight of 1 may be served
+// until the first of them has none.
+func (m *Ideal) backlog() (weight, least float64) {
+	least = math.Inf(1)
+	for k, queued := range m.Queued {
+		if queued > negligible {
+			weight += m.Weights[k]
+			least = min(least, queued/m.Weights[k])
+		}
+	}
+	return weight, least
+}
