Test: a move to an agent that lags, in the package of the watch

Cause: the mend of older lists after SIGHUP was forced by a test of whole processes alone.

Change: TestMovedToAnOlderList: two agents over real connections, the second one's lists 7 and 8 behind the first one's 40.

--- a/internal/discovery/standing_test.go
+++ b/internal/discovery/standing_test.go
@@ -224,3 +224,36 @@
 		})
 	}
 }
+
+// TestMovedToAnOlderList forces a move to an agent that lags: its first whole lists are from before what the old
+// one has told, and close stores but open none; the first that is as new counts in full.
+func TestMovedToAnOlderList(t *testing.T) {
+	const whole, older = balance.ListWhole, balance.ListOlder
+	stays := func(text string) func(c *net.TCPConn) { return write(open, text) }
+	from, _ := script(t, stays(list(40, true, entry("s-1", "leaving"))))
+	to, calls := script(t, stays(list(7, true, entry("s-1", "active"))+list(8, true, entry("s-1", "active"))+
+		list(40, true, entry("s-1", "active"))))
+	told := make(chan struct{}, 99)
+	w := watcher(from, -1, func() { told <- struct{}{} }, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	w.answers, w.silence = time.Hour, time.Hour
+	go w.run()
+	w.Ask()
+	var lists []front.List
+	for k, want := range []balance.ListNews{whole, older, older, whole} {
+		select {
+		case <-told:
+			lists = w.Take(lists)
+		case <-time.After(20 * time.Second):
+			t.Fatalf("only %d told", k)
+		}
+		if lists[k].News != want {
+			t.Errorf("told %d as %d, want %d", k, lists[k].News, want)
+		}
+		if k == 0 {
+			w.Move(to)
+		}
+	}
+	if since := <-calls; since != "" {
+		t.Errorf("the new agent is asked since %q", since)
+	}
+}
