At the end all that was read is answered; a refusal bars no store for good without probes

Change: conclude ends a connection whose ring is empty, and goes on reading else; without probes a refusal bars a store for its pause alone.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -778,7 +778,7 @@
 		r.Ending == Severed:
 		m.shut = b.shun(m)
 		if r.Ending == Unreached { // a single lost connection is no restart
-			m.suspect, m.unreached = true, j.sentAt
+			m.suspect, m.unreached = b.mayProbe, j.sentAt // with no probes nothing would ever clear it
 		}
 	}
 	if r.Ending == Served {
--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -348,7 +348,7 @@
 	cl.advance(c)
 	switch {
 	case cl.at < 0:
-	case c.Stopping() && cl.request < 0:
+	case c.Stopping() && cl.request < 0 && len(cl.link.Peek()) == 0: // Danger: what was read and is not answered is lost.
 		cl.finish(c)
 	default:
 		cl.read(c)
--- a/internal/front/pipeline.go
+++ b/internal/front/pipeline.go
@@ -108,7 +108,7 @@
 // takeAhead begins the client's next command while others of its are in hand; false: it has to wait for them. What is
 // no sound request waits, so that everything else is said between requests.
 func (cl *client) takeAhead(c *Core) bool {
-	if _, speaks := cl.speech.(postgres); !speaks || c.Stopping() {
+	if _, speaks := cl.speech.(postgres); !speaks {
 		return false
 	}
 	if len(cl.pipeline.behind) >= mostBehind || c.behind >= mostBehindAll {
--- a/internal/front/standing_test.go
+++ b/internal/front/standing_test.go
@@ -268,3 +268,20 @@
 		s.idle(0)
 	}
 }
+
+// TestRefusedOnceWithoutProbes forces one refused connection where settings allow no probes, and has the store take
+// connections again: it is used again within 4 s.
+func TestRefusedOnceWithoutProbes(t *testing.T) {
+	s := newStage(t, 20, true)
+	cl := s.client()
+	s.say(cl, ask("once", 1))
+	s.step(Event{s.dials[0], Closed}) // refused
+	before := len(s.dials)
+	for n := 2; n < 42 && len(s.dials) == before; n++ { // ten requests a second for 4 s
+		s.say(cl, ask("any", n))
+		s.pass(100 * perMilli)
+	}
+	if len(s.dials) == before {
+		t.Error("no attempt within 4 s")
+	}
+}
