--- a/fleet/lease/explore_test.go
+++ b/fleet/lease/explore_test.go
@@ -47,11 +47,11 @@
 	{"it is back", func(w *world) bool { return down(w) != nil }, func(w *world) { w.revive(down(w)) }},
 	{"voter 2 stands", func(w *world) bool { return !w.voters[1].down }, func(w *world) {
 		w.voters[1].v.node.Campaign()
-		w.voters[1].v.turn()
+		w.voters[1].v.handleReady()
 	}},
 	{"voter 3 stands", func(w *world) bool { return !w.voters[2].down }, func(w *world) {
 		w.voters[2].v.node.Campaign()
-		w.voters[2].v.turn()
+		w.voters[2].v.handleReady()
 	}},
 	{"the holder is stopped, or goes on", nil, func(w *world) { w.askers[0].down = !w.askers[0].down }},
 	{"the holder's machine sleeps", nil, func(w *world) {
--- a/fleet/lease/lease_test.go
+++ b/fleet/lease/lease_test.go
@@ -12,7 +12,7 @@
 func ready(f flaw, rates ...float64) *world {
 	w := newWorld(3, 2, f, rates...)
 	w.voters[0].v.node.Campaign()
-	w.voters[0].v.turn()
+	w.voters[0].v.handleReady()
 	w.settle()
 	w.askers[0].h.Want(w.askers[0].clock(), "l")
 	w.advance(1)
@@ -132,7 +132,7 @@
 func TestManyEndTogether(t *testing.T) {
 	w := newWorld(3, 1, flaw{})
 	w.voters[0].v.node.Campaign()
-	w.voters[0].v.turn()
+	w.voters[0].v.handleReady()
 	w.settle()
 	v := w.voters[0]
 	ask := func(name, from string, seq uint64) {
--- a/fleet/lease/world_test.go
+++ b/fleet/lease/world_test.go
@@ -405,7 +405,7 @@
 	put := func(vs ...any) { fmt.Fprint(h, vs...) }
 	for _, v := range w.voters {
 		s := v.v.node.BasicStatus()
-		put(v.down, s.GetTerm(), s.GetVote(), s.GetCommit(), s.RaftState, s.Lead, v.v.book.Applied, v.v.readyAt, len(v.v.reads), v.v.silent,
+		put(v.down, s.GetTerm(), s.GetVote(), s.GetCommit(), s.RaftState, s.Lead, v.v.book.Applied, v.v.readyAt, len(v.v.reads), v.v.silentTicks,
 			v.clock()-v.v.tickAt, len(v.kept.Entries), "|")
 		if last, err := v.v.disk.LastIndex(); err == nil {
 			put(last)
