--- a/fleet/config/agent.go
+++ b/fleet/config/agent.go
@@ -1,5 +1,14 @@
 package config
 
+import (
+	"encoding/binary"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+
+	"micatrack/internal/mwc"
+)
+
 // AgentHost is what an Agent does on one front.
 type AgentHost interface {
 	Send(addr string, message []byte) // one datagram; it may be lost. message is only valid during the call
@@ -22,32 +31,153 @@
 }
 
 // Agent holds one front's configuration. Not safe for use from several goroutines.
-type Agent struct{}
+type Agent struct {
+	node
+	host      AgentHost
+	options   AgentOptions
+	versions  chain
+	inForce   Version
+	state     FrontState
+	reason    string
+	newest    proof // that the version in force was the fleet's newest
+	count     uint64
+	refreshAt Time
+}
 
 // NewAgent starts an agent. A version in Kept is put in force before it returns.
-func NewAgent(now Time, options AgentOptions, host AgentHost) *Agent { panic("to come") }
+func NewAgent(now Time, options AgentOptions, host AgentHost) *Agent {
+	a := &Agent{host: host, options: options, state: StateEmpty}
+	a.node = node{fleet: options.Fleet, name: options.Name, now: now, source: mwc.New(options.Seed), send: host.Send}
+	a.budget = newBudget(now, frontRate, frontBurst)
+	a.chain = &a.versions
+	a.children.most = maxChildren
+	a.upstreams = []*upstream{{reportsTo: true}, {}}
+	a.node.adopted, a.node.confirmed = a.adopt, a.confirm
+	a.restore(options.Kept)
+	a.tell()
+	return a
+}
+
+// keptMark is the first byte of what an agent keeps; a checksum in eight bytes and the document follow.
+const keptMark = 0xC6
+
+func keptOf(document []byte) []byte {
+	kept := binary.LittleEndian.AppendUint64([]byte{keptMark}, xxhash.Sum64(document))
+	return append(kept, document...)
+}
+
+// restore puts what was kept in force. Danger: a spoilt disk; a start without a version is better than with half of one.
+func (a *Agent) restore(kept []byte) {
+	if len(kept) == 0 {
+		return
+	}
+	if len(kept) < 9 || kept[0] != keptMark || xxhash.Sum64(kept[9:]) != binary.LittleEndian.Uint64(kept[1:]) {
+		a.host.Log("configuration on disk is spoilt: starts without one")
+		return
+	}
+	encoded := append([]byte(nil), kept[9:]...)
+	document, err := ReadDocument(encoded)
+	if err != nil {
+		a.host.Log(fmt.Sprintf("configuration on disk: %v", err))
+		return
+	}
+	a.versions.add(0, document.Version, encoded, nil)
+	a.adopt(document)
+}
+
+// adopt puts a version in force, or says why not. Danger: a front that acts on parts of two versions; the host is asked
+// once, with all texts of the one.
+func (a *Agent) adopt(document *Document) {
+	texts := document.For(a.options.Name, a.options.Zone)
+	if reason := a.tooNew(texts); reason != "" {
+		a.hold(StateHeld, document.Version, reason)
+		return
+	}
+	if err := a.host.PutInForce(document.Version, texts); err != nil {
+		a.hold(StateRefused, document.Version, oneLine(err.Error()))
+		return
+	}
+	a.inForce, a.state, a.reason = document.Version, StateInForce, ""
+	a.newest = proof{} // it is proven by the next answer
+	if a.proof.has {
+		a.newest = a.proof
+	}
+	a.host.Keep(keptOf(a.versions.document))
+	a.tell()
+}
+
+// tooNew tells which text needs a newer program than this one.
+func (a *Agent) tooNew(texts []ScopeText) string {
+	for _, t := range texts {
+		if t.Program > a.options.Program {
+			return fmt.Sprintf("%s %v: program %d, this is %d", t.Scope, ErrProgram, t.Program, a.options.Program)
+		}
+	}
+	return ""
+}
+
+// hold goes on with the version in force, and says why.
+func (a *Agent) hold(state FrontState, version Version, reason string) {
+	a.state, a.reason = state, reason[:min(len(reason), maxWords)]
+	a.host.Log(fmt.Sprintf("configuration %d is not in force, %d stays: %s", version, a.inForce, a.reason))
+	a.tell()
+}
+
+// confirm takes in that a version was the newest at a moment.
+func (a *Agent) confirm(at Time, newest Version) {
+	if a.inForce != 0 && newest <= a.inForce {
+		a.newest.prove(at)
+	}
+}
+
+// tell makes this front's report anew.
+func (a *Agent) tell() {
+	a.count++
+	a.refreshAt = a.now + refreshSpan - refreshSpan/10 + a.source.Below(refreshSpan/5)
+	a.reports.put(a.now, report{id: a.id(), life: a.options.Life, count: a.count, inForce: a.inForce,
+		received: a.chain.version, state: a.state, program: a.options.Program, reason: a.reason})
+}
 
 // SetPeers tells who is there, whenever that changes.
-func (a *Agent) SetPeers(now Time, peers Peers) { panic("to come") }
+func (a *Agent) SetPeers(now Time, peers Peers) {
+	a.now = now
+	a.setPeers(peers)
+}
 
 // Take takes a message in. from is the address that answers go to. A malformed one is dropped and counted.
-func (a *Agent) Take(now Time, from string, message []byte) { panic("to come") }
+func (a *Agent) Take(now Time, from string, message []byte) {
+	a.now = now
+	a.take(from, message)
+}
 
 // Next is when Beat must be called again.
-func (a *Agent) Next() Time { panic("to come") }
+func (a *Agent) Next() Time { return min(a.next(), max(a.refreshAt, a.now+1)) }
 
 // Beat does what is due.
-func (a *Agent) Beat(now Time) { panic("to come") }
+func (a *Agent) Beat(now Time) {
+	a.now = now
+	if now >= a.refreshAt {
+		a.reports.forget(now, forgetReports)
+		a.tell()
+	}
+	a.beat()
+}
 
 // InForce gives the version in force, 0 if there is none.
-func (a *Agent) InForce() Version { panic("to come") }
+func (a *Agent) InForce() Version { return a.inForce }
 
 // Guarded tells whether this front may act on guarded settings: its version in force was proven, within GuardSpan by its
 // own clock, to be the fleet's newest. Others may be acted on for as long as the front runs.
-func (a *Agent) Guarded(now Time) bool { panic("to come") }
+// Danger: a process can be stopped between this look at the clock and its act; what is acted on has to compare versions.
+func (a *Agent) Guarded(now Time) bool {
+	return a.inForce != 0 && a.newest.has && now-a.newest.at <= GuardSpan
+}
 
 // Status tells what this front has.
-func (a *Agent) Status(now Time) AgentStatus { panic("to come") }
+func (a *Agent) Status(now Time) AgentStatus {
+	return AgentStatus{InForce: a.inForce, Received: a.chain.version, State: a.state, Reason: a.reason,
+		Age: a.newest.age(now), Guarded: a.Guarded(now), Upstream: a.upstreams[0].addr, Dropped: a.dropped}
+}
 
 // AgentStatus is one front's own view.
 type AgentStatus struct {
--- /dev/null
+++ b/fleet/config/budget.go
@@ -0,0 +1,68 @@
+package config
+
+// budget paces what is sent, as a token bucket. Received bytes are taken from it too, so that a machine which receives
+// much sends less.
+type budget struct {
+	rate   int64 // bytes a second
+	burst  int64 // bytes
+	tokens int64 // bytes times Second; below zero after much was received
+	at     Time
+}
+
+// Bounds of traffic, sent and received together, headers of IP and UDP included.
+const (
+	frontRate    = 1_200 // bytes a second; with frontBurst at most 20,000 in any ten seconds
+	frontBurst   = 8_000
+	controlRate  = 40_000 // a control machine does nothing else
+	controlBurst = 80_000
+	headerSize   = 28    // bytes of IP version 4 and UDP
+	smallReserve = 2_000 // bytes that chunks leave to small messages
+	maxDebt      = 4_000 // bytes
+)
+
+func newBudget(now Time, rate, burst int64) budget {
+	return budget{rate: rate, burst: burst, tokens: burst * Second, at: now}
+}
+
+func (b *budget) refill(now Time) {
+	if now <= b.at {
+		return
+	}
+	elapsed := min(now-b.at, 60*Second)
+	b.tokens = min(b.tokens+elapsed*b.rate, b.burst*Second)
+	b.at = now
+}
+
+// spend takes the bytes of one message.
+func (b *budget) spend(now Time, size int) {
+	b.refill(now)
+	b.tokens = max(b.tokens-int64(size+headerSize)*Second, -maxDebt*Second)
+}
+
+// allows tells whether a small message may go.
+func (b *budget) allows(now Time) bool {
+	b.refill(now)
+	return b.tokens > 0
+}
+
+// allowsChunk tells whether a chunk may go.
+func (b *budget) allowsChunk(now Time) bool {
+	b.refill(now)
+	return b.tokens >= (smallReserve+MaxMessage)*Second
+}
+
+// chunkAt is when a chunk may go.
+func (b *budget) chunkAt(now Time) Time {
+	b.refill(now)
+	missing := (smallReserve+MaxMessage)*Second - b.tokens
+	if missing <= 0 {
+		return now
+	}
+	return now + missing/b.rate + 1
+}
+
+// spent gives which part of the burst is used up, in thousandths.
+func (b *budget) spent(now Time) int64 {
+	b.refill(now)
+	return 1000 - max(b.tokens, 0)*1000/(b.burst*Second)
+}
--- /dev/null
+++ b/fleet/config/children.go
@@ -0,0 +1,238 @@
+package config
+
+import "slices"
+
+// children are the machines that ask this one.
+type children struct {
+	list      []child // in the order in which they came
+	most      int
+	turn      int  // whose chunk is sent next
+	offerAt   Time // when children are told of something newer; 0: nothing is to be told
+	offeredAt Time // when they were told last
+	cache     []*payload
+}
+
+type child struct {
+	addr    string
+	heardAt Time
+	version Version // that it has, as far as it said
+	serving *serving
+}
+
+// serving is a payload on its way to one child.
+type serving struct {
+	payload *payload
+	wanted  []byte // chunks still to be sent, a bit each
+}
+
+// payload is an encoded delta, whole or as far as it has come in.
+type payload struct {
+	payloadID
+	chunks [][]byte // nil: not here yet
+}
+
+// Spans and bounds of children.
+const (
+	childSpan     = 5 * Second         // without a heartbeat, then a child is forgotten
+	offerGap      = 150 * Millisecond  // between two offers at least, so that a burst goes together,
+	offerGapSpent = 1500 * Millisecond // and so much more where the budget is spent
+	maxCache      = 4                  // payloads
+)
+
+// place finds a child, or makes a place for it while there is one.
+func (c *children) place(now Time, addr string) *child {
+	for k := range c.list {
+		if c.list[k].addr == addr {
+			c.list[k].heardAt = now
+			return &c.list[k]
+		}
+	}
+	if len(c.list) >= c.most {
+		return nil
+	}
+	c.list = append(c.list, child{addr: addr, heardAt: now})
+	return &c.list[len(c.list)-1]
+}
+
+func (c *children) expire(now Time) {
+	c.list = slices.DeleteFunc(c.list, func(x child) bool { return now-x.heardAt > childSpan })
+}
+
+// waiting tells whether a chunk is here that a child waits for.
+func (c *children) waiting() bool {
+	return slices.ContainsFunc(c.list, func(x child) bool { return x.serving != nil && x.serving.ready() >= 0 })
+}
+
+// ready gives the number of a chunk that can be sent, -1 if there is none.
+func (s *serving) ready() int {
+	for k := range s.payload.chunks {
+		if s.payload.chunks[k] != nil && hasBit(s.wanted, k) {
+			return k
+		}
+	}
+	return -1
+}
+
+func hasBit(bits []byte, k int) bool { return k/8 < len(bits) && bits[k/8]&(1<<(k%8)) != 0 }
+
+// heard answers a heartbeat.
+func (n *node) heard(from string, m *message) {
+	answer := &message{kind: acknowledge, seq: m.seq, version: n.chain.version}
+	answer.proven, answer.age = n.proof.has, n.proof.age(n.now)
+	c := n.children.place(n.now, from)
+	if c == nil {
+		answer.full = true
+		n.post(from, answer)
+		return
+	}
+	c.version = m.version
+	for _, told := range m.reports {
+		n.reports.put(n.now, told)
+	}
+	n.post(from, answer)
+	if n.transfer.passable() && c.version < n.transfer.to {
+		n.post(from, &message{kind: offer, version: n.transfer.to})
+	}
+}
+
+// newVersion has children told of something newer, soon.
+// Danger: in a burst of changes each would go to each child by itself, and use up the budget.
+func (n *node) newVersion() {
+	gap := offerGap + offerGapSpent*n.budget.spent(n.now)/1000
+	n.children.offerAt = max(n.now, n.children.offeredAt+gap)
+	n.offerNewest()
+}
+
+// offerNewest tells children of what they do not have, when that is due.
+func (n *node) offerNewest() {
+	if n.children.offerAt == 0 || n.now < n.children.offerAt {
+		return
+	}
+	n.children.offerAt, n.children.offeredAt = 0, n.now
+	version := n.chain.version
+	if n.transfer.passable() {
+		version = max(version, n.transfer.to)
+	}
+	for k := range n.children.list {
+		if c := &n.children.list[k]; c.version < version {
+			n.post(c.addr, &message{kind: offer, version: version})
+		}
+	}
+}
+
+// pulled takes in what a child asks for.
+func (n *node) pulled(from string, m *message) {
+	c := n.children.place(n.now, from)
+	if c == nil {
+		n.post(from, &message{kind: acknowledge, full: true, unable: true, version: n.chain.version})
+		return
+	}
+	c.version = m.version
+	p := n.payloadFor(m)
+	if p == nil {
+		c.serving = nil
+		n.post(from, &message{kind: acknowledge, unable: n.chain.version > m.version, version: n.chain.version})
+		return
+	}
+	wanted := slices.Clone(m.wanted)
+	if p.payloadID != m.payload || len(wanted) == 0 {
+		wanted = allBits(len(p.chunks))
+	}
+	c.serving = &serving{p, wanted}
+	n.serve()
+}
+
+func allBits(count int) []byte {
+	bits := make([]byte, (count+7)/8)
+	for k := range count {
+		bits[k/8] |= 1 << (k % 8)
+	}
+	return bits
+}
+
+// payloadFor finds what brings a child to a newer version: the payload that it has a part of already, else one from the
+// newest of its versions that is known here, else, to one that has none, everything.
+func (n *node) payloadFor(m *message) *payload {
+	if p := n.cached(m.payload); p != nil {
+		return p
+	}
+	if n.transfer.passable() && n.transfer.suits(m) {
+		return n.transfer.payload
+	}
+	base, has := Version(0), len(m.bases) == 0 || n.adopted == nil
+	for _, b := range m.bases {
+		if b >= n.chain.version {
+			return nil
+		}
+		if b > base && n.chain.knows(b) {
+			base, has = b, true
+		}
+	}
+	if !has || n.chain.version == 0 {
+		return nil
+	}
+	return n.made(base)
+}
+
+// cached gives a payload that was made or received before.
+func (n *node) cached(id payloadID) *payload {
+	if id.to == 0 {
+		return nil
+	}
+	for _, p := range n.children.cache {
+		if p.payloadID == id {
+			return p
+		}
+	}
+	return nil
+}
+
+// made gives the payload from a base, 0 for everything, to the newest version.
+func (n *node) made(base Version) *payload {
+	for _, p := range n.children.cache {
+		if p.from == base && p.to == n.chain.version {
+			return p
+		}
+	}
+	d := n.chain.whole
+	if base != 0 {
+		d = func() *delta { return n.chain.deltaFrom(base) }
+	}
+	p := newPayload(base, n.chain.version, d().payload())
+	n.remember(p)
+	return p
+}
+
+func (n *node) remember(p *payload) {
+	if len(n.children.cache) >= maxCache {
+		n.children.cache = n.children.cache[1:]
+	}
+	n.children.cache = append(n.children.cache, p)
+}
+
+// serve sends chunks, one to each child in turn, as the budget allows.
+func (n *node) serve() {
+	for n.budget.allowsChunk(n.now) {
+		c := n.children.nextServed()
+		if c == nil {
+			return
+		}
+		p, index := c.serving.payload, c.serving.ready()
+		c.serving.wanted[index/8] &^= 1 << (index % 8)
+		m := &message{kind: chunk, payload: p.payloadID, total: uint64(len(p.chunks)), index: uint64(index)}
+		m.data = p.chunks[index]
+		n.post(c.addr, m)
+	}
+}
+
+// nextServed gives the next child, in turn, that a chunk can be sent to.
+func (c *children) nextServed() *child {
+	for range c.list {
+		c.turn++
+		x := &c.list[c.turn%len(c.list)]
+		if x.serving != nil && x.serving.ready() >= 0 {
+			return x
+		}
+	}
+	return nil
+}
--- a/fleet/config/config.go
+++ b/fleet/config/config.go
@@ -55,7 +55,7 @@
 )
 
 // GuardSpan is for how long after its version was proven to be the newest a front may act on guarded settings.
-const GuardSpan = 10 * Second
+const GuardSpan = 15 * Second
 
 // Errors that callers tell apart with errors.Is. Each is told in one line.
 var (
--- a/fleet/config/distributor.go
+++ b/fleet/config/distributor.go
@@ -1,5 +1,9 @@
 package config
 
+import (
+	"micatrack/internal/mwc"
+)
+
 // DistributorHost is what a Distributor does.
 type DistributorHost interface {
 	Send(addr string, message []byte) // one datagram; it may be lost. message is only valid during the call
@@ -17,72 +21,87 @@
 
 // Distributor serves the versions of a Log on one control machine. Not safe for use from several goroutines; the Log must
 // be changed by the same one.
-type Distributor struct{}
+type Distributor struct {
+	node
+	host      DistributorHost
+	log       *Log
+	leads     bool
+	served    Version // the newest that children were told of
+	appliedAt Time    // when it was
+	rollout   rollout
+}
 
 // NewDistributor starts a distributor. log is the state that entries are applied to beside it.
 func NewDistributor(now Time, options DistributorOptions, log *Log, host DistributorHost) *Distributor {
-	panic("to come")
+	d := &Distributor{host: host, log: log, appliedAt: now, served: log.Newest()}
+	d.node = node{fleet: options.Fleet, name: options.Name, now: now, source: mwc.New(options.Seed), send: host.Send}
+	d.budget = newBudget(now, controlRate, controlBurst)
+	d.chain = &log.chain
+	d.children.most = controlMost
+	return d
 }
 
 // SetPeers tells who is there. Controls names all control machines, this one too.
-func (d *Distributor) SetPeers(now Time, peers Peers) { panic("to come") }
+func (d *Distributor) SetPeers(now Time, peers Peers) {
+	d.now = now
+	d.setPeers(peers)
+}
 
 // Lead tells who leads the replicated log as far as known: whether this machine does, or at which address who does is
 // reached (none: not known).
-func (d *Distributor) Lead(now Time, leads bool, leader string) { panic("to come") }
+func (d *Distributor) Lead(now Time, leads bool, leader string) {
+	d.now = now
+	if leads != d.leads {
+		d.leads = leads
+		d.appliedAt = now // an earlier leader may have served it; a wait that is too long does no harm
+		d.rollout = rollout{}
+	}
+	if leads || leader == "" {
+		d.upstreams = nil
+		return
+	}
+	if len(d.upstreams) == 1 && d.upstreams[0].addr == leader {
+		return
+	}
+	d.upstreams = []*upstream{{reportsTo: true, fixed: true, addr: leader, nextAt: now}}
+	d.reports.again(now)
+}
 
 // Confirmed tells that a read by quorum, asked at the moment asked, has found this machine to lead, and that all entries
 // up to then are applied. Without it, this machine does not say that its newest version is the fleet's. Ask about once a
 // second while this machine leads.
-func (d *Distributor) Confirmed(now, asked Time) { panic("to come") }
+func (d *Distributor) Confirmed(now, asked Time) {
+	d.now = now
+	d.proof.prove(asked)
+}
 
 // Applied tells that entries were applied to the log, or a snapshot was restored.
-func (d *Distributor) Applied(now Time) { panic("to come") }
+func (d *Distributor) Applied(now Time) {
+	d.now = now
+	if d.log.Newest() == d.served {
+		return
+	}
+	d.served, d.appliedAt = d.log.Newest(), now
+	d.rollout = rollout{since: now}
+	d.newVersion()
+}
 
 // Take takes a message in. from is the address that answers go to. A malformed one is dropped and counted.
-func (d *Distributor) Take(now Time, from string, message []byte) { panic("to come") }
+func (d *Distributor) Take(now Time, from string, message []byte) {
+	d.now = now
+	d.take(from, message)
+}
 
 // Next is when Beat must be called again.
-func (d *Distributor) Next() Time { panic("to come") }
+func (d *Distributor) Next() Time { return min(d.next(), max(d.rollout.lookAt, d.now+1)) }
 
 // Beat does what is due.
-func (d *Distributor) Beat(now Time) { panic("to come") }
-
-// Status tells how far the newest version has come. Complete where this machine leads, and once reports have come in.
-func (d *Distributor) Status(now Time) Status { panic("to come") }
-
-// FrontState is what a front last said of itself.
-type FrontState uint8
-
-// The states of a front.
-const (
-	StateSilent  FrontState = iota // not heard for SilentAfter, or never
-	StateInForce                   // the version that it holds is in force
-	StateHeld                      // a newer one needs a newer program
-	StateRefused                   // it refused a newer one
-	StateEmpty                     // it has none in force
-)
-
-// FrontStatus is one front as a distributor knows it.
-type FrontStatus struct {
-	Name, Zone string
-	State      FrontState
-	InForce    Version // last told; it may have a newer one by now
-	Received   Version
-	Program    uint32
-	Reason     string // of a refusal, or why it is held
-	Silent     Time   // since when nothing came from it
-}
-
-// Status tells how far the configuration has come in the fleet.
-type Status struct {
-	Newest     Version
-	Lowest     Version       // the lowest in force of all fronts that are not silent; 0: none, or one of them has none
-	Everywhere bool          // every front that is not silent has Newest in force; silent ones act on no guarded setting of an older one
-	InForce    int           // fronts with Newest in force
-	Silent     int           // fronts not heard: cut off or gone; they may serve with an old version
-	Stage      *Stage        // the open roll-out
-	Fronts     []FrontStatus // by name
-	Age        Time          // since Newest was proven to be the fleet's newest; -1: never
-	Dropped    uint64        // malformed messages
+func (d *Distributor) Beat(now Time) {
+	d.now = now
+	d.beat()
+	d.reports.forget(now, forgetFronts)
+	if now >= d.rollout.lookAt {
+		d.rollout.lookAt = now + rolloutSpan
+		d.lookAtRollout()
+	}
 }
--- a/fleet/config/document.go
+++ b/fleet/config/document.go
@@ -1,5 +1,12 @@
 package config
 
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+)
+
 // ScopeText is one scope's text in one version.
 type ScopeText struct {
 	Scope   Scope
@@ -24,6 +31,13 @@
 	StepZone
 )
 
+// Bounds of a plan's spans.
+const (
+	maxSoak      = 3600 * Second
+	maxLimit     = 24 * 3600 * Second
+	defaultLimit = 60 * Second
+)
+
 // Document is one version of the whole configuration.
 type Document struct {
 	Version Version
@@ -31,14 +45,233 @@
 	Stage   *Stage      // nil: no roll-out is open
 }
 
+// find gives the place of a scope, or where it would stand.
+func (d *Document) find(scope Scope) (int, bool) {
+	return slices.BinarySearchFunc(d.Texts, scope, func(t ScopeText, s Scope) int { return cmp.Compare(t.Scope, s) })
+}
+
 // Text gives a scope's text, without a staged one.
-func (d *Document) Text(scope Scope) ([]byte, bool) { panic("to come") }
+func (d *Document) Text(scope Scope) ([]byte, bool) {
+	if k, has := d.find(scope); has {
+		return d.Texts[k].Text, true
+	}
+	return nil, false
+}
 
 // For gives the texts that count for one front, sorted by scope, a staged one included if the front is in its audience.
-func (d *Document) For(front, zone string) []ScopeText { panic("to come") }
+func (d *Document) For(front, zone string) []ScopeText {
+	if d.Stage == nil || !d.Stage.Reaches(front, zone) {
+		return d.Texts
+	}
+	staged := Document{Texts: slices.Clone(d.Texts)}
+	staged.put(d.Stage.Change)
+	return staged.Texts
+}
+
+// Reaches tells whether a front is in the stage's audience. A zone's step keeps the first front.
+func (s *Stage) Reaches(front, zone string) bool {
+	if front == s.Plan.Front && front != "" {
+		return true
+	}
+	return s.Step == StepZone && zone == s.Plan.Zone && zone != ""
+}
+
+// put sets a scope's text, or removes the scope where there is none.
+func (d *Document) put(t ScopeText) {
+	k, has := d.find(t.Scope)
+	switch {
+	case len(t.Text) == 0 && has:
+		d.Texts = slices.Delete(d.Texts, k, k+1)
+	case len(t.Text) == 0:
+	case has:
+		d.Texts[k] = t
+	default:
+		d.Texts = slices.Insert(d.Texts, k, t)
+	}
+}
+
+// size gives the bytes of all texts together.
+func (d *Document) size() int {
+	total := 0
+	for _, t := range d.Texts {
+		total += len(t.Text)
+	}
+	return total
+}
+
+// fits tells what bound the document breaks.
+func (d *Document) fits() error {
+	if len(d.Texts) > MaxScopes {
+		return fmt.Errorf("%w: %d scopes, at most %d", ErrTooLarge, len(d.Texts), MaxScopes)
+	}
+	if size := d.size(); size > MaxTexts {
+		return fmt.Errorf("%w: all texts together have %d bytes, at most %d", ErrTooLarge, size, MaxTexts)
+	}
+	return nil
+}
+
+// copy gives a document that can be changed without changing this one. Texts are shared: they are never written to.
+func (d *Document) copy() *Document {
+	twin := *d
+	twin.Texts = slices.Clone(d.Texts)
+	return &twin
+}
+
+// Fields of a document, of a text in it and of a stage.
+const (
+	documentVersion = 1
+	documentText    = 2
+	documentStage   = 3
+
+	textScope   = 1
+	textBytes   = 2
+	textProgram = 3
+
+	stageChange = 1
+	stageBegan  = 2
+	stageStep   = 3
+	stageFront  = 4
+	stageZone   = 5
+	stageSoak   = 6
+	stageLimit  = 7
+)
 
 // Append appends the document's binary encoding: the same bytes for the same document.
-func (d *Document) Append(dst []byte) []byte { panic("to come") }
+func (d *Document) Append(dst []byte) []byte {
+	dst = appendNumber(dst, documentVersion, uint64(d.Version))
+	for k := range d.Texts {
+		dst = appendPart(dst, documentText, d.Texts[k].append(nil))
+	}
+	if d.Stage != nil {
+		dst = appendPart(dst, documentStage, d.Stage.append(nil))
+	}
+	return dst
+}
+
+func (t *ScopeText) append(dst []byte) []byte {
+	dst = appendText(dst, textScope, t.Scope)
+	dst = appendText(dst, textBytes, t.Text)
+	return appendNumber(dst, textProgram, uint64(t.Program))
+}
+
+func (s *Stage) append(dst []byte) []byte {
+	dst = appendPart(dst, stageChange, s.Change.append(nil))
+	dst = appendNumber(dst, stageBegan, uint64(s.Began))
+	dst = appendNumber(dst, stageStep, uint64(s.Step))
+	return s.Plan.append(dst)
+}
+
+func (p *Plan) append(dst []byte) []byte {
+	dst = appendText(dst, stageFront, p.Front)
+	dst = appendText(dst, stageZone, p.Zone)
+	dst = appendNumber(dst, stageSoak, uint64(p.Soak))
+	return appendNumber(dst, stageLimit, uint64(p.Limit))
+}
 
 // ReadDocument reads a document. Errors are ErrMalformed.
-func ReadDocument(encoded []byte) (*Document, error) { panic("to come") }
+func ReadDocument(encoded []byte) (*Document, error) {
+	if len(encoded) > MaxDocument {
+		return nil, fmt.Errorf("%w: a document of %d bytes", ErrMalformed, len(encoded))
+	}
+	d := &Document{}
+	err := eachField(encoded, func(f field) error {
+		switch f.number {
+		case documentVersion:
+			d.Version = Version(f.value)
+		case documentText:
+			return d.readText(f.bytes)
+		case documentStage:
+			stage, err := readStage(f.bytes)
+			d.Stage = stage
+			return err
+		}
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	if err := d.fits(); err != nil || d.Version == 0 {
+		return nil, fmt.Errorf("%w: a document over its bounds or without a version", ErrMalformed)
+	}
+	return d, nil
+}
+
+func (d *Document) readText(encoded []byte) error {
+	t, err := readScopeText(encoded)
+	if err != nil {
+		return err
+	}
+	if last := len(d.Texts) - 1; len(t.Text) == 0 || last >= 0 && d.Texts[last].Scope >= t.Scope {
+		return fmt.Errorf("%w: scopes out of order or empty", ErrMalformed)
+	}
+	d.Texts = append(d.Texts, t)
+	return nil
+}
+
+func readScopeText(encoded []byte) (t ScopeText, err error) {
+	err = eachField(encoded, func(f field) error {
+		switch f.number {
+		case textScope:
+			t.Scope = Scope(f.bytes)
+		case textBytes:
+			t.Text = f.bytes
+		case textProgram:
+			if f.value > math.MaxUint32 {
+				return ErrMalformed
+			}
+			t.Program = uint32(f.value)
+		}
+		return nil
+	})
+	if err == nil && (!t.Scope.sound() || len(t.Text) > MaxTexts) {
+		err = fmt.Errorf("%w: a scope's name or its text", ErrMalformed)
+	}
+	return t, err
+}
+
+func readStage(encoded []byte) (*Stage, error) {
+	s := &Stage{}
+	err := eachField(encoded, func(f field) (err error) {
+		switch f.number {
+		case stageChange:
+			s.Change, err = readScopeText(f.bytes)
+		case stageBegan:
+			s.Began = Version(f.value)
+		case stageStep:
+			s.Step = Step(min(f.value, math.MaxUint8))
+		default:
+			err = s.Plan.take(f)
+		}
+		return err
+	})
+	if err == nil && (s.Change.Scope == "" || s.Step < StepFront || s.Step > StepZone) {
+		err = fmt.Errorf("%w: a stage without its parts", ErrMalformed)
+	}
+	return s, err
+}
+
+// take takes one field of a plan in.
+func (p *Plan) take(f field) (err error) {
+	switch f.number {
+	case stageFront:
+		p.Front, err = f.text(MaxName)
+	case stageZone:
+		p.Zone, err = f.text(MaxName)
+	case stageSoak:
+		p.Soak, err = f.span(maxSoak)
+	case stageLimit:
+		p.Limit, err = f.span(maxLimit)
+	}
+	return err
+}
+
+// step gives the step that comes behind one, 0 if all fronts come next.
+func (p *Plan) step(behind Step) Step {
+	if behind < StepFront && p.Front != "" {
+		return StepFront
+	}
+	if behind < StepZone && p.Zone != "" {
+		return StepZone
+	}
+	return 0
+}
--- /dev/null
+++ b/fleet/config/entry.go
@@ -0,0 +1,105 @@
+package config
+
+import (
+	"fmt"
+	"math"
+)
+
+// entryMark is the first byte of each entry. Entries of package lease begin with 1.
+const entryMark = 0xC5
+
+// entry is one change of a Log, as it stands in the replicated log.
+type entry struct {
+	kind           Kind
+	base           Version
+	to             Version // of a rollback
+	author, reason string
+	at             int64
+	scope          Scope
+	program        uint32
+	patch          []byte // a payload against the scope's text in base; none: the scope is removed
+	plan           *Plan
+}
+
+// Fields of an entry.
+const (
+	entryKind    = 1
+	entryBase    = 2
+	entryTo      = 3
+	entryAuthor  = 4
+	entryReason  = 5
+	entryAt      = 6
+	entryScope   = 7
+	entryProgram = 8
+	entryPatch   = 9
+	entryPlan    = 10
+)
+
+// IsEntry tells whether bytes of the shared replicated log are an entry of this package. Those of package lease are not.
+func IsEntry(entry []byte) bool { return len(entry) > 0 && entry[0] == entryMark }
+
+func (e *entry) encode() []byte {
+	dst := e.appendHead([]byte{entryMark})
+	dst = appendText(dst, entryScope, e.scope)
+	dst = appendNumber(dst, entryProgram, uint64(e.program))
+	dst = appendText(dst, entryPatch, e.patch)
+	if e.plan != nil {
+		dst = appendPart(dst, entryPlan, e.plan.append(nil))
+	}
+	return dst
+}
+
+// appendHead appends what history keeps of an entry.
+func (e *entry) appendHead(dst []byte) []byte {
+	dst = appendNumber(dst, entryKind, uint64(e.kind))
+	dst = appendNumber(dst, entryBase, uint64(e.base))
+	dst = appendNumber(dst, entryTo, uint64(e.to))
+	dst = appendText(dst, entryAuthor, e.author)
+	dst = appendText(dst, entryReason, e.reason)
+	return appendNumber(dst, entryAt, uint64(max(e.at, 0)))
+}
+
+func readEntry(encoded []byte) (*entry, error) {
+	if !IsEntry(encoded) || len(encoded) > MaxEntry {
+		return nil, fmt.Errorf("%w: an entry of an unknown shape", ErrMalformed)
+	}
+	e := &entry{}
+	if err := eachField(encoded[1:], e.take); err != nil {
+		return nil, err
+	}
+	if e.kind < KindChange || e.kind > KindAbort {
+		return nil, fmt.Errorf("%w: an entry of an unknown kind", ErrMalformed)
+	}
+	if e.kind == KindChange && !e.scope.sound() {
+		return nil, fmt.Errorf("%w: a scope's name", ErrMalformed)
+	}
+	return e, nil
+}
+
+// take takes one field in.
+func (e *entry) take(f field) (err error) {
+	switch f.number {
+	case entryKind:
+		e.kind = Kind(min(f.value, math.MaxUint8))
+	case entryBase:
+		e.base = Version(f.value)
+	case entryTo:
+		e.to = Version(f.value)
+	case entryAuthor:
+		e.author, err = f.text(MaxAuthor)
+	case entryReason:
+		e.reason, err = f.text(MaxReason)
+	case entryAt:
+		e.at = int64(min(f.value, math.MaxInt64))
+	case entryScope:
+		e.scope = Scope(f.bytes)
+	case entryProgram:
+		e.program = uint32(min(f.value, math.MaxUint32))
+	case entryPatch:
+		e.patch = f.bytes
+	case entryPlan:
+		e.plan = &Plan{}
+		err = eachField(f.bytes, e.plan.take)
+	}
+	return err
+}
--- /dev/null
+++ b/fleet/config/node.go
@@ -0,0 +1,141 @@
+package config
+
+import (
+	"micatrack/internal/mwc"
+)
+
+// node is what fronts and control machines have in common: it serves children, asks upstreams and passes reports on.
+type node struct {
+	fleet, name string
+	now         Time
+	source      mwc.Source
+	budget      budget
+	send        func(addr string, message []byte)
+	buffer      []byte // of the message that is sent
+
+	chain     *chain // the versions held
+	topology  topology
+	known     bool // topology was told
+	children  children
+	upstreams []*upstream // the first is where reports go
+	transfer  transfer
+	recent    recent
+	reports   reports
+	proof     proof
+	adopted   func(document *Document)      // a version was pulled; nil on a control machine
+	confirmed func(at Time, newest Version) // an upstream said how old it is; nil on a control machine
+	dropped   uint64
+}
+
+// proof is a moment at which no version newer than the one held existed, by this machine's clock.
+type proof struct {
+	at  Time
+	has bool
+}
+
+// prove takes a moment in. Danger: an answer may have been under way for long, so the moment is never that of its
+// arrival: it is that of the question, less the age that the answer tells.
+func (p *proof) prove(at Time) {
+	if !p.has || at > p.at {
+		p.at, p.has = at, true
+	}
+}
+
+// age gives for how long nothing was proven, -1 if nothing ever was.
+func (p *proof) age(now Time) Time {
+	if !p.has {
+		return -1
+	}
+	return max(now-p.at, 0)
+}
+
+func (n *node) id() uint64 { return nameID(n.name) }
+
+// post sends a message, if the budget allows any. What is left out is asked for again.
+func (n *node) post(addr string, m *message) bool {
+	if addr == "" || !n.budget.allows(n.now) {
+		return false
+	}
+	n.buffer = m.encode(n.buffer[:0], n.fleet)
+	n.budget.spend(n.now, len(n.buffer))
+	n.send(addr, n.buffer)
+	return true
+}
+
+// take takes a message in.
+func (n *node) take(from string, encoded []byte) {
+	n.budget.spend(n.now, len(encoded))
+	m, err := readMessage(encoded, n.fleet)
+	if err != nil || from == "" || len(from) > MaxAddress {
+		n.dropped++
+		return
+	}
+	switch m.kind {
+	case heartbeat:
+		n.heard(from, m)
+	case pull:
+		n.pulled(from, m)
+	case acknowledge:
+		n.answered(from, m)
+	case offer:
+		n.offered(from, m)
+	case chunk:
+		n.chunkCame(from, m)
+	}
+}
+
+// setPeers takes a new list of machines in. Upstreams stay while they answer: see upstream.review.
+func (n *node) setPeers(peers Peers) {
+	n.topology = newTopology(peers, n.name)
+	if n.known || n.adopted == nil {
+		return
+	}
+	n.known = true
+	for _, u := range n.upstreams {
+		u.choose(n, 0)
+	}
+}
+
+// beat does what is due.
+func (n *node) beat() {
+	n.children.expire(n.now)
+	for _, u := range n.upstreams {
+		u.beat(n)
+	}
+	n.flushReports()
+	n.beatTransfer()
+	n.offerNewest()
+	n.serve()
+}
+
+// next is when beat must be called again.
+func (n *node) next() Time {
+	at := n.now + Second
+	for _, u := range n.upstreams {
+		at = min(at, u.nextAt)
+	}
+	if n.reports.flushAt != 0 {
+		at = min(at, max(n.reports.flushAt, n.now+10*Millisecond))
+	}
+	if n.transfer.active {
+		at = min(at, n.transfer.retryAt)
+	}
+	if n.children.offerAt != 0 {
+		at = min(at, n.children.offerAt)
+	}
+	if n.children.waiting() {
+		at = min(at, max(n.budget.chunkAt(n.now), n.now+Millisecond))
+	}
+	return max(at, n.now+1)
+}
+
+// provenBy takes in that nothing newer than a version existed at a moment. It says as much of any later version.
+func (n *node) provenBy(at Time, newest Version) {
+	if newest > n.chain.version {
+		return
+	}
+	n.proof.prove(at)
+	if n.confirmed != nil {
+		n.confirmed(at, newest)
+	}
+}
--- /dev/null
+++ b/fleet/config/reports.go
@@ -0,0 +1,128 @@
+package config
+
+import (
+	"cmp"
+	"slices"
+)
+
+// reports is what a machine knows of fronts: on a relay those below it, on a control machine all.
+type reports struct {
+	entries []reportEntry // by id
+	batch   reportBatch
+	flushAt Time // when what is new has to go up; 0: nothing is
+}
+
+type reportEntry struct {
+	report
+	heardAt Time
+	dirty   bool // the upstream has not acknowledged it
+}
+
+// reportBatch is what was sent up and is not acknowledged.
+type reportBatch struct {
+	seq  uint64
+	at   Time
+	sent []report
+}
+
+// Spans of reports.
+const (
+	reportDelay   = 100 * Millisecond // for which a relay gathers what it passes on together
+	refreshSpan   = 5 * Second        // after which a front says again what it has
+	SilentAfter   = 15 * Second       // without a report a front counts as silent
+	forgetReports = 30 * Second       // after which a relay forgets a front that it does not hear of
+	batchSpace    = 900               // bytes of reports in one message
+)
+
+func (r *reports) find(id uint64) (int, bool) {
+	return slices.BinarySearchFunc(r.entries, id, func(e reportEntry, id uint64) int { return cmp.Compare(e.id, id) })
+}
+
+// put takes a report in, if it is newer than what is known.
+func (r *reports) put(now Time, told report) {
+	k, has := r.find(told.id)
+	if has && !told.newer(&r.entries[k].report) {
+		return
+	}
+	if !has {
+		if len(r.entries) >= MaxFronts && !r.makeRoom(now) {
+			return
+		}
+		k, _ = r.find(told.id)
+		r.entries = slices.Insert(r.entries, k, reportEntry{})
+	}
+	r.entries[k] = reportEntry{told, now, true}
+	r.flushSoon(now, reportDelay)
+}
+
+func (r *reports) flushSoon(now, delay Time) {
+	if r.flushAt == 0 || r.flushAt > now+delay {
+		r.flushAt = now + delay
+	}
+}
+
+// makeRoom forgets the front that was silent for longest, if one is silent.
+func (r *reports) makeRoom(now Time) bool {
+	oldest := 0
+	for k := range r.entries {
+		if r.entries[k].heardAt < r.entries[oldest].heardAt {
+			oldest = k
+		}
+	}
+	if now-r.entries[oldest].heardAt < SilentAfter {
+		return false
+	}
+	r.entries = slices.Delete(r.entries, oldest, oldest+1)
+	return true
+}
+
+// forget drops fronts that were not heard of for a span.
+func (r *reports) forget(now, span Time) {
+	r.entries = slices.DeleteFunc(r.entries, func(e reportEntry) bool { return now-e.heardAt > span })
+}
+
+// again has everything told once more, to an upstream that knows nothing of it.
+func (r *reports) again(now Time) {
+	for k := range r.entries {
+		r.entries[k].dirty = true
+	}
+	r.batch = reportBatch{}
+	if len(r.entries) > 0 {
+		r.flushSoon(now, 0)
+	}
+}
+
+// take gives the reports for the message with a number. What was in an earlier one goes again with later words.
+func (r *reports) take(now Time, seq uint64) []report {
+	r.flushAt = 0
+	r.batch = reportBatch{seq: seq, at: now}
+	size := 0
+	for k := range r.entries {
+		if !r.entries[k].dirty {
+			continue
+		}
+		size += len(r.entries[k].append(nil)) + 3
+		if size > batchSpace || len(r.batch.sent) == maxReports {
+			break
+		}
+		r.batch.sent = append(r.batch.sent, r.entries[k].report)
+	}
+	return r.batch.sent
+}
+
+// acknowledged notes that the upstream has the reports of a message.
+func (r *reports) acknowledged(now Time, seq uint64) {
+	if seq != r.batch.seq || len(r.batch.sent) == 0 {
+		return
+	}
+	for _, sent := range r.batch.sent {
+		k, has := r.find(sent.id)
+		if has && r.entries[k].life == sent.life && r.entries[k].count == sent.count {
+			r.entries[k].dirty = false
+		}
+	}
+	r.batch = reportBatch{}
+	if slices.ContainsFunc(r.entries, func(e reportEntry) bool { return e.dirty }) {
+		r.flushSoon(now, reportDelay)
+	}
+}
--- /dev/null
+++ b/fleet/config/upstream.go
@@ -0,0 +1,191 @@
+package config
+
+// upstream is a machine that this one asks for versions; to the first one reports go as well.
+type upstream struct {
+	reportsTo  bool
+	fixed      bool // the leader, of another control machine; it stays until another leads
+	addr       string
+	attempt    int // how many were passed over since the first choice
+	chosenAt   Time
+	reviewAt   Time
+	nextAt     Time // of the next heartbeat
+	answered   bool // since it was chosen
+	unanswered int  // heartbeats in a row,
+	askedSince Time // and when the first of them went
+	seq        uint64
+	asked      [4]question // the last heartbeats
+	version    Version     // the newest that it told of
+	unableFrom Version     // it has no delta from this version; 0: nothing is known
+}
+
+// question is a heartbeat on its way.
+type question struct {
+	seq uint64
+	at  Time
+}
+
+// Spans of heartbeats.
+const (
+	heartbeatSpan   = Second
+	heartbeatSpread = 100 * Millisecond  // drawn on top, so that machines do not go in step
+	answerSpan      = 500 * Millisecond  // after which an unanswered heartbeat is sent again
+	probeSpan       = 700 * Millisecond  // for which a newly chosen upstream may stay silent
+	maxUnanswered   = 3                  // heartbeats in a row, and
+	silentSpan      = 1400 * Millisecond // that no answer came for so long: then another upstream is chosen
+	slowAttempts    = 12                 // attempts after which they come once in two seconds
+	reviewSpan      = 30 * Second        // after which the first choice is tried again; as much again is drawn
+)
+
+// choose takes another upstream, or the first choice on attempt 0.
+func (u *upstream) choose(n *node, attempt int) {
+	u.attempt = attempt
+	u.addr = u.candidate(n)
+	u.chosenAt, u.nextAt = n.now, n.now
+	u.answered, u.unanswered, u.version, u.unableFrom = false, 0, 0, 0
+	u.reviewAt = n.now + reviewSpan + n.source.Below(reviewSpan)
+	if u.reportsTo {
+		n.reports.again(n.now)
+	}
+}
+
+// candidate gives the address for an attempt. The second upstream is another than the first where there is another.
+func (u *upstream) candidate(n *node) string {
+	if u.reportsTo {
+		return n.topology.first(u.attempt, &n.source)
+	}
+	addr := n.topology.second(u.attempt, &n.source)
+	if addr == n.upstreams[0].addr {
+		addr = n.topology.second(u.attempt, &n.source)
+	}
+	return addr
+}
+
+// beat sends a heartbeat when one is due, or gives the upstream up.
+// Danger: a relay that has died, or is cut off, would cut off all that hang on it.
+func (u *upstream) beat(n *node) {
+	if n.now < u.nextAt || !n.known && !u.fixed {
+		return
+	}
+	switch {
+	case u.fixed:
+	case u.addr == "" || u.silent(n.now):
+		u.choose(n, u.attempt+1)
+	case u.attempt > 0 && n.now >= u.reviewAt:
+		u.choose(n, 0)
+	case u.attempt == 0 && n.now >= u.reviewAt:
+		u.review(n)
+	}
+	u.heartbeat(n, nil)
+}
+
+// silent tells whether an upstream has to be taken for gone. Reports may go several times a second, so it takes a span
+// as well as a number.
+func (u *upstream) silent(now Time) bool {
+	if !u.answered {
+		return u.unanswered > 0
+	}
+	return u.unanswered >= maxUnanswered && now-u.askedSince >= silentSpan
+}
+
+// review looks whether the first choice is another one since the list of machines has changed. The second upstream is
+// drawn anew, so that children spread over the machines that have come.
+func (u *upstream) review(n *node) {
+	u.reviewAt = n.now + reviewSpan + n.source.Below(reviewSpan)
+	if !u.reportsTo || n.topology.first(0, &n.source) != u.addr {
+		u.choose(n, 0)
+	}
+}
+
+func (u *upstream) heartbeat(n *node, reports []report) {
+	if reports == nil {
+		u.seq++
+	}
+	u.asked[u.seq%uint64(len(u.asked))] = question{u.seq, n.now}
+	if u.unanswered == 0 {
+		u.askedSince = n.now
+	}
+	u.unanswered++
+	switch {
+	case u.addr == "":
+		u.nextAt = n.now + Second
+	case u.answered:
+		u.nextAt = n.now + answerSpan
+	case u.attempt > slowAttempts:
+		u.nextAt = n.now + 2*Second
+	default:
+		u.nextAt = n.now + probeSpan
+	}
+	n.post(u.addr, &message{kind: heartbeat, seq: u.seq, version: n.chain.version, reports: reports})
+}
+
+// flushReports sends what the upstream does not know yet.
+func (n *node) flushReports() {
+	if n.reports.flushAt == 0 || n.now < n.reports.flushAt {
+		return
+	}
+	if len(n.upstreams) == 0 || !n.upstreams[0].answered {
+		n.reports.flushAt = n.now + answerSpan // it is tried whether it is there
+		return
+	}
+	if at := n.reports.batch.at + answerSpan; len(n.reports.batch.sent) > 0 && n.now < at {
+		n.reports.flushAt = at // the last ones are not acknowledged
+		return
+	}
+	u := n.upstreams[0]
+	reports := n.reports.take(n.now, u.seq+1)
+	if len(reports) == 0 {
+		return
+	}
+	u.seq++
+	u.heartbeat(n, reports)
+	n.reports.flushSoon(n.now, answerSpan) // again, unless it is acknowledged
+}
+
+// from gives the upstream with an address, nil if none has it.
+func (n *node) from(addr string) *upstream {
+	for _, u := range n.upstreams {
+		if u.addr == addr {
+			return u
+		}
+	}
+	return nil
+}
+
+// answered takes an upstream's answer in.
+func (n *node) answered(from string, m *message) {
+	if m.unable {
+		n.unableToServe(from)
+	}
+	u := n.from(from)
+	if u == nil || m.seq == 0 {
+		return
+	}
+	asked := u.asked[m.seq%uint64(len(u.asked))]
+	if asked.seq != m.seq {
+		return // it was too long under way
+	}
+	if m.full && !u.fixed {
+		u.choose(n, u.attempt+1)
+		return
+	}
+	u.answered, u.unanswered = true, 0
+	u.nextAt = max(u.nextAt, asked.at+heartbeatSpan+n.source.Below(heartbeatSpread))
+	u.version = m.version
+	if u.reportsTo {
+		n.reports.acknowledged(n.now, m.seq)
+	}
+	if m.proven {
+		n.provenBy(asked.at-m.age, m.version)
+	}
+	n.wantNewer()
+}
+
+// offered notes that an upstream has, or is getting, something newer.
+func (n *node) offered(from string, m *message) {
+	u := n.from(from)
+	if u == nil {
+		return
+	}
+	u.version = max(u.version, m.version)
+	n.wantNewer()
+}
--- /dev/null
+++ b/fleet/config/world_test.go
@@ -0,0 +1,427 @@
+package config
+
+import (
+	"bytes"
+	"container/heap"
+	"fmt"
+	"testing"
+
+	"micatrack/internal/mwc"
+)
+
+// A world of fronts and control machines on one virtual clock, over links that delay, lose, double and spoil. In place
+// of consensus, which package lease has, stands a list of entries that a majority of control machines extends.
+
+type event struct {
+	at    Time
+	order uint64
+	do    func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].order < e[j].order
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// machine is a front or a control machine.
+type machine struct {
+	w            *world
+	name, zone   string
+	region       int
+	down         bool
+	life         uint64
+	slow         Time // by which it handles each message later
+	wakeAt       Time
+	agent        *Agent
+	control      *Distributor
+	log          *Log
+	applied      int // entries
+	kept         []byte
+	inForce      Version // over all lives, as far as it has a disk
+	inForceAt    Time
+	diskless     bool
+	program      uint32
+	refuse       func(texts []ScopeText) error
+	traffic      []int64 // bytes sent and received in each second
+	messages     int
+	lastMessages [][]byte
+}
+
+type world struct {
+	t        testing.TB
+	now      Time
+	queue    events
+	order    uint64
+	source   mwc.Source
+	machines map[string]*machine
+	controls []*machine
+	fronts   []*machine
+	entries  [][]byte
+	known    map[Version]*Document // what each version says
+	results  []Result
+	loss     int64 // of a thousand
+	doubled  int64
+	spoilt   int64
+	within   Time
+	between  Time
+	cut      func(x, y *machine) bool
+	trouble  []string
+	onForce  func(m *machine, v Version)
+}
+
+func newWorld(t testing.TB, seed uint64, controls, fronts, zones int) *world {
+	w := &world{t: t, now: 1000 * Second, source: mwc.New(seed), machines: map[string]*machine{},
+		known: map[Version]*Document{}, within: 30 * Millisecond, between: 80 * Millisecond}
+	for k := range controls {
+		w.controls = append(w.controls, w.add(fmt.Sprint("control", k), k%zones, zones))
+	}
+	for k := range fronts {
+		w.fronts = append(w.fronts, w.add(fmt.Sprint("front", k), k%zones, zones))
+	}
+	for _, m := range w.controls {
+		m.log = NewLog()
+		w.start(m)
+	}
+	for _, m := range w.fronts {
+		w.start(m)
+	}
+	w.lead()
+	w.at(w.now+Second, w.confirm)
+	return w
+}
+
+func (w *world) add(name string, zone, zones int) *machine {
+	m := &machine{w: w, name: name, zone: fmt.Sprint("zone", zone), region: zone * 2 / max(zones, 2), program: 1}
+	w.machines[name] = m
+	return m
+}
+
+func (w *world) at(at Time, do func()) {
+	w.order++
+	heap.Push(&w.queue, event{at, w.order, do})
+}
+
+func (w *world) run(span Time) {
+	for until := w.now + span; ; {
+		if len(w.queue) == 0 || w.queue[0].at > until {
+			w.now = until
+			return
+		}
+		e := heap.Pop(&w.queue).(event)
+		w.now = e.at
+		e.do()
+	}
+}
+
+// runUntil runs until something holds, for a span at most, and tells for how long it ran; -1: it never held.
+func (w *world) runUntil(span Time, holds func() bool) Time {
+	for begin := w.now; w.now-begin <= span; w.run(10 * Millisecond) {
+		if holds() {
+			return w.now - begin
+		}
+	}
+	return -1
+}
+
+func (w *world) peers() Peers {
+	var p Peers
+	for _, m := range w.controls {
+		p.Controls = append(p.Controls, Peer{m.name, m.zone, m.name})
+	}
+	for _, m := range w.fronts {
+		p.Fronts = append(p.Fronts, Peer{m.name, m.zone, m.name})
+	}
+	return p
+}
+
+func (w *world) start(m *machine) {
+	m.down = false
+	m.life++
+	seed := uint64(w.source.Next()) + m.life
+	if m.log != nil {
+		m.control = NewDistributor(w.now, DistributorOptions{Fleet: "blue", Name: m.name, Seed: seed}, m.log, m)
+		m.control.SetPeers(w.now, w.peers())
+	} else {
+		kept := m.kept
+		if m.diskless {
+			kept, m.inForce = nil, 0
+		}
+		if len(kept) > 0 {
+			m.inForce-- // the same version is put in force again
+		}
+		m.agent = NewAgent(w.now, AgentOptions{Fleet: "blue", Name: m.name, Zone: m.zone, Life: m.life,
+			Program: m.program, Seed: seed, Kept: kept}, m)
+		m.agent.SetPeers(w.now, w.peers())
+	}
+	m.wakeAt = 0
+	m.wake()
+}
+
+func (m *machine) stop() { m.down = true }
+
+// wake has the machine's next beat come.
+func (m *machine) wake() {
+	next := Time(0)
+	if m.agent != nil {
+		next = m.agent.Next()
+	} else {
+		next = m.control.Next()
+	}
+	if m.wakeAt > m.w.now && m.wakeAt <= next {
+		return
+	}
+	m.wakeAt = max(next, m.w.now+1)
+	at, life := m.wakeAt, m.life
+	m.w.at(at, func() {
+		if m.down || m.life != life || m.wakeAt != at {
+			return
+		}
+		if m.agent != nil {
+			m.agent.Beat(m.w.now)
+		} else {
+			m.control.Beat(m.w.now)
+		}
+		m.wake()
+	})
+}
+
+func (m *machine) count(size int) {
+	second := int(m.w.now/Second) - 1000
+	for len(m.traffic) <= second {
+		m.traffic = append(m.traffic, 0)
+	}
+	m.traffic[second] += int64(size + headerSize)
+}
+
+// worst gives the most bytes a second over ten seconds in a row, from a second on.
+func (m *machine) worst(from int) int64 {
+	most, sum := int64(0), int64(0)
+	for k := from; k < len(m.traffic); k++ {
+		sum += m.traffic[k]
+		if k-from >= 10 {
+			sum -= m.traffic[k-10]
+		}
+		most = max(most, sum/10)
+	}
+	return most
+}
+
+func (m *machine) Send(addr string, message []byte) {
+	w := m.w
+	m.messages++
+	m.count(len(message))
+	if len(message) > MaxMessage {
+		w.fault("%s: a message of %d bytes", m.name, len(message))
+	}
+	copies := 1
+	if w.doubled > 0 && w.source.Below(1000) < w.doubled {
+		copies = 2
+	}
+	for range copies {
+		w.deliver(m, w.machines[addr], bytes.Clone(message))
+	}
+}
+
+func (w *world) deliver(from, to *machine, message []byte) {
+	if to == nil || w.source.Below(1000) < w.loss || w.cut != nil && w.cut(from, to) {
+		return
+	}
+	if w.spoilt > 0 && w.source.Below(1000) < w.spoilt {
+		message[w.source.Below(int64(len(message)))] ^= byte(1 << w.source.Below(8))
+	}
+	delay := w.within
+	if from.region != to.region {
+		delay = w.between
+	}
+	delay += w.source.Below(delay/4+1) + to.slow
+	w.at(w.now+delay, func() { to.receive(from.name, message) })
+}
+
+func (m *machine) receive(from string, message []byte) {
+	if m.down {
+		return
+	}
+	m.count(len(message))
+	if m.agent != nil {
+		m.agent.Take(m.w.now, from, message)
+	} else {
+		m.control.Take(m.w.now, from, message)
+	}
+	m.wake()
+}
+
+func (m *machine) Log(string)              {}
+func (m *machine) UnixMilliseconds() int64 { return m.w.now / Millisecond }
+func (m *machine) Keep(kept []byte)        { m.kept = bytes.Clone(kept) }
+func (m *machine) Propose(entry []byte) error {
+	if !m.w.commit(entry) {
+		return fmt.Errorf("no majority")
+	}
+	return nil
+}
+
+func (w *world) fault(format string, values ...any) {
+	if len(w.trouble) < 10 {
+		w.trouble = append(w.trouble, fmt.Sprintf(format, values...))
+	}
+}
+
+// PutInForce is the rule that all tests hold: a version goes forward only, and is the very one that the log has.
+func (m *machine) PutInForce(v Version, texts []ScopeText) error {
+	w := m.w
+	if v <= m.inForce {
+		w.fault("%s: version %d after %d", m.name, v, m.inForce)
+	}
+	want := w.known[v]
+	if want == nil {
+		w.fault("%s: version %d was never committed", m.name, v)
+		return nil
+	}
+	if !bytes.Equal((&Document{Texts: texts}).Append(nil), (&Document{Texts: want.For(m.name, m.zone)}).Append(nil)) {
+		w.fault("%s: version %d is not what was committed", m.name, v)
+	}
+	if m.refuse != nil {
+		if err := m.refuse(texts); err != nil {
+			return err
+		}
+	}
+	m.inForce, m.inForceAt = v, w.now
+	if w.onForce != nil {
+		w.onForce(m, v)
+	}
+	return nil
+}
+
+// leader gives the first control machine that reaches a majority, nil if there is none.
+func (w *world) leader() *machine {
+	for _, m := range w.controls {
+		reached := 0
+		for _, o := range w.controls {
+			if !m.down && !o.down && (o == m || w.cut == nil || !w.cut(m, o) && !w.cut(o, m)) {
+				reached++
+			}
+		}
+		if 2*reached > len(w.controls) {
+			return m
+		}
+	}
+	return nil
+}
+
+func (w *world) reaches(x, y *machine) bool { return w.cut == nil || !w.cut(x, y) }
+
+// lead tells control machines who leads, and has them catch up.
+func (w *world) lead() {
+	leader := w.leader()
+	for _, m := range w.controls {
+		if m.down {
+			continue
+		}
+		addr := ""
+		if leader != nil && w.reaches(leader, m) {
+			addr = leader.name
+			w.catchUp(m)
+		}
+		m.control.Lead(w.now, m == leader, addr)
+		m.wake()
+	}
+}
+
+// confirm stands for the read by quorum.
+func (w *world) confirm() {
+	w.lead()
+	if leader := w.leader(); leader != nil {
+		leader.control.Confirmed(w.now, w.now-50*Millisecond)
+	}
+	w.at(w.now+Second, w.confirm)
+}
+
+// commit adds an entry; each control machine applies it after a delay of its own.
+func (w *world) commit(entry []byte) bool {
+	leader := w.leader()
+	if leader == nil {
+		return false
+	}
+	w.entries = append(w.entries, bytes.Clone(entry))
+	w.catchUp(leader)
+	for _, m := range w.controls {
+		w.at(w.now+w.within+w.source.Below(w.between), func() {
+			if l := w.leader(); !m.down && l != nil && w.reaches(l, m) {
+				w.catchUp(m)
+			}
+		})
+	}
+	return true
+}
+
+func (w *world) catchUp(m *machine) {
+	for ; m.applied < len(w.entries); m.applied++ {
+		result := m.log.Apply(w.entries[m.applied])
+		if m.applied == len(w.results) {
+			w.results = append(w.results, result)
+			if result.Err == nil {
+				w.known[result.Version], _ = ReadDocument(m.log.Document().Append(nil))
+			}
+		} else if w.results[m.applied].Version != result.Version {
+			w.fault("%s: entry %d leads to another version", m.name, m.applied)
+		}
+	}
+	m.control.Applied(w.now)
+	m.wake()
+}
+
+// change commits a change of a scope to a text, and gives its version.
+func (w *world) change(scope Scope, text string, plan *Plan) Version {
+	leader := w.leader()
+	if leader == nil {
+		return 0
+	}
+	c := Change{Base: leader.log.Newest(), Scope: scope, Text: []byte(text), Author: "ana", Reason: "a test", At: 1, Plan: plan}
+	entry, err := leader.log.Prepare(c, nil)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.commit(entry)
+	return leader.log.Newest()
+}
+
+// everyone tells whether all live fronts that a test counts have a version in force.
+func (w *world) everyone(v Version, count func(m *machine) bool) bool {
+	for _, m := range w.fronts {
+		if !m.down && (count == nil || count(m)) && m.agent.InForce() < v {
+			return false
+		}
+	}
+	return true
+}
+
+func (w *world) check() {
+	w.t.Helper()
+	for _, trouble := range w.trouble {
+		w.t.Error(trouble)
+	}
+}
+
+// settings gives a text of many keys, with one that a change alters.
+func settings(keys, changed, value int) string {
+	var text bytes.Buffer
+	text.WriteString("{\n")
+	for k := range keys {
+		number := k * 37
+		if k == changed {
+			number = value
+		}
+		fmt.Fprintf(&text, "  \"class-%03d\": {\"freshness_ms\": %d, \"credit\": 4, \"retries\": 2},\n", k, number)
+	}
+	text.WriteString("  \"end\": true\n}\n")
+	return text.String()
+}
