--- /dev/null
+++ b/fleet/config/distributor.go
@@ -0,0 +1,107 @@
+package config
+
+import (
+	"micatrack/internal/mwc"
+)
+
+// DistributorHost is what a Distributor does.
+type DistributorHost interface {
+	Send(addr string, message []byte) // one datagram; it may be lost. message is only valid during the call
+	Propose(entry []byte) error       // to the replicated log; only asked where Lead said so
+	UnixMilliseconds() int64          // the wall clock, for what history says of entries made here
+	Log(text string)
+}
+
+// DistributorOptions is what a Distributor is started with.
+type DistributorOptions struct {
+	Fleet string // messages of another are dropped
+	Name  string // of this control machine
+	Seed  uint64
+}
+
+// Distributor serves the versions of a Log on one control machine. Not safe for use from several goroutines; the Log must
+// be changed by the same one.
+type Distributor struct {
+	node
+	host      DistributorHost
+	log       *Log
+	leads     bool
+	served    Version // the newest that children were told of
+	appliedAt Time    // when it was
+	rollout   rollout
+}
+
+// NewDistributor starts a distributor. log is the state that entries are applied to beside it.
+func NewDistributor(now Time, options DistributorOptions, log *Log, host DistributorHost) *Distributor {
+	d := &Distributor{host: host, log: log, appliedAt: now, served: log.Newest()}
+	d.node = node{fleet: options.Fleet, name: options.Name, now: now, source: mwc.New(options.Seed), send: host.Send}
+	d.budget = newBudget(now, controlRate, controlBurst)
+	d.chain = &log.chain
+	d.children.most = controlMost
+	return d
+}
+
+// SetPeers tells who is there. Controls names all control machines, this one too.
+func (d *Distributor) SetPeers(now Time, peers Peers) {
+	d.now = now
+	d.setPeers(peers)
+}
+
+// Lead tells who leads the replicated log as far as known: whether this machine does, or at which address who does is
+// reached (none: not known).
+func (d *Distributor) Lead(now Time, leads bool, leader string) {
+	d.now = now
+	if leads != d.leads {
+		d.leads = leads
+		d.appliedAt = now // an earlier leader may have served it; a wait that is too long does no harm
+		d.rollout = rollout{}
+	}
+	if leads || leader == "" {
+		d.upstreams = nil
+		return
+	}
+	if len(d.upstreams) == 1 && d.upstreams[0].addr == leader {
+		return
+	}
+	d.upstreams = []*upstream{{reportsTo: true, fixed: true, addr: leader, nextAt: now}}
+	d.reports.again(now)
+}
+
+// Confirmed tells that a read by quorum, asked at the moment asked, has found this machine to lead, and that all entries
+// up to then are applied. Without it, this machine does not say that its newest version is the fleet's. Ask about once a
+// second while this machine leads.
+func (d *Distributor) Confirmed(now, asked Time) {
+	d.now = now
+	d.proof.prove(asked)
+}
+
+// Applied tells that entries were applied to the log, or a snapshot was restored.
+func (d *Distributor) Applied(now Time) {
+	d.now = now
+	if d.log.Newest() == d.served {
+		return
+	}
+	d.served, d.appliedAt = d.log.Newest(), now
+	d.rollout = rollout{since: now}
+	d.newVersion()
+}
+
+// Take takes a message in. from is the address that answers go to. A malformed one is dropped and counted.
+func (d *Distributor) Take(now Time, from string, message []byte) {
+	d.now = now
+	d.take(from, message)
+}
+
+// Next is when Beat must be called again.
+func (d *Distributor) Next() Time { return min(d.next(), max(d.rollout.lookAt, d.now+1)) }
+
+// Beat does what is due.
+func (d *Distributor) Beat(now Time) {
+	d.now = now
+	d.beat()
+	d.reports.forget(now, forgetFronts)
+	if now >= d.rollout.lookAt {
+		d.rollout.lookAt = now + rolloutSpan
+		d.lookAtRollout()
+	}
+}
