--- a/fleet/lease/asks.go
+++ b/fleet/lease/asks.go
@@ -23,6 +23,7 @@
 type read struct {
 	id    uint64
 	ask   Ask
+	done  func() // in place of an answer to ask; nil: none
 	index uint64 // from then on it is answered; 0: not confirmed
 }
 
@@ -146,9 +147,15 @@
 
 // confirm answers a holder once most voters have said, after now, that this is still the leader.
 func (v *Voter) confirm(a Ask) {
+	v.readIndex(read{ask: a})
+}
+
+// readIndex begins a read by quorum.
+func (v *Voter) readIndex(r read) {
 	v.readID++
-	v.reads = append(v.reads, read{id: v.readID, ask: a})
-	v.node.ReadIndex(binary.BigEndian.AppendUint64(nil, v.readID))
+	r.id = v.readID
+	v.reads = append(v.reads, r)
+	v.node.ReadIndex(binary.BigEndian.AppendUint64(nil, r.id))
 }
 
 func (v *Voter) answer(a Ask, r Reply) {
--- a/fleet/lease/book.go
+++ b/fleet/lease/book.go
@@ -257,7 +257,11 @@
 func Names(k Kept) (names []string, err error) {
 	b := newBook()
 	if k.Snapshot != nil {
-		if b, err = readBook(k.Snapshot.Data); err != nil {
+		text, _, err := splitSnapshot(k.Snapshot.Data)
+		if err != nil {
+			return nil, err
+		}
+		if b, err = readBook(text); err != nil {
 			return nil, err
 		}
 	}
--- a/fleet/lease/ready.go
+++ b/fleet/lease/ready.go
@@ -56,14 +56,13 @@
 
 // install takes over a snapshot of the leader's.
 func (v *Voter) install(s *pb.Snapshot) error {
-	book, err := readBook(s.Data)
-	if err != nil {
+	if err := v.restore(s.Data); err != nil {
 		return err
 	}
 	if err := v.disk.ApplySnapshot(s); err != nil {
 		return err
 	}
-	v.book, v.conf, v.snapshotIndex = book, s.GetMetadata().GetConfState(), s.GetMetadata().GetIndex()
+	v.conf, v.snapshotIndex = s.GetMetadata().GetConfState(), s.GetMetadata().GetIndex()
 	v.book.Applied = v.snapshotIndex
 	return nil
 }
@@ -86,6 +85,7 @@
 	}
 	if v.leads, v.readyAt, v.changing = leads, 0, false; !leads {
 		v.timed, v.order, v.reads, v.open = map[string]*timing{}, nil, nil, 0
+		v.dropProposals()
 		v.silentTicks, v.electionTicks = 0, v.drawElectionTicks()
 	}
 }
@@ -97,7 +97,11 @@
 	case pb.EntryConfChange, pb.EntryConfChangeV2:
 		v.applyConfChange(e)
 	case pb.EntryNormal:
-		if len(e.Data) > 0 {
+		switch {
+		case len(e.Data) == 0:
+		case v.owned(e.Data):
+			v.applyToMachine(e)
+		default:
 			v.applyEntry(e)
 		}
 	}
@@ -110,19 +114,20 @@
 
 // compact makes a snapshot, so that the log stays bounded.
 func (v *Voter) compact() {
-	if v.aside != nil || v.book.Applied < v.snapshotIndex+snapshotEvery {
+	full := v.book.Applied >= v.snapshotIndex+snapshotEvery || v.machineBytes >= snapshotBytes
+	if v.aside != nil || !full {
 		return
 	}
-	s, err := v.disk.CreateSnapshot(v.book.Applied, v.conf, v.book.snapshot())
+	s, err := v.disk.CreateSnapshot(v.book.Applied, v.conf, v.snapshotData())
 	if err != nil {
 		return
 	}
-	keep := v.book.Applied - min(keepEntries, v.book.Applied-1)
+	keep := v.keepFrom()
 	if err := v.host.Save(Batch{Snapshot: s, Keep: keep}); err != nil {
 		v.stepAside(err)
 		return
 	}
-	v.snapshotIndex = v.book.Applied
+	v.snapshotIndex, v.machineBytes = v.book.Applied, 0
 	if first, err := v.disk.FirstIndex(); err == nil && keep > first {
 		v.disk.Compact(keep)
 	}
--- a/fleet/lease/reject.go
+++ b/fleet/lease/reject.go
@@ -25,7 +25,7 @@
 	for _, e := range m.GetEntries() {
 		index++
 		follows := e.GetIndex() == index && e.GetTerm() >= term && e.GetTerm() <= m.GetTerm()
-		if !follows || len(e.Data) > maxLeaseEntry {
+		if !follows || len(e.Data) > v.maxEntry(e.Data) {
 			return "entries that do not follow each other"
 		}
 		term = e.GetTerm()
@@ -44,7 +44,8 @@
 		if s.GetIndex() == 0 || s.GetTerm() > m.GetTerm() || len(s.GetConfState().GetVoters()) == 0 {
 			return "a snapshot of nothing"
 		}
-		if b, err := readBook(m.GetSnapshot().GetData()); err != nil || b.Applied != s.GetIndex() {
+		book, _, err := v.checkSnapshot(m.GetSnapshot().GetData())
+		if err != nil || book.Applied != s.GetIndex() {
 			return "a snapshot that is none"
 		}
 	}
--- a/fleet/lease/timing.go
+++ b/fleet/lease/timing.go
@@ -74,6 +74,10 @@
 		if !v.leads || v.readyAt == 0 {
 			continue
 		}
+		if r.done != nil {
+			r.done()
+			continue
+		}
 		g, t := v.book.find(r.ask.Name), v.timed[r.ask.Name]
 		switch {
 		case g == nil || g.holder != r.ask.From:
--- a/fleet/lease/voter.go
+++ b/fleet/lease/voter.go
@@ -62,6 +62,9 @@
 	order         []string // of timed, so that nothing is decided by a map's order
 	open          int
 	reads         []read
+	machine       StateMachine // nil: none
+	proposals     []proposal   // of the machine, in their order
+	machineBytes  int          // of its entries since the last snapshot
 	readID        uint64
 	snapshotIndex uint64 // index of the last snapshot
 	aside         error
@@ -75,10 +78,10 @@
 // NewVoter starts a voter from what its disk holds. voters are those of the fleet's first start; later ones
 // stand in what is kept.
 func NewVoter(
-	now Time, id uint64, voters []uint64, k Kept, t Terms, seed uint64, h VoterHost,
+	now Time, id uint64, voters []uint64, k Kept, t Terms, seed uint64, h VoterHost, m StateMachine,
 ) (*Voter, error) {
 	v := &Voter{
-		host: h, id: id, terms: t, now: now, mwc: mwc.New(seed), disk: raft.NewMemoryStorage(),
+		host: h, machine: m, id: id, terms: t, now: now, mwc: mwc.New(seed), disk: raft.NewMemoryStorage(),
 		book: newBook(), timed: map[string]*timing{}, conf: &pb.ConfState{Voters: voters},
 	}
 	if raft.IsEmptySnap(k.Snapshot) {
@@ -96,7 +99,7 @@
 		v.disk.SetHardState(&pb.HardState{Term: new(uint64(1)), Commit: new(uint64(1))})
 	}
 	var err error
-	if v.book, err = readBook(k.Snapshot.Data); err != nil {
+	if err = v.restore(k.Snapshot.Data); err != nil {
 		return nil, fmt.Errorf("snapshot: %w", err)
 	}
 	v.conf, v.snapshotIndex = k.Snapshot.GetMetadata().GetConfState(), k.Snapshot.GetMetadata().GetIndex()
@@ -152,6 +155,7 @@
 func (v *Voter) stepAside(err error) {
 	v.aside = fmt.Errorf("%w: %w", ErrAside, err)
 	v.leads, v.readyAt = false, 0
+	v.dropProposals()
 	v.host.Log(fmt.Sprintf("voter %d steps aside: %v", v.id, err))
 }
 
--- a/fleet/lease/world_test.go
+++ b/fleet/lease/world_test.go
@@ -39,8 +39,9 @@
 	v    *Voter
 	id   uint64
 	kept Kept
-	full bool // its disk takes nothing
-	fake bool // it promises without writing: broken on purpose
+	full bool       // its disk takes nothing
+	list *entryList // its second state machine
+	fake bool       // it promises without writing: broken on purpose
 }
 
 type asker struct {
@@ -73,6 +74,7 @@
 	terms   Terms
 	flaw    flaw
 	history *history // nil: not kept
+	hosts   bool     // voters have a second state machine
 }
 
 // flaw is what is broken on purpose in a variant.
@@ -116,7 +118,7 @@
 func (w *world) boot(v *voter, ids []uint64) {
 	var err error
 	k := Kept{Hard: v.kept.Hard, Snapshot: v.kept.Snapshot, Entries: append([]*pb.Entry(nil), v.kept.Entries...)}
-	if v.v, err = NewVoter(v.clock(), v.id, ids, k, w.terms, v.id*7919, v); err != nil {
+	if v.v, err = NewVoter(v.clock(), v.id, ids, k, w.terms, v.id*7919, v, w.machine(v)); err != nil {
 		w.trouble = err.Error()
 	}
 	v.down = false
--- a/internal/leases/leases.go
+++ b/internal/leases/leases.go
@@ -216,7 +216,7 @@
 		return nil, err
 	}
 	v := &vote{l: l, id: disk.Who.ID, disk: disk, saver: disk, in: make(chan func(v *lease.Voter), waiting), stop: make(chan struct{}), done: make(chan struct{})}
-	if v.v, err = lease.NewVoter(l.now(), v.id, disk.Who.IDs(), kept, l.order.Terms, l.order.Seed^v.id, v); err != nil {
+	if v.v, err = lease.NewVoter(l.now(), v.id, disk.Who.IDs(), kept, l.order.Terms, l.order.Seed^v.id, v, nil); err != nil {
 		disk.Close()
 		return nil, err
 	}
--- a/internal/record/record_test.go
+++ b/internal/record/record_test.go
@@ -161,7 +161,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	v, err := lease.NewVoter(0, d.Who.ID, []uint64{d.Who.ID}, k, lease.Terms{Span: 30_000, Drift: 0.01, Margin: 100}, 1, host{d})
+	v, err := lease.NewVoter(0, d.Who.ID, []uint64{d.Who.ID}, k, lease.Terms{Span: 30_000, Drift: 0.01, Margin: 100}, 1, host{d}, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
