--- /dev/null
+++ b/cmd/micatrack/config.go
@@ -0,0 +1,272 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"micatrack/fleet/config"
+	"micatrack/fleet/membership"
+	"micatrack/internal/configuration"
+	"micatrack/internal/front"
+	"micatrack/internal/peers"
+)
+
+const (
+	maxCommand = 256 << 10       // bytes of a command to the control address
+	loopWithin = 2 * time.Second // that the loop may take to answer one
+)
+
+// configured is a front's part in the fleet's configuration. It is the loop's, but for what the commands ask.
+type configured struct {
+	t       *together
+	o       *orders
+	front   *configuration.Front
+	control *configuration.Control
+	service configuration.Service
+	addr    string // where other machines reach this one
+	move    func(addr string)
+	target  string // address of discovery that is to be followed; empty: no other one
+}
+
+// hosted gives what a voter keeps beside its leases. Danger: a voter without it could not take the others' entries, so it is
+// there also where this front's file does not switch the configuration on; nothing is handed out then.
+func hosted(t *together, o *orders, addr string) *configuration.Control {
+	f := &o.operators.Fleet
+	options := configuration.ControlOptions{Fleet: f.Name, Name: o.name, Addr: addr, Seed: o.charter.Seed, On: f.Config.On}
+	control := configuration.NewControl(options, t.peers, t.log)
+	control.ToFront(func(body []byte) {
+		if f := t.handsTo.Load(); f != nil {
+			f.Hand(body)
+		}
+	})
+	return control
+}
+
+// configure opens a front's part in the configuration.
+func configure(t *together, o *orders, life uint64, addr string, control *configuration.Control) *configured {
+	if o.trouble != "" {
+		t.log.Error("the fleet's configuration on disk is left aside", "error", o.trouble)
+	}
+	c := &configured{t: t, o: o, control: control, addr: addr}
+	f := &o.operators.Fleet
+	options := configuration.Options{
+		Fleet: f.Name, Name: o.name, Zone: o.charter.Zone, Addr: addr, Life: life, Seed: o.charter.Seed,
+		Path: f.Config.State, Stored: o.stored,
+	}
+	c.front = configuration.NewFront(options, t.now, t.peers, c, t.wake, t.log)
+	t.handsTo.Store(c.front)
+	c.service.Ask = c.ask
+	if !t.deputy.Votes() {
+		t.peers.OnConfig(c.front.Take, nil)
+		return c
+	}
+	t.peers.OnConfig(c.front.Take, c.takeControl)
+	t.peers.OnRequest(c.answerRequest)
+	return c
+}
+
+// takeControl hands a message to the control part; several goroutines call it.
+func (c *configured) takeControl(m peers.Config) {
+	m.Body = slices.Clone(m.Body)
+	c.t.deputy.Put(func(now front.Time, _ string) { c.control.Take(now, m) })
+}
+
+// answerRequest has the control part work on a request, and waits for the answer.
+func (c *configured) answerRequest(body []byte) []byte {
+	text, err := json.Marshal(c.work(body))
+	if err != nil {
+		return nil
+	}
+	return text
+}
+
+func (c *configured) work(body []byte) configuration.Answer {
+	r, err := configuration.ReadRequest(body)
+	if err != nil {
+		return configuration.Answer{Outcome: configuration.Refused, Error: err.Error()}
+	}
+	told := make(chan configuration.Answer, 2)
+	put := c.t.deputy.Put(func(now front.Time, leader string) {
+		c.control.Handle(now, &r, leader, func(a configuration.Answer) { told <- a })
+	})
+	if !put {
+		return configuration.Answer{Outcome: configuration.Elsewhere}
+	}
+	select {
+	case a := <-told:
+		return a
+	case <-time.After(peers.AnswerWithin):
+		return configuration.Answer{Outcome: configuration.Unknown}
+	}
+}
+
+// ask asks one control machine, this one without the network.
+func (c *configured) ask(addr string, request []byte) ([]byte, error) {
+	if addr == c.addr && c.t.deputy.Votes() {
+		return c.answerRequest(request), nil
+	}
+	return c.t.peers.Request(addr, request)
+}
+
+// turn is the configuration's part of a turn of the loop.
+func (c *configured) turn(now front.Time) {
+	c.front.Turn(now)
+	if c.target != "" && c.move != nil {
+		if c.target != c.o.discovery {
+			c.o.discovery = c.target
+			c.move(c.target)
+		}
+		c.target = ""
+	}
+}
+
+// Discover has discovery be followed at the address that the configuration names, or else at that of the front's file.
+func (c *configured) Discover(text []byte) { c.target = discoveryOf(c.o, text) }
+
+// discoveryOf gives the address of discovery to follow: a flag's comes first, then the fleet's, then the file's.
+func discoveryOf(o *orders, text []byte) string {
+	addr, err := configuration.FleetDiscovery(text)
+	if o.pinned || len(text) == 0 || err != nil {
+		return o.ownDiscovery
+	}
+	return addr
+}
+
+// reader reads the front's files as a start would, but with discovery as it is in force now.
+// Danger: the version's file may be on its way to the disk, and a reload would go back to an older address.
+func (c *configured) reader(read reader) reader {
+	return func() (orders, error) {
+		fresh, err := read()
+		if err == nil {
+			fresh.discovery = discoveryOf(&fresh, c.front.InForce(configuration.Discovery))
+		}
+		return fresh, err
+	}
+}
+
+// Peers tells who is there: the voters, and the fronts that membership has alive. It tells the control part too.
+func (c *configured) Peers() (there config.Peers) {
+	for _, s := range c.t.deputy.Seats() {
+		there.Controls = append(there.Controls, config.Peer{Name: s.Name, Addr: s.Addr})
+	}
+	for _, m := range c.t.Members.List() {
+		if m.State <= membership.Suspect {
+			there.Fronts = append(there.Fronts, config.Peer{Name: m.Name, Zone: m.Zone, Addr: m.Addr})
+		}
+	}
+	c.t.deputy.Put(func(now front.Time, _ string) { c.control.SetPeers(now, there) })
+	return there
+}
+
+// ToControl hands a message of this front to the control part of this machine, if there is one.
+func (c *configured) ToControl(body []byte) bool {
+	if !c.t.deputy.Votes() {
+		return false
+	}
+	c.t.deputy.Put(func(now front.Time, _ string) { c.control.TakeFromFront(now, body) })
+	return true
+}
+
+// fromFleet puts the version that this front had last in the place of its files' parts. What cannot be taken is left aside.
+func (o *orders) fromFleet() {
+	stored, err := configuration.Load(o.operators.Fleet.Config.State)
+	if err != nil {
+		o.trouble = err.Error()
+		return
+	}
+	if err := o.overlay(&stored); err != nil {
+		o.trouble = err.Error()
+		return
+	}
+	o.stored = stored
+}
+
+// overlay takes over all texts of a version, or none.
+func (o *orders) overlay(stored *configuration.Stored) error {
+	fresh := *o
+	if text, has := stored.Text(configuration.Settings); has {
+		c, host, err := configuration.FleetSettings(text)
+		if err != nil {
+			return err
+		}
+		c.Zone = o.charter.Zone
+		fresh.charter, fresh.host = c, host
+	}
+	if text, has := stored.Text(configuration.Operators); has {
+		parts, err := configuration.FleetOperators(text)
+		if err != nil {
+			return err
+		}
+		fresh.operators.Door = parts.Door
+	}
+	if text, has := stored.Text(configuration.Discovery); has {
+		fresh.discovery = discoveryOf(o, text)
+	}
+	*o = fresh
+	return nil
+}
+
+// answer serves the commands about the fleet's configuration.
+func (c *configured) answer(mux *http.ServeMux) {
+	mux.HandleFunc("POST /config", func(w http.ResponseWriter, r *http.Request) {
+		text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxCommand))
+		var request configuration.Request
+		if err == nil {
+			request, err = configuration.ReadRequest(text)
+		}
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		controls, err := c.controls()
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusGatewayTimeout)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		json.NewEncoder(w).Encode(c.service.Do(controls, request))
+	})
+}
+
+var errLoop = errors.New("the front does not answer")
+
+// controls asks the loop for the control machines' addresses.
+func (c *configured) controls() ([]string, error) {
+	told := make(chan []string, 1)
+	ask := func() {
+		var list []string
+		for _, s := range c.t.deputy.Seats() {
+			list = append(list, s.Addr)
+		}
+		told <- list
+	}
+	select {
+	case c.t.asks <- ask:
+		c.t.wake()
+	default:
+		return nil, errLoop
+	}
+	select {
+	case list := <-told:
+		return list, nil
+	case <-time.After(loopWithin):
+		return nil, errLoop
+	}
+}
+
+// withoutConfig answers the same commands where the configuration is not switched on.
+func withoutConfig(mux *http.ServeMux) {
+	no := func(w http.ResponseWriter, _ *http.Request) {
+		http.Error(w, "fleet.config is not switched on", http.StatusConflict)
+	}
+	mux.HandleFunc("GET /config", no)
+	mux.HandleFunc("POST /config", no)
+}
+
+// handsTo is where this machine's control part leaves messages for its front.
+type handsTo = atomic.Pointer[configuration.Front]
--- a/cmd/micatrack/fleet.go
+++ b/cmd/micatrack/fleet.go
@@ -31,17 +31,19 @@
 // for asks, which the control listener puts there.
 type together struct {
 	*fleet.Fleet
-	now    func() front.Time
-	peers  *peers.Peers
-	core   *front.Core
-	log    *slog.Logger
-	bridge joined.Bridge
-	deputy *deputy  // nil: no leases
-	look   *lookout // nil: no watch of positions
-	name   string   // of the fleet
-	wake   func()
-	asks   chan func()
-	left   bool
+	now     func() front.Time
+	peers   *peers.Peers
+	core    *front.Core
+	log     *slog.Logger
+	bridge  joined.Bridge
+	deputy  *deputy     // nil: no leases
+	look    *lookout    // nil: no watch of positions
+	config  *configured // nil: each front goes by its own files
+	handsTo handsTo     // nil until there is a configuration
+	name    string      // of the fleet
+	wake    func()
+	asks    chan func()
+	left    bool
 }
 
 // join opens the talk with other fronts.
@@ -59,14 +61,22 @@
 		zones.Self{StartShare: o.charter.StartShare, Cold: o.charter.Cold, FallSpan: o.charter.FallSpan}, t)
 	t.bridge.Zones = t.Zones
 	if len(f.Lease.Voters) > 0 {
-		if t.deputy, err = depute(t, o, life, addr, wake); err != nil {
+		control := hosted(t, o, addr)
+		if t.deputy, err = depute(t, o, life, addr, wake, control); err != nil {
 			p.Close()
 			return nil, err
 		}
+		if f.Config.On {
+			t.config = configure(t, o, life, addr, control)
+		}
 		if f.Lease.Watch {
 			t.look = look(t, o, addr)
 		}
 	}
+	if f.Config.On && t.config == nil {
+		p.Close()
+		return nil, fmt.Errorf("config: it needs lease.voters, which keep it")
+	}
 	if f.Control != "" {
 		if err := t.control(f.Control, wake); err != nil {
 			t.close()
@@ -122,6 +132,9 @@
 	if t.look != nil {
 		t.look.turn(now)
 	}
+	if t.config != nil {
+		t.config.turn(now)
+	}
 }
 
 // Next is when turn must be called again.
@@ -133,6 +146,9 @@
 	if t.look != nil {
 		next = min(next, t.look.w.Next())
 	}
+	if t.config != nil {
+		next = min(next, t.config.front.Next())
+	}
 	return next
 }
 
@@ -141,6 +157,9 @@
 	if t.deputy != nil {
 		t.deputy.Close()
 	}
+	if t.config != nil {
+		t.config.front.Close()
+	}
 }
 
 // Send, Exchange, Part and Log are what the fleet's decisions ask for.
@@ -194,6 +213,12 @@
 	} else {
 		withoutLeases(mux)
 	}
+	if t.config != nil {
+		t.config.answer(mux)
+		handle("GET /config", func(front.Time, url.Values) (any, error) { return t.config.front.View(), nil })
+	} else {
+		withoutConfig(mux)
+	}
 	handle("GET /members", func(now front.Time, _ url.Values) (any, error) {
 		var list []told
 		for _, e := range t.Members.List() {
--- a/cmd/micatrack/main.go
+++ b/cmd/micatrack/main.go
@@ -95,7 +95,7 @@
 		if name == "serve" {
 			heed()
 		}
-		read := func() (orders, error) { return configuration(path, listen, discovery, operators) }
+		read := func() (orders, error) { return readConfiguration(path, listen, discovery, operators) }
 		o, err := read()
 		if err != nil {
 			return err
--- a/cmd/micatrack/serve.go
+++ b/cmd/micatrack/serve.go
@@ -21,6 +21,7 @@
 	"micatrack/balance"
 	"micatrack/door"
 	"micatrack/internal/charter"
+	"micatrack/internal/configuration"
 	"micatrack/internal/discovery"
 	"micatrack/internal/front"
 	"micatrack/internal/operators"
@@ -39,11 +40,15 @@
 	charter                 balance.Charter
 	host                    charter.Host
 	operators               operators.Orders
+	stored                  configuration.Stored // the fleet's configuration, as this front had it last
+	trouble                 string               // why it was not taken, if it was not
+	pinned                  bool                 // a flag names discovery
+	ownDiscovery            string               // that goes by no fleet's configuration
 }
 
-// configuration reads the file. What flags name comes first; the environment fills in what is named nowhere
+// readConfiguration reads the file. What flags name comes first; the environment fills in what is named nowhere
 // else, for it cannot follow a file that is replaced while the program runs.
-func configuration(path, listen, from, switches string) (o orders, err error) {
+func readConfiguration(path, listen, from, switches string) (o orders, err error) {
 	if path == "" {
 		return o, fmt.Errorf("no configuration: give -config or GW_CONFIG")
 	}
@@ -67,6 +72,7 @@
 	if err := json.Unmarshal(text, &w); err != nil {
 		return o, fmt.Errorf("configuration %s: %w", path, err)
 	}
+	pinned := from != ""
 	listen = cmp.Or(listen, w.Listen, os.Getenv("GW_LISTEN"))
 	from = cmp.Or(from, w.Discovery, os.Getenv("GW_DISCOVERY"))
 	o = orders{name: w.Name, listen: listen, discovery: from, cores: w.Limits.Cores,
@@ -83,14 +89,12 @@
 	if err != nil {
 		return o, fmt.Errorf("seed: %w", err)
 	}
-	if len(w.Settings) == 0 {
-		return o, fmt.Errorf("settings: missing")
-	}
-	if o.charter, o.host, err = charter.Read(w.Settings); err != nil {
+	if o.charter, o.host, err = configuration.ReadSettings(w.Settings); err != nil {
 		return o, fmt.Errorf("settings: %w", err)
 	}
-	if o.host.Dial <= 0 || o.host.Idle <= 0 {
-		return o, fmt.Errorf("settings: Ceilings.DialTimeout or Ceilings.ConnIdle is missing")
+	o.pinned, o.ownDiscovery = pinned, o.discovery
+	if on.Fleet.On && on.Fleet.Config.On {
+		o.fromFleet()
 	}
 	o.charter.Seed = seed
 	if len(w.Known) > 0 {
@@ -132,6 +136,7 @@
 		move(fresh.discovery)
 	}
 	fresh.known, fresh.version, fresh.charter.Seed = o.known, o.version, o.charter.Seed
+	fresh.stored, fresh.trouble = o.stored, o.trouble
 	if !reflect.DeepEqual(fresh, *o) {
 		log.Warn("more than discovery has changed; the rest waits for the next start")
 	}
@@ -183,6 +188,10 @@
 		if others, err = join(now, &o, net.Wake, log); err != nil {
 			return exit{1, fmt.Errorf("fleet: %w", err)}
 		}
+		if others.config != nil {
+			others.config.move = watcher.Move
+			read = others.config.reader(read)
+		}
 		limits.Saw = func(store string, how balance.Ending, profile int, took front.Time) {
 			others.bridge.Saw(now(), store, how, profile, took)
 		}
--- /dev/null
+++ b/internal/configuration/disk.go
@@ -0,0 +1,159 @@
+package configuration
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"os"
+	"path/filepath"
+
+	"micatrack/fleet/config"
+)
+
+// The file of the version in force: a mark, a checksum over what follows, the moment at which the version was last known to
+// be the fleet's newest, what fleet/config keeps, and the texts that count for this front.
+const (
+	fileMark = "micatrack configuration 1\n"
+	headSize = len(fileMark) + 4 + 8 + 4 // mark, checksum, moment, length of what fleet/config keeps
+	maxFile  = 4 * config.MaxDocument
+)
+
+var (
+	castagnoli = crc32.MakeTable(crc32.Castagnoli)
+	errSpoilt  = errors.New("it is spoilt")
+)
+
+// Stored is what a front finds on its disk.
+type Stored struct {
+	ProvenAt int64 // Unix milliseconds at which the version was last known to be the fleet's newest; 0: never
+	Version  config.Version
+	Texts    []config.ScopeText // that count for this front
+	Kept     []byte             // for the agent
+}
+
+// Text gives a scope's text.
+func (s *Stored) Text(scope config.Scope) ([]byte, bool) {
+	d := config.Document{Texts: s.Texts}
+	return d.Text(scope)
+}
+
+func (s *Stored) encode() []byte {
+	body := binary.BigEndian.AppendUint64(nil, uint64(s.ProvenAt))
+	body = binary.BigEndian.AppendUint32(body, uint32(len(s.Kept)))
+	body = append(body, s.Kept...)
+	d := config.Document{Version: s.Version, Texts: s.Texts}
+	body = d.Append(body)
+	file := binary.BigEndian.AppendUint32([]byte(fileMark), crc32.Checksum(body, castagnoli))
+	return append(file, body...)
+}
+
+func decode(file []byte) (s Stored, err error) {
+	if len(file) < headSize || string(file[:len(fileMark)]) != fileMark {
+		return s, errSpoilt
+	}
+	sum, body := binary.BigEndian.Uint32(file[len(fileMark):]), file[len(fileMark)+4:]
+	if crc32.Checksum(body, castagnoli) != sum {
+		return s, errSpoilt
+	}
+	s.ProvenAt = int64(binary.BigEndian.Uint64(body))
+	size, rest := int(binary.BigEndian.Uint32(body[8:])), body[12:]
+	if size > len(rest) {
+		return s, errSpoilt
+	}
+	s.Kept = rest[:size]
+	d, err := config.ReadDocument(rest[size:])
+	if err != nil {
+		return s, err
+	}
+	s.Version, s.Texts = d.Version, d.Texts
+	return s, nil
+}
+
+// Load reads the file of the version in force; without a path, or a file, there is none.
+// Danger: a spoilt file read as a whole one would put in force what nobody wrote; it is told and left aside.
+func Load(path string) (Stored, error) {
+	if path == "" {
+		return Stored{}, nil
+	}
+	f, err := os.Open(path)
+	if errors.Is(err, os.ErrNotExist) {
+		return Stored{}, nil
+	}
+	if err != nil {
+		return Stored{}, err
+	}
+	defer f.Close()
+	file, err := io.ReadAll(io.LimitReader(f, maxFile+1))
+	if err == nil && len(file) > maxFile {
+		err = errSpoilt
+	}
+	var s Stored
+	if err == nil {
+		s, err = decode(file)
+	}
+	if err != nil {
+		return Stored{}, fmt.Errorf("configuration on disk %s: %w", path, err)
+	}
+	return s, nil
+}
+
+// Store writes the file whole: under another name, written through, then renamed.
+// Danger: a crash half-way must leave the file that was there.
+func Store(path string, s *Stored) error {
+	part := path + ".part"
+	f, err := os.OpenFile(part, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o600)
+	if err != nil {
+		return err
+	}
+	_, err = f.Write(s.encode())
+	if err == nil {
+		err = f.Sync()
+	}
+	if err = errors.Join(err, f.Close()); err != nil {
+		os.Remove(part)
+		return err
+	}
+	if err := os.Rename(part, path); err != nil {
+		return err
+	}
+	dir, err := os.Open(filepath.Dir(path))
+	if err != nil {
+		return err
+	}
+	defer dir.Close()
+	return dir.Sync()
+}
+
+// writer writes versions in a goroutine of its own, the newest only. Danger: the loop would wait for a disk that stands still.
+type writer struct {
+	path string
+	next chan *Stored
+	done chan struct{}
+	log  func(err error)
+}
+
+func newWriter(path string, log func(err error)) *writer {
+	w := &writer{path: path, next: make(chan *Stored, 1), done: make(chan struct{}), log: log}
+	go w.run()
+	return w
+}
+
+func (w *writer) run() {
+	defer close(w.done)
+	for s := range w.next {
+		if err := Store(w.path, s); err != nil {
+			w.log(err)
+		}
+	}
+}
+
+// put has a version written; one that waits is replaced. It is one goroutine's to call.
+func (w *writer) put(s *Stored) {
+	select {
+	case <-w.next:
+	default:
+	}
+	w.next <- s
+}
--- /dev/null
+++ b/internal/configuration/front.go
@@ -0,0 +1,278 @@
+package configuration
+
+import (
+	"bytes"
+	"log/slog"
+	"slices"
+	"strings"
+	"time"
+
+	"micatrack/fleet/config"
+	"micatrack/internal/peers"
+)
+
+// Time is a moment or a span in whole tenths of a millisecond.
+type Time = config.Time
+
+const (
+	controlPrefix = "control/"        // before the address of a control machine's part, as fleet/config knows it
+	lookAtPeers   = config.Second     // between two looks at who is there
+	provenRefresh = time.Minute       // after which the file says again that its version is the newest
+	closeWithin   = time.Second       // that an end waits for the disk
+	maxWaiting    = 256               // messages of this machine's control part that wait for the loop
+	neverProven   = int64(-1)         // an age
+	proofIsFresh  = 3 * config.Second // a version proven within it counts as the newest at the moment
+)
+
+// Options is what a front's part is started with.
+type Options struct {
+	Fleet, Name, Zone string
+	Addr              string // where other machines reach this one
+	Life, Seed        uint64
+	Path              string // of the file of the version in force; none: there is no disk
+	Stored            Stored // what it held at the start; its texts are in force from the start on
+}
+
+// Host is what the front does for its configuration.
+type Host interface {
+	Discover(text []byte)       // follow discovery at another address; none: that of the front's file
+	Peers() config.Peers        // who is there; addresses as the fleet has them
+	ToControl(body []byte) bool // hands a message to the control part of this machine, if there is one
+}
+
+// Front is one front's part, the loop's but for Hand.
+type Front struct {
+	agent   *config.Agent
+	options Options
+	host    Host
+	now     func() Time
+	peers   *peers.Peers
+	log     *slog.Logger
+	wake    func()
+	handed  chan handed
+
+	started   []config.ScopeText // texts that this start took
+	texts     []config.ScopeText // in force
+	known     config.Peers
+	lookAt    Time
+	writer    *writer // nil: no disk
+	kept      []byte
+	provenAt  int64 // Unix milliseconds; 0: never
+	writtenAt int64
+}
+
+// handed is a message of this machine's control part.
+type handed struct {
+	from string
+	body []byte
+}
+
+// NewFront starts a front's part.
+func NewFront(o Options, now func() Time, p *peers.Peers, h Host, wake func(), log *slog.Logger) *Front {
+	f := &Front{options: o, host: h, now: now, peers: p, log: log, wake: wake, handed: make(chan handed, maxWaiting)}
+	f.started, f.provenAt, f.writtenAt = o.Stored.Texts, o.Stored.ProvenAt, o.Stored.ProvenAt
+	f.texts = f.started
+	if o.Path != "" {
+		f.writer = newWriter(o.Path, func(err error) { log.Error("configuration not kept", "error", err.Error()) })
+	}
+	f.agent = config.NewAgent(now(), config.AgentOptions{Fleet: o.Fleet, Name: o.Name, Zone: o.Zone, Life: o.Life,
+		Program: Program, Seed: o.Seed, Kept: o.Stored.Kept}, f)
+	if version := f.agent.InForce(); version != 0 {
+		log.Info("configuration from disk", "version", version, "age_ms", f.View().AgeMS)
+	}
+	return f
+}
+
+// Send sends an agent's message.
+func (f *Front) Send(addr string, message []byte) {
+	target, control := strings.CutPrefix(addr, controlPrefix)
+	if control && target == f.options.Addr && f.host.ToControl(bytes.Clone(message)) {
+		return
+	}
+	f.peers.Config(target, &peers.Config{ToControl: control, Addr: f.options.Addr, Body: message})
+}
+
+// PutInForce checks all texts of a version and has the front act on them.
+func (f *Front) PutInForce(version config.Version, texts []config.ScopeText) error {
+	for _, t := range texts {
+		if err := Check(t.Scope, t.Text); err != nil {
+			return &refusal{t.Scope, err}
+		}
+	}
+	before, after := config.Document{Texts: f.texts}, config.Document{Texts: texts}
+	was, _ := before.Text(Discovery)
+	is, _ := after.Text(Discovery)
+	f.texts = slices.Clone(texts)
+	if !bytes.Equal(was, is) {
+		f.host.Discover(is)
+	}
+	f.log.Info("configuration in force", "version", version, "waits", strings.Join(f.waits(), ","))
+	return nil
+}
+
+// refusal is why a front does not take a version.
+type refusal struct {
+	scope config.Scope
+	err   error
+}
+
+func (r *refusal) Error() string { return string(r.scope) + ": " + r.err.Error() }
+
+// waits names the scopes whose texts wait for the next start.
+func (f *Front) waits() (scopes []string) {
+	was, is := config.Document{Texts: f.started}, config.Document{Texts: f.texts}
+	for _, scope := range []config.Scope{Operators, Settings} {
+		then, _ := was.Text(scope)
+		now, _ := is.Text(scope)
+		if !bytes.Equal(then, now) {
+			scopes = append(scopes, string(scope))
+		}
+	}
+	return scopes
+}
+
+// Keep has the version in force written to disk.
+func (f *Front) Keep(kept []byte) {
+	f.kept = kept
+	f.write()
+}
+
+func (f *Front) write() {
+	if f.writer == nil || f.agent == nil { // at the start it is what the disk has
+		return
+	}
+	f.writtenAt = f.provenAt
+	f.writer.put(&Stored{ProvenAt: f.provenAt, Version: f.agent.InForce(), Texts: f.texts, Kept: f.kept})
+}
+
+// Log tells what the agent has to say.
+func (f *Front) Log(text string) { f.log.Warn(text) }
+
+// Take takes a message of another machine in.
+func (f *Front) Take(m peers.Config) {
+	from := m.Addr
+	if m.FromControl {
+		from = controlPrefix + m.Addr
+	}
+	f.agent.Take(f.now(), from, bytes.Clone(m.Body))
+}
+
+// Hand takes a message of this machine's control part; any goroutine may call it.
+func (f *Front) Hand(body []byte) {
+	select {
+	case f.handed <- handed{controlPrefix + f.options.Addr, bytes.Clone(body)}:
+		f.wake()
+	default: // lost, as on any link
+	}
+}
+
+// Turn is the configuration's part of a turn of the loop.
+func (f *Front) Turn(now Time) {
+	for range maxWaiting {
+		select {
+		case m := <-f.handed:
+			f.agent.Take(now, m.from, m.body)
+			continue
+		default:
+		}
+		break
+	}
+	if now >= f.lookAt {
+		f.lookAt = now + lookAtPeers
+		f.look(now)
+	}
+	if now >= f.agent.Next() {
+		f.agent.Beat(now)
+	}
+}
+
+// look tells the agent who is there, where that has changed, and notes on disk how fresh the version is.
+func (f *Front) look(now Time) {
+	there := f.host.Peers()
+	if !slices.Equal(there.Controls, f.known.Controls) || !slices.Equal(there.Fronts, f.known.Fronts) {
+		f.known = there
+		f.agent.SetPeers(now, controlled(there))
+	}
+	s := f.agent.Status(now)
+	if s.Age < 0 {
+		return
+	}
+	f.provenAt = time.Now().UnixMilli() - s.Age/config.Millisecond
+	if f.provenAt-f.writtenAt >= provenRefresh.Milliseconds() {
+		f.write()
+	}
+}
+
+// controlled marks the addresses of control machines.
+func controlled(there config.Peers) config.Peers {
+	marked := config.Peers{Fronts: there.Fronts}
+	for _, c := range there.Controls {
+		c.Addr = controlPrefix + c.Addr
+		marked.Controls = append(marked.Controls, c)
+	}
+	return marked
+}
+
+// Next is when Turn must be called again.
+func (f *Front) Next() Time { return min(f.agent.Next(), f.lookAt) }
+
+// Close waits for the disk, for a while.
+func (f *Front) Close() {
+	if f.writer == nil {
+		return
+	}
+	close(f.writer.next)
+	select {
+	case <-f.writer.done:
+	case <-time.After(closeWithin):
+	}
+}
+
+// View is what one front has in force, as it is shown.
+type View struct {
+	Front    string   `json:"front"`
+	Version  uint64   `json:"version"`  // in force; 0: none, the front goes by its files
+	Received uint64   `json:"received"` // newer where that one is held or refused
+	State    string   `json:"state"`
+	Reason   string   `json:"reason,omitempty"`
+	AgeMS    int64    `json:"age_ms"`          // since it was last known to be the fleet's newest, by this start or the one before; -1: never
+	Fresh    bool     `json:"fresh"`           // that is so at the moment
+	Waits    []string `json:"waits,omitempty"` // scopes that wait for the next start
+	Texts    []Text   `json:"texts"`
+}
+
+// Text is one scope's text, as it is shown.
+type Text struct {
+	Scope string `json:"scope"`
+	Text  string `json:"text"`
+}
+
+func shown(texts []config.ScopeText) []Text {
+	list := []Text{}
+	for _, t := range texts {
+		list = append(list, Text{string(t.Scope), string(t.Text)})
+	}
+	return list
+}
+
+// InForce gives a scope's text in force, nil if there is none.
+func (f *Front) InForce(scope config.Scope) []byte {
+	d := config.Document{Texts: f.texts}
+	text, _ := d.Text(scope)
+	return text
+}
+
+// View tells what is in force here.
+func (f *Front) View() View {
+	s := f.agent.Status(f.now())
+	v := View{Front: f.options.Name, Version: uint64(s.InForce), Received: uint64(s.Received), State: s.State.String(),
+		Reason: s.Reason, AgeMS: neverProven, Waits: f.waits(), Texts: shown(f.texts)}
+	switch {
+	case s.InForce == 0:
+	case s.Age >= 0:
+		v.AgeMS, v.Fresh = s.Age/config.Millisecond, s.Age <= proofIsFresh
+	case f.provenAt > 0:
+		v.AgeMS = max(time.Now().UnixMilli()-f.provenAt, 0)
+	}
+	return v
+}
--- /dev/null
+++ b/internal/configuration/service.go
@@ -0,0 +1,87 @@
+package configuration
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"micatrack/internal/peers"
+)
+
+const (
+	askWithin   = 4 * time.Second        // that a command takes at most, an election of the control machines included
+	askAgain    = 100 * time.Millisecond // between two rounds
+	knownFirst  = "the control machines did not answer in time; it may come into force: see 'micatrack config history'"
+	nobodyThere = "no control machine leads, or none can be reached; nothing was changed"
+)
+
+// Service asks the control machines for one front's commands. Any goroutine may use it, but not the loop.
+type Service struct {
+	Ask func(addr string, request []byte) ([]byte, error) // of one control machine; peers.ErrUnreachable: nothing was sent
+}
+
+// attempt is how far a command has come.
+type attempt struct {
+	uncertain bool // an earlier try may be committed, or come to be
+	answer    Answer
+	over      bool
+}
+
+// Do asks the control machines at these addresses until one of them has worked on a request.
+func (s *Service) Do(controls []string, r Request) Answer {
+	if err := r.check(); err != nil {
+		return Answer{Outcome: Refused, Error: err.Error()}
+	}
+	request, err := json.Marshal(r)
+	if err != nil {
+		return Answer{Outcome: Refused, Error: err.Error()}
+	}
+	var a attempt
+	for end := time.Now().Add(askWithin); time.Now().Before(end); time.Sleep(askAgain) {
+		for _, addr := range controls {
+			for addr != "" && !a.over && time.Now().Before(end) {
+				addr = a.ask(s, addr, request, &r)
+			}
+		}
+		if a.over {
+			return a.answer
+		}
+	}
+	if a.uncertain {
+		return Answer{Outcome: Unknown, Error: knownFirst}
+	}
+	return Answer{Outcome: Elsewhere, Error: nobodyThere}
+}
+
+// ask asks one control machine, and gives who has to be asked in its place, if it says so.
+func (a *attempt) ask(s *Service, addr string, request []byte, r *Request) (leader string) {
+	text, err := s.Ask(addr, request)
+	if errors.Is(err, peers.ErrUnreachable) {
+		return ""
+	}
+	var answer Answer
+	if err == nil {
+		err = json.Unmarshal(text, &answer)
+	}
+	if err != nil {
+		answer = Answer{Outcome: Unknown, Error: fmt.Sprint(err)}
+	}
+	switch answer.Outcome {
+	case Done:
+		a.answer, a.over = answer, true
+	case Refused:
+		// Danger: a try whose answer was lost may be committed, so what refuses this one must refuse that one as well.
+		a.answer, a.over = answer, !a.uncertain || answer.Lost
+	case Unknown:
+		a.uncertain = a.uncertain || r.changes()
+	case Elsewhere:
+		if answer.Leader != addr {
+			return answer.Leader
+		}
+	}
+	return ""
+}
+
+// changes tells whether a request changes anything.
+func (r *Request) changes() bool { return r.Op == OpSet || r.Op == OpRollback }
--- a/internal/leases/leases.go
+++ b/internal/leases/leases.go
@@ -42,6 +42,16 @@
 	State string       // this front's vote on disk; empty: it has none
 	Terms lease.Terms
 	Seed  uint64
+	// Companion runs beside the voter; nil: none does.
+	Companion Companion
+}
+
+// Companion is a second state machine in the voters' log, with what serves it. The voter's goroutine calls it.
+type Companion interface {
+	lease.StateMachine
+	Started(now Time, v *lease.Voter)
+	Beat(now Time, leader string) // after each step; leader: where the voter that leads is reached, if that is known
+	Next() Time                   // when Beat has to be called again
 }
 
 // Host is what the front does for its leases.
@@ -198,6 +208,28 @@
 	}
 }
 
+// machine gives what the voter hosts beside its leases.
+func (l *Leases) machine() lease.StateMachine {
+	if l.order.Companion == nil {
+		return nil
+	}
+	return l.order.Companion
+}
+
+// Seats gives the voters, as far as this front knows. It is the loop's to call.
+func (l *Leases) Seats() []lease.Seat { return l.seats }
+
+// Votes tells whether this front has a voter.
+func (l *Leases) Votes() bool { return l.vote != nil }
+
+// Put has the voter's goroutine do something for the companion; what it has no room for is lost, as on any link.
+func (l *Leases) Put(do func(now Time, leader string)) bool {
+	if l.vote == nil {
+		return false
+	}
+	return l.vote.put(func(*lease.Voter) { do(l.now(), l.vote.leader()) })
+}
+
 // vote is this front's voter, with its goroutine.
 type vote struct {
 	l          *Leases
@@ -216,7 +248,7 @@
 		return nil, err
 	}
 	v := &vote{l: l, id: disk.Who.ID, disk: disk, saver: disk, in: make(chan func(v *lease.Voter), waiting), stop: make(chan struct{}), done: make(chan struct{})}
-	if v.v, err = lease.NewVoter(l.now(), v.id, disk.Who.IDs(), kept, l.order.Terms, l.order.Seed^v.id, v, nil); err != nil {
+	if v.v, err = lease.NewVoter(l.now(), v.id, disk.Who.IDs(), kept, l.order.Terms, l.order.Seed^v.id, v, l.machine()); err != nil {
 		disk.Close()
 		return nil, err
 	}
@@ -240,8 +272,16 @@
 	debug.SetPanicOnFault(true) // a page of the disk that is gone ends this vote and not the process
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	companion := v.l.order.Companion
+	if companion != nil {
+		companion.Started(v.l.now(), v.v)
+	}
 	for {
-		timer.Reset(max(time.Duration(v.v.Next()-v.l.now())*tick, 0))
+		next := v.v.Next()
+		if companion != nil {
+			next = min(next, companion.Next())
+		}
+		timer.Reset(max(time.Duration(next-v.l.now())*tick, 0))
 		select {
 		case <-v.stop:
 			return
@@ -254,7 +294,18 @@
 			return
 		}
 		v.v.Beat(v.l.now())
+		if companion != nil {
+			companion.Beat(v.l.now(), v.leader())
+		}
+	}
+}
+
+// leader gives where the voter that leads is reached, as far as known.
+func (v *vote) leader() string {
+	if s := v.seat(v.v.Leader()); s != nil {
+		return s.Addr
 	}
+	return ""
 }
 
 // idle is a voter that has stepped aside: it still says so to those who ask this machine.
--- a/internal/operators/operators.go
+++ b/internal/operators/operators.go
@@ -34,6 +34,13 @@
 	JoinMS                           int64 `json:"join_ms"` // for which a start waits to hear of plans, at most
 	Members                          int   // known at once, at most
 	Lease                            Lease
+	Config                           Config
+}
+
+// Config is the fleet's configuration, kept by the voters of its leases and carried to every front.
+type Config struct {
+	On    bool
+	State string // file of the version in force on this front; none: it has no disk
 }
 
 // Lease is what one front does for the whole fleet, and who grants it. Off without voters.
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -54,6 +54,11 @@
 	onQuery  func(q watch.Query) // the loop's
 	onAnswer func(a watch.Answer)
 	cargo    atomic.Pointer[func(b []byte)] // takes messages of leases; nil: they are dropped
+	onConfig func(m Config)                 // the loop's
+
+	control    atomic.Pointer[func(m Config)]           // takes those for this control machine; nil: they are dropped
+	requested  atomic.Pointer[func(body []byte) []byte] // answers requests to it
+	configured atomic.Bool
 
 	sent, taken, bytes, full, shape, other, version, long, where atomic.Int64
 }
@@ -187,7 +192,7 @@
 			p.free(b)
 			continue
 		}
-		if p.lease(b[:n]) {
+		if p.lease(b[:n]) || p.toControl(b[:n]) {
 			p.free(b)
 			continue
 		}
@@ -207,13 +212,13 @@
 	for n := range turn {
 		select {
 		case b := <-p.in:
-			if !p.watched(b) && p.parse(b) {
+			if !p.watched(b) && !p.toFront(b) && p.parse(b) {
 				take(&p.msg)
 			}
 			p.free(b)
 		case w := <-p.whole:
 			var back []byte
-			if p.parse(w.text) && take(&p.msg) && w.reply != nil {
+			if !p.toFront(w.text) && p.parse(w.text) && take(&p.msg) && w.reply != nil {
 				back = Append(make([]byte, 4), p.fleet, answer())
 			}
 			if w.reply != nil {
@@ -263,7 +268,11 @@
 					p.shape.Add(1)
 					return
 				}
-				if p.lease(text) {
+				if p.lease(text) || p.toControl(text) {
+					return
+				}
+				if back, ok := p.answer(text); ok {
+					send(c, back)
 					return
 				}
 				w := whole{text, make(chan []byte, 1)}
@@ -341,6 +350,11 @@
 		p.raw(addr, b)
 		return
 	}
+	p.stream(addr, appendLease(make([]byte, 4), p.fleet, body))
+}
+
+// stream sends a frame, whose first four bytes are left for its length, on a connection of its own.
+func (p *Peers) stream(addr string, text []byte) {
 	to, err := netip.ParseAddrPort(addr)
 	if err != nil || !near(to.Addr()) {
 		p.where.Add(1)
@@ -352,7 +366,6 @@
 		p.full.Add(1)
 		return
 	}
-	text := appendLease(make([]byte, 4), p.fleet, body)
 	go func() {
 		defer func() { <-p.begun }()
 		if c, err := p.dial(to); err == nil {
