--- /dev/null
+++ b/cmd/micatrack/config_test.go
@@ -0,0 +1,372 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"micatrack/fleet/config"
+	"micatrack/internal/configuration"
+	"micatrack/internal/rig"
+)
+
+// inForceWithin is the users' bound from the acceptance of a change to its being in force on the last live front.
+const inForceWithin = 6 * time.Second
+
+const (
+	controlSpan   = 3 * time.Second         // of the control machines' leases, as it is without a word in the operators' file
+	withoutLeader = 2500 * time.Millisecond // for which a leader is gone: another is elected within 1 s
+)
+
+// configured gives a plan of fronts of which the first ones are control machines.
+func configuredFleet(t testing.TB, fronts, controls int) rig.Plan {
+	p := council(t, fronts, controls)
+	p.Lease["summary_ms"], p.Lease["span_ms"] = 0, controlSpan.Milliseconds()
+	p.Configured = true
+	return p
+}
+
+// settingsText gives the fleet's settings with a number in them.
+func settingsText(t testing.TB, r *rig.Rig, number int) string {
+	var settings map[string]any
+	text, err := json.Marshal(r.Plan.Config["settings"])
+	if err == nil {
+		err = json.Unmarshal(text, &settings)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	delete(settings, "Az")
+	settings["Orgs"] = []any{map[string]any{"Name": "numbered", "QuotaPerS": number}}
+	if text, err = json.Marshal(settings); err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
+}
+
+// command runs one of the commands against a front; status -1: it did not end by itself.
+func command(f *rig.Front, input string, args ...string) (out, errs string, status int) {
+	c := exec.Command(program, append([]string{"config", "--control", f.Control}, args...)...)
+	c.Stdin = strings.NewReader(input)
+	var stdout, stderr bytes.Buffer
+	c.Stdout, c.Stderr = &stdout, &stderr
+	err := c.Run()
+	var ended *exec.ExitError
+	switch {
+	case errors.As(err, &ended):
+		status = ended.ExitCode()
+	case err != nil:
+		status = -1
+	}
+	return stdout.String(), strings.TrimSpace(stderr.String()), status
+}
+
+// set changes the settings and gives the version, or the status that the command ended with.
+func set(f *rig.Front, text, why string, args ...string) (version uint64, errs string, status int) {
+	out, errs, status := command(f, text, append([]string{"set", "settings", "-", "--who", "test", "--why", why}, args...)...)
+	fmt.Sscanf(out, "version %d", &version)
+	return version, errs, status
+}
+
+// here gives what a front says of its own configuration.
+func here(f *rig.Front) (v configuration.View, err error) {
+	out, _, _ := command(f, "", "status", "--json")
+	var told struct{ Here configuration.View }
+	err = json.Unmarshal([]byte(out), &told)
+	return told.Here, err
+}
+
+// history gives the versions as the control machines have them.
+func history(r *rig.Rig, f *rig.Front) (list []config.Record) {
+	r.T.Helper()
+	r.Await(outer, "the history is told", func() bool {
+		out, _, status := command(f, "", "history", "--json")
+		return status == 0 && json.Unmarshal([]byte(out), &list) == nil
+	})
+	return list
+}
+
+// everywhere waits until a version, or a newer one, is in force on these fronts, and tells how long that took.
+func everywhere(r *rig.Rig, version uint64, since time.Time, fronts ...*rig.Front) time.Duration {
+	r.T.Helper()
+	for _, f := range fronts {
+		r.Await(max(time.Until(since.Add(inForceWithin)), time.Millisecond), fmt.Sprint("version ", version, " in force on ", f.Name), func() bool {
+			v, err := here(f)
+			return err == nil && v.Version >= version && v.State == "in-force"
+		})
+	}
+	return time.Since(since)
+}
+
+// told is one change that was asked for, and what was said to it.
+type toldChange struct {
+	why     string
+	version uint64
+	status  int
+	errs    string
+}
+
+// judge holds what writers were told against the history: what was acknowledged is there, what was refused is not.
+func judge(r *rig.Rig, list []config.Record, changes []toldChange) {
+	r.T.Helper()
+	by := map[string]config.Version{}
+	for k, record := range list {
+		if k > 0 && record.Version != list[k-1].Version+1 {
+			r.T.Errorf("version %d follows %d", record.Version, list[k-1].Version)
+		}
+		if _, twice := by[record.Reason]; twice {
+			r.T.Errorf("%s is there twice", record.Reason)
+		}
+		by[record.Reason] = record.Version
+	}
+	counts := map[int]int{}
+	for _, c := range changes {
+		counts[c.status]++
+		at, has := by[c.why]
+		switch {
+		case c.status == 0 && (!has || uint64(at) != c.version):
+			r.T.Errorf("%s was acknowledged as version %d; history has it as %d", c.why, c.version, at)
+		case (c.status == statusNotDone || c.status == 2) && has:
+			r.T.Errorf("%s was refused (%s), and is version %d", c.why, c.errs, at)
+		case c.status < 0:
+			r.T.Errorf("%s: the command did not end by itself: %s", c.why, c.errs)
+		}
+	}
+	r.T.Logf("%d changes asked for: %d acknowledged, %d not done, %d not known", len(changes), counts[0], counts[1], counts[statusUnknown])
+	if counts[0] == 0 {
+		r.T.Error("no change was acknowledged")
+	}
+}
+
+// TestConfigLeaderOfControlsFails is hard case 1: the leader of the control machines is killed, cut off, stopped and continued
+// while two writers change the configuration. What was acknowledged is never lost, what was refused never appears.
+func TestConfigLeaderOfControlsFails(t *testing.T) {
+	t.Parallel()
+	r := rig.New(t, configuredFleet(t, 5, 3))
+	r.Start(r.Fronts...)
+	leader(r)
+	var mu sync.Mutex
+	var changes []toldChange
+	var over atomic.Bool
+	var writers sync.WaitGroup
+	for w := range 2 {
+		writers.Add(1)
+		go func() {
+			defer writers.Done()
+			for n := 0; !over.Load(); n++ {
+				c := toldChange{why: fmt.Sprintf("writer %d change %d", w, n)}
+				c.version, c.errs, c.status = set(r.Fronts[3+w], settingsText(t, r, 1+w*1000+n), c.why)
+				mu.Lock()
+				changes = append(changes, c)
+				mu.Unlock()
+			}
+		}()
+	}
+	for round := range 3 {
+		time.Sleep(400 * time.Millisecond)
+		lead := leader(r)
+		switch round {
+		case 0:
+			lead.Signal(syscall.SIGKILL)
+			time.Sleep(withoutLeader)
+			r.Start(lead)
+		case 1:
+			heal := r.Between(rig.Into(named(lead.Name)), rig.Fault{Cut: true})
+			time.Sleep(withoutLeader)
+			heal()
+		case 2:
+			lead.Signal(syscall.SIGSTOP)
+			time.Sleep(withoutLeader)
+			lead.Signal(syscall.SIGCONT)
+		}
+	}
+	time.Sleep(400 * time.Millisecond)
+	over.Store(true)
+	writers.Wait()
+	list := history(r, r.Fronts[4])
+	judge(r, list, changes)
+	if len(list) > 0 {
+		newest := uint64(list[len(list)-1].Version)
+		t.Logf("version %d in force on all %v later", newest, everywhere(r, newest, time.Now(), r.Fronts...).Round(time.Millisecond))
+	}
+}
+
+// TestConfigFrontsComeAndGo is hard case 2: fronts are restarted and replaced all the while, one joins in the middle of a change,
+// and one takes the name of another that is gone.
+func TestConfigFrontsComeAndGo(t *testing.T) {
+	t.Parallel()
+	r := rig.New(t, configuredFleet(t, 6, 3))
+	r.Start(r.Fronts[:5]...)
+	leader(r)
+	var changes []toldChange
+	change := func(n int) {
+		c := toldChange{why: fmt.Sprint("change ", n)}
+		c.version, c.errs, c.status = set(r.Fronts[n%3], settingsText(t, r, n), c.why)
+		changes = append(changes, c)
+	}
+	for n := range 3 {
+		f := r.Fronts[3+n%2]
+		f.Signal([]syscall.Signal{syscall.SIGKILL, syscall.SIGTERM}[n%2])
+		change(2 * n)
+		r.Start(f)
+		change(2*n + 1)
+	}
+	gone := r.Fronts[4]
+	gone.Signal(syscall.SIGKILL)
+	twin := r.Twin(gone)
+	var all sync.WaitGroup
+	all.Add(1)
+	go func() { defer all.Done(); change(100) }()
+	r.Start(r.Fronts[5], twin) // in the middle of a change
+	all.Wait()
+	at := time.Now()
+	change(101)
+	list := history(r, r.Fronts[0])
+	judge(r, list, changes)
+	newest := uint64(list[len(list)-1].Version)
+	live := []*rig.Front{r.Fronts[0], r.Fronts[1], r.Fronts[2], r.Fronts[3], r.Fronts[5], twin}
+	t.Logf("version %d in force on all %v after it was asked for", newest, everywhere(r, newest, at, live...).Round(time.Millisecond))
+	for _, f := range live {
+		v, err := here(f)
+		if err != nil || v.Version != newest || len(v.Texts) != 1 || v.Texts[0].Text != settingsText(t, r, 101) {
+			t.Errorf("%s has version %d, texts %.60v, %v", f.Name, v.Version, v.Texts, err)
+		}
+	}
+	if v, err := here(r.Fronts[3]); err != nil || len(v.Waits) != 1 || v.Waits[0] != "settings" {
+		t.Errorf("a front that runs with older settings says that these wait: %v, %v", v.Waits, err)
+	}
+	r.Fronts[3].Signal(syscall.SIGTERM)
+	r.Start(r.Fronts[3])
+	if v, err := here(r.Fronts[3]); err != nil || len(v.Waits) != 0 || v.Version != newest {
+		t.Errorf("after its next start: version %d, waits %v, %v", v.Version, v.Waits, err)
+	}
+}
+
+// TestConfigFaultyChangeAndTwoWriters is hard case 4: of a faulty change one line names the key and nothing is in force
+// anywhere; of two writers at once one wins.
+func TestConfigFaultyChangeAndTwoWriters(t *testing.T) {
+	t.Parallel()
+	r := rig.New(t, configuredFleet(t, 4, 3))
+	r.Start(r.Fronts...)
+	leader(r)
+	first, errs, status := set(r.Fronts[3], settingsText(t, r, 1), "first")
+	if status != 0 {
+		t.Fatalf("%d: %s", status, errs)
+	}
+	everywhere(r, first, time.Now(), r.Fronts...)
+	for _, c := range []struct{ scope, text, key string }{
+		{"settings", strings.Replace(settingsText(t, r, 2), `"Round":`, `"Round":-`, 1), "Round"},
+		{"settings", `{"Az":"a"` + settingsText(t, r, 2)[1:], ""},
+		{"settings", `{`, ""},
+		{"operators", `{"door":{"on":true,"jobs":1}}`, "/door/jobs"},
+		{"operators", `{"fleet":{"on":false,"name":"rig","listen":"127.0.0.1:1"}}`, "/fleet"},
+		{"discovery", `{"discover":"127.0.0.1:1"}`, "/discover"},
+		{"plans", `{}`, "plans"},
+	} {
+		_, errs, status := command(r.Fronts[3], c.text, "set", c.scope, "-", "--who", "test", "--why", "faulty")
+		if status != 2 || strings.Contains(errs, "\n") || !strings.Contains(errs, c.key) || !strings.Contains(errs, c.scope) {
+			t.Errorf("%s %.40s: status %d, %q", c.scope, c.text, status, errs)
+		}
+	}
+	var changes [2]toldChange
+	var both sync.WaitGroup
+	for w := range changes {
+		both.Add(1)
+		go func() {
+			defer both.Done()
+			c := &changes[w]
+			c.why = fmt.Sprint("writer ", w)
+			c.version, c.errs, c.status = set(r.Fronts[w+1], settingsText(t, r, 10+w), c.why, "--base", fmt.Sprint(first))
+		}()
+	}
+	both.Wait()
+	if changes[0].status+changes[1].status != statusNotDone || changes[0].status*changes[1].status != 0 {
+		t.Errorf("two writers at once: %+v", changes)
+	}
+	list := history(r, r.Fronts[0])
+	judge(r, list, append(changes[:], toldChange{"first", first, 0, ""}))
+	if len(list) != 2 {
+		t.Errorf("%d versions: %+v", len(list), list)
+	}
+	for _, f := range r.Fronts {
+		everywhere(r, first+1, time.Now(), f)
+		if lines := f.Logged(time.Time{}, "is not in force"); len(lines) > 0 {
+			t.Errorf("%s: %s", f.Name, lines[0].Text)
+		}
+	}
+	out, errs, status := command(r.Fronts[3], "", "rollback", fmt.Sprint(first), "--who", "test", "--why", "back", "--wait", "15s")
+	if status != 0 || !strings.Contains(out, "in force everywhere") {
+		t.Errorf("%d: %s%s", status, out, errs)
+	}
+	if out, _, _ := command(r.Fronts[3], "", "diff", fmt.Sprint(first)); out != "" {
+		t.Errorf("after a rollback the texts differ: %s", out)
+	}
+}
+
+// TestConfigWithoutControls is hard case 5: all control machines are gone; fronts serve, restart from their disks and say how old
+// their configuration is.
+func TestConfigWithoutControls(t *testing.T) {
+	t.Parallel()
+	r := rig.New(t, configuredFleet(t, 5, 3))
+	r.Start(r.Fronts...)
+	leader(r)
+	version, errs, status := set(r.Fronts[4], settingsText(t, r, 7), "before they are gone")
+	if status != 0 {
+		t.Fatalf("%d: %s", status, errs)
+	}
+	everywhere(r, version, time.Now(), r.Fronts...)
+	gone := time.Now()
+	for _, f := range r.Fronts[:3] {
+		f.Signal(syscall.SIGKILL)
+	}
+	time.Sleep(time.Second)
+	if _, errs, status := set(r.Fronts[4], settingsText(t, r, 8), "while they are gone"); status != statusNotDone {
+		t.Errorf("a change without control machines: %d, %s", status, errs)
+	}
+	again := r.Fronts[3]
+	again.Signal(syscall.SIGKILL)
+	r.Start(again)
+	load := r.Load(20, kinds...)
+	for _, f := range r.Fronts[3:] {
+		v, err := here(f)
+		old := time.Duration(v.AgeMS) * time.Millisecond
+		if err != nil || v.Version != version || v.State != "in-force" || v.Fresh || old < 0 || old > time.Since(gone)+3*time.Second {
+			t.Errorf("%s: %+v, %v", f.Name, v, err)
+		}
+		out, _, _ := command(f, "", "status")
+		if !strings.Contains(out, "last heard to be the newest") {
+			t.Errorf("%s does not say how old its configuration is: %s", f.Name, out)
+		}
+		t.Logf("%s", strings.SplitN(out, "\n", 2)[0])
+	}
+	if lines := again.Logged(gone, "configuration from disk"); len(lines) != 1 {
+		t.Errorf("%s does not start from its disk", again.Name)
+	}
+	file, err := os.ReadFile(again.Stored())
+	if err != nil {
+		t.Fatal(err)
+	}
+	again.Signal(syscall.SIGKILL)
+	file[len(file)/2] ^= 1
+	if err := os.WriteFile(again.Stored(), file, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	r.Start(again)
+	if v, err := here(again); err != nil || v.Version != 0 || len(again.Logged(gone, "spoilt")) == 0 {
+		t.Errorf("with a spoilt file: %+v, %v", v, err)
+	}
+	done := load.End()
+	r.Check(done)
+	r.Start(r.Fronts[:3]...)
+	t.Logf("all have version %d again %v after the control machines are back", version, everywhere(r, version, time.Now(), r.Fronts...).Round(time.Millisecond))
+	judge(r, history(r, r.Fronts[4]), []toldChange{{"before they are gone", version, 0, ""}, {"while they are gone", 0, statusNotDone, ""}})
+}
--- /dev/null
+++ b/cmd/micatrack/configcommands.go
@@ -0,0 +1,436 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"os/user"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"micatrack/fleet/config"
+	"micatrack/internal/configuration"
+	"micatrack/internal/operators"
+)
+
+// Statuses that the commands end with, beside 0 and 2 (told wrong, or a faulty change).
+const (
+	statusNotDone = 1 // nothing was changed
+	statusUnknown = 3 // it may have been changed
+)
+
+const (
+	commandWithin  = 7 * time.Second        // for an answer of the front, which tries for some seconds itself
+	statusInterval = 200 * time.Millisecond // between two looks while a command waits
+)
+
+// configClient asks this machine's front about the fleet's configuration.
+type configClient struct {
+	switches, control string
+	asJSON            bool
+}
+
+// address gives the control address of this machine's front.
+func (c *configClient) address() (string, error) {
+	if c.control != "" {
+		return c.control, nil
+	}
+	o, err := operators.Read(c.switches)
+	if err != nil {
+		return "", err
+	}
+	if o.Fleet.Control == "" {
+		return "", fmt.Errorf("no address to ask: give --control, or --operators with fleet.control")
+	}
+	return o.Fleet.Control, nil
+}
+
+// send sends one request to the front, and reads what it says into v.
+func (c *configClient) send(method string, body []byte, v any) error {
+	addr, err := c.address()
+	if err != nil {
+		return err
+	}
+	r, err := http.NewRequest(method, (&url.URL{Scheme: "http", Host: addr, Path: "/config"}).String(), bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := (&http.Client{Timeout: commandWithin}).Do(r)
+	if err != nil {
+		return exit{statusUnknown, fmt.Errorf("the front did not answer: %w", err)}
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return exit{statusUnknown, err}
+	}
+	if resp.StatusCode != http.StatusOK {
+		return exit{statusNotDone, fmt.Errorf("%s", strings.TrimSpace(string(text)))}
+	}
+	return json.Unmarshal(text, v)
+}
+
+const maxAnswer = 4 << 20 // bytes of the front's answer
+
+// ask has the control machines work on a request, by way of the front.
+func (c *configClient) ask(r configuration.Request) (a configuration.Answer, err error) {
+	body, err := json.Marshal(r)
+	if err != nil {
+		return a, err
+	}
+	if err := c.send(http.MethodPost, body, &a); err != nil {
+		return a, err
+	}
+	return a, outcomeError(&a)
+}
+
+// outcomeError gives the error, and the status, for an answer that is not what was asked for.
+func outcomeError(a *configuration.Answer) error {
+	err := fmt.Errorf("%s", a.Error)
+	switch {
+	case a.Outcome == configuration.Done:
+		return nil
+	case a.Outcome == configuration.Refused && !a.Lost:
+		return exit{2, err}
+	case a.Outcome == configuration.Unknown:
+		return exit{statusUnknown, err}
+	}
+	return exit{statusNotDone, err}
+}
+
+// newest gives the number of the newest version.
+func (c *configClient) newest() (uint64, error) {
+	a, err := c.ask(configuration.Request{Op: configuration.OpGet})
+	return a.Version, err
+}
+
+// notes are who changes something, and why.
+type notes struct {
+	who, why string
+	base     uint64
+
+	wait time.Duration
+}
+
+func (n *notes) flags(c *cobra.Command) {
+	name := ""
+	if u, err := user.Current(); err == nil {
+		name = u.Username
+	}
+	c.Flags().StringVar(&n.who, "who", name, "who changes it, for the history")
+	c.Flags().StringVar(&n.why, "why", "", "why, for the history")
+	c.Flags().Uint64Var(&n.base, "base", 0, "the version that the change was made from; without it the newest one now")
+	c.Flags().DurationVar(&n.wait, "wait", 0, "wait for so long at most until it is in force everywhere")
+}
+
+// request fills in what all changes have.
+func (n *notes) request(c *cobra.Command, client *configClient, op configuration.Op) (r configuration.Request, err error) {
+	if n.why == "" || n.who == "" {
+		return r, fmt.Errorf("give --why, and --who")
+	}
+	r = configuration.Request{Op: op, Base: n.base, Author: n.who, Reason: n.why, At: time.Now().UnixMilli()}
+	if !c.Flags().Changed("base") {
+		r.Base, err = client.newest()
+	}
+	return r, err
+}
+
+// changed tells of a change that was accepted, and waits until it is in force, where that is asked for.
+func (n *notes) changed(c *cobra.Command, client *configClient, version uint64) error {
+	fmt.Fprintf(c.OutOrStdout(), "version %d\n", version)
+	if n.wait == 0 {
+		return nil
+	}
+	for end := time.Now().Add(n.wait); time.Now().Before(end); time.Sleep(statusInterval) {
+		a, err := client.ask(configuration.Request{Op: configuration.OpStatus})
+		if err != nil || a.Status == nil {
+			continue
+		}
+		if uint64(a.Status.Newest) >= version && a.Status.Everywhere {
+			fmt.Fprintln(c.OutOrStdout(), "in force everywhere")
+			return nil
+		}
+	}
+	return exit{statusNotDone, fmt.Errorf("version %d is accepted, and was not in force everywhere within %v", version, n.wait)}
+}
+
+// configCommands ask and change the fleet's configuration.
+func configCommands() *cobra.Command {
+	client := &configClient{}
+	root := &cobra.Command{Use: "config", Short: "Ask about the fleet's configuration, or change it, by way of this machine's front"}
+	root.PersistentFlags().StringVar(&client.switches, "operators", "", "the operators' file, whose fleet.control is asked")
+	root.PersistentFlags().StringVar(&client.control, "control", "", "address to ask instead")
+	root.PersistentFlags().BoolVar(&client.asJSON, "json", false, "print JSON")
+	root.AddCommand(client.getCommand(), client.setCommand(), client.diffCommand(), client.historyCommand(),
+		client.rollbackCommand(), client.statusCommand())
+	return root
+}
+
+func (c *configClient) getCommand() *cobra.Command {
+	var version uint64
+	var here bool
+	get := &cobra.Command{Use: "get [SCOPE]", Short: "Print a version's texts, or one scope's", Args: cobra.MaximumNArgs(1)}
+	get.Flags().Uint64Var(&version, "version", 0, "an older version; without it the newest")
+	get.Flags().BoolVar(&here, "here", false, "what is in force on this machine's front, whoever can be reached")
+	get.RunE = func(cmd *cobra.Command, args []string) error {
+		if here && version != 0 {
+			return fmt.Errorf("--here and --version exclude each other")
+		}
+		texts, at, err := c.texts(version, here)
+		if err != nil {
+			return err
+		}
+		if len(args) > 0 {
+			text, has := textOf(texts, args[0])
+			if !has {
+				return exit{statusNotDone, fmt.Errorf("version %d has no %s", at, args[0])}
+			}
+			_, err := fmt.Fprintln(cmd.OutOrStdout(), strings.TrimSuffix(text, "\n"))
+			return err
+		}
+		if c.asJSON {
+			return json.NewEncoder(cmd.OutOrStdout()).Encode(map[string]any{"version": at, "texts": texts})
+		}
+		fmt.Fprintf(cmd.OutOrStdout(), "version %d\n", at)
+		for _, t := range texts {
+			fmt.Fprintf(cmd.OutOrStdout(), "--- %s\n%s\n", t.Scope, strings.TrimSuffix(t.Text, "\n"))
+		}
+		return nil
+	}
+	return get
+}
+
+// texts gives a version's texts, or those in force here.
+func (c *configClient) texts(version uint64, here bool) ([]configuration.Text, uint64, error) {
+	if here {
+		var v configuration.View
+		err := c.send(http.MethodGet, nil, &v)
+		return v.Texts, v.Version, err
+	}
+	a, err := c.ask(configuration.Request{Op: configuration.OpGet, Version: version})
+	return a.Texts, a.Version, err
+}
+
+func textOf(texts []configuration.Text, scope string) (string, bool) {
+	for _, t := range texts {
+		if t.Scope == scope {
+			return t.Text, true
+		}
+	}
+	return "", false
+}
+
+func (c *configClient) setCommand() *cobra.Command {
+	var n notes
+	var remove bool
+	var program uint32
+	var front, zone string
+	var soak, limit time.Duration
+	set := &cobra.Command{Use: "set SCOPE [FILE]", Args: cobra.RangeArgs(1, 2),
+		Short: "Set a scope (settings, operators, discovery) to a file's text; - reads standard input"}
+	n.flags(set)
+	set.Flags().BoolVar(&remove, "remove", false, "take the scope out in place of a file")
+	set.Flags().Uint32Var(&program, "program", 0, "the oldest program that can take it")
+	set.Flags().StringVar(&front, "first-front", "", "roll-out in steps: this front first")
+	set.Flags().StringVar(&zone, "then-zone", "", "roll-out in steps: then this zone, then all")
+	set.Flags().DurationVar(&soak, "soak", 10*time.Second, "roll-out: for which a step has to stand before the next")
+	set.Flags().DurationVar(&limit, "limit", time.Minute, "roll-out: after which a step that is not done ends it")
+	set.RunE = func(cmd *cobra.Command, args []string) error {
+		if (len(args) == 2) == remove {
+			return fmt.Errorf("give a file, or --remove")
+		}
+		text, err := fileText(cmd, args, remove)
+		if err != nil {
+			return err
+		}
+		r, err := n.request(cmd, c, configuration.OpSet)
+		if err != nil {
+			return err
+		}
+		r.Scope, r.Text, r.Program = args[0], text, program
+		if front != "" || zone != "" {
+			r.Rollout = &configuration.Rollout{Front: front, Zone: zone, SoakMS: soak.Milliseconds(), LimitMS: limit.Milliseconds()}
+		}
+		a, err := c.ask(r)
+		if err != nil {
+			return err
+		}
+		return n.changed(cmd, c, a.Version)
+	}
+	return set
+}
+
+func fileText(cmd *cobra.Command, args []string, remove bool) (string, error) {
+	if remove {
+		return "", nil
+	}
+	var text []byte
+	var err error
+	if args[1] == "-" {
+		text, err = io.ReadAll(io.LimitReader(cmd.InOrStdin(), config.MaxTexts+1))
+	} else {
+		text, err = os.ReadFile(args[1])
+	}
+	switch {
+	case err != nil:
+		return "", err
+	case len(text) == 0:
+		return "", fmt.Errorf("%s is empty; --remove takes a scope out", args[1])
+	case len(text) > config.MaxTexts:
+		return "", fmt.Errorf("%s has %d bytes, at most %d", args[1], len(text), config.MaxTexts)
+	}
+	return string(text), nil
+}
+
+func (c *configClient) rollbackCommand() *cobra.Command {
+	var n notes
+	back := &cobra.Command{Use: "rollback VERSION", Short: "Make a new version with the texts of an older one", Args: cobra.ExactArgs(1)}
+	n.flags(back)
+	back.RunE = func(cmd *cobra.Command, args []string) error {
+		to, err := strconv.ParseUint(args[0], 10, 64)
+		if err != nil {
+			return fmt.Errorf("%q is no version", args[0])
+		}
+		r, err := n.request(cmd, c, configuration.OpRollback)
+		if err != nil {
+			return err
+		}
+		r.To = to
+		a, err := c.ask(r)
+		if err != nil {
+			return err
+		}
+		return n.changed(cmd, c, a.Version)
+	}
+	return back
+}
+
+func (c *configClient) historyCommand() *cobra.Command {
+	return &cobra.Command{Use: "history", Short: "List the versions: who made each, when and why", Args: unexpected,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			a, err := c.ask(configuration.Request{Op: configuration.OpHistory})
+			if err != nil {
+				return err
+			}
+			if c.asJSON {
+				return json.NewEncoder(cmd.OutOrStdout()).Encode(a.History)
+			}
+			w := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 0, 2, ' ', 0)
+			fmt.Fprintln(w, "VERSION\tWHAT\tWHO\tWHEN\tWHY")
+			for _, r := range a.History {
+				what := r.Kind.String()
+				switch r.Kind {
+				case config.KindChange:
+					what += " of " + string(r.Scope)
+				case config.KindRollback:
+					what += fmt.Sprint(" to ", r.To)
+				}
+				fmt.Fprintf(w, "%d\t%s\t%q\t%s\t%q\n", r.Version, what, r.Author, time.UnixMilli(r.At).UTC().Format(time.RFC3339), r.Reason)
+			}
+			return w.Flush()
+		}}
+}
+
+func (c *configClient) diffCommand() *cobra.Command {
+	return &cobra.Command{Use: "diff VERSION [VERSION]", Args: cobra.RangeArgs(1, 2),
+		Short: "Show which lines differ between two versions; the second is the newest if it is not named",
+		RunE: func(cmd *cobra.Command, args []string) error {
+			var texts [2][]configuration.Text
+			for k := range texts {
+				version := uint64(0)
+				if k < len(args) {
+					var err error
+					if version, err = strconv.ParseUint(args[k], 10, 64); err != nil || version == 0 {
+						return fmt.Errorf("%q is no version", args[k])
+					}
+				}
+				a, err := c.ask(configuration.Request{Op: configuration.OpGet, Version: version})
+				if err != nil {
+					return err
+				}
+				texts[k] = a.Texts
+			}
+			printDiff(cmd.OutOrStdout(), texts[0], texts[1])
+			return nil
+		}}
+}
+
+func (c *configClient) statusCommand() *cobra.Command {
+	return &cobra.Command{Use: "status", Short: "Show what is in force here, and how far the newest version has come in the fleet", Args: unexpected,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			var here configuration.View
+			if err := c.send(http.MethodGet, nil, &here); err != nil {
+				return err
+			}
+			a, err := c.ask(configuration.Request{Op: configuration.OpStatus})
+			if c.asJSON {
+				encoded := json.NewEncoder(cmd.OutOrStdout()).Encode(map[string]any{"here": here, "fleet": a.Status, "rollout": a.Stage})
+				if err == nil {
+					err = encoded
+				}
+				return err
+			}
+			showHere(cmd.OutOrStdout(), &here)
+			if err != nil {
+				return err
+			}
+			return showFleet(cmd.OutOrStdout(), &a)
+		}}
+}
+
+// showHere prints what is in force on this machine's front.
+func showHere(out io.Writer, v *configuration.View) {
+	if v.Version == 0 {
+		fmt.Fprintf(out, "%s: no version is in force; it goes by its files\n", v.Front)
+	} else {
+		fmt.Fprintf(out, "%s: version %d is in force, %s\n", v.Front, v.Version, age(v))
+	}
+	if v.Reason != "" {
+		fmt.Fprintf(out, "%s: version %d is %s: %s\n", v.Front, v.Received, v.State, v.Reason)
+	}
+	if len(v.Waits) > 0 {
+		fmt.Fprintf(out, "%s: waits for the next start: %s\n", v.Front, strings.Join(v.Waits, ", "))
+	}
+}
+
+// age says how old the version in force is.
+func age(v *configuration.View) string {
+	switch {
+	case v.Fresh:
+		return "the newest"
+	case v.AgeMS < 0:
+		return "never heard to be the newest"
+	}
+	return fmt.Sprintf("last heard to be the newest %v ago", time.Duration(v.AgeMS)*time.Millisecond)
+}
+
+// showFleet prints how far the newest version has come.
+func showFleet(out io.Writer, a *configuration.Answer) error {
+	s := a.Status
+	if s == nil {
+		return nil
+	}
+	fmt.Fprintf(out, "fleet: newest version %d, lowest in force %d, in force everywhere: %v; %d fronts have it, %d are silent\n",
+		s.Newest, s.Lowest, s.Everywhere, s.InForce, s.Silent)
+	if a.Stage != nil {
+		fmt.Fprintf(out, "roll-out of %s since version %d, now at %s\n", a.Stage.Scope, a.Stage.Began, a.Stage.Step)
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "FRONT\tZONE\tSTATE\tIN FORCE\tRECEIVED\tHEARD\tREASON")
+	for _, f := range s.Fronts {
+		heard := "never"
+		if f.Silent >= 0 {
+			heard = fmt.Sprint((time.Duration(f.Silent) * tick).Round(time.Millisecond), " ago")
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%s\t%s\n", f.Name, f.Zone, f.State, f.InForce, f.Received, heard, f.Reason)
+	}
+	return w.Flush()
+}
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -21,19 +21,20 @@
 
 // Plan is what a rig is made of.
 type Plan struct {
-	Program string         // path of the program
-	Config  map[string]any // a front's configuration; addresses, name, seed, zone and number of fronts are filled in
-	Zones   []string
-	Fronts  int              // spread over the zones in turn
-	Groups  int              // each with a member in every zone; the primary is in each in turn
-	Members int              // of a group in each zone; 0: one
-	Fleet   map[string]any   // of the operators' file, but for addresses; nil: off
-	Without func(n int) bool // fronts that have it off; nil: none
-	Takes   time.Duration    // a job at a store
-	Voters  int              // fronts, from the first on, that grant leases; 0: no leases
-	Lease   map[string]any   // of the operators' file, but for voters, state and collector
-	Act     time.Duration    // that telling a summary takes at the collector
-	Seed    uint64
+	Program    string         // path of the program
+	Config     map[string]any // a front's configuration; addresses, name, seed, zone and number of fronts are filled in
+	Zones      []string
+	Fronts     int              // spread over the zones in turn
+	Groups     int              // each with a member in every zone; the primary is in each in turn
+	Members    int              // of a group in each zone; 0: one
+	Fleet      map[string]any   // of the operators' file, but for addresses; nil: off
+	Without    func(n int) bool // fronts that have it off; nil: none
+	Takes      time.Duration    // a job at a store
+	Voters     int              // fronts, from the first on, that grant leases; 0: no leases
+	Lease      map[string]any   // of the operators' file, but for voters, state and collector
+	Configured bool             // the fleet's configuration is on, with a file of its own on each front
+	Act        time.Duration    // that telling a summary takes at the collector
+	Seed       uint64
 }
 
 // Store is one stand-in.
@@ -262,6 +263,9 @@
 		if r.Plan.Voters > 0 {
 			part["lease"] = f.lease()
 		}
+		if r.Plan.Configured {
+			part["config"] = map[string]any{"on": true, "state": f.Stored()}
+		}
 		if part["on"] != false {
 			switches["fleet"] = part
 		}
@@ -347,6 +351,9 @@
 	return strings.TrimSpace(string(out[strings.LastIndex(string(out), " ")+1:]))
 }
 
+// Stored is the front's file of the fleet's configuration.
+func (f *Front) Stored() string { return filepath.Join(f.rig.dir, f.alias+f.Name+".configuration") }
+
 // Relayed is where the other fronts reach this one.
 func (f *Front) Relayed() string { return f.relayed }
 
