--- a/cmd/micatrack/configcommands.go
+++ b/cmd/micatrack/configcommands.go
@@ -407,7 +407,7 @@
 	case v.Fresh:
 		return "the newest"
 	case v.AgeMS < 0:
-		return "never heard to be the newest"
+		return fmt.Sprintf("put in force %v ago and not heard to be the newest since", time.Duration(v.ForMS)*time.Millisecond)
 	}
 	return fmt.Sprintf("last heard to be the newest %v ago", time.Duration(v.AgeMS)*time.Millisecond)
 }
--- a/internal/configuration/disk.go
+++ b/internal/configuration/disk.go
@@ -12,11 +12,11 @@
 	"micatrack/fleet/config"
 )
 
-// The file of the version in force: a mark, a checksum over what follows, the moment at which the version was last known to
-// be the fleet's newest, what fleet/config keeps, and the texts that count for this front.
+// The file of the version in force: a mark, a checksum over what follows, the moments at which the version was last
+// known to be the fleet's newest and was put in force, what fleet/config keeps, and the texts that count for this front.
 const (
 	fileMark = "micatrack configuration 1\n"
-	headSize = len(fileMark) + 4 + 8 + 4 // mark, checksum, moment, length of what fleet/config keeps
+	headSize = len(fileMark) + 4 + 8 + 8 + 4 // mark, checksum, two moments, length of what fleet/config keeps
 	maxFile  = 4 * config.MaxDocument
 )
 
@@ -28,6 +28,7 @@
 // Stored is what a front finds on its disk.
 type Stored struct {
 	ProvenAt int64 // Unix milliseconds at which the version was last known to be the fleet's newest; 0: never
+	ForceAt  int64 // Unix milliseconds at which it was put in force here
 	Version  config.Version
 	Texts    []config.ScopeText // that count for this front
 	Kept     []byte             // for the agent
@@ -41,6 +42,7 @@
 
 func (s *Stored) encode() []byte {
 	body := binary.BigEndian.AppendUint64(nil, uint64(s.ProvenAt))
+	body = binary.BigEndian.AppendUint64(body, uint64(s.ForceAt))
 	body = binary.BigEndian.AppendUint32(body, uint32(len(s.Kept)))
 	body = append(body, s.Kept...)
 	d := config.Document{Version: s.Version, Texts: s.Texts}
@@ -58,7 +60,8 @@
 		return s, errSpoilt
 	}
 	s.ProvenAt = int64(binary.BigEndian.Uint64(body))
-	size, rest := int(binary.BigEndian.Uint32(body[8:])), body[12:]
+	s.ForceAt = int64(binary.BigEndian.Uint64(body[8:]))
+	size, rest := int(binary.BigEndian.Uint32(body[16:])), body[20:]
 	if size > len(rest) {
 		return s, errSpoilt
 	}
--- a/internal/configuration/front.go
+++ b/internal/configuration/front.go
@@ -58,7 +58,8 @@
 	writer    *writer // nil: no disk
 	kept      []byte
 	provenAt  int64 // Unix milliseconds; 0: never
-	writtenAt int64
+	writtenAt int64 // provenAt, as the disk has it
+	forceAt   int64 // Unix milliseconds
 }
 
 // handed is a message of this machine's control part.
@@ -70,7 +71,8 @@
 // NewFront starts a front's part.
 func NewFront(o Options, now func() Time, p *peers.Peers, h Host, wake func(), log *slog.Logger) *Front {
 	f := &Front{options: o, host: h, now: now, peers: p, log: log, wake: wake, handed: make(chan handed, maxWaiting)}
-	f.started, f.provenAt, f.writtenAt = o.Stored.Texts, o.Stored.ProvenAt, o.Stored.ProvenAt
+	f.started, f.forceAt = o.Stored.Texts, o.Stored.ForceAt
+	f.provenAt, f.writtenAt = o.Stored.ProvenAt, o.Stored.ProvenAt
 	f.texts = f.started
 	if o.Path != "" {
 		f.writer = newWriter(o.Path, func(err error) { log.Error("configuration not kept", "error", err.Error()) })
@@ -103,6 +105,9 @@
 	was, _ := before.Text(Discovery)
 	is, _ := after.Text(Discovery)
 	f.texts = slices.Clone(texts)
+	if f.agent != nil { // else it is that of the start before
+		f.forceAt, f.provenAt, f.writtenAt = time.Now().UnixMilli(), 0, 0
+	}
 	if !bytes.Equal(was, is) {
 		f.host.Discover(is)
 	}
@@ -142,7 +147,7 @@
 		return
 	}
 	f.writtenAt = f.provenAt
-	f.writer.put(&Stored{ProvenAt: f.provenAt, Version: f.agent.InForce(), Texts: f.texts, Kept: f.kept})
+	f.writer.put(&Stored{ProvenAt: f.provenAt, ForceAt: f.forceAt, Version: f.agent.InForce(), Texts: f.texts, Kept: f.kept})
 }
 
 // Log tells what the agent has to say.
@@ -236,6 +241,7 @@
 	State    string   `json:"state"`
 	Reason   string   `json:"reason,omitempty"`
 	AgeMS    int64    `json:"age_ms"`          // since it was last known to be the fleet's newest, by this start or the one before; -1: never
+	ForMS    int64    `json:"for_ms"`          // since it was put in force here, also by the start before
 	Fresh    bool     `json:"fresh"`           // that is so at the moment
 	Waits    []string `json:"waits,omitempty"` // scopes that wait for the next start
 	Texts    []Text   `json:"texts"`
@@ -267,6 +273,9 @@
 	s := f.agent.Status(f.now())
 	v := View{Front: f.options.Name, Version: uint64(s.InForce), Received: uint64(s.Received), State: s.State.String(),
 		Reason: s.Reason, AgeMS: neverProven, Waits: f.waits(), Texts: shown(f.texts)}
+	if s.InForce != 0 {
+		v.ForMS = max(time.Now().UnixMilli()-f.forceAt, 0)
+	}
 	switch {
 	case s.InForce == 0:
 	case s.Age >= 0:
