--- a/internal/configuration/control.go
+++ b/internal/configuration/control.go
@@ -44,6 +44,7 @@
 	now         Time
 	toFront     func(body []byte) // hands a message to this machine's front
 	confirmAt   Time
+	due         Time // when the distributor has something to do
 }
 
 // NewControl starts a control machine's part, empty: the voter fills it.
@@ -82,7 +83,7 @@
 func (c *Control) Started(now Time, v *lease.Voter) {
 	c.now, c.voter = now, v
 	if c.options.On {
-		options := config.DistributorOptions{Fleet: c.options.Fleet, Name: c.options.Name, Seed: c.options.Seed}
+		options := config.DistributorOptions{Fleet: c.options.Fleet, Name: controlName + c.options.Name, Seed: c.options.Seed}
 		c.distributor = config.NewDistributor(now, options, c.state, c)
 	}
 }
@@ -125,6 +126,7 @@
 func (c *Control) take(now Time, from string, body []byte) {
 	if c.now = now; c.distributor != nil {
 		c.distributor.Take(now, from, body)
+		c.due = min(c.due, c.distributor.Next())
 	}
 }
 
@@ -152,9 +154,11 @@
 		c.confirmAt = now + confirmEvery
 		c.voter.Confirm(now, func() { c.distributor.Confirmed(c.now, now) })
 	}
-	if now >= c.distributor.Next() {
+	if now >= c.due {
 		c.distributor.Beat(now)
+		c.due = c.distributor.Next()
 	}
+	c.due = min(c.due, c.distributor.Next())
 }
 
 // Next is when Beat must be called again.
@@ -162,7 +166,7 @@
 	if c.distributor == nil {
 		return never
 	}
-	return c.distributor.Next()
+	return c.due
 }
 
 // committed tells whether the version that follows a base is this very request's.
--- a/internal/configuration/front.go
+++ b/internal/configuration/front.go
@@ -16,6 +16,7 @@
 
 const (
 	controlPrefix = "control/"        // before the address of a control machine's part, as fleet/config knows it
+	controlName   = "c/"              // before the name of a control machine's part: the front on the same machine has that name
 	lookAtPeers   = config.Second     // between two looks at who is there
 	provenRefresh = time.Minute       // after which the file says again that its version is the newest
 	closeWithin   = time.Second       // that an end waits for the disk
@@ -55,6 +56,7 @@
 	texts     []config.ScopeText // in force
 	known     config.Peers
 	lookAt    Time
+	due       Time    // when the agent has something to do
 	writer    *writer // nil: no disk
 	kept      []byte
 	provenAt  int64 // Unix milliseconds; 0: never
@@ -159,7 +161,14 @@
 	if m.FromControl {
 		from = controlPrefix + m.Addr
 	}
-	f.agent.Take(f.now(), from, bytes.Clone(m.Body))
+	f.takeFrom(f.now(), from, bytes.Clone(m.Body))
+}
+
+// takeFrom hands a message to the agent. Danger: what an agent has to do next is told from the moment at which it was called
+// last, so where messages come all the while its own matters would never be due.
+func (f *Front) takeFrom(now Time, from string, body []byte) {
+	f.agent.Take(now, from, body)
+	f.due = min(f.due, f.agent.Next())
 }
 
 // Hand takes a message of this machine's control part; any goroutine may call it.
@@ -176,7 +185,7 @@
 	for range maxWaiting {
 		select {
 		case m := <-f.handed:
-			f.agent.Take(now, m.from, m.body)
+			f.takeFrom(now, m.from, m.body)
 			continue
 		default:
 		}
@@ -186,8 +195,9 @@
 		f.lookAt = now + lookAtPeers
 		f.look(now)
 	}
-	if now >= f.agent.Next() {
+	if now >= f.due {
 		f.agent.Beat(now)
+		f.due = f.agent.Next()
 	}
 }
 
@@ -197,6 +207,7 @@
 	if !slices.Equal(there.Controls, f.known.Controls) || !slices.Equal(there.Fronts, f.known.Fronts) {
 		f.known = there
 		f.agent.SetPeers(now, controlled(there))
+		f.due = now
 	}
 	s := f.agent.Status(now)
 	if s.Age < 0 {
@@ -212,14 +223,14 @@
 func controlled(there config.Peers) config.Peers {
 	marked := config.Peers{Fronts: there.Fronts}
 	for _, c := range there.Controls {
-		c.Addr = controlPrefix + c.Addr
+		c.Name, c.Addr = controlName+c.Name, controlPrefix+c.Addr
 		marked.Controls = append(marked.Controls, c)
 	}
 	return marked
 }
 
 // Next is when Turn must be called again.
-func (f *Front) Next() Time { return min(f.agent.Next(), f.lookAt) }
+func (f *Front) Next() Time { return min(f.due, f.lookAt) }
 
 // Close waits for the disk, for a while.
 func (f *Front) Close() {
