--- a/fleet/config/budget.go
+++ b/fleet/config/budget.go
@@ -16,7 +16,7 @@
 	controlRate  = 40_000 // a control machine does nothing else
 	controlBurst = 80_000
 	headerSize   = 28    // bytes of IP version 4 and UDP
-	smallReserve = 2_000 // bytes that chunks leave to small messages
+	smallReserve = 1_000 // bytes that chunks leave to small messages
 	maxDebt      = 4_000 // bytes
 )
 
@@ -45,16 +45,16 @@
 	return b.tokens > 0
 }
 
-// allowsChunk tells whether a chunk may go.
-func (b *budget) allowsChunk(now Time) bool {
+// allowsChunk tells whether a chunk of so many bytes may go.
+func (b *budget) allowsChunk(now Time, size int) bool {
 	b.refill(now)
-	return b.tokens >= (smallReserve+MaxMessage)*Second
+	return b.tokens >= int64(smallReserve+size)*Second
 }
 
-// chunkAt is when a chunk may go.
-func (b *budget) chunkAt(now Time) Time {
+// chunkAt is when a chunk of so many bytes may go.
+func (b *budget) chunkAt(now Time, size int) Time {
 	b.refill(now)
-	missing := (smallReserve+MaxMessage)*Second - b.tokens
+	missing := int64(smallReserve+size)*Second - b.tokens
 	if missing <= 0 {
 		return now
 	}
--- a/fleet/config/children.go
+++ b/fleet/config/children.go
@@ -9,6 +9,7 @@
 	turn      int  // whose chunk is sent next
 	offerAt   Time // when children are told of something newer; 0: nothing is to be told
 	offeredAt Time // when they were told last
+	burst     int  // offers in a row with less than burstSpan between them
 	cache     []*payload
 }
 
@@ -36,7 +37,10 @@
 const (
 	childSpan     = 5 * Second         // without a heartbeat, then a child is forgotten
 	offerGap      = 150 * Millisecond  // between two offers at least, so that a burst goes together,
-	offerGapSpent = 1500 * Millisecond // and so much more where the budget is spent
+	offerGapSpent = 1000 * Millisecond // and so much more where the budget is spent
+	maxDoublings  = 3                  // of the gap on a control machine
+	burstSpan     = 3 * Second         // without an offer, then a burst is over
+	maxPushed     = 2                  // chunks of a payload that is sent unasked
 	maxCache      = 4                  // payloads
 	mostSpent     = 700                // thousandths of the budget, then no child is taken
 )
@@ -61,9 +65,27 @@
 	c.list = slices.DeleteFunc(c.list, func(x child) bool { return now-x.heardAt > childSpan })
 }
 
-// waiting tells whether a chunk is here that a child waits for.
-func (c *children) waiting() bool {
-	return slices.ContainsFunc(c.list, func(x child) bool { return x.serving != nil && x.serving.ready() >= 0 })
+// waiting gives the bytes of the smallest chunk that is here and that a child waits for, 0 if there is none.
+func (c *children) waiting() int {
+	smallest := 0
+	for k := range c.list {
+		if size := c.list[k].readySize(); size > 0 && (smallest == 0 || size < smallest) {
+			smallest = size
+		}
+	}
+	return smallest
+}
+
+// readySize gives the bytes of the chunk that can be sent to a child, 0 if there is none.
+func (c *child) readySize() int {
+	if c.serving == nil {
+		return 0
+	}
+	index := c.serving.ready()
+	if index < 0 {
+		return 0
+	}
+	return len(c.serving.payload.chunks[index])
 }
 
 // ready gives the number of a chunk that can be sent, -1 if there is none.
@@ -81,6 +103,9 @@
 // heard answers a heartbeat.
 func (n *node) heard(from string, m *message) {
 	answer := &message{kind: acknowledge, seq: m.seq, version: n.chain.version}
+	if n.transfer.passable() {
+		answer.getting = n.transfer.to
+	}
 	answer.proven, answer.age = n.proof.has, n.proof.age(n.now)
 	c := n.children.place(n.now, from, n.budget.spent(n.now))
 	if c == nil {
@@ -93,24 +118,33 @@
 		n.reports.put(n.now, told)
 	}
 	n.post(from, answer)
-	if n.transfer.passable() && c.version < n.transfer.to {
-		n.post(from, &message{kind: offer, version: n.transfer.to})
-	}
 }
 
 // newVersion has children told of something newer, soon.
 // Danger: in a burst of changes each would go to each child by itself, and use up the budget.
 func (n *node) newVersion() {
-	gap := offerGap + offerGapSpent*n.budget.spent(n.now)/1000
-	n.children.offerAt = max(n.now, n.children.offeredAt+gap)
+	n.children.offerAt = max(n.now, n.children.offeredAt+n.offerGap())
 	n.offerNewest()
 }
 
+// offerGap gives how long after the last offer the next one goes. In a burst control machines, whose budget is no
+// measure for that of the fronts, double it with each; what they send then goes down the tree in step.
+func (n *node) offerGap() Time {
+	if n.adopted == nil {
+		return offerGap << min(n.children.burst, maxDoublings)
+	}
+	return offerGap + offerGapSpent*n.budget.spent(n.now)/1000
+}
+
 // offerNewest tells children of what they do not have, when that is due.
 func (n *node) offerNewest() {
 	if n.children.offerAt == 0 || n.now < n.children.offerAt {
 		return
 	}
+	n.children.burst++
+	if n.now-n.children.offeredAt > burstSpan {
+		n.children.burst = 0
+	}
 	n.children.offerAt, n.children.offeredAt = 0, n.now
 	version := n.chain.version
 	if n.transfer.passable() {
@@ -126,14 +160,26 @@
 // pushed sends a small payload at once to a child that reports here, which spares a round trip on each hop. Other
 // children are only told, since their first upstream sends it.
 func (n *node) pushed(c *child) bool {
-	if !c.first || !n.chain.knows(c.version) || !n.budget.allowsChunk(n.now) {
+	if !c.first || !n.chain.knows(c.version) {
 		return false
 	}
 	p := n.made(c.version)
-	if len(p.chunks) > 1 {
+	if len(p.chunks) > maxPushed || !n.budget.allowsChunk(n.now, p.size()) {
 		return false
 	}
-	return n.post(c.addr, p.message(0))
+	for k := range p.chunks {
+		n.post(c.addr, p.message(k))
+	}
+	return true
+}
+
+// size gives the bytes of a whole payload.
+func (p *payload) size() int {
+	total := 0
+	for _, part := range p.chunks {
+		total += len(part)
+	}
+	return total
 }
 
 // message gives the message with one of a payload's chunks.
@@ -157,13 +203,14 @@
 	}
 	wanted := slices.Clone(m.wanted)
 	if p.payloadID != m.payload || len(wanted) == 0 {
-		wanted = allBits(len(p.chunks))
+		wanted = firstBits(min(len(p.chunks), window))
 	}
 	c.serving = &serving{p, wanted}
 	n.serve()
 }
 
-func allBits(count int) []byte {
+// firstBits gives a list of chunks with the first few.
+func firstBits(count int) []byte {
 	bits := make([]byte, (count+7)/8)
 	for k := range count {
 		bits[k/8] |= 1 << (k % 8)
@@ -233,8 +280,8 @@
 
 // serve sends chunks, one to each child in turn, as the budget allows.
 func (n *node) serve() {
-	for n.budget.allowsChunk(n.now) {
-		c := n.children.nextServed()
+	for {
+		c := n.nextServed()
 		if c == nil {
 			return
 		}
@@ -244,12 +291,13 @@
 	}
 }
 
-// nextServed gives the next child, in turn, that a chunk can be sent to.
-func (c *children) nextServed() *child {
+// nextServed gives the next child, in turn, that a chunk may be sent to.
+func (n *node) nextServed() *child {
+	c := &n.children
 	for range c.list {
 		c.turn++
 		x := &c.list[c.turn%len(c.list)]
-		if x.serving != nil && x.serving.ready() >= 0 {
+		if size := x.readySize(); size > 0 && n.budget.allowsChunk(n.now, size) {
 			return x
 		}
 	}
--- a/fleet/config/config.go
+++ b/fleet/config/config.go
@@ -54,6 +54,10 @@
 	MessageVersion = 1 // of the messages; one of another is dropped
 )
 
+// SwiftChange is up to how many bytes, as carried, a change is in force within six seconds at any size of fleet that the
+// package is for. Larger ones, up to MaxTexts, take as long as the fronts' budget of bytes says.
+const SwiftChange = 1500
+
 // GuardSpan is for how long after its version was proven to be the newest a front may act on guarded settings.
 const GuardSpan = 15 * Second
 
--- a/fleet/config/fleet_test.go
+++ b/fleet/config/fleet_test.go
@@ -67,6 +67,31 @@
 	return worst[len(worst)/2], worst[len(worst)-1]
 }
 
+// lose has machines go at once, and come back together after a while.
+func (w *world) lose(span Time, machines []*machine) {
+	for _, m := range machines {
+		m.stop()
+	}
+	w.lead()
+	w.at(w.now+span, func() {
+		for _, m := range machines {
+			if m.down {
+				w.start(m)
+			}
+		}
+		w.lead()
+	})
+}
+
+func (w *world) inZone(zone string) (list []*machine) {
+	for _, m := range slices.Concat(w.controls, w.fronts) {
+		if m.zone == zone {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
 func long() bool { return os.Getenv("MICATRACK_LONG") != "" }
 
 func TestHardCase7EightHundredFronts(t *testing.T) {
@@ -86,7 +111,13 @@
 		if k*restarts/changes != (k+1)*restarts/changes {
 			m := w.fronts[w.source.Below(800)]
 			m.stop()
-			w.at(w.now+2*Second, func() { w.start(m) })
+			w.lose(2*Second, []*machine{m})
+		}
+		switch k {
+		case changes / 3:
+			w.lose(60*Second, w.fronts[100:120]) // a rack
+		case changes * 2 / 3:
+			w.lose(120*Second, w.inZone("zone3"))
 		}
 		w.run(4 * Second)
 	}
--- /dev/null
+++ b/fleet/config/hardcases_test.go
@@ -0,0 +1,358 @@
+package config
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math/rand"
+	"strings"
+	"testing"
+)
+
+// hard gives a fleet of 150 fronts in two regions and six zones, with 5 % loss, that has a first version.
+func hard(t *testing.T, seed uint64) *world {
+	w := newWorld(t, seed, 5, 150, 6)
+	w.loss = 50
+	w.run(5 * Second)
+	v := w.change("settings", settings(40, 0, 1), nil)
+	w.mustReach(v, 10*Second, nil)
+	w.run(startsTalk * Second)
+	return w
+}
+
+func (w *world) mustReach(v Version, span Time, count func(m *machine) bool) {
+	w.t.Helper()
+	if w.runUntil(span, func() bool { return w.everyone(v, count) }) < 0 {
+		w.t.Errorf("version %d is not in force everywhere after %d s", v, span/Second)
+	}
+}
+
+// second gives the world's second, as machine.traffic counts.
+func (w *world) second() int { return int(w.now/Second) - 1000 }
+
+func (w *world) mustTalkLittle(from int) {
+	w.t.Helper()
+	median, most := w.talk(from)
+	w.t.Logf("worst ten seconds of a front: median %d B/s, most %d B/s", median, most)
+	if most > mostTalk {
+		w.t.Errorf("%d bytes a second", most)
+	}
+}
+
+func TestHardCase3ZoneAndRegionLostAndBack(t *testing.T) {
+	w := hard(t, 3)
+	lost := map[string]func(m *machine) bool{
+		"zone":   func(m *machine) bool { return m.zone == "zone4" },
+		"region": func(m *machine) bool { return m.region == 1 },
+	}
+	for _, name := range []string{"zone", "region"} {
+		away := lost[name]
+		here := func(m *machine) bool { return !away(m) }
+		d := follow(w)
+		d.committed = make([]Time, w.leader().log.Newest()+1)
+		d.last = make([]Time, len(d.committed)-1)
+		v := w.change("settings", settings(40, 1, 7), nil) // on its way when the cut comes
+		d.committed, d.last = append(d.committed, w.now), append(d.last, 0)
+		w.run(200 * Millisecond)
+		w.cut = func(x, y *machine) bool { return away(x) != away(y) }
+		w.lead()
+		w.mustReach(v, lastFront, here)
+		hour := Time(3600)
+		if !long() {
+			hour = 300
+		}
+		for k := range 30 {
+			v = d.commit(w, "settings", settings(40, k%40, 100+k), nil)
+			w.run(hour * Second / 30)
+			w.mustReach(v, lastFront, here)
+		}
+		w.run(GuardSpan + 2*guardMargin) // of the last change
+		behind, guarded := 0, 0
+		for _, m := range w.fronts {
+			if away(m) && m.agent.InForce() < v {
+				behind++
+				if m.agent.Guarded(w.now) {
+					guarded++
+				}
+			}
+		}
+		status := w.leader().control.Status(w.now)
+		t.Logf("%s cut off for %d s: %d fronts behind, %d silent; version %d", name, hour, behind, status.Silent, v)
+		if guarded > 0 || behind == 0 || status.Silent != behind || !status.Everywhere {
+			t.Errorf("%d of %d fronts cut off act on guarded settings; silent %d, everywhere %v", guarded, behind, status.Silent, status.Everywhere)
+		}
+		from := w.second()
+		w.cut = nil
+		w.lead()
+		t.Logf("%s back: all have the newest version after %d ms", name, w.runUntil(60*Second, func() bool { return w.everyone(v, nil) })/Millisecond)
+		w.mustReach(v, 0, nil)
+		if d.late > 0 {
+			t.Errorf("%d fronts that were not cut off were late", d.late)
+		}
+		w.run(30 * Second)
+		w.mustTalkLittle(from)
+	}
+	w.check()
+}
+
+func TestHardCase4BurstOfChanges(t *testing.T) {
+	w := hard(t, 4)
+	from := w.second()
+	d := follow(w)
+	d.committed, d.last = make([]Time, 2), make([]Time, 1)
+	for k := range 100 {
+		d.commit(w, "settings", settings(100, k, 5000+k), nil)
+		w.run(30 * Millisecond)
+	}
+	w.run(2 * lastFront)
+	t.Logf("100 changes in 3 s: at the last front after %d ms, 99 of 100 after %d ms", of(d.last, 1000), of(d.all, 990))
+	if d.late > 0 {
+		t.Errorf("%d fronts late", d.late)
+	}
+	w.mustTalkLittle(from)
+	w.check()
+}
+
+// TestHardCase4LargestChange: nothing of it can be compressed, so it takes as long as the budget says.
+func TestHardCase4LargestChange(t *testing.T) {
+	w := hard(t, 5)
+	random := rand.New(rand.NewSource(1))
+	text := make([]byte, MaxTexts-len(settings(40, 0, 1)))
+	random.Read(text)
+	from := w.second()
+	v := w.change("plans", string(text), nil)
+	took := w.runUntil(600*Second, func() bool { return w.everyone(v, nil) })
+	t.Logf("%d bytes: in force everywhere after %d s", len(text), took/Second)
+	if took < 0 || took > 300*Second {
+		t.Errorf("a change of %d bytes is in force everywhere after %d s", len(text), took/Second)
+	}
+	w.mustTalkLittle(from)
+	w.check()
+}
+
+// TestHardCase4ChangesOfAllSizes: up to which size a change is in force everywhere in time.
+func TestHardCase4ChangesOfAllSizes(t *testing.T) {
+	w := newWorld(t, 6, 5, 800, 6)
+	w.loss = 50
+	w.run(startsTalk * Second)
+	random := rand.New(rand.NewSource(2))
+	for _, size := range []int{100, 500, 1000, SwiftChange} {
+		text := make([]byte, size)
+		random.Read(text)
+		v := w.change("plans", string(text), nil)
+		took := w.runUntil(100*Second, func() bool { return w.everyone(v, nil) })
+		t.Logf("%d bytes that cannot be compressed: in force everywhere after %d ms", size, took/Millisecond)
+		if took < 0 || took > lastFront {
+			t.Errorf("%d bytes: %d ms", size, took/Millisecond)
+		}
+		w.run(10 * Second)
+	}
+	w.check()
+}
+
+func TestHardCase4FaultyChange(t *testing.T) {
+	l := NewLog()
+	check := func(scope Scope, text []byte) error {
+		if bytes.Contains(text, []byte("bad")) {
+			return errors.New("/door/jobs: got string,\nwant integer")
+		}
+		return nil
+	}
+	c := Change{Scope: "operators", Text: []byte("bad"), Author: "ana", Reason: "a test"}
+	_, err := l.Prepare(c, check)
+	if !errors.Is(err, ErrFaulty) || !strings.Contains(err.Error(), "operators: /door/jobs:") || strings.Contains(err.Error(), "\n") {
+		t.Errorf("%v", err)
+	}
+	if l.Newest() != 0 {
+		t.Error("a faulty change is in force")
+	}
+	c.Text = []byte("good")
+	for name, spoil := range map[string]func(c *Change){
+		"text":   func(c *Change) { c.Text = make([]byte, MaxTexts+1) },
+		"reason": func(c *Change) { c.Reason = strings.Repeat("x", MaxReason+1) },
+	} {
+		x := c
+		spoil(&x)
+		if _, err := l.Prepare(x, check); !errors.Is(err, ErrTooLarge) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+func TestHardCase5AllControlMachinesGone(t *testing.T) {
+	w := hard(t, 5)
+	v := w.leader().log.Newest()
+	for _, m := range w.controls {
+		m.down = true
+	}
+	hour := Time(3600)
+	if !long() {
+		hour = 300
+	}
+	from := w.second()
+	for k := range 30 {
+		m := w.fronts[w.source.Below(150)]
+		m.diskless = k%3 == 0
+		m.stop()
+		w.run(Second)
+		w.start(m)
+		w.run(hour*Second/30 - Second)
+		if w.runUntil(lastFront, func() bool { return m.agent.InForce() == v }) < 0 {
+			t.Errorf("%s restarts into version %d", m.name, m.agent.InForce())
+		}
+	}
+	for _, m := range w.fronts {
+		s := m.agent.Status(w.now)
+		known := m.since < 1000*Second+2*Second
+		if s.InForce != v || s.Guarded || known && (s.Age < (hour-30)*Second || s.Age > (hour+200)*Second) {
+			t.Errorf("%s: %+v", m.name, s)
+		}
+	}
+	w.mustTalkLittle(from)
+	for _, m := range w.controls {
+		w.start(m)
+	}
+	w.lead()
+	back := w.now
+	v = w.change("settings", settings(40, 3, 9), nil)
+	w.mustReach(v, 10*Second, nil)
+	t.Logf("control machines back after %d s: the next change in force everywhere after %d ms", hour, (w.now-back)/Millisecond)
+	w.check()
+}
+
+func TestHardCase6HostileAndSpoiltMessages(t *testing.T) {
+	w := hard(t, 6)
+	w.spoilt, w.doubled = 100, 100
+	random := rand.New(rand.NewSource(6))
+	other := newWorld(t, 6, 1, 1, 1)
+	foreign := (&message{kind: acknowledge, seq: 1, version: 99, proven: true}).encode(nil, "green")
+	for k := range 20 {
+		for _, m := range w.fronts {
+			noise := make([]byte, random.Intn(2*MaxMessage))
+			random.Read(noise)
+			m.receive("stranger", noise)
+			m.receive(m.agent.Status(w.now).Upstream, foreign)
+			forged := &message{kind: chunk, payload: payloadID{0, 1 << 40, 7}, total: maxChunks, index: 3, data: make([]byte, chunkSize)}
+			m.receive("stranger", forged.encode(nil, "blue"))
+		}
+		v := w.change("settings", settings(40, k, 900+k), nil)
+		w.mustReach(v, 2*lastFront, nil)
+	}
+	for _, m := range w.fronts {
+		if m.agent.Status(w.now).Dropped < 20 {
+			t.Errorf("%s dropped %d", m.name, m.agent.Status(w.now).Dropped)
+		}
+	}
+	if other.fronts[0].agent.InForce() != 0 {
+		t.Error("another fleet's version")
+	}
+	w.check()
+}
+
+func TestHardCase6OlderProgramInHalf(t *testing.T) {
+	w := hard(t, 7)
+	old := func(m *machine) bool { return m.program == 1 }
+	for k, m := range w.fronts {
+		if k%2 == 0 {
+			m.program = 2
+			m.stop()
+			w.start(m)
+		}
+	}
+	w.run(3 * Second)
+	before := w.leader().log.Newest()
+	leader := w.leader()
+	entry, err := leader.log.Prepare(Change{Base: before, Scope: "operators", Text: []byte("new"), Author: "ana", Reason: "a test", Program: 2}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.commit(entry)
+	w.mustReach(before+1, lastFront, func(m *machine) bool { return !old(m) })
+	w.run(3 * Second)
+	status := leader.control.Status(w.now)
+	held := 0
+	for _, f := range status.Fronts {
+		if f.State == StateHeld && f.InForce == before && f.Received == before+1 && strings.Contains(f.Reason, "program 2") {
+			held++
+		}
+	}
+	if held != 75 || status.Everywhere || status.Lowest != before {
+		t.Errorf("%d fronts are told as held, lowest %d, everywhere %v", held, status.Lowest, status.Everywhere)
+	}
+	for _, m := range w.fronts {
+		if old(m) {
+			m.program = 2
+			m.stop()
+			w.start(m)
+		}
+	}
+	w.mustReach(before+1, lastFront, nil)
+	w.check()
+}
+
+func TestRolloutStopsWhereFrontsRefuse(t *testing.T) {
+	w := hard(t, 8)
+	plan := &Plan{Front: "front3", Zone: "zone2", Soak: 2 * Second, Limit: 30 * Second}
+	refuse := func(texts []ScopeText) error {
+		for _, s := range texts {
+			if strings.Contains(string(s.Text), "9999") {
+				return errors.New("/class-004/freshness_ms: at most 9000")
+			}
+		}
+		return nil
+	}
+	began := w.change("settings", settings(40, 4, 8888), plan)
+	if took := w.runUntil(60*Second, func() bool { return w.leader().log.Document().Stage == nil }); took < 4*Second {
+		t.Errorf("a roll-out of two steps with 2 s each took %d ms", took/Millisecond)
+	}
+	if text, _ := w.leader().log.Document().Text("settings"); !strings.Contains(string(text), "8888") || w.leader().log.Newest() != began+2 {
+		t.Errorf("version %d", w.leader().log.Newest())
+	}
+	w.run(lastFront)
+	for name, where := range map[string]int{"front": 3, "zone": 8} {
+		w.fronts[where].refuse = refuse
+		acted := map[string]bool{}
+		w.onForce = func(m *machine, v Version) {
+			for _, s := range w.known[v].For(m.name, m.zone) {
+				if strings.Contains(string(s.Text), "9999") {
+					acted[m.zone] = true
+				}
+			}
+		}
+		w.change("settings", settings(40, 4, 9999), plan)
+		w.runUntil(60*Second, func() bool { return w.leader().log.Document().Stage == nil })
+		last := w.leader().log.History()
+		if r := last[len(last)-1]; r.Kind != KindAbort || !strings.Contains(r.Reason, "/class-004/freshness_ms") {
+			t.Errorf("%s: %+v", name, r)
+		}
+		w.mustReach(w.leader().log.Newest(), lastFront, nil)
+		for zone := range acted {
+			if zone != "zone2" && zone != "zone3" {
+				t.Errorf("%s: fronts of %s acted on a refused change", name, zone)
+			}
+		}
+		w.fronts[where].refuse = nil
+	}
+	w.check()
+}
+
+func TestTooManyPeersAndChildren(t *testing.T) {
+	var p Peers
+	for k := range 3 * MaxFronts {
+		p.Fronts = append(p.Fronts, Peer{fmt.Sprint("f", k), "z", fmt.Sprint("a", k)})
+	}
+	p.Fronts = append(p.Fronts, Peer{}, Peer{Name: strings.Repeat("x", 100), Addr: "a"})
+	topology := newTopology(p, "f1")
+	if len(topology.fronts) > MaxFronts {
+		t.Errorf("%d fronts", len(topology.fronts))
+	}
+	w := newWorld(t, 1, 1, 1, 1)
+	a := w.fronts[0].agent
+	for k := range 5000 {
+		m := &message{kind: heartbeat, seq: 1, reports: []report{{id: uint64(k)*2 + 1, life: 1, count: 1, state: StateInForce}}}
+		a.Take(w.now, fmt.Sprint("x", k), m.encode(nil, "blue"))
+	}
+	if len(a.children.list) > maxChildren || len(a.reports.entries) > MaxFronts {
+		t.Errorf("%d children, %d reports", len(a.children.list), len(a.reports.entries))
+	}
+}
--- a/fleet/config/message.go
+++ b/fleet/config/message.go
@@ -24,6 +24,7 @@
 	kind    messageKind
 	seq     uint64  // of a heartbeat, and of the answer to it
 	version Version // the newest that the sender holds whole, and of an offer the one that it has or is getting
+	getting Version // of an answer: the version that a part of has come in, 0 if none
 	proven  bool    // of an answer: nothing newer than version existed
 	age     Time    // at some moment at most this long before the answer was sent
 	full    bool    // of an answer: this upstream takes no more children
@@ -73,6 +74,7 @@
 	messageData    = 15
 	messageReport  = 16
 	messageFirst   = 17
+	messageGetting = 18
 
 	reportID       = 1
 	reportLife     = 2
@@ -108,6 +110,7 @@
 	dst = appendNumber(dst, messageKindOf, uint64(m.kind))
 	dst = appendNumber(dst, messageSeq, m.seq)
 	dst = appendNumber(dst, messageHolds, uint64(m.version))
+	dst = appendNumber(dst, messageGetting, uint64(m.getting))
 	if m.proven {
 		dst = appendNumber(dst, messageProven, uint64(m.age)+1)
 	}
@@ -168,6 +171,8 @@
 		m.seq = f.value
 	case messageHolds:
 		m.version = Version(f.value)
+	case messageGetting:
+		m.getting = Version(f.value)
 	case messageProven:
 		m.proven = f.value > 0 && f.value < math.MaxInt64/2
 		m.age = Time(f.value) - 1
--- a/fleet/config/node.go
+++ b/fleet/config/node.go
@@ -123,8 +123,8 @@
 	if n.children.offerAt != 0 {
 		at = min(at, n.children.offerAt)
 	}
-	if n.children.waiting() {
-		at = min(at, max(n.budget.chunkAt(n.now), n.now+Millisecond))
+	if size := n.children.waiting(); size > 0 {
+		at = min(at, max(n.budget.chunkAt(n.now, size), n.now+Millisecond))
 	}
 	return max(at, n.now+1)
 }
--- a/fleet/config/reports.go
+++ b/fleet/config/reports.go
@@ -10,6 +10,7 @@
 	entries []reportEntry // by id
 	batch   reportBatch
 	flushAt Time // when what is new has to go up; 0: nothing is
+	waits   Time // since when
 }
 
 type reportEntry struct {
@@ -31,6 +32,8 @@
 	refreshSpan   = 7 * Second        // after which a front says again what it has
 	SilentAfter   = 20 * Second       // without a report a front counts as silent
 	forgetReports = 30 * Second       // after which a relay forgets a front that it does not hear of
+	reportsSpent  = 300               // thousandths of the budget, then reports wait, since versions go first,
+	reportsWait   = 3 * Second        // for so long at most
 	batchSpace    = 900               // bytes of reports in one message
 )
 
@@ -56,6 +59,9 @@
 }
 
 func (r *reports) flushSoon(now, delay Time) {
+	if r.flushAt == 0 {
+		r.waits = now
+	}
 	if r.flushAt == 0 || r.flushAt > now+delay {
 		r.flushAt = now + delay
 	}
--- a/fleet/config/transfer.go
+++ b/fleet/config/transfer.go
@@ -12,19 +12,22 @@
 	addr     string // whom it is asked of
 	*payload        // nil: no chunk has come yet
 	missing  int    // chunks
-	retryAt  Time   // when it is asked for again
+	awaited  []byte // chunks that were asked for, a bit each
+	retryAt  Time   // when it is asked for again, or for more of it
 	cameAt   Time   // when the last new chunk came
 	tries    int    // in a row without a new chunk
 }
 
 // Spans and bounds of a transfer.
 const (
-	pullSpan      = 500 * Millisecond  // after which an unanswered pull is sent again
-	chunkSpan     = 1500 * Millisecond // the same where some chunks have come: the sender may have spent its budget
-	takeOverSpan  = 2 * Second         // without a new chunk, then another payload may take this one's place
-	maxPullTries  = 8                  // in a row, then the transfer is given up and begun anew
-	maxRecent     = maxBases - 1       // versions kept beside the newest, so that an upstream finds a base
-	maxRecentSize = 128 << 10          // bytes of them
+	pullSpan      = 500 * Millisecond // after which an unanswered pull is sent again
+	chunkSpan     = 800 * Millisecond // the same where some chunks have come, and as much more with each try: the sender may have spent its budget
+	takeOverSpan  = 2 * Second        // without a new chunk, then another payload may take this one's place
+	window        = 4                 // chunks that are asked for at once, so that the receiver sets the pace
+	maxPullTries  = 8                 // in a row, then the transfer is given up and begun anew
+	giveUpSpan    = 60 * Second       // without a new chunk
+	maxRecent     = maxBases - 1      // versions kept beside the newest, so that an upstream finds a base
+	maxRecentSize = 128 << 10         // bytes of them
 )
 
 // recent are versions held before, as bytes, the newest last. An upstream that went from one version to a later one in
@@ -123,37 +126,60 @@
 	}
 	span := pullSpan
 	if t.payload != nil {
-		span = chunkSpan
-		m.payload, m.wanted = t.payloadID, t.missingBits()
+		span = chunkSpan * Time(1+min(t.tries, 6))
+		t.awaited = t.nextBits()
+		m.payload, m.wanted = t.payloadID, t.awaited
 	}
 	t.retryAt = n.now + span + n.source.Below(span/4)
 	n.post(t.addr, m)
 }
 
-func (t *transfer) missingBits() []byte {
+// nextBits gives the first few chunks that have not come.
+func (t *transfer) nextBits() []byte {
 	bits := make([]byte, (len(t.chunks)+7)/8)
+	count := 0
 	for k := range t.chunks {
-		if t.chunks[k] == nil {
+		if t.chunks[k] == nil && count < window {
 			bits[k/8] |= 1 << (k % 8)
+			count++
 		}
 	}
 	return bits
 }
 
+// open tells whether a chunk that was asked for has not come.
+func (t *transfer) open() bool {
+	if t.payload == nil {
+		return true
+	}
+	for k := range t.chunks {
+		if t.chunks[k] == nil && hasBit(t.awaited, k) {
+			return true
+		}
+	}
+	return false
+}
+
 // beatTransfer asks again for what has not come, of another machine where that is possible.
 func (n *node) beatTransfer() {
 	t := &n.transfer
 	if !t.active || n.now < t.retryAt {
 		return
 	}
+	if !t.open() {
+		n.ask() // for more
+		return
+	}
 	t.tries++
 	addr := n.sourceOf(t.addr)
-	if t.tries > maxPullTries || addr == "" {
+	if n.now-t.cameAt > giveUpSpan || t.payload == nil && (t.tries > maxPullTries || addr == "") {
 		n.dropTransfer()
 		n.wantNewer()
 		return
 	}
-	t.addr = addr
+	if addr != "" {
+		t.addr = addr
+	}
 	n.ask()
 }
 
@@ -201,6 +227,7 @@
 	if t.payload == nil {
 		t.payload = &payload{m.payload, make([][]byte, m.total)}
 		t.missing = int(m.total)
+		t.awaited = firstBits(min(len(t.chunks), window))
 	}
 	if t.payloadID != m.payload || int(m.total) != len(t.chunks) || t.chunks[m.index] != nil {
 		return
@@ -212,6 +239,9 @@
 		n.finish()
 		return
 	}
+	if !t.open() { // Danger: a sender with a larger budget than this machine's
+		t.retryAt = n.budget.chunkAt(n.now, chunkSize)
+	}
 	if len(t.chunks)-t.missing == 1 {
 		n.newVersion()
 	}
--- a/fleet/config/upstream.go
+++ b/fleet/config/upstream.go
@@ -131,6 +131,10 @@
 		n.reports.flushAt = at // the last ones are not acknowledged
 		return
 	}
+	if n.budget.spent(n.now) > reportsSpent && n.now-n.reports.waits < reportsWait {
+		n.reports.flushAt = n.now + reportDelay
+		return
+	}
 	u := n.upstreams[0]
 	reports := n.reports.take(n.now, u.seq+1)
 	if len(reports) == 0 {
@@ -170,7 +174,7 @@
 	}
 	u.answered, u.unanswered = true, 0
 	u.nextAt = max(u.nextAt, asked.at+heartbeatSpan+n.source.Below(heartbeatSpread))
-	u.version = m.version
+	u.version = max(m.version, m.getting)
 	if u.reportsTo {
 		n.reports.acknowledged(n.now, m.seq)
 	}
