--- a/cmd/micatrack/configcommands.go
+++ b/cmd/micatrack/configcommands.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -364,26 +365,31 @@
 }
 
 func (c *configClient) statusCommand() *cobra.Command {
-	return &cobra.Command{Use: "status", Short: "Show what is in force here, and how far the newest version has come in the fleet", Args: unexpected,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			var here configuration.View
-			if err := c.send(http.MethodGet, nil, &here); err != nil {
-				return err
-			}
-			a, err := c.ask(configuration.Request{Op: configuration.OpStatus})
-			if c.asJSON {
-				encoded := json.NewEncoder(cmd.OutOrStdout()).Encode(map[string]any{"here": here, "fleet": a.Status, "rollout": a.Stage})
-				if err == nil {
-					err = encoded
-				}
-				return err
-			}
-			showHere(cmd.OutOrStdout(), &here)
-			if err != nil {
-				return err
-			}
-			return showFleet(cmd.OutOrStdout(), &a)
-		}}
+	var alone bool
+	status := &cobra.Command{Use: "status", Short: "Show what is in force here, and how far the newest version has come in the fleet",
+		Args: unexpected}
+	status.Flags().BoolVar(&alone, "here", false, "only what is in force here; no control machine is asked")
+	status.RunE = func(cmd *cobra.Command, _ []string) error {
+		var here configuration.View
+		if err := c.send(http.MethodGet, nil, &here); err != nil {
+			return err
+		}
+		var a configuration.Answer
+		var err error
+		if !alone {
+			a, err = c.ask(configuration.Request{Op: configuration.OpStatus})
+		}
+		if c.asJSON {
+			both := map[string]any{"here": here, "fleet": a.Status, "rollout": a.Stage}
+			return errors.Join(err, json.NewEncoder(cmd.OutOrStdout()).Encode(both))
+		}
+		showHere(cmd.OutOrStdout(), &here)
+		if err != nil {
+			return err
+		}
+		return showFleet(cmd.OutOrStdout(), &a)
+	}
+	return status
 }
 
 // showHere prints what is in force on this machine's front.
--- a/internal/configuration/service.go
+++ b/internal/configuration/service.go
@@ -10,10 +10,11 @@
 )
 
 const (
-	askWithin   = 4 * time.Second        // that a command takes at most, an election of the control machines included
-	askAgain    = 100 * time.Millisecond // between two rounds
-	knownFirst  = "the control machines did not answer in time; it may come into force: see 'micatrack config history'"
-	nobodyThere = "no control machine leads, or none can be reached; nothing was changed"
+	changeWithin = 4 * time.Second        // that a change takes at most, an election of the control machines included
+	readWithin   = 2 * time.Second        // and a question
+	askAgain     = 100 * time.Millisecond // between two rounds
+	knownFirst   = "the control machines did not answer in time; it may come into force: see 'micatrack config history'"
+	nobodyThere  = "no control machine leads, or none can be reached; nothing was changed"
 )
 
 // Service asks the control machines for one front's commands. Any goroutine may use it, but not the loop.
@@ -38,7 +39,11 @@
 		return Answer{Outcome: Refused, Error: err.Error()}
 	}
 	var a attempt
-	for end := time.Now().Add(askWithin); time.Now().Before(end); time.Sleep(askAgain) {
+	within := readWithin
+	if r.changes() {
+		within = changeWithin
+	}
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(askAgain) {
 		for _, addr := range controls {
 			for addr != "" && !a.over && time.Now().Before(end) {
 				addr = a.ask(s, addr, request, &r)
--- /dev/null
+++ b/internal/peers/config_test.go
@@ -0,0 +1,99 @@
+package peers
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"micatrack/fleet/config"
+)
+
+// TestConfigMessages: what is written is read, whatever else comes is refused or within bounds.
+func TestConfigMessages(t *testing.T) {
+	m := Config{ToControl: true, Addr: "127.0.0.1:7400", Body: bytes.Repeat([]byte{7}, config.MaxMessage)}
+	text := AppendConfig(nil, "f", &m)
+	got, err := ReadConfig(text, "f")
+	if err != nil || !got.ToControl || got.FromControl || got.Addr != m.Addr || !bytes.Equal(got.Body, m.Body) {
+		t.Fatalf("%+v, %v", got, err)
+	}
+	if len(text) > datagram {
+		t.Errorf("%d bytes are no datagram", len(text))
+	}
+	for name, bad := range map[string]Config{
+		"no address":       {Body: []byte{1}},
+		"elsewhere":        {Addr: "8.8.8.8:53", Body: []byte{1}},
+		"a long address":   {Addr: "127.0.0.1:" + strings.Repeat("0", 80) + "1", Body: []byte{1}},
+		"nothing in it":    {Addr: "127.0.0.1:1"},
+		"too much in it":   {Addr: "127.0.0.1:1", Body: make([]byte, config.MaxMessage+1)},
+		"an address of no": {Addr: "localhost:1", Body: []byte{1}},
+	} {
+		if _, err := ReadConfig(AppendConfig(nil, "f", &bad), "f"); err == nil {
+			t.Errorf("%s is taken", name)
+		}
+	}
+	if _, err := ReadConfig(text, "g"); err == nil {
+		t.Error("another fleet's is taken")
+	}
+	chance := rand.New(rand.NewPCG(1, 2))
+	for range 20_000 {
+		b := bytes.Clone(text[:1+chance.IntN(len(text))])
+		for range 1 + chance.IntN(4) {
+			b[chance.IntN(min(len(b), 60))] = byte(chance.Uint32())
+		}
+		if m, err := ReadConfig(b, "f"); err == nil && (len(m.Body) > config.MaxMessage || len(m.Addr) > mostText) {
+			t.Fatalf("out of bounds: %d bytes, %q", len(m.Body), m.Addr)
+		}
+	}
+}
+
+// TestConfigBetweenTwo: messages reach the part that they are for, also where a long name of the fleet takes them off
+// datagrams; requests are answered; without the configuration switched on nothing of it is taken.
+func TestConfigBetweenTwo(t *testing.T) {
+	fleet := strings.Repeat("n", 64)
+	open := func() *Peers {
+		p, err := Open("127.0.0.1:0", fleet, func() {})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(p.Close)
+		return p
+	}
+	a, b, off := open(), open(), open()
+	front, control := make(chan Config, 8), make(chan Config, 8)
+	b.OnConfig(func(m Config) { front <- m }, func(m Config) { m.Body = bytes.Clone(m.Body); control <- m })
+	b.OnRequest(func(body []byte) []byte { return append([]byte("answer to "), body...) })
+	long := bytes.Repeat([]byte{9}, config.MaxMessage)
+	for _, body := range [][]byte{{1}, long} {
+		for _, toControl := range []bool{true, false} {
+			m := Config{ToControl: toControl, Addr: a.Addr(), Body: body}
+			a.Config(b.Addr(), &m)
+			a.Config(off.Addr(), &m)
+			into := front
+			if toControl {
+				into = control
+			}
+			var got Config
+			for end := time.Now().Add(5 * time.Second); got.Addr == "" && time.Now().Before(end); time.Sleep(time.Millisecond) {
+				b.Take(nil, nil)
+				select {
+				case got = <-into:
+				default:
+				}
+			}
+			if got.Addr != a.Addr() || !bytes.Equal(got.Body, body) {
+				t.Errorf("to control %v, %d bytes: %+.60v", toControl, len(body), got)
+			}
+		}
+	}
+	if back, err := a.Request(b.Addr(), long); err != nil || !bytes.HasSuffix(back, long) || !bytes.HasPrefix(back, []byte("answer")) {
+		t.Errorf("%.40q, %v", back, err)
+	}
+	if _, err := a.Request(off.Addr(), []byte("?")); err != ErrNoAnswer {
+		t.Errorf("where nothing answers: %v", err)
+	}
+	if _, err := a.Request("8.8.8.8:53", []byte("?")); err != ErrUnreachable {
+		t.Errorf("elsewhere: %v", err)
+	}
+}
