--- /dev/null
+++ b/fleet/config/agent.go
@@ -0,0 +1,205 @@
+package config
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+
+	"micatrack/internal/mwc"
+)
+
+// AgentHost is what an Agent does on one front.
+type AgentHost interface {
+	Send(addr string, message []byte) // one datagram; it may be lost. message is only valid during the call
+	// PutInForce checks the texts, all scopes of one version, and has the front act on them from the return on, on all of
+	// them or, with an error, on none. The error's text goes into the fleet's status, so it names the key in one line.
+	PutInForce(version Version, texts []ScopeText) error
+	Keep(kept []byte) // writes to disk what AgentOptions.Kept brings back; a front without a disk does nothing
+	Log(text string)
+}
+
+// AgentOptions is what an Agent is started with.
+type AgentOptions struct {
+	Fleet   string // messages of another are dropped
+	Name    string
+	Zone    string
+	Life    uint64 // grows with each start of a front of this name, for example Unix milliseconds at the start
+	Program uint32 // this program's number, held against ScopeText.Program
+	Seed    uint64
+	Kept    []byte // what Keep wrote last; none, or a spoilt one: it starts with no version
+}
+
+// Agent holds one front's configuration. Not safe for use from several goroutines.
+type Agent struct {
+	node
+	host      AgentHost
+	options   AgentOptions
+	versions  chain
+	inForce   Version
+	state     FrontState
+	reason    string
+	newest    proof // that the version in force was the fleet's newest
+	count     uint64
+	refreshAt Time
+}
+
+// NewAgent starts an agent. A version in Kept is put in force before it returns.
+func NewAgent(now Time, options AgentOptions, host AgentHost) *Agent {
+	a := &Agent{host: host, options: options, state: StateEmpty}
+	a.node = node{fleet: options.Fleet, name: options.Name, now: now, source: mwc.New(options.Seed), send: host.Send}
+	a.budget = newBudget(now, frontRate, frontBurst)
+	a.chain = &a.versions
+	a.children.most = maxChildren
+	a.upstreams = []*upstream{{reportsTo: true}, {}}
+	a.node.adopted, a.node.confirmed = a.adopt, a.confirm
+	a.restore(options.Kept)
+	a.tell()
+	return a
+}
+
+// What an agent keeps: a mark, a checksum over the fleet's name and the document, and the document.
+const (
+	keptMark = 0xC6
+	keptHead = 1 + sumSize // bytes before the document
+)
+
+func keptOf(fleet string, document []byte) []byte {
+	kept := binary.LittleEndian.AppendUint32([]byte{keptMark}, checksum(fleet, document))
+	return append(kept, document...)
+}
+
+// readKept gives the document in what was kept, nil if it is spoilt or another fleet's.
+func readKept(fleet string, kept []byte) []byte {
+	if len(kept) <= keptHead || kept[0] != keptMark {
+		return nil
+	}
+	if binary.LittleEndian.Uint32(kept[1:]) != checksum(fleet, kept[keptHead:]) {
+		return nil
+	}
+	return bytes.Clone(kept[keptHead:])
+}
+
+// restore puts what was kept in force. Danger: a spoilt disk; a start without a version is better than with half of one.
+func (a *Agent) restore(kept []byte) {
+	if len(kept) == 0 {
+		return
+	}
+	encoded := readKept(a.options.Fleet, kept)
+	if encoded == nil {
+		a.host.Log("configuration on disk is spoilt or another fleet's: starts without one")
+		return
+	}
+	document, err := ReadDocument(encoded)
+	if err != nil {
+		a.host.Log(fmt.Sprintf("configuration on disk: %v", err))
+		return
+	}
+	a.versions.add(0, document.Version, encoded, nil)
+	a.adopt(document)
+}
+
+// adopt puts a version in force, or says why not. Danger: a front that acts on parts of two versions; the host is asked
+// once, with all texts of the one.
+func (a *Agent) adopt(document *Document) {
+	texts := document.For(a.options.Name, a.options.Zone)
+	if reason := a.tooNew(texts); reason != "" {
+		a.hold(StateHeld, document.Version, reason)
+		return
+	}
+	if err := a.host.PutInForce(document.Version, texts); err != nil {
+		a.hold(StateRefused, document.Version, oneLine(err.Error()))
+		return
+	}
+	a.inForce, a.state, a.reason = document.Version, StateInForce, ""
+	a.newest = proof{} // it is proven by the next answer
+	if a.proof.has {
+		a.newest = a.proof
+	}
+	a.host.Keep(keptOf(a.options.Fleet, a.versions.document))
+	a.tell()
+}
+
+// tooNew tells which text needs a newer program than this one.
+func (a *Agent) tooNew(texts []ScopeText) string {
+	for _, t := range texts {
+		if t.Program > a.options.Program {
+			return fmt.Sprintf("%s %v: program %d, this is %d", t.Scope, ErrProgram, t.Program, a.options.Program)
+		}
+	}
+	return ""
+}
+
+// hold goes on with the version in force, and says why.
+func (a *Agent) hold(state FrontState, version Version, reason string) {
+	a.state, a.reason = state, reason[:min(len(reason), maxWords)]
+	a.host.Log(fmt.Sprintf("configuration %d is not in force, %d stays: %s", version, a.inForce, a.reason))
+	a.tell()
+}
+
+// confirm takes in that a version was the newest at a moment.
+func (a *Agent) confirm(at Time, newest Version) {
+	if a.inForce != 0 && newest <= a.inForce {
+		a.newest.prove(at)
+	}
+}
+
+// tell makes this front's report anew.
+func (a *Agent) tell() {
+	a.count++
+	a.refreshAt = a.now + refreshSpan - refreshSpan/10 + a.source.Below(refreshSpan/5)
+	a.reports.put(a.now, report{id: a.id(), life: a.options.Life, count: a.count, inForce: a.inForce,
+		received: a.chain.version, state: a.state, program: a.options.Program, reason: a.reason})
+}
+
+// SetPeers tells who is there, whenever that changes.
+func (a *Agent) SetPeers(now Time, peers Peers) {
+	a.now = now
+	a.setPeers(peers)
+}
+
+// Take takes a message in. from is the address that answers go to. A malformed one is dropped and counted.
+func (a *Agent) Take(now Time, from string, message []byte) {
+	a.now = now
+	a.take(from, message)
+}
+
+// Next is when Beat must be called again.
+func (a *Agent) Next() Time { return min(a.next(), max(a.refreshAt, a.now+1)) }
+
+// Beat does what is due.
+func (a *Agent) Beat(now Time) {
+	a.now = now
+	if now >= a.refreshAt {
+		a.reports.forget(now, forgetReports)
+		a.tell()
+	}
+	a.beat()
+}
+
+// InForce gives the version in force, 0 if there is none.
+func (a *Agent) InForce() Version { return a.inForce }
+
+// Guarded tells whether this front may act on guarded settings: its version in force was proven, within GuardSpan by its
+// own clock, to be the fleet's newest. Others may be acted on for as long as the front runs.
+// Danger: a process can be stopped between this look at the clock and its act; what is acted on has to compare versions.
+func (a *Agent) Guarded(now Time) bool {
+	return a.inForce != 0 && a.newest.has && now-a.newest.at <= GuardSpan
+}
+
+// Status tells what this front has.
+func (a *Agent) Status(now Time) AgentStatus {
+	return AgentStatus{InForce: a.inForce, Received: a.chain.version, State: a.state, Reason: a.reason,
+		Age: a.newest.age(now), Guarded: a.Guarded(now), Upstream: a.upstreams[0].addr, Dropped: a.dropped}
+}
+
+// AgentStatus is one front's own view.
+type AgentStatus struct {
+	InForce  Version
+	Received Version // newer than InForce where that one is held or refused
+	State    FrontState
+	Reason   string
+	Age      Time // since InForce was proven to be the fleet's newest, at most; -1: not since the start
+	Guarded  bool
+	Upstream string // address of the one that reports go to
+	Dropped  uint64 // malformed messages
+}
--- /dev/null
+++ b/fleet/config/children.go
@@ -0,0 +1,301 @@
+package config
+
+import "slices"
+
+// children are the machines that ask this one.
+type children struct {
+	list      []child // in the order in which they came
+	most      int
+	turn      int  // whose chunk is sent next
+	offerAt   Time // when children are told of something newer; 0: nothing is to be told
+	offeredAt Time // when they were told last
+	burst     int  // offers in a row with less than burstSpan between them
+	cache     []*payload
+}
+
+type child struct {
+	addr    string
+	heardAt Time
+	version Version // that it has, as far as it said
+	first   bool    // this machine is the one that it reports to
+	serving *serving
+}
+
+// serving is a payload on its way to one child.
+type serving struct {
+	payload *payload
+	wanted  []byte // chunks still to be sent, a bit each
+}
+
+// payload is an encoded delta, whole or as far as it has come in.
+type payload struct {
+	payloadID
+	chunks [][]byte // nil: not here yet
+}
+
+// Spans and bounds of children.
+const (
+	childSpan     = 5 * Second         // without a heartbeat, then a child is forgotten
+	offerGap      = 150 * Millisecond  // between two offers at least, so that a burst goes together,
+	offerGapSpent = 1000 * Millisecond // and so much more where the budget is spent
+	maxDoublings  = 3                  // of the gap on a control machine
+	burstSpan     = 3 * Second         // without an offer, then a burst is over
+	maxPushed     = 2                  // chunks of a payload that is sent unasked
+	maxCache      = 4                  // payloads
+	mostSpent     = 700                // thousandths of the budget, then no child is taken
+)
+
+// place finds a child, or makes a place for it while there is one and the budget is not nearly spent.
+// Danger: a relay that those of a dead one crowd to answers nobody in time, and all go on to the next together.
+func (c *children) place(now Time, addr string, spent int64) *child {
+	for k := range c.list {
+		if c.list[k].addr == addr {
+			c.list[k].heardAt = now
+			return &c.list[k]
+		}
+	}
+	if len(c.list) >= c.most || spent > mostSpent {
+		return nil
+	}
+	c.list = append(c.list, child{addr: addr, heardAt: now})
+	return &c.list[len(c.list)-1]
+}
+
+func (c *children) expire(now Time) {
+	c.list = slices.DeleteFunc(c.list, func(x child) bool { return now-x.heardAt > childSpan })
+}
+
+// waiting gives the bytes of the smallest chunk that is here and that a child waits for, 0 if there is none.
+func (c *children) waiting() int {
+	smallest := 0
+	for k := range c.list {
+		if size := c.list[k].readySize(); size > 0 && (smallest == 0 || size < smallest) {
+			smallest = size
+		}
+	}
+	return smallest
+}
+
+// readySize gives the bytes of the chunk that can be sent to a child, 0 if there is none.
+func (c *child) readySize() int {
+	if c.serving == nil {
+		return 0
+	}
+	index := c.serving.ready()
+	if index < 0 {
+		return 0
+	}
+	return len(c.serving.payload.chunks[index])
+}
+
+// ready gives the number of a chunk that can be sent, -1 if there is none.
+func (s *serving) ready() int {
+	for k := range s.payload.chunks {
+		if s.payload.chunks[k] != nil && hasBit(s.wanted, k) {
+			return k
+		}
+	}
+	return -1
+}
+
+func hasBit(bits []byte, k int) bool { return k/8 < len(bits) && bits[k/8]&(1<<(k%8)) != 0 }
+
+// heard answers a heartbeat.
+func (n *node) heard(from string, m *message) {
+	answer := &message{kind: acknowledge, seq: m.seq, version: n.chain.version}
+	if n.transfer.passable() {
+		answer.getting = n.transfer.to
+	}
+	answer.proven, answer.age = n.proof.has, n.proof.age(n.now)
+	c := n.children.place(n.now, from, n.budget.spent(n.now))
+	if c == nil {
+		answer.full = true
+		n.post(from, answer)
+		return
+	}
+	c.version, c.first = m.version, m.first
+	for _, told := range m.reports {
+		n.reports.put(n.now, told)
+	}
+	n.post(from, answer)
+}
+
+// newVersion has children told of something newer, soon.
+// Danger: in a burst of changes each would go to each child by itself, and use up the budget.
+func (n *node) newVersion() {
+	n.children.offerAt = max(n.now, n.children.offeredAt+n.offerGap())
+	n.offerNewest()
+}
+
+// offerGap gives how long after the last offer the next one goes. In a burst control machines, whose budget is no
+// measure for that of the fronts, double it with each; what they send then goes down the tree in step.
+func (n *node) offerGap() Time {
+	if n.adopted == nil {
+		return offerGap << min(n.children.burst, maxDoublings)
+	}
+	return offerGap + offerGapSpent*n.budget.spent(n.now)/1000
+}
+
+// offerNewest tells children of what they do not have, when that is due.
+func (n *node) offerNewest() {
+	if n.children.offerAt == 0 || n.now < n.children.offerAt {
+		return
+	}
+	n.children.burst++
+	if n.now-n.children.offeredAt > burstSpan {
+		n.children.burst = 0
+	}
+	n.children.offerAt, n.children.offeredAt = 0, n.now
+	version := n.chain.version
+	if n.transfer.passable() {
+		version = max(version, n.transfer.to)
+	}
+	for k := range n.children.list {
+		if c := &n.children.list[k]; c.version < version && !n.pushed(c) {
+			n.post(c.addr, &message{kind: offer, version: version})
+		}
+	}
+}
+
+// pushed sends a small payload at once to a child that reports here, which spares a round trip on each hop. Other
+// children are only told, since their first upstream sends it.
+func (n *node) pushed(c *child) bool {
+	if !c.first || !n.chain.knows(c.version) {
+		return false
+	}
+	p := n.made(c.version)
+	if len(p.chunks) > maxPushed || !n.budget.allowsChunk(n.now, p.size()) {
+		return false
+	}
+	for k := range p.chunks {
+		n.post(c.addr, p.message(k))
+	}
+	return true
+}
+
+// size gives the bytes of a whole payload.
+func (p *payload) size() int {
+	total := 0
+	for _, part := range p.chunks {
+		total += len(part)
+	}
+	return total
+}
+
+// message gives the message with one of a payload's chunks.
+func (p *payload) message(index int) *message {
+	return &message{kind: chunk, payload: p.payloadID, total: uint64(len(p.chunks)), index: uint64(index), data: p.chunks[index]}
+}
+
+// pulled takes in what a child asks for.
+func (n *node) pulled(from string, m *message) {
+	c := n.children.place(n.now, from, n.budget.spent(n.now))
+	if c == nil {
+		n.post(from, &message{kind: acknowledge, full: true, unable: true, version: n.chain.version})
+		return
+	}
+	c.version = m.version
+	p := n.payloadFor(m)
+	if p == nil {
+		c.serving = nil
+		n.post(from, &message{kind: acknowledge, unable: n.chain.version > m.version, version: n.chain.version})
+		return
+	}
+	wanted := slices.Clone(m.wanted)
+	if p.payloadID != m.payload || len(wanted) == 0 {
+		wanted = firstBits(min(len(p.chunks), window))
+	}
+	c.serving = &serving{p, wanted}
+	n.serve()
+}
+
+// firstBits gives a list of chunks with the first few.
+func firstBits(count int) []byte {
+	bits := make([]byte, (count+7)/8)
+	for k := range count {
+		bits[k/8] |= 1 << (k % 8)
+	}
+	return bits
+}
+
+// payloadFor finds what brings a child to a newer version: the payload that it has a part of already, else one from the
+// newest of its versions that is known here, else, to one that has none, everything.
+func (n *node) payloadFor(m *message) *payload {
+	if p := n.cached(m.payload); p != nil {
+		return p
+	}
+	if n.transfer.passable() && n.transfer.suits(m) {
+		return n.transfer.payload
+	}
+	base, has := Version(0), len(m.bases) == 0 || n.adopted == nil
+	for _, b := range m.bases {
+		if b >= n.chain.version {
+			return nil
+		}
+		if b > base && n.chain.knows(b) {
+			base, has = b, true
+		}
+	}
+	if !has || n.chain.version == 0 {
+		return nil
+	}
+	return n.made(base)
+}
+
+// cached gives a payload that was made or received before.
+func (n *node) cached(id payloadID) *payload {
+	if id.to == 0 {
+		return nil
+	}
+	for _, p := range n.children.cache {
+		if p.payloadID == id {
+			return p
+		}
+	}
+	return nil
+}
+
+// made gives the payload from a base, 0 for everything, to the newest version.
+func (n *node) made(base Version) *payload {
+	for _, p := range n.children.cache {
+		if p.from == base && p.to == n.chain.version {
+			return p
+		}
+	}
+	p := newPayload(base, n.chain.version, n.chain.deltaFrom(base).payload())
+	n.remember(p)
+	return p
+}
+
+func (n *node) remember(p *payload) {
+	if len(n.children.cache) >= maxCache {
+		n.children.cache = n.children.cache[1:]
+	}
+	n.children.cache = append(n.children.cache, p)
+}
+
+// serve sends chunks, one to each child in turn, as the budget allows.
+func (n *node) serve() {
+	for {
+		c := n.nextServed()
+		if c == nil {
+			return
+		}
+		p, index := c.serving.payload, c.serving.ready()
+		c.serving.wanted[index/8] &^= 1 << (index % 8)
+		n.post(c.addr, p.message(index))
+	}
+}
+
+// nextServed gives the next child, in turn, that a chunk may be sent to.
+func (n *node) nextServed() *child {
+	c := &n.children
+	for range c.list {
+		c.turn++
+		x := &c.list[c.turn%len(c.list)]
+		if size := x.readySize(); size > 0 && n.budget.allowsChunk(n.now, size) {
+			return x
+		}
+	}
+	return nil
+}
--- a/fleet/lease/world_test.go
+++ b/fleet/lease/world_test.go
@@ -39,8 +39,9 @@
 	v    *Voter
 	id   uint64
 	kept Kept
-	full bool // its disk takes nothing
-	fake bool // it promises without writing: broken on purpose
+	full bool       // its disk takes nothing
+	list *entryList // its second state machine
+	fake bool       // it promises without writing: broken on purpose
 }
 
 type asker struct {
@@ -73,6 +74,7 @@
 	terms   Terms
 	flaw    flaw
 	history *history // nil: not kept
+	hosts   bool     // voters have a second state machine
 }
 
 // flaw is what is broken on purpose in a variant.
@@ -116,7 +118,7 @@
 func (w *world) boot(v *voter, ids []uint64) {
 	var err error
 	k := Kept{Hard: v.kept.Hard, Snapshot: v.kept.Snapshot, Entries: append([]*pb.Entry(nil), v.kept.Entries...)}
-	if v.v, err = NewVoter(v.clock(), v.id, ids, k, w.terms, v.id*7919, v); err != nil {
+	if v.v, err = NewVoter(v.clock(), v.id, ids, k, w.terms, v.id*7919, v, w.machine(v)); err != nil {
 		w.trouble = err.Error()
 	}
 	v.down = false
@@ -405,7 +407,7 @@
 	put := func(vs ...any) { fmt.Fprint(h, vs...) }
 	for _, v := range w.voters {
 		s := v.v.node.BasicStatus()
-		put(v.down, s.GetTerm(), s.GetVote(), s.GetCommit(), s.RaftState, s.Lead, v.v.book.Applied, v.v.readyAt, len(v.v.reads), v.v.silent,
+		put(v.down, s.GetTerm(), s.GetVote(), s.GetCommit(), s.RaftState, s.Lead, v.v.book.Applied, v.v.readyAt, len(v.v.reads), v.v.silentTicks,
 			v.clock()-v.v.tickAt, len(v.kept.Entries), "|")
 		if last, err := v.v.disk.LastIndex(); err == nil {
 			put(last)
