An error of the fleet's settings begins as the linter asks

Cause: staticcheck found a capital at the start of an error (ST1005). Change: the message names the zone first. Result: staticcheck finds nothing.

--- a/internal/configuration/check.go
+++ b/internal/configuration/check.go
@@ -64,7 +64,7 @@
 func FleetSettings(text []byte) (balance.Charter, charter.Host, error) {
 	c, host, err := ReadSettings(text)
 	if err == nil && c.Zone != "" {
-		err = fmt.Errorf("Az is each front's own and stays in its file")
+		err = fmt.Errorf("the zone, Az, is each front's own and stays in its file")
 	}
 	return c, host, err
 }
