micatrack capacity: whole fleets of hollow fronts on a virtual clock, each cost against its limit

Nothing told what a front's control costs at 800 fronts and 798 stores.

internal/world counts control messages and bytes of each front by subject, puts zones in regions, spreads groups of a fixed size over zones, has discovery tell changes alone, plays five control machines with the real voter and a holder of leases in each front, and measures processor time by part with a clock that is handed in. All of it is off unless the plan asks for it.

The command's status is 1 where a figure is over.

--- a/cmd/micatrack/main.go
+++ b/cmd/micatrack/main.go
@@ -73,7 +73,7 @@
 					o.name, o.listen, o.discovery, len(o.charter.Classes), len(o.known.Lines), o.on())
 				return nil
 			}),
-		fleetCommands(), stateCommands())
+		fleetCommands(), stateCommands(), capacityCommand())
 	return root
 }
 
--- /dev/null
+++ b/internal/world/control.go
@@ -0,0 +1,192 @@
+package world
+
+import (
+	"fmt"
+
+	pb "go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"micatrack/fleet/lease"
+	"micatrack/internal/peers"
+)
+
+// Control is one control machine: a voter of the fleet's leases, without a disk.
+type Control struct {
+	Node
+	Traffic Traffic
+	Writes  int // batches that it would have flushed to its disk
+	w       *World
+	id      uint64
+	voter   *lease.Voter
+}
+
+func newControl(w *World, n int) *Control {
+	zone := w.Zones[n%len(w.Zones)]
+	c := &Control{Node: Node{Name: fmt.Sprint("c", n), Zone: zone, Region: w.Plan.region(zone)}, w: w, id: uint64(n + 1)}
+	c.Start()
+	return c
+}
+
+// Start begins the voter's life. One that was killed comes back without its log, which a voter with a disk does not.
+func (c *Control) Start() {
+	var ids []uint64
+	for n := range c.w.Plan.Voters {
+		ids = append(ids, uint64(n+1))
+	}
+	voter, err := lease.NewVoter(c.w.Now, c.id, ids, lease.Kept{}, c.w.Terms, c.w.Seed*7919+c.id, c)
+	if err != nil {
+		panic(err) // a plan that no voter can start from
+	}
+	c.voter = voter
+	c.planned()
+}
+
+// Kill ends the machine at once.
+func (c *Control) Kill() { c.voter = nil }
+
+// Leads tells whether the machine runs and leads the voters.
+func (c *Control) Leads() bool { return c.voter != nil && c.voter.Leads() }
+
+// Grants tells how many leases are held as the voter has it.
+func (c *Control) Grants() int {
+	if c.voter == nil {
+		return 0
+	}
+	return len(c.voter.Grants())
+}
+
+func (c *Control) planned() {
+	voter := c.voter
+	c.w.At(voter.Next()-c.w.Now, func() {
+		if c.voter == voter {
+			c.do(func() { voter.Beat(c.w.Now) })
+			c.planned()
+		}
+	})
+}
+
+func (c *Control) do(work func()) {
+	before := c.w.Meter.enter(Voter)
+	work()
+	c.w.Meter.enter(before)
+}
+
+// post sends a message of leases. One that meets a cut is lost, as its connection would be.
+func (c *Control) post(to *Control, message *peers.Lease) {
+	body := peers.AppendLease(nil, message)
+	c.Traffic.Sent[Leases].count(len(body))
+	if c.w.cut(c.Node, to.Node) {
+		return
+	}
+	c.w.At(c.w.Delay+c.w.distance(c.Node, to.Node), func() { to.take(body) })
+}
+
+func (c *Control) take(body []byte) {
+	c.Traffic.Received[Leases].count(len(body))
+	message, err := peers.ReadLease(body)
+	if c.voter == nil || err != nil {
+		return
+	}
+	switch {
+	case message.Ask != nil:
+		c.do(func() { c.voter.Hear(c.w.Now, *message.Ask) })
+	case message.Reply != nil:
+		c.Reply(0, message.Addr, *message.Reply)
+	default:
+		var log pb.Message
+		if proto.Unmarshal(message.Log, &log) == nil {
+			c.do(func() { c.voter.Take(c.w.Now, &log) })
+		}
+	}
+}
+
+// Save, Carry, Pass, Reply and Log are lease.VoterHost.
+func (c *Control) Save(lease.Batch) error {
+	c.Writes++
+	return nil
+}
+
+func (c *Control) Carry(to uint64, m *pb.Message) {
+	text, err := proto.Marshal(m)
+	if err != nil {
+		return
+	}
+	c.post(c.w.Voters[to-1], &peers.Lease{From: c.id, To: to, Log: text})
+}
+
+func (c *Control) Pass(to uint64, a lease.Ask) {
+	c.post(c.w.Voters[to-1], &peers.Lease{From: c.id, To: to, Ask: &a})
+}
+
+func (c *Control) Reply(via uint64, addr string, r lease.Reply) {
+	message := &peers.Lease{From: c.id, To: via, Reply: &r, Addr: addr}
+	if via != 0 && via != c.id {
+		c.post(c.w.Voters[via-1], message)
+		return
+	}
+	to := c.w.byPeer[addr]
+	if to == nil {
+		return
+	}
+	body := peers.AppendLease(nil, message)
+	c.Traffic.Sent[Leases].count(len(body))
+	if c.w.cut(c.Node, to.Node) {
+		return
+	}
+	c.w.At(c.w.Delay+c.w.distance(c.Node, to.Node), func() { to.granted(body) })
+}
+
+func (c *Control) Log(string) {}
+
+// granted takes a voter's answer in, once the process runs.
+func (f *Front) granted(body []byte) {
+	if f.frozen {
+		f.slept = append(f.slept, func() { f.granted(body) })
+		return
+	}
+	f.Traffic.Received[Leases].count(len(body))
+	before := f.w.Meter.enter(LeaseHolder)
+	message, err := peers.ReadLease(body)
+	if f.holder != nil && err == nil && message.Reply != nil {
+		f.holder.Take(f.w.Now, *message.Reply)
+	}
+	f.w.Meter.enter(before)
+	f.wake()
+}
+
+// asks is what a front does for its holder of leases.
+type asks struct{ f *Front }
+
+func (a asks) Held(string, uint64)  {}
+func (a asks) Lost(string, string)  {}
+func (a asks) Moment() (Time, Time) { return a.f.w.Now, a.f.w.Now }
+func (a asks) Ask(n int, q lease.Ask) {
+	f, to := a.f, a.f.w.Voters[n]
+	body := peers.AppendLease(nil, &peers.Lease{To: to.id, Ask: &q})
+	f.Traffic.Sent[Leases].count(len(body))
+	if f.w.cut(f.Node, to.Node) {
+		return
+	}
+	f.w.At(f.w.Delay+f.w.distance(f.Node, to.Node), func() { to.take(body) })
+}
+
+// Want, Drop and Holds are what the watch asks of leases.
+func (l looks) Want(name string) {
+	if l.f.holder != nil {
+		l.f.holder.Want(l.f.w.Now, name)
+	}
+}
+
+func (l looks) Drop(name string) {
+	if l.f.holder != nil {
+		l.f.holder.Drop(l.f.w.Now, name)
+	}
+}
+
+func (l looks) Holds(name string) bool {
+	if l.f.holder == nil {
+		return true
+	}
+	_, held := l.f.holder.May(name, 0)
+	return held
+}
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -12,11 +12,14 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"slices"
 	"time"
 
 	"micatrack/balance"
 	"micatrack/fleet"
+	"micatrack/fleet/lease"
 	"micatrack/fleet/membership"
+	"micatrack/fleet/summary"
 	"micatrack/fleet/watch"
 	"micatrack/fleet/zones"
 	"micatrack/internal/charter"
@@ -61,6 +64,13 @@
 	PeerDelay Time           // one way, from half of it to one and a half
 	PeerLoss  int            // of 1,000 datagrams
 	Without   func(int) bool // fronts that have the fleet off; nil: none
+	Regions   []string       // of each zone; nil: all are in one
+	Distance  Time           // one way between regions, beside Delay and PeerDelay
+	Replicas  int            // stores of a group, spread over the zones in turn; 0: Members in every zone
+	Changes   bool           // discovery tells what has changed, not the whole list
+	Voters    int            // control machines that grant leases; 0: there are none, and who wants a lease holds it
+	Terms     lease.Terms    // of leases
+	Meter     *Meter         // nil: no time is measured
 	Seed      uint64
 	Log       func(at Time, front, text string) // nil: dropped
 }
@@ -69,6 +79,7 @@
 type Node struct {
 	Name, Zone string
 	Front      bool
+	Region     string // empty: that of everybody
 }
 
 // event is something that happens at a moment; of two at one moment the one that was planned first.
@@ -103,6 +114,7 @@
 	Groups []*standin.Group
 	Done   []Done
 	Peers  struct{ Datagrams, Bytes int } // sent between fronts
+	Voters []*Control
 
 	queue    queue
 	seq      uint64
@@ -111,6 +123,7 @@
 	held     []parcel // what waits for a cut to end
 	lists    []front.Line
 	listing  bool // a change of it is on its way
+	changed  []int
 	byAddr   map[string]*Store
 	byPeer   map[string]*Front
 	after    [][]int64 // of each group and session, the newest write's position
@@ -141,12 +154,15 @@
 				names, where = append(names, fmt.Sprintf("g%d-%s-%d", g, zone, m)), append(where, zone)
 			}
 		}
+		if p.Replicas > 0 {
+			names, where = p.spread(g)
+		}
 		group := standin.NewGroup(uint64(g+1), 3*time.Second, names...)
 		group.Clock(clock)
 		w.Groups = append(w.Groups, group)
 		w.after = append(w.after, make([]int64, sessions))
 		for k, name := range names {
-			s := &Store{Node: Node{Name: name, Zone: where[k]}, Group: group, w: w, addr: fmt.Sprintf("127.0.0.1:%d", len(w.Stores)+1),
+			s := &Store{Node: Node{Name: name, Zone: where[k], Region: p.region(where[k])}, Group: group, w: w, addr: fmt.Sprintf("127.0.0.1:%d", len(w.Stores)+1),
 				conns: map[*link]bool{}}
 			if k > 0 {
 				group.Lag(name, time.Duration(p.Lag)*100*time.Microsecond)
@@ -158,11 +174,15 @@
 		}
 	}
 	for n := range p.Fronts {
-		f := &Front{Node: Node{Name: fmt.Sprint("f", n), Zone: p.Zones[n%len(p.Zones)], Front: true}, w: w, n: n,
+		zone := p.Zones[n%len(p.Zones)]
+		f := &Front{Node: Node{Name: fmt.Sprint("f", n), Zone: zone, Front: true, Region: p.region(zone)}, w: w, n: n,
 			addr: fmt.Sprintf("127.1.%d.%d:1", n/250, n%250+1), chance: mwc.New(p.Seed*31 + uint64(n))}
 		w.Fronts = append(w.Fronts, f)
 		w.byPeer[f.addr] = f
 	}
+	for n := range p.Voters {
+		w.Voters = append(w.Voters, newControl(w, n))
+	}
 	for _, f := range w.Fronts {
 		f.Start()
 	}
@@ -223,13 +243,17 @@
 		w.held = append(w.held, parcel{from, to, do})
 		return
 	}
-	w.At(w.Delay, do)
+	w.At(w.Delay+w.distance(from, to), do)
 }
 
 // Change edits the list of stores and tells it to all fronts, with all else that changes at the same moment.
 func (w *World) Change(edit func(l *front.Line)) {
 	for k := range w.lists {
+		before := w.lists[k]
 		edit(&w.lists[k])
+		if w.lists[k] != before && !slices.Contains(w.changed, k) {
+			w.changed = append(w.changed, k)
+		}
 	}
 	if w.listing {
 		return
@@ -237,7 +261,7 @@
 	w.listing = true
 	w.At(w.Delay+w.ListDelay, func() {
 		w.listing = false
-		l := w.whole(balance.ListWhole)
+		l := w.news()
 		for _, f := range w.Fronts {
 			late := Time(0)
 			if w.Spread > 0 {
@@ -288,6 +312,8 @@
 	left    bool
 	slept   []func() // what came while it was frozen
 	loading bool
+	Traffic Traffic
+	holder  *lease.Holder // nil: no voters
 }
 
 // Start begins a front's life, or another one.
@@ -307,7 +333,9 @@
 		}
 		f.bridge = joined.NewBridge(&c)
 		limits.Saw = func(store string, how balance.Ending, class int, took Time) {
+			before := w.Meter.enter(Fleet)
 			f.bridge.Saw(w.Now, store, how, class, took)
+			w.Meter.enter(before)
 		}
 		f.fleet = fleet.New(w.Now, membership.Self{Name: f.Name, Zone: f.Zone, Addr: f.addr, Incarnation: uint64(f.life), Seed: c.Seed,
 			Period: w.Period, Seeds: seeds, Members: 1024, NoteLife: 20 * w.Period},
@@ -323,7 +351,13 @@
 	if err != nil {
 		panic(err) // a plan that no front can start from
 	}
+	f.holder = nil
+	if f.watch != nil && len(w.Voters) > 0 {
+		f.holder = lease.NewHolder(w.Now, lease.Party{Name: f.Name, Life: uint64(f.life)}, f.addr, len(w.Voters), w.Terms, c.Seed, asks{f})
+		f.holder.Want(w.Now, summary.Name)
+	}
 	known := w.whole(balance.ListCached)
+	f.Traffic.Received[Lists].count(listBytes(known))
 	f.knows = map[string]Time{}
 	f.learn(known)
 	f.core.Tell(known)
@@ -336,6 +370,7 @@
 // told hands a list to the front, for its next step.
 func (f *Front) told(l front.List) {
 	f.lists = append(f.lists, l)
+	f.Traffic.Received[Lists].count(listBytes(l))
 	f.learn(l)
 }
 
@@ -347,7 +382,7 @@
 
 // Kill ends a front at once: its connections break.
 func (f *Front) Kill() {
-	f.core, f.fleet, f.watch, f.frozen = nil, nil, nil, false
+	f.core, f.fleet, f.watch, f.holder, f.frozen = nil, nil, nil, nil, false
 	for _, l := range f.open() {
 		l.Close()
 	}
@@ -424,20 +459,8 @@
 func (f *Front) step() {
 	w := f.w
 	f.stepAt = 0
-	for _, l := range f.lists {
-		f.core.Tell(l)
-		if f.fleet != nil {
-			f.bridge.Listed(w.Now, l)
-		}
-	}
-	f.lists = f.lists[:0]
-	if f.fleet != nil && w.Now >= f.fleet.Next() {
-		f.fleet.Beat(w.Now)
-	}
-	if f.watch != nil {
-		f.bridge.Peers(f.fleet)
-		f.watch.Beat(w.Now)
-	}
+	f.heed()
+	f.control()
 	events := f.events
 	f.events = nil
 	for k := range events {
@@ -447,7 +470,9 @@
 			delete(f.links, l)
 		}
 	}
+	before := w.Meter.enter(Core)
 	f.core.Step(w.Now, events)
+	w.Meter.enter(before)
 	if f.core.Stopping() && f.core.Done() {
 		f.Kill()
 		return
@@ -459,9 +484,49 @@
 	if f.watch != nil {
 		next = min(next, f.watch.Next())
 	}
+	if f.holder != nil {
+		next = min(next, f.holder.Next())
+	}
 	f.planned(max(next, w.Now+1))
 }
 
+// heed takes in what discovery has told.
+func (f *Front) heed() {
+	if len(f.lists) == 0 {
+		return
+	}
+	before := f.w.Meter.enter(List)
+	defer func() { f.w.Meter.enter(before) }()
+	for _, l := range f.lists {
+		f.core.Tell(l)
+		if f.fleet != nil {
+			f.bridge.Listed(f.w.Now, l)
+		}
+	}
+	f.lists = f.lists[:0]
+}
+
+// control is the part of a step that the front does for its fleet.
+func (f *Front) control() {
+	now := f.w.Now
+	if f.fleet != nil && now >= f.fleet.Next() {
+		before := f.w.Meter.enter(Fleet)
+		f.fleet.Beat(now)
+		f.w.Meter.enter(before)
+	}
+	if f.watch != nil {
+		before := f.w.Meter.enter(Watch)
+		f.bridge.Peers(f.fleet)
+		f.watch.Beat(now)
+		f.w.Meter.enter(before)
+	}
+	if f.holder != nil && now >= f.holder.Next() {
+		before := f.w.Meter.enter(LeaseHolder)
+		f.holder.Beat(now)
+		f.w.Meter.enter(before)
+	}
+}
+
 // Dial is front.Sockets.
 func (f *Front) Dial(addr string) (front.Link, error) {
 	s := f.w.byAddr[addr]
@@ -493,12 +558,25 @@
 func (h host) Send(addr string, m *membership.Message) {
 	w, to := h.f.w, h.f.w.byPeer[addr]
 	text := peers.Append(nil, "world", m)
+	before := w.Meter.enter(Outside)
+	h.f.datagram(to, subjectOf(m.Kind), text, func() { to.hear(text, nil) })
+	w.Meter.enter(before)
+}
+
+// datagram sends text to another front, where it may be lost.
+func (f *Front) datagram(to *Front, subject Subject, text []byte, arrive func()) {
+	w := f.w
 	w.Peers.Datagrams++
 	w.Peers.Bytes += len(text)
-	if to == nil || w.chance.Below(1000) < int64(w.PeerLoss) || w.cut(h.f.Node, to.Node) {
+	f.Traffic.Sent[subject].count(len(text))
+	if to == nil || w.chance.Below(1000) < int64(w.PeerLoss) || w.cut(f.Node, to.Node) {
 		return
 	}
-	w.At(w.PeerDelay/2+w.chance.Below(w.PeerDelay), func() { to.hear(text, nil) })
+	delay := w.PeerDelay/2 + w.chance.Below(w.PeerDelay) + w.distance(f.Node, to.Node)
+	w.At(delay, func() {
+		to.Traffic.Received[subject].count(len(text))
+		arrive()
+	})
 }
 
 func (h host) Exchange(addr string) {
@@ -508,20 +586,25 @@
 	}
 	w, text := f.w, peers.Append(nil, "world", f.fleet.Members.Open(membership.Whole))
 	w.Peers.Bytes += len(text)
+	f.Traffic.Sent[Exchanges].count(len(text))
 	w.carry(f.Node, to.Node, func() {
-		to.hear(text, func(back []byte) { w.carry(to.Node, f.Node, func() { f.hear(back, nil) }) })
+		to.Traffic.Received[Exchanges].count(len(text))
+		to.hear(text, func(back []byte) {
+			to.Traffic.Sent[Exchanges].count(len(back))
+			w.carry(to.Node, f.Node, func() {
+				f.Traffic.Received[Exchanges].count(len(back))
+				f.hear(back, nil)
+			})
+		})
 	})
 }
 
-// looks is what the front does for its watch, and seen what its core tells it. In this world who is meant to watch may.
+// looks is what the front does for its watch, and seen what its core tells it. Without voters who is meant to watch may.
 type looks struct{ f *Front }
 
 func (l looks) Survey(store string)                 { l.f.core.Survey(store) }
 func (l looks) Vouch(store string, position Time)   { l.f.core.Vouch(store, position) }
 func (l looks) Proxied(store string, answered bool) { l.f.core.Proxied(store, answered) }
-func (l looks) Want(string)                         {}
-func (l looks) Drop(string)                         {}
-func (l looks) Holds(string) bool                   { return true }
 func (l looks) Query(addr string, q watch.Query) {
 	l.f.post(addr, peers.AppendQuery(nil, "world", &q))
 }
@@ -545,13 +628,10 @@
 
 // post sends a message of the watch.
 func (f *Front) post(addr string, text []byte) {
-	w, to := f.w, f.w.byPeer[addr]
-	w.Peers.Datagrams++
-	w.Peers.Bytes += len(text)
-	if to == nil || w.chance.Below(1000) < int64(w.PeerLoss) || w.cut(f.Node, to.Node) {
-		return
-	}
-	w.At(w.PeerDelay/2+w.chance.Below(w.PeerDelay), func() { to.look(text) })
+	before := f.w.Meter.enter(Outside)
+	to := f.w.byPeer[addr]
+	f.datagram(to, Positions, text, func() { to.look(text) })
+	f.w.Meter.enter(before)
 }
 
 func (f *Front) look(text []byte) {
@@ -559,6 +639,11 @@
 		f.slept = append(f.slept, func() { f.look(text) })
 		return
 	}
+	before := f.w.Meter.enter(Watch)
+	defer func() {
+		f.w.Meter.enter(before)
+		f.wake()
+	}()
 	q, a, err := peers.ReadWatch(text, "world")
 	switch {
 	case f.watch == nil || err != nil:
@@ -568,7 +653,6 @@
 	default:
 		f.watch.Told(f.w.Now, *a)
 	}
-	f.wake()
 }
 
 // hear takes another front's message in, once the process runs.
@@ -577,6 +661,8 @@
 		f.slept = append(f.slept, func() { f.hear(text, answer) })
 		return
 	}
+	before := f.w.Meter.enter(Fleet)
+	defer func() { f.w.Meter.enter(before) }()
 	if f.fleet == nil || peers.Read(text, "world", &f.msg) != nil {
 		return
 	}
@@ -585,6 +671,7 @@
 		f.w.Peers.Bytes += len(back)
 		answer(back)
 	}
+	f.w.Meter.enter(Outside)
 	f.planned(max(f.fleet.Next(), f.w.Now))
 	f.wake()
 }
