A played front may hold 8,192 connections, as one with 4,000 clients does

The world gave every front 1,000 connections, which 798 stores and clients together pass, so the front would close some for want of places that it has.

--- a/internal/capacity/size.go
+++ b/internal/capacity/size.go
@@ -23,6 +23,7 @@
 	controls   = 5    // machines set aside for control
 	leaseSpan  = 3    // seconds
 	leaseDrift = 0.05 // part by which clocks may run apart
+	links      = 8192 // connections of a front: 4,000 clients, and as many to stores
 )
 
 // Size is what is played.
@@ -71,7 +72,7 @@
 		Cores: storeCores, Takes: 2 * world.Millisecond, Queue: 256, Lag: 20 * world.Millisecond, Delay: world.Millisecond,
 		ListDelay: 200 * world.Millisecond, Rate: s.Statements, Patience: world.Second, Fleet: true, Watch: s.Watch,
 		WatchWait: 15 * world.Millisecond, Period: 500 * world.Millisecond, PeerDelay: 2 * world.Millisecond,
-		PeerLoss: lossRate, Seed: s.Seed, Distance: 40 * world.Millisecond, Changes: true}
+		PeerLoss: lossRate, Seed: s.Seed, Distance: 40 * world.Millisecond, Changes: true, Links: links}
 	for n := range s.Zones {
 		plan.Zones = append(plan.Zones, string(rune('a'+n)))
 		plan.Regions = append(plan.Regions, fmt.Sprint("r", n%s.Regions))
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -8,6 +8,7 @@
 package world
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"io"
@@ -68,6 +69,7 @@
 	Distance  Time           // one way between regions, beside Delay and PeerDelay
 	Replicas  int            // stores of a group, spread over the zones in turn; 0: Members in every zone
 	Changes   bool           // discovery tells what has changed, not the whole list
+	Links     int            // connections that a front may hold; 0: 1,000
 	Voters    int            // control machines that grant leases; 0: there are none, and who wants a lease holds it
 	Terms     lease.Terms    // of leases
 	Meter     *Meter         // nil: no time is measured
@@ -323,7 +325,7 @@
 	f.events, f.links, f.lists, f.idle, f.stepAt, f.frozen, f.left, f.slept = nil, map[*link]bool{}, nil, nil, 0, false, false, nil
 	c := w.Charter
 	c.Fronts, c.Zone, c.Seed = w.Plan.Fronts, f.Zone, w.Seed<<20+uint64(f.n+1)<<8+uint64(f.life)
-	limits := front.Limits{Links: 1000, Clients: 500, Answer: 1 << 16, Rest: 2 * Second, Grace: 600 * Millisecond, Longest: 3 * Second}
+	limits := front.Limits{Links: cmp.Or(w.Plan.Links, 1000), Clients: cmp.Or(w.Plan.Links, 1000) / 2, Answer: 1 << 16, Rest: 2 * Second, Grace: 600 * Millisecond, Longest: 3 * Second}
 	together := w.Plan.Fleet && (w.Without == nil || !w.Without(f.n))
 	f.fleet, f.watch = nil, nil
 	if together {
