micatrack capacity has a test of its own; voters' slopes are held against what leases promise

Messages of voters were held against gossip's promise of 0, which is not theirs: each front asks them, each group has a lease.

--- a/internal/capacity/slope.go
+++ b/internal/capacity/slope.go
@@ -49,6 +49,10 @@
 
 // promises, the first that fits holds; what none names is printed without one.
 var promises = []promise{
+	{"voter.sent.bytes", "", 1, "each front asks for leases, and each group has one"},
+	{"voter.received.bytes", "", 1, "each front asks for leases, and each group has one"},
+	{"voter.sent.messages", "", 1, "each front asks for leases, and each group has one"},
+	{"voter.received.messages", "", 1, "each front asks for leases, and each group has one"},
 	{"sent.bytes", "", 0, "gossip: each front talks to a fixed number of others in a period"},
 	{"received.bytes", "", 0, "gossip: each front talks to a fixed number of others in a period"},
 	{"sent.messages", "", 0, "gossip: each front talks to a fixed number of others in a period"},
--- a/internal/capacity/slope_test.go
+++ b/internal/capacity/slope_test.go
@@ -42,3 +42,24 @@
 		}
 	}
 }
+
+// TestPromises: the mechanism of a quantity is found by its name and axis, the closer one first.
+func TestPromises(t *testing.T) {
+	for _, c := range []struct {
+		quantity, axis string
+		exponent       float64
+	}{{"calm.sent.bytes", "fronts", 0}, {"calm.voter.sent.bytes", "fronts", 1}, {"calm.processor.control", "statements", 1},
+		{"calm.processor.control", "zones", 0}, {"calm.stores.connections.most", "fronts", 1}} {
+		if p, ok := promised(c.quantity, c.axis); !ok || p.exponent != c.exponent || p.by == "" {
+			t.Errorf("%s over %s: %+v, %v", c.quantity, c.axis, p, ok)
+		}
+	}
+	steep := Slope{Fit: &Fit{Exponent: 0.5}, Promised: new(float64)}
+	if !steep.Finding() {
+		t.Error("an exponent of 0.5 where 0 is promised is no finding")
+	}
+	steep.Fit.Exponent = tolerance
+	if steep.Finding() {
+		t.Error("an exponent within the tolerance is a finding")
+	}
+}
