The world gives up exchanges and connections in a cut as fronts do

What a front sent over a way that was cut was kept back and arrived at once when the cut was over, though a front gives an exchange up after two seconds and a connection after the time to dial. After an hour without a region 24 fronts had 24.9 MB of exchanges from one of them in one second, which no network would have brought.

--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -37,7 +37,9 @@
 const (
 	Millisecond = Time(10)
 	Second      = 1000 * Millisecond
-	start       = Time(17_672_256_000_000) // Unix time at which every world begins
+	// exchangeWait is how long internal/peers waits for one side of a whole exchange.
+	exchangeWait = 2 * Second
+	start        = Time(17_672_256_000_000) // Unix time at which every world begins
 )
 
 // Plan is what a world is made of.
@@ -248,6 +250,16 @@
 	w.At(w.Delay+w.distance(from, to), do)
 }
 
+// carryWithin is carry for what its sender gives up after a span.
+func (w *World) carryWithin(span Time, from, to Node, do func()) {
+	sent := w.Now
+	w.carry(from, to, func() {
+		if w.Now-sent <= span {
+			do()
+		}
+	})
+}
+
 // Change edits the list of stores and tells it to all fronts, with all else that changes at the same moment.
 func (w *World) Change(edit func(l *front.Line)) {
 	for k := range w.lists {
@@ -537,7 +549,13 @@
 	}
 	l := &link{f: f, other: s.Node, side: s}
 	f.own(l)
-	f.w.carry(f.Node, s.Node, func() { s.accept(l) })
+	sent := f.w.Now
+	f.w.carry(f.Node, s.Node, func() {
+		if l.closed && f.w.Now-sent > f.w.Host.Dial {
+			return // given up while the way was cut: nobody tries it any more
+		}
+		s.accept(l)
+	})
 	return l, nil
 }
 
@@ -589,11 +607,11 @@
 	w, text := f.w, peers.Append(nil, "world", f.fleet.Members.Open(membership.Whole))
 	w.Peers.Bytes += len(text)
 	f.Traffic.Sent[Exchanges].count(len(text))
-	w.carry(f.Node, to.Node, func() {
+	w.carryWithin(exchangeWait, f.Node, to.Node, func() {
 		to.Traffic.Received[Exchanges].count(len(text))
 		to.hear(text, func(back []byte) {
 			to.Traffic.Sent[Exchanges].count(len(back))
-			w.carry(to.Node, f.Node, func() {
+			w.carryWithin(exchangeWait, to.Node, f.Node, func() {
 				f.Traffic.Received[Exchanges].count(len(back))
 				f.hear(back, nil)
 			})
