Control machines keep their disks in the world, and end one by one or two at a time

Voters of a played fleet came back without their log, so only the loss of all could be played. They keep what they save, and two events end them in turn. TestVotersGrant ends each once, then all, and all leases are held again.

--- a/internal/capacity/event.go
+++ b/internal/capacity/event.go
@@ -32,7 +32,9 @@
 		{"zone", "one zone, fronts and stores, is cut off from all others", zoneCut},
 		{"rack", "20 fronts and 20 stores lose their power at once", rack},
 		{"region", "regions lose each other", regionCut},
-		{"controls", "all control machines end, and come back empty", controlsLost},
+		{"controls", "all control machines end, and come back with their disks", controlsLost},
+		{"controls-one", "control machines end one by one, each for a fifth of the event's time", nil},
+		{"controls-two", "control machines end two at a time, each pair for a fifth of the event's time", nil},
 		{"start", "all fronts are started again at once", startAll},
 		{"day", "a day's restarts, failures and changes of primary, pressed into the event's time", nil},
 	}
@@ -135,6 +137,32 @@
 	}
 }
 
+// controlsInTurn ends so many control machines at once, the next ones when those are back.
+func controlsInTurn(w *world.World, span world.Time, at int) {
+	turns := len(w.Voters)
+	for turn := range turns {
+		w.At(span*world.Time(turn)/world.Time(turns), func() {
+			for k := range at {
+				control := w.Voters[(turn+k)%len(w.Voters)]
+				control.Kill()
+				w.At(span*4/world.Time(5*turns), control.Start) // a fifth of its turn it is back before the next one goes
+			}
+		})
+	}
+}
+
+// overTime plays the events that need the event's time; the others begin and end with it.
+func overTime(name string, w *world.World, span world.Time) {
+	switch name {
+	case "day":
+		day(w, span)
+	case "controls-one":
+		controlsInTurn(w, span, 1)
+	case "controls-two":
+		controlsInTurn(w, span, 2)
+	}
+}
+
 // promote has another store take over each primary that is lost, and the list tell it.
 func promote(w *world.World, lost func(s *world.Store) bool) {
 	became := map[string]bool{}
--- a/internal/capacity/play.go
+++ b/internal/capacity/play.go
@@ -124,7 +124,7 @@
 		if r.Event.Begin != nil {
 			end = r.Event.Begin(r.world)
 		} else {
-			day(r.world, world.Time(r.Spans.Event)*world.Second)
+			overTime(r.Event.Name, r.world, world.Time(r.Spans.Event)*world.Second)
 		}
 		r.phase("event", r.Spans.Event)
 		if end != nil {
--- a/internal/world/control.go
+++ b/internal/world/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	pb "go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
@@ -10,7 +11,7 @@
 	"micatrack/internal/peers"
 )
 
-// Control is one control machine: a voter of the fleet's leases, without a disk.
+// Control is one control machine: a voter of the fleet's leases, with a disk that takes no time.
 type Control struct {
 	Node
 	Traffic Traffic
@@ -18,6 +19,7 @@
 	w       *World
 	id      uint64
 	voter   *lease.Voter
+	kept    lease.Kept
 }
 
 func newControl(w *World, n int) *Control {
@@ -27,13 +29,13 @@
 	return c
 }
 
-// Start begins the voter's life. One that was killed comes back without its log, which a voter with a disk does not.
+// Start begins the voter's life, from what its disk holds.
 func (c *Control) Start() {
 	var ids []uint64
 	for n := range c.w.Plan.Voters {
 		ids = append(ids, uint64(n+1))
 	}
-	voter, err := lease.NewVoter(c.w.Now, c.id, ids, lease.Kept{}, c.w.Terms, c.w.Seed*7919+c.id, c)
+	voter, err := lease.NewVoter(c.w.Now, c.id, ids, c.copyOfKept(), c.w.Terms, c.w.Seed*7919+c.id, c)
 	if err != nil {
 		panic(err) // a plan that no voter can start from
 	}
@@ -101,11 +103,29 @@
 }
 
 // Save, Carry, Pass, Reply and Log are lease.VoterHost.
-func (c *Control) Save(lease.Batch) error {
+func (c *Control) Save(b lease.Batch) error {
 	c.Writes++
+	if b.Hard != nil {
+		c.kept.Hard = proto.Clone(b.Hard).(*pb.HardState)
+	}
+	if b.Snapshot != nil {
+		c.kept.Snapshot = proto.Clone(b.Snapshot).(*pb.Snapshot)
+		folded := b.Snapshot.GetMetadata().GetIndex()
+		c.kept.Entries = slices.DeleteFunc(c.kept.Entries, func(e *pb.Entry) bool { return e.GetIndex() <= folded })
+	}
+	for _, entry := range b.Entries { // one that is there already is replaced, with all behind it
+		index := entry.GetIndex()
+		c.kept.Entries = slices.DeleteFunc(c.kept.Entries, func(e *pb.Entry) bool { return e.GetIndex() >= index })
+		c.kept.Entries = append(c.kept.Entries, proto.Clone(entry).(*pb.Entry))
+	}
 	return nil
 }
 
+// copyOfKept gives what the disk holds, which a voter may change.
+func (c *Control) copyOfKept() lease.Kept {
+	return lease.Kept{Hard: c.kept.Hard, Snapshot: c.kept.Snapshot, Entries: slices.Clone(c.kept.Entries)}
+}
+
 func (c *Control) Carry(to uint64, m *pb.Message) {
 	text, err := proto.Marshal(m)
 	if err != nil {
--- a/internal/world/region_test.go
+++ b/internal/world/region_test.go
@@ -70,6 +70,15 @@
 	if got := held(); got != want {
 		t.Errorf("%d leases are held, of %d", got, want)
 	}
+	for _, v := range w.Voters { // one by one, a majority always there
+		v.Kill()
+		w.Run(4 * Second)
+		v.Start()
+		w.Run(4 * Second)
+	}
+	if got := held(); got != want {
+		t.Errorf("%d leases are held once each voter was away, of %d", got, want)
+	}
 	for _, v := range w.Voters {
 		v.Kill()
 	}
