--- a/fleet/config/agent.go
+++ b/fleet/config/agent.go
@@ -143,8 +143,9 @@
 	}
 }
 
-// tell makes this front's report anew.
+// tell makes this front's report anew, and forgets others that have gone elsewhere.
 func (a *Agent) tell() {
+	a.reports.forget(a.now, forgetReports)
 	a.count++
 	a.refreshAt = a.now + refreshSpan - refreshSpan/10 + a.source.Below(refreshSpan/5)
 	a.reports.put(a.now, report{id: a.id(), life: a.options.Life, count: a.count, inForce: a.inForce,
@@ -170,7 +171,6 @@
 func (a *Agent) Beat(now Time) {
 	a.now = now
 	if now >= a.refreshAt {
-		a.reports.forget(now, forgetReports)
 		a.tell()
 	}
 	a.beat()
--- a/fleet/config/budget.go
+++ b/fleet/config/budget.go
@@ -11,13 +11,13 @@
 
 // Bounds of traffic, sent and received together, headers of IP and UDP included.
 const (
-	frontRate    = 1_200 // bytes a second; with frontBurst at most 20,000 in any ten seconds
-	frontBurst   = 8_000
+	frontRate    = 1_200 // bytes a second; with frontBurst about 19,000 in any ten seconds
+	frontBurst   = 7_000
 	controlRate  = 40_000 // a control machine does nothing else
 	controlBurst = 80_000
 	headerSize   = 28    // bytes of IP version 4 and UDP
 	smallReserve = 1_000 // bytes that chunks leave to small messages
-	maxDebt      = 4_000 // bytes
+	maxDebt      = 8_000 // bytes
 )
 
 func newBudget(now Time, rate, burst int64) budget {
--- a/fleet/config/message.go
+++ b/fleet/config/message.go
@@ -84,6 +84,7 @@
 	reportState    = 6
 	reportProgram  = 7
 	reportReason   = 8
+	reportAge      = 9
 )
 
 // checksum tells a message of this fleet from a spoilt one and from another fleet's. It is no proof against forging.
@@ -234,6 +235,7 @@
 	state    FrontState
 	program  uint32
 	reason   string
+	age      uint64 // seconds for which relays have had it
 }
 
 func (r *report) append(dst []byte) []byte {
@@ -246,7 +248,8 @@
 	}
 	dst = appendNumber(dst, reportState, uint64(r.state))
 	dst = appendNumber(dst, reportProgram, uint64(r.program))
-	return appendText(dst, reportReason, r.reason)
+	dst = appendText(dst, reportReason, r.reason)
+	return appendNumber(dst, reportAge, r.age)
 }
 
 func readReport(encoded []byte) (r report, err error) {
@@ -266,6 +269,8 @@
 			r.state = FrontState(min(f.value, math.MaxUint8))
 		case reportProgram:
 			r.program = uint32(min(f.value, math.MaxUint32))
+		case reportAge:
+			r.age = min(f.value, math.MaxUint32)
 		case reportReason:
 			r.reason, err = f.text(maxWords)
 		}
--- a/fleet/config/reports.go
+++ b/fleet/config/reports.go
@@ -41,8 +41,13 @@
 	return slices.BinarySearchFunc(r.entries, id, func(e reportEntry, id uint64) int { return cmp.Compare(e.id, id) })
 }
 
-// put takes a report in, if it is newer than what is known.
+// put takes a report in, if it is newer than what is known. Danger: a relay that tells a new upstream all it knows would
+// make fronts fresh that have long gone elsewhere, and those reports would go round for ever; so a report has an age.
 func (r *reports) put(now Time, told report) {
+	heardAt := now - Time(told.age)*Second
+	if now-heardAt > forgetReports {
+		return
+	}
 	k, has := r.find(told.id)
 	if has && !told.newer(&r.entries[k].report) {
 		return
@@ -54,7 +59,7 @@
 		k, _ = r.find(told.id)
 		r.entries = slices.Insert(r.entries, k, reportEntry{})
 	}
-	r.entries[k] = reportEntry{told, now, true}
+	r.entries[k] = reportEntry{told, heardAt, true}
 	r.flushSoon(now, reportDelay)
 }
 
@@ -107,11 +112,13 @@
 		if !r.entries[k].dirty {
 			continue
 		}
-		size += len(r.entries[k].append(nil)) + 3
+		told := r.entries[k].report
+		told.age = uint64(max(now-r.entries[k].heardAt, 0) / Second)
+		size += len(told.append(nil)) + 3
 		if size > batchSpace || len(r.batch.sent) == maxReports {
 			break
 		}
-		r.batch.sent = append(r.batch.sent, r.entries[k].report)
+		r.batch.sent = append(r.batch.sent, told)
 	}
 	return r.batch.sent
 }
--- a/fleet/config/transfer.go
+++ b/fleet/config/transfer.go
@@ -23,7 +23,7 @@
 	pullSpan      = 500 * Millisecond // after which an unanswered pull is sent again
 	chunkSpan     = 400 * Millisecond // the same where some chunks have come, and as much more with each try: the sender may have spent its budget
 	takeOverSpan  = 2 * Second        // without a new chunk, then another payload may take this one's place
-	window        = 4                 // chunks that are asked for at once, so that the receiver sets the pace
+	window        = 2                 // chunks that are asked for at once, so that the receiver sets the pace
 	maxPullTries  = 8                 // in a row, then the transfer is given up and begun anew
 	giveUpSpan    = 60 * Second       // without a new chunk
 	maxRecent     = maxBases - 1      // versions kept beside the newest, so that an upstream finds a base
@@ -248,7 +248,7 @@
 		return
 	}
 	if !t.open() { // Danger: a sender with a larger budget than this machine's
-		t.retryAt = n.budget.chunkAt(n.now, chunkSize)
+		t.retryAt = n.budget.chunkAt(n.now, window*chunkSize)
 	}
 	if len(t.chunks)-t.missing == 1 {
 		n.newVersion()
