--- a/fleet/config/budget.go
+++ b/fleet/config/budget.go
@@ -11,12 +11,13 @@
 
 // Bounds of traffic, sent and received together, headers of IP and UDP included.
 const (
-	frontRate    = 1_200 // bytes a second; with frontBurst about 19,000 in any ten seconds
-	frontBurst   = 7_000
+	frontRate    = 1_200 // bytes a second; with frontBurst about 20,000 in any ten seconds
+	frontBurst   = 8_000
 	controlRate  = 40_000 // a control machine does nothing else
 	controlBurst = 80_000
 	headerSize   = 28    // bytes of IP version 4 and UDP
 	smallReserve = 1_000 // bytes that chunks leave to small messages
+	largeReserve = 2_000 // the same where a payload has many chunks, so that it does not use up the burst
 	maxDebt      = 8_000 // bytes
 )
 
@@ -45,16 +46,24 @@
 	return b.tokens > 0
 }
 
-// allowsChunk tells whether a chunk of so many bytes may go.
-func (b *budget) allowsChunk(now Time, size int) bool {
+// reserve gives the bytes that a chunk of a payload of so many chunks leaves.
+func reserve(chunks int) int {
+	if chunks > smallPayload {
+		return largeReserve
+	}
+	return smallReserve
+}
+
+// allowsChunk tells whether so many bytes may go and leave a reserve.
+func (b *budget) allowsChunk(now Time, size, reserve int) bool {
 	b.refill(now)
-	return b.tokens >= int64(smallReserve+size)*Second
+	return b.tokens >= int64(reserve+size)*Second
 }
 
-// chunkAt is when a chunk of so many bytes may go.
-func (b *budget) chunkAt(now Time, size int) Time {
+// chunkAt is when so many bytes may go and leave a reserve.
+func (b *budget) chunkAt(now Time, size, reserve int) Time {
 	b.refill(now)
-	missing := int64(smallReserve+size)*Second - b.tokens
+	missing := int64(reserve+size)*Second - b.tokens
 	if missing <= 0 {
 		return now
 	}
--- a/fleet/config/children.go
+++ b/fleet/config/children.go
@@ -65,27 +65,29 @@
 	c.list = slices.DeleteFunc(c.list, func(x child) bool { return now-x.heardAt > childSpan })
 }
 
-// waiting gives the bytes of the smallest chunk that is here and that a child waits for, 0 if there is none.
+// waiting gives the bytes that have to be in the budget for the next chunk that a child waits for, its reserve included;
+// 0 if there is none.
 func (c *children) waiting() int {
-	smallest := 0
+	least := 0
 	for k := range c.list {
-		if size := c.list[k].readySize(); size > 0 && (smallest == 0 || size < smallest) {
-			smallest = size
+		size, left := c.list[k].readySize()
+		if size > 0 && (least == 0 || size+left < least) {
+			least = size + left
 		}
 	}
-	return smallest
+	return least
 }
 
-// readySize gives the bytes of the chunk that can be sent to a child, 0 if there is none.
-func (c *child) readySize() int {
+// readySize gives the bytes of the chunk that can be sent to a child, 0 if there is none, and the reserve that it leaves.
+func (c *child) readySize() (size, left int) {
 	if c.serving == nil {
-		return 0
+		return 0, 0
 	}
 	index := c.serving.ready()
 	if index < 0 {
-		return 0
+		return 0, 0
 	}
-	return len(c.serving.payload.chunks[index])
+	return len(c.serving.payload.chunks[index]), reserve(len(c.serving.payload.chunks))
 }
 
 // ready gives the number of a chunk that can be sent, -1 if there is none.
@@ -164,7 +166,7 @@
 		return false
 	}
 	p := n.made(c.version)
-	if len(p.chunks) > maxPushed || !n.budget.allowsChunk(n.now, p.size()) {
+	if len(p.chunks) > maxPushed || !n.budget.allowsChunk(n.now, p.size(), smallReserve) {
 		return false
 	}
 	for k := range p.chunks {
@@ -203,7 +205,7 @@
 	}
 	wanted := slices.Clone(m.wanted)
 	if p.payloadID != m.payload || len(wanted) == 0 {
-		wanted = firstBits(min(len(p.chunks), window))
+		wanted = firstBits(windowOf(len(p.chunks)))
 	}
 	c.serving = &serving{p, wanted}
 	n.serve()
@@ -293,7 +295,7 @@
 	for range c.list {
 		c.turn++
 		x := &c.list[c.turn%len(c.list)]
-		if size := x.readySize(); size > 0 && n.budget.allowsChunk(n.now, size) {
+		if size, left := x.readySize(); size > 0 && n.budget.allowsChunk(n.now, size, left) {
 			return x
 		}
 	}
--- a/fleet/config/config.go
+++ b/fleet/config/config.go
@@ -56,7 +56,7 @@
 
 // SwiftChange is up to how many bytes, as carried, a change is in force within six seconds at any size of fleet that the
 // package is for. Larger ones, up to MaxTexts, take as long as the fronts' budget of bytes says.
-const SwiftChange = 1500
+const SwiftChange = 1000
 
 // GuardSpan is for how long after its version was proven to be the newest a front may act on guarded settings.
 const GuardSpan = 15 * Second
--- a/fleet/config/node.go
+++ b/fleet/config/node.go
@@ -124,7 +124,7 @@
 		at = min(at, n.children.offerAt)
 	}
 	if size := n.children.waiting(); size > 0 {
-		at = min(at, max(n.budget.chunkAt(n.now, size), n.now+Millisecond))
+		at = min(at, max(n.budget.chunkAt(n.now, size, 0), n.now+Millisecond))
 	}
 	return max(at, n.now+1)
 }
--- a/fleet/config/transfer.go
+++ b/fleet/config/transfer.go
@@ -23,7 +23,8 @@
 	pullSpan      = 500 * Millisecond // after which an unanswered pull is sent again
 	chunkSpan     = 400 * Millisecond // the same where some chunks have come, and as much more with each try: the sender may have spent its budget
 	takeOverSpan  = 2 * Second        // without a new chunk, then another payload may take this one's place
-	window        = 2                 // chunks that are asked for at once, so that the receiver sets the pace
+	smallPayload  = 4                 // chunks; so many are asked for at once,
+	largeWindow   = 2                 // and of a larger one only these, so that the receiver sets the pace
 	maxPullTries  = 8                 // in a row, then the transfer is given up and begun anew
 	giveUpSpan    = 60 * Second       // without a new chunk
 	maxRecent     = maxBases - 1      // versions kept beside the newest, so that an upstream finds a base
@@ -134,12 +135,20 @@
 	n.post(t.addr, m)
 }
 
+// windowOf gives how many of a payload's chunks are asked for at once.
+func windowOf(chunks int) int {
+	if chunks > smallPayload {
+		return largeWindow
+	}
+	return chunks
+}
+
 // nextBits gives the first few chunks that have not come.
 func (t *transfer) nextBits() []byte {
 	bits := make([]byte, (len(t.chunks)+7)/8)
 	count := 0
 	for k := range t.chunks {
-		if t.chunks[k] == nil && count < window {
+		if t.chunks[k] == nil && count < windowOf(len(t.chunks)) {
 			bits[k/8] |= 1 << (k % 8)
 			count++
 		}
@@ -149,7 +158,7 @@
 
 // idleSpan gives after what span without a new chunk another payload may take this one's place.
 func (t *transfer) idleSpan() Time {
-	if len(t.chunks) <= window {
+	if len(t.chunks) <= smallPayload {
 		return pullSpan // little is lost
 	}
 	return takeOverSpan
@@ -235,7 +244,7 @@
 	if t.payload == nil {
 		t.payload = &payload{m.payload, make([][]byte, m.total)}
 		t.missing = int(m.total)
-		t.awaited = firstBits(min(len(t.chunks), window))
+		t.awaited = firstBits(windowOf(len(t.chunks)))
 	}
 	if t.payloadID != m.payload || int(m.total) != len(t.chunks) || t.chunks[m.index] != nil {
 		return
@@ -248,7 +257,7 @@
 		return
 	}
 	if !t.open() { // Danger: a sender with a larger budget than this machine's
-		t.retryAt = n.budget.chunkAt(n.now, window*chunkSize)
+		t.retryAt = n.budget.chunkAt(n.now, windowOf(len(t.chunks))*chunkSize, reserve(len(t.chunks)))
 	}
 	if len(t.chunks)-t.missing == 1 {
 		n.newVersion()
