--- a/fleet/config/transfer.go
+++ b/fleet/config/transfer.go
@@ -21,7 +21,7 @@
 // Spans and bounds of a transfer.
 const (
 	pullSpan      = 500 * Millisecond // after which an unanswered pull is sent again
-	chunkSpan     = 400 * Millisecond // the same where some chunks have come, and as much more with each try: the sender may have spent its budget
+	chunkSpan     = 400 * Millisecond // the same where some chunks have come
 	takeOverSpan  = 2 * Second        // without a new chunk, then another payload may take this one's place
 	smallPayload  = 4                 // chunks; so many are asked for at once,
 	largeWindow   = 2                 // and of a larger one only these, so that the receiver sets the pace
@@ -127,7 +127,7 @@
 	}
 	span := pullSpan
 	if t.payload != nil {
-		span = chunkSpan * Time(1+min(t.tries, 6))
+		span = t.askSpan()
 		t.awaited = t.nextBits()
 		m.payload, m.wanted = t.payloadID, t.awaited
 	}
@@ -135,6 +135,15 @@
 	n.post(t.addr, m)
 }
 
+// askSpan gives after what span chunks that did not come are asked for again. Of a large payload that is longer with each
+// try, since the sender may have spent its budget.
+func (t *transfer) askSpan() Time {
+	if len(t.chunks) <= smallPayload {
+		return chunkSpan
+	}
+	return chunkSpan * Time(1+min(t.tries, 6))
+}
+
 // windowOf gives how many of a payload's chunks are asked for at once.
 func windowOf(chunks int) int {
 	if chunks > smallPayload {
