--- a/fleet/config/agent.go
+++ b/fleet/config/agent.go
@@ -4,17 +4,16 @@
 	"bytes"
 	"encoding/binary"
 	"fmt"
-
-	"micatrack/internal/mwc"
 )
 
 // AgentHost is what an Agent does on one front.
 type AgentHost interface {
 	Send(addr string, message []byte) // one datagram; it may be lost. message is only valid during the call
-	// PutInForce checks the texts, all scopes of one version, and has the front act on them from the return on, on all of
-	// them or, with an error, on none. The error's text goes into the fleet's status, so it names the key in one line.
+	// PutInForce checks the texts, all scopes of one version, and has the front act on them from the return
+	// on, on all of them or, with an error, on none. The error's text goes into the fleet's status, so it
+	// names the key in one line.
 	PutInForce(version Version, texts []ScopeText) error
-	Keep(kept []byte) // writes to disk what AgentOptions.Kept brings back; a front without a disk does nothing
+	Keep(kept []byte) // writes to disk what AgentOptions.Kept brings back; nothing where there is no disk
 	Log(text string)
 }
 
@@ -23,7 +22,7 @@
 	Fleet   string // messages of another are dropped
 	Name    string
 	Zone    string
-	Life    uint64 // grows with each start of a front of this name, for example Unix milliseconds at the start
+	Life    uint64 // grows with each start of a front of this name, for example its Unix milliseconds
 	Program uint32 // this program's number, held against ScopeText.Program
 	Seed    uint64
 	Kept    []byte // what Keep wrote last; none, or a spoilt one: it starts with no version
@@ -46,7 +45,7 @@
 // NewAgent starts an agent. A version in Kept is put in force before it returns.
 func NewAgent(now Time, options AgentOptions, host AgentHost) *Agent {
 	a := &Agent{host: host, options: options, state: StateEmpty}
-	a.node = node{fleet: options.Fleet, name: options.Name, now: now, source: mwc.New(options.Seed), send: host.Send}
+	a.node = newNode(now, options.Fleet, options.Name, options.Seed, host.Send)
 	a.budget = newBudget(now, frontRate, frontBurst)
 	a.chain = &a.versions
 	a.children.most = maxChildren
@@ -79,7 +78,8 @@
 	return bytes.Clone(kept[keptHead:])
 }
 
-// restore puts what was kept in force. Danger: a spoilt disk; a start without a version is better than with half of one.
+// restore puts what was kept in force. Danger: a spoilt disk; a start without a version is better than with
+// half of one.
 func (a *Agent) restore(kept []byte) {
 	if len(kept) == 0 {
 		return
@@ -98,8 +98,8 @@
 	a.adopt(document)
 }
 
-// adopt puts a version in force, or says why not. Danger: a front that acts on parts of two versions; the host is asked
-// once, with all texts of the one.
+// adopt puts a version in force, or says why not. Danger: a front that acts on parts of two versions; the
+// host is asked once, with all texts of the one.
 func (a *Agent) adopt(document *Document) {
 	texts := document.For(a.options.Name, a.options.Zone)
 	if reason := a.tooNew(texts); reason != "" {
@@ -123,7 +123,8 @@
 func (a *Agent) tooNew(texts []ScopeText) string {
 	for _, t := range texts {
 		if t.Program > a.options.Program {
-			return fmt.Sprintf("%s %v: program %d, this is %d", t.Scope, ErrProgram, t.Program, a.options.Program)
+			own := a.options.Program
+			return fmt.Sprintf("%s %v: program %d, this is %d", t.Scope, ErrProgram, t.Program, own)
 		}
 	}
 	return ""
@@ -179,9 +180,10 @@
 // InForce gives the version in force, 0 if there is none.
 func (a *Agent) InForce() Version { return a.inForce }
 
-// Guarded tells whether this front may act on guarded settings: its version in force was proven, within GuardSpan by its
-// own clock, to be the fleet's newest. Others may be acted on for as long as the front runs.
-// Danger: a process can be stopped between this look at the clock and its act; what is acted on has to compare versions.
+// Guarded tells whether this front may act on guarded settings: its version in force was proven, within
+// GuardSpan by its own clock, to be the fleet's newest. Others may be acted on for as long as the front runs.
+// Danger: a process can be stopped between this look at the clock and its act; what is acted on has to
+// compare versions.
 func (a *Agent) Guarded(now Time) bool {
 	return a.inForce != 0 && a.newest.has && now-a.newest.at <= GuardSpan
 }
--- a/fleet/config/budget.go
+++ b/fleet/config/budget.go
@@ -1,7 +1,7 @@
 package config
 
-// budget paces what is sent, as a token bucket. Received bytes are taken from it too, so that a machine which receives
-// much sends less.
+// budget paces what is sent, as a token bucket. Received bytes are taken from it too, so that a machine which
+// receives much sends less.
 type budget struct {
 	rate   int64 // bytes a second
 	burst  int64 // bytes
--- a/fleet/config/chain.go
+++ b/fleet/config/chain.go
@@ -1,6 +1,7 @@
 package config
 
-// chain is the newest version as bytes, and the steps that led to it, so that who holds one of them gets a delta.
+// chain is the newest version as bytes, and the steps that led to it, so that who holds one of them gets a
+// delta.
 type chain struct {
 	version  Version
 	document []byte // encoded
@@ -20,7 +21,8 @@
 	maxStepBytes = 256 << 10
 )
 
-// add takes a newer version in. Without a delta, or one that does not begin at the version held, older ones are forgotten.
+// add takes a newer version in. Without a delta, or one that does not begin at the version held, older ones
+// are forgotten.
 func (c *chain) add(from, to Version, document []byte, d *delta) {
 	if from != c.version || from == 0 || d == nil {
 		c.steps, c.size = nil, 0
@@ -48,8 +50,8 @@
 	return false
 }
 
-// deltaFrom gives the one delta from a version, 0 for nothing, to the newest; what was written in between and is gone is
-// not in it. The version has to be one that knows tells of.
+// deltaFrom gives the one delta from a version, 0 for nothing, to the newest; what was written in between and
+// is gone is not in it. The version has to be one that knows tells of.
 func (c *chain) deltaFrom(from Version) *delta {
 	if from == 0 {
 		return makeDelta(nil, c.document)
--- a/fleet/config/children.go
+++ b/fleet/config/children.go
@@ -46,7 +46,8 @@
 )
 
 // place finds a child, or makes a place for it while there is one and the budget is not nearly spent.
-// Danger: a relay that those of a dead one crowd to answers nobody in time, and all go on to the next together.
+// Danger: a relay that all children of a dead one turn to answers nobody in time, and all go on to the next
+// together.
 func (c *children) place(now Time, addr string, spent int64) *child {
 	for k := range c.list {
 		if c.list[k].addr == addr {
@@ -65,8 +66,8 @@
 	c.list = slices.DeleteFunc(c.list, func(x child) bool { return now-x.heardAt > childSpan })
 }
 
-// waiting gives the bytes that have to be in the budget for the next chunk that a child waits for, its reserve included;
-// 0 if there is none.
+// waiting gives the bytes that have to be in the budget for the next chunk that a child waits for, its
+// reserve included; 0 if there is none.
 func (c *children) waiting() int {
 	least := 0
 	for k := range c.list {
@@ -78,7 +79,8 @@
 	return least
 }
 
-// readySize gives the bytes of the chunk that can be sent to a child, 0 if there is none, and the reserve that it leaves.
+// readySize gives the bytes of the chunk that can be sent to a child, 0 if there is none, and the reserve
+// that it leaves.
 func (c *child) readySize() (size, left int) {
 	if c.serving == nil {
 		return 0, 0
@@ -129,8 +131,8 @@
 	n.offerNewest()
 }
 
-// offerGap gives how long after the last offer the next one goes. In a burst control machines, whose budget is no
-// measure for that of the fronts, double it with each; what they send then goes down the tree in step.
+// offerGap gives how long after the last offer the next one goes. In a burst control machines, whose budget
+// is no measure for that of the fronts, double it with each; what they send then goes down the tree in step.
 func (n *node) offerGap() Time {
 	if n.adopted == nil {
 		return offerGap << min(n.children.burst, maxDoublings)
@@ -159,8 +161,8 @@
 	}
 }
 
-// pushed sends a small payload at once to a child that reports here, which spares a round trip on each hop. Other
-// children are only told, since their first upstream sends it.
+// pushed sends a small payload at once to a child that reports here, which spares a round trip on each hop.
+// Other children are only told, since their first upstream sends it.
 func (n *node) pushed(c *child) bool {
 	if !c.first || !n.chain.knows(c.version) {
 		return false
@@ -186,7 +188,9 @@
 
 // message gives the message with one of a payload's chunks.
 func (p *payload) message(index int) *message {
-	return &message{kind: chunk, payload: p.payloadID, total: uint64(len(p.chunks)), index: uint64(index), data: p.chunks[index]}
+	m := &message{kind: chunk, payload: p.payloadID, total: uint64(len(p.chunks)), index: uint64(index)}
+	m.data = p.chunks[index]
+	return m
 }
 
 // pulled takes in what a child asks for.
@@ -200,7 +204,8 @@
 	p := n.payloadFor(m)
 	if p == nil {
 		c.serving = nil
-		n.post(from, &message{kind: acknowledge, unable: n.chain.version > m.version, version: n.chain.version})
+		unable := n.chain.version > m.version
+		n.post(from, &message{kind: acknowledge, unable: unable, version: n.chain.version})
 		return
 	}
 	wanted := slices.Clone(m.wanted)
@@ -220,8 +225,8 @@
 	return bits
 }
 
-// payloadFor finds what brings a child to a newer version: the payload that it has a part of already, else one from the
-// newest of its versions that is known here, else, to one that has none, everything.
+// payloadFor finds what brings a child to a newer version: the payload that it has a part of already, else
+// one from the newest of its versions that is known here, else, to one that has none, everything.
 func (n *node) payloadFor(m *message) *payload {
 	if p := n.cached(m.payload); p != nil {
 		return p
--- a/fleet/config/config.go
+++ b/fleet/config/config.go
@@ -1,18 +1,21 @@
-// Package config keeps a fleet's configuration as a log of versions and carries it to every front. It does no I/O and
-// reads no clock: the host hands in time, seed and messages, and the same calls lead to the same actions.
+// Package config keeps a fleet's configuration as a log of versions and carries it to every front. It does no
+// I/O and reads no clock: the host hands in time, seed and messages, and the same calls lead to the same
+// actions.
 //
 // Three parts, each a type:
 //
-//   - Log is the state machine that the entries of a replicated log are applied to, on every control machine. A change
-//     names the version it was made from and is applied to that version alone (compare-and-set).
-//   - Distributor serves versions on a control machine, collects the fronts' reports, and leads step-wise roll-outs.
-//   - Agent holds one front's configuration: it pulls newer versions from two upstreams, puts each in force whole or not
-//     at all, serves other fronts as a relay, and passes their reports up.
+//   - Log is the state machine that the entries of a replicated log are applied to, on every control machine.
+//     A change names the version it was made from and is applied to that version alone (compare-and-set).
+//   - Distributor serves versions on a control machine, collects the fronts' reports, and leads step-wise
+//     roll-outs.
+//   - Agent holds one front's configuration: it pulls newer versions from two upstreams, puts each in force
+//     whole or not at all, serves other fronts as a relay, and passes their reports up.
 //
-// A version is carried as a delta against the version that the receiver holds, whole only to who holds none that is known
-// any more. What a version says stands in one Document, so a front never acts on parts of two.
+// A version is carried as a delta against the version that the receiver holds, whole only to who holds none
+// that is known any more. What a version says stands in one Document, so a front never acts on parts of two.
 //
-// A front that is cut off goes on with the version it has. What may not go on with an old one is guarded: see Agent.Guarded.
+// A front that is cut off goes on with the version it has. What may not go on with an old one is guarded: see
+// Agent.Guarded.
 package config
 
 import (
@@ -54,11 +57,13 @@
 	MessageVersion = 1 // of the messages; one of another is dropped
 )
 
-// SwiftChange is up to how many bytes, as carried, a change is in force within six seconds at any size of fleet that the
-// package is for. Larger ones, up to MaxTexts, take as long as the fronts' budget of bytes says.
+// SwiftChange is up to how many bytes, as carried, a change is in force within six seconds at any size of
+// fleet that the package is for. Larger ones, up to MaxTexts, take as long as the fronts' budget of bytes
+// says.
 const SwiftChange = 1000
 
-// GuardSpan is for how long after its version was proven to be the newest a front may act on guarded settings.
+// GuardSpan is for how long after its version was proven to be the newest a front may act on guarded
+// settings.
 const GuardSpan = 15 * Second
 
 // Errors that callers tell apart with errors.Is. Each is told in one line.
@@ -84,13 +89,14 @@
 // Unwrap gives ErrVersionConflict.
 func (e *ConflictError) Unwrap() error { return ErrVersionConflict }
 
-// Check tells what is wrong with a scope's text, by the same code as a file's check; the error names the key's path. It
-// must depend on nothing but its arguments. An unknown scope is an error.
+// Check tells what is wrong with a scope's text, by the same code as a file's check; the error names the
+// key's path. It must depend on nothing but its arguments. An unknown scope is an error.
 type Check func(scope Scope, text []byte) error
 
-// Plan is a step-wise roll-out: one front, then a zone, then all. The next step follows once every live front of a step
-// has said that the version is in force there, and Soak has passed since. A front that refuses it ends the roll-out, and
-// so does a step that is not done within Limit; a new version without the change follows by itself.
+// Plan is a step-wise roll-out: one front, then a zone, then all. The next step follows once every live front
+// of a step has said that the version is in force there, and Soak has passed since. A front that refuses it
+// ends the roll-out, and so does a step that is not done within Limit; a new version without the change
+// follows by itself.
 type Plan struct {
 	Front string // the first step; empty: none
 	Zone  string // the second; empty: none
@@ -165,8 +171,8 @@
 	Addr       string // as Host.Send takes it
 }
 
-// Peers is who is there. Both lists may lag behind the truth and differ between machines. Those over the bounds are left
-// out from the end; the order says nothing.
+// Peers is who is there. Both lists may lag behind the truth and differ between machines. Those over the
+// bounds are left out from the end; the order says nothing.
 type Peers struct {
 	Controls []Peer // the control machines
 	Fronts   []Peer // live fronts as far as known, this one too or not
--- a/fleet/config/delta.go
+++ b/fleet/config/delta.go
@@ -99,15 +99,18 @@
 	if length == 0 {
 		return
 	}
-	if last := len(d.ops) - 1; last >= 0 && d.ops[last].insert == nil && d.ops[last].offset+d.ops[last].length == offset {
-		d.ops[last].length += length
-		return
+	if len(d.ops) > 0 {
+		last := &d.ops[len(d.ops)-1]
+		if last.insert == nil && last.offset+last.length == offset {
+			last.length += length
+			return
+		}
 	}
 	d.ops = append(d.ops, deltaOp{offset: offset, length: length})
 }
 
-// apply gives the new text. Danger: a spoilt delta, or one against another text, would put something in force that
-// nobody wrote, so the whole text's checksum decides.
+// apply gives the new text. Danger: a spoilt delta, or one against another text, would put something in force
+// that nobody wrote, so the whole text's checksum decides.
 func (d *delta) apply(old []byte) ([]byte, error) {
 	text := make([]byte, 0, d.size)
 	for _, op := range d.ops {
--- a/fleet/config/distributor.go
+++ b/fleet/config/distributor.go
@@ -1,9 +1,5 @@
 package config
 
-import (
-	"micatrack/internal/mwc"
-)
-
 // DistributorHost is what a Distributor does.
 type DistributorHost interface {
 	Send(addr string, message []byte) // one datagram; it may be lost. message is only valid during the call
@@ -19,8 +15,8 @@
 	Seed  uint64
 }
 
-// Distributor serves the versions of a Log on one control machine. Not safe for use from several goroutines; the Log must
-// be changed by the same one.
+// Distributor serves the versions of a Log on one control machine. Not safe for use from several goroutines;
+// the Log must be changed by the same one.
 type Distributor struct {
 	node
 	host      DistributorHost
@@ -34,7 +30,7 @@
 // NewDistributor starts a distributor. log is the state that entries are applied to beside it.
 func NewDistributor(now Time, options DistributorOptions, log *Log, host DistributorHost) *Distributor {
 	d := &Distributor{host: host, log: log, appliedAt: now, served: log.Newest()}
-	d.node = node{fleet: options.Fleet, name: options.Name, now: now, source: mwc.New(options.Seed), send: host.Send}
+	d.node = newNode(now, options.Fleet, options.Name, options.Seed, host.Send)
 	d.budget = newBudget(now, controlRate, controlBurst)
 	d.chain = &log.chain
 	d.children.most = controlMost
@@ -47,8 +43,8 @@
 	d.setPeers(peers)
 }
 
-// Lead tells who leads the replicated log as far as known: whether this machine does, or at which address who does is
-// reached (none: not known).
+// Lead tells who leads the replicated log as far as known: whether this machine does, or at which address who
+// does is reached (none: not known).
 func (d *Distributor) Lead(now Time, leads bool, leader string) {
 	d.now = now
 	if leads != d.leads {
@@ -67,9 +63,9 @@
 	d.reports.again(now)
 }
 
-// Confirmed tells that a read by quorum, asked at the moment asked, has found this machine to lead, and that all entries
-// up to then are applied. Without it, this machine does not say that its newest version is the fleet's. Ask about once a
-// second while this machine leads.
+// Confirmed tells that a read by quorum, asked at the moment asked, has found this machine to lead, and that
+// all entries up to then are applied. Without it, this machine does not say that its newest version is the
+// fleet's. Ask about once a second while this machine leads.
 func (d *Distributor) Confirmed(now, asked Time) {
 	d.now = now
 	d.proof.prove(asked)
--- a/fleet/config/document.go
+++ b/fleet/config/document.go
@@ -47,7 +47,8 @@
 
 // find gives the place of a scope, or where it would stand.
 func (d *Document) find(scope Scope) (int, bool) {
-	return slices.BinarySearchFunc(d.Texts, scope, func(t ScopeText, s Scope) int { return cmp.Compare(t.Scope, s) })
+	compare := func(t ScopeText, s Scope) int { return cmp.Compare(t.Scope, s) }
+	return slices.BinarySearchFunc(d.Texts, scope, compare)
 }
 
 // Text gives a scope's text, without a staged one.
@@ -58,7 +59,8 @@
 	return nil, false
 }
 
-// For gives the texts that count for one front, sorted by scope, a staged one included if the front is in its audience.
+// For gives the texts that count for one front, sorted by scope, a staged one included if the front is in its
+// audience.
 func (d *Document) For(front, zone string) []ScopeText {
 	if d.Stage == nil || !d.Stage.Reaches(front, zone) {
 		return d.Texts
@@ -110,7 +112,8 @@
 	return nil
 }
 
-// copy gives a document that can be changed without changing this one. Texts are shared: they are never written to.
+// copy gives a document that can be changed without changing this one. Texts are shared: they are never
+// written to.
 func (d *Document) copy() *Document {
 	twin := *d
 	twin.Texts = slices.Clone(d.Texts)
--- a/fleet/config/entry.go
+++ b/fleet/config/entry.go
@@ -35,7 +35,8 @@
 	entryPlan    = 10
 )
 
-// IsEntry tells whether bytes of the shared replicated log are an entry of this package. Those of package lease are not.
+// IsEntry tells whether bytes of the shared replicated log are an entry of this package. Those of package
+// lease are not.
 func IsEntry(entry []byte) bool { return len(entry) > 0 && entry[0] == entryMark }
 
 func (e *entry) encode() []byte {
--- a/fleet/config/history.go
+++ b/fleet/config/history.go
@@ -23,8 +23,8 @@
 
 // add notes a new version. The oldest go where there are too many.
 func (h *history) add(v Version, e *entry, before []byte) {
-	r := record{before: before, Record: Record{Version: v, Kind: e.kind, Scope: e.scope, To: e.to, Author: e.author,
-		Reason: e.reason, At: e.at}}
+	r := record{before: before, Record: Record{Version: v, Kind: e.kind, Scope: e.scope, To: e.to}}
+	r.Author, r.Reason, r.At = e.author, e.reason, e.at
 	h.records = append(h.records, r)
 	h.size += r.bytes()
 	for len(h.records) > MaxHistory || h.size > maxHistoryBytes && len(h.records) > 1 {
--- a/fleet/config/log.go
+++ b/fleet/config/log.go
@@ -6,8 +6,8 @@
 	"strings"
 )
 
-// Log is the deterministic state that entries lead to. It is the same on all control machines after the same entries.
-// Not safe for use from several goroutines.
+// Log is the deterministic state that entries lead to. It is the same on all control machines after the same
+// entries. Not safe for use from several goroutines.
 type Log struct {
 	document *Document
 	chain    chain // the newest version as bytes, and what leads to it
@@ -23,8 +23,8 @@
 // Document gives the newest version; it must not be changed. Version 0 has no texts.
 func (l *Log) Document() *Document { return l.document }
 
-// Prepare checks a change and gives the entry to propose. The change is not in force by that: its entry has to be
-// applied. Errors: ErrFaulty, ErrTooLarge, ErrVersionConflict, ErrRollout.
+// Prepare checks a change and gives the entry to propose. The change is not in force by that: its entry has
+// to be applied. Errors: ErrFaulty, ErrTooLarge, ErrVersionConflict, ErrRollout.
 func (l *Log) Prepare(c Change, check Check) (entry []byte, err error) {
 	if err := c.sound(); err != nil {
 		return nil, err
@@ -43,8 +43,8 @@
 	return l.prepared(e)
 }
 
-// PrepareRollback does the same for a rollback; the old texts are checked as new ones are. Errors: ErrUnknownVersion and
-// those of Prepare but ErrRollout.
+// PrepareRollback does the same for a rollback; the old texts are checked as new ones are. Errors:
+// ErrUnknownVersion and those of Prepare but ErrRollout.
 func (l *Log) PrepareRollback(r Rollback, check Check) (entry []byte, err error) {
 	if err := soundNotes(r.Author, r.Reason, r.At); err != nil {
 		return nil, err
@@ -147,8 +147,8 @@
 	return strings.Join(strings.FieldsFunc(text, func(r rune) bool { return r == '\n' || r == '\r' }), "; ")
 }
 
-// Apply applies a committed entry. What does not fit changes nothing: Result.Err is ErrMalformed, ErrVersionConflict,
-// ErrTooLarge, ErrRollout, ErrNoRollout or ErrUnknownVersion, the same on all machines.
+// Apply applies a committed entry. What does not fit changes nothing: Result.Err is ErrMalformed,
+// ErrVersionConflict, ErrTooLarge, ErrRollout, ErrNoRollout or ErrUnknownVersion, the same on all machines.
 func (l *Log) Apply(encoded []byte) Result {
 	e, err := readEntry(encoded)
 	if err != nil {
@@ -171,8 +171,8 @@
 	l.document = next
 }
 
-// next gives what an entry leads to, and changes nothing. Danger: an entry may be committed late, by a leader that was
-// deposed, or together with another writer's: it counts for the very version that its proposer saw.
+// next gives what an entry leads to, and changes nothing. Danger: an entry may be committed late, by a leader
+// that was deposed, or together with another writer's: it counts for the very version that its proposer saw.
 func (l *Log) next(e *entry) (*Document, error) {
 	if e.base != l.Newest() {
 		return nil, &ConflictError{e.base, l.Newest()}
@@ -268,7 +268,8 @@
 		return version > v
 	})
 	if len(found) == 0 {
-		return nil, fmt.Errorf("%w: %d; known are %d to %d", ErrUnknownVersion, v, l.history.oldest(), l.Newest())
+		oldest := l.history.oldest()
+		return nil, fmt.Errorf("%w: %d; known are %d to %d", ErrUnknownVersion, v, oldest, l.Newest())
 	}
 	d, err := ReadDocument(found)
 	if err != nil {
--- a/fleet/config/log_test.go
+++ b/fleet/config/log_test.go
@@ -203,7 +203,8 @@
 	})
 }
 
-// BenchmarkFrontSecond is the processor time of one front in a second of a fleet of 800 in calm, network included.
+// BenchmarkFrontSecond is the processor time of one front in a second of a fleet of 800 in calm, network
+// included.
 func BenchmarkFrontSecond(b *testing.B) {
 	w := newWorld(b, 1, 5, 800, 6)
 	w.change("settings", settings(40, 0, 1), nil)
--- a/fleet/config/message.go
+++ b/fleet/config/message.go
@@ -23,7 +23,7 @@
 type message struct {
 	kind    messageKind
 	seq     uint64  // of a heartbeat, and of the answer to it
-	version Version // the newest that the sender holds whole, and of an offer the one that it has or is getting
+	version Version // the newest that the sender holds whole; of an offer the one that it has or gets
 	getting Version // of an answer: the version that a part of has come in, 0 if none
 	proven  bool    // of an answer: nothing newer than version existed
 	age     Time    // at some moment at most this long before the answer was sent
@@ -87,7 +87,8 @@
 	reportAge      = 9
 )
 
-// checksum tells a message of this fleet from a spoilt one and from another fleet's. It is no proof against forging.
+// checksum tells a message of this fleet from a spoilt one and from another fleet's. It is no proof against
+// forging.
 func checksum(fleet string, body []byte) uint32 {
 	var d xxhash.Digest
 	d.Reset()
@@ -209,7 +210,8 @@
 
 // sound tells which bound a message breaks.
 func (m *message) sound() error {
-	if len(m.bases) > maxBases || len(m.reports) > maxReports || m.total > maxChunks || len(m.data) > chunkSize {
+	lists := len(m.bases) > maxBases || len(m.reports) > maxReports
+	if lists || m.total > maxChunks || len(m.data) > chunkSize {
 		return fmt.Errorf("%w: a message over its bounds", ErrMalformed)
 	}
 	if len(m.wanted) > (maxChunks+7)/8 {
@@ -219,7 +221,8 @@
 		return nil
 	}
 	last := m.index+1 == m.total
-	if m.index >= m.total || m.payload.to <= m.payload.from || len(m.data) == 0 || !last && len(m.data) != chunkSize {
+	cut := len(m.data) == 0 || !last && len(m.data) != chunkSize
+	if m.index >= m.total || m.payload.to <= m.payload.from || cut {
 		return fmt.Errorf("%w: a chunk of no payload", ErrMalformed)
 	}
 	return nil
--- a/fleet/config/node.go
+++ b/fleet/config/node.go
@@ -4,7 +4,8 @@
 	"micatrack/internal/mwc"
 )
 
-// node is what fronts and control machines have in common: it serves children, asks upstreams and passes reports on.
+// node is what fronts and control machines have in common: it serves children, asks upstreams and passes
+// reports on.
 type node struct {
 	fleet, name string
 	now         Time
@@ -27,14 +28,18 @@
 	dropped   uint64
 }
 
+func newNode(now Time, fleet, name string, seed uint64, send func(addr string, message []byte)) node {
+	return node{fleet: fleet, name: name, now: now, source: mwc.New(seed), send: send}
+}
+
 // proof is a moment at which no version newer than the one held existed, by this machine's clock.
 type proof struct {
 	at  Time
 	has bool
 }
 
-// prove takes a moment in. Danger: an answer may have been under way for long, so the moment is never that of its
-// arrival: it is that of the question, less the age that the answer tells.
+// prove takes a moment in. Danger: an answer may have been under way for long, so the moment is never that of
+// its arrival: it is that of the question, less the age that the answer tells.
 func (p *proof) prove(at Time) {
 	if !p.has || at > p.at {
 		p.at, p.has = at, true
@@ -129,7 +134,8 @@
 	return max(at, n.now+1)
 }
 
-// provenBy takes in that nothing newer than a version existed at a moment. It says as much of any later version.
+// provenBy takes in that nothing newer than a version existed at a moment. It says as much of any later
+// version.
 func (n *node) provenBy(at Time, newest Version) {
 	if newest > n.chain.version {
 		return
--- a/fleet/config/peers.go
+++ b/fleet/config/peers.go
@@ -9,10 +9,11 @@
 	"micatrack/internal/mwc"
 )
 
-// The tree that versions go down and reports go up. All fronts stand in the order of their names' hashes. The first few
-// ask control machines; each later one asks an earlier one, so there are no loops, whatever lists machines go by, and a
-// machine has few children. Who does not answer is passed over for an earlier one that is drawn. The second upstream is
-// drawn among those that are nobody's first, so a version reaches a front also while its first upstream is gone.
+// The tree that versions go down and reports go up. All fronts stand in the order of their names' hashes. The
+// first few ask control machines; each later one asks an earlier one, so there are no loops, whatever lists
+// machines go by, and a machine has few children. Who does not answer is passed over for an earlier one that
+// is drawn. The second upstream is drawn among those that are nobody's first, so a version reaches a front
+// also while its first upstream is gone.
 
 const (
 	fanOut        = 3  // fronts that have one front as their first choice
@@ -33,7 +34,8 @@
 func nameID(name string) uint64 { return xxhash.Sum64String(name) | 1 }
 
 func (p *Peer) sound() bool {
-	return p.Name != "" && len(p.Name) <= MaxName && len(p.Zone) <= MaxName && p.Addr != "" && len(p.Addr) <= MaxAddress
+	named := p.Name != "" && len(p.Name) <= MaxName && len(p.Zone) <= MaxName
+	return named && p.Addr != "" && len(p.Addr) <= MaxAddress
 }
 
 // ordered gives a list's sound peers in the order of their hashes, each name once.
@@ -66,7 +68,8 @@
 
 // has tells whether a front is among the peers, by its id.
 func (t *topology) has(id uint64) bool {
-	_, found := slices.BinarySearchFunc(t.fronts, id, func(p Peer, id uint64) int { return cmp.Compare(nameID(p.Name), id) })
+	compare := func(p Peer, id uint64) int { return cmp.Compare(nameID(p.Name), id) }
+	_, found := slices.BinarySearchFunc(t.fronts, id, compare)
 	return found
 }
 
--- a/fleet/config/race_test.go
+++ b/fleet/config/race_test.go
@@ -2,5 +2,6 @@
 
 package config
 
-// raced: these tests have one goroutine, and the detector makes them ten times as slow; CI plays them whole without it.
+// raced: these tests have one goroutine, and the detector makes them ten times as slow; CI plays them whole
+// without it.
 const raced = true
--- a/fleet/config/reports.go
+++ b/fleet/config/reports.go
@@ -32,17 +32,19 @@
 	refreshSpan   = 7 * Second        // after which a front says again what it has
 	SilentAfter   = 20 * Second       // without a report a front counts as silent
 	forgetReports = 30 * Second       // after which a relay forgets a front that it does not hear of
-	reportsSpent  = 300               // thousandths of the budget, then reports wait, since versions go first,
+	reportsSpent  = 300               // thousandths of the budget, then reports wait: versions go first;
 	reportsWait   = 3 * Second        // for so long at most
 	batchSpace    = 900               // bytes of reports in one message
 )
 
 func (r *reports) find(id uint64) (int, bool) {
-	return slices.BinarySearchFunc(r.entries, id, func(e reportEntry, id uint64) int { return cmp.Compare(e.id, id) })
+	compare := func(e reportEntry, id uint64) int { return cmp.Compare(e.id, id) }
+	return slices.BinarySearchFunc(r.entries, id, compare)
 }
 
-// put takes a report in, if it is newer than what is known. Danger: a relay that tells a new upstream all it knows would
-// make fronts fresh that have long gone elsewhere, and those reports would go round for ever; so a report has an age.
+// put takes a report in, if it is newer than what is known. Danger: a relay that tells a new upstream all it
+// knows would make fronts fresh that have long gone elsewhere, and those reports would go round for ever; so
+// a report has an age.
 func (r *reports) put(now Time, told report) {
 	heardAt := now - Time(told.age)*Second
 	if now-heardAt > forgetReports {
@@ -103,7 +105,8 @@
 	}
 }
 
-// take gives the reports for the message with a number. What was in an earlier one goes again with later words.
+// take gives the reports for the message with a number. What was in an earlier one goes again with later
+// words.
 func (r *reports) take(now Time, seq uint64) []report {
 	r.flushAt = 0
 	r.batch = reportBatch{seq: seq, at: now}
--- a/fleet/config/rollout.go
+++ b/fleet/config/rollout.go
@@ -42,8 +42,8 @@
 	}
 }
 
-// audience counts the fronts that a stage reaches and those of them that have it in force. One that has fallen silent
-// since it had it in force is reached and not done.
+// audience counts the fronts that a stage reaches and those of them that have it in force. One that has
+// fallen silent since it had it in force is reached and not done.
 func (d *Distributor) audience(stage *Stage) (reached, done int, refusal string) {
 	for _, f := range d.fronts(d.now) {
 		if !stage.Reaches(f.Name, f.Zone) || f.State == StateSilent && f.Received < stage.Began {
@@ -67,7 +67,8 @@
 		limit = defaultLimit
 	}
 	if d.now-d.rollout.since > limit {
-		d.propose(KindAbort, fmt.Sprintf("%d of %d fronts of the step had it in force in time", done, reached))
+		reason := fmt.Sprintf("%d of %d fronts of the step had it in force in time", done, reached)
+		d.propose(KindAbort, reason)
 	}
 }
 
@@ -76,7 +77,8 @@
 	if kind == KindAdvance {
 		prepare = d.log.prepareAdvance
 	}
-	entry, err := prepare(rolloutAuthor, reason[:min(len(reason), MaxReason)], max(d.host.UnixMilliseconds(), 0))
+	reason = reason[:min(len(reason), MaxReason)]
+	entry, err := prepare(rolloutAuthor, reason, max(d.host.UnixMilliseconds(), 0))
 	if err == nil {
 		err = d.host.Propose(entry)
 	}
--- a/fleet/config/seeds_test.go
+++ b/fleet/config/seeds_test.go
@@ -18,8 +18,8 @@
 
 func (d *drawn) below(n int) int { return int(d.source.Below(int64(n))) }
 
-// TestSeeds: no change that was accepted is lost or out of order, no refused one appears, no front goes back or acts on
-// two versions, and nothing is said to be in force everywhere that is not.
+// TestSeeds: no change that was accepted is lost or out of order, no refused one appears, no front goes back
+// or acts on two versions, and nothing is said to be in force everywhere that is not.
 func TestSeeds(t *testing.T) {
 	seeds := 150
 	if raced {
--- a/fleet/config/status.go
+++ b/fleet/config/status.go
@@ -47,9 +47,11 @@
 
 // Status tells how far the configuration has come in the fleet.
 type Status struct {
-	Newest     Version
-	Lowest     Version       // the lowest in force of all fronts that are not silent; 0: none, or one of them has none
-	Everywhere bool          // every front that is not silent has Newest in force; silent ones act on no guarded setting of an older one
+	Newest Version
+	Lowest Version // in force, of all fronts that are not silent; 0: none, or one has none
+	// Everywhere: every front that is not silent has Newest in force, and silent ones act on no guarded
+	// setting of an older one.
+	Everywhere bool
 	InForce    int           // fronts with Newest in force
 	Silent     int           // fronts not heard: cut off or gone; they may serve with an old version
 	Stage      *Stage        // the open roll-out
@@ -58,13 +60,15 @@
 	Dropped    uint64        // malformed messages
 }
 
-// guardMargin is added to GuardSpan before a silent front counts as one that acts on no guarded setting: clocks may run
-// apart by a part in ten over the span.
+// guardMargin is added to GuardSpan before a silent front counts as one that acts on no guarded setting:
+// clocks may run apart by a part in ten over the span.
 const guardMargin = GuardSpan / 10
 
-// Status tells how far the newest version has come. Complete where this machine leads, and once reports have come in.
+// Status tells how far the newest version has come. Complete where this machine leads, and once reports have
+// come in.
 func (d *Distributor) Status(now Time) Status {
-	s := Status{Newest: d.log.Newest(), Stage: d.log.Document().Stage, Age: d.proof.age(now), Dropped: d.dropped}
+	s := Status{Newest: d.log.Newest(), Stage: d.log.Document().Stage, Age: d.proof.age(now)}
+	s.Dropped = d.dropped
 	s.Fronts = d.fronts(now)
 	s.Everywhere = s.Newest != 0
 	first := true
--- a/fleet/config/transfer.go
+++ b/fleet/config/transfer.go
@@ -31,8 +31,8 @@
 	maxRecentSize = 128 << 10         // bytes of them
 )
 
-// recent are versions held before, as bytes, the newest last. An upstream that went from one version to a later one in
-// one step knows those between no more: it needs a base that both have.
+// recent are versions held before, as bytes, the newest last. An upstream that went from one version to a
+// later one in one step knows those between no more: it needs a base that both have.
 type recent struct {
 	list []recentVersion
 	size int
@@ -96,8 +96,9 @@
 	}
 }
 
-// sourceOf gives the address of a machine to pull from: an upstream with something newer, another than the one named if
-// there is another, else the one named; a control machine where no upstream has a delta from what is held.
+// sourceOf gives the address of a machine to pull from: an upstream with something newer, another than the
+// one named if there is another, else the one named; a control machine where no upstream has a delta from
+// what is held.
 func (n *node) sourceOf(not string) string {
 	found, stuck := "", false
 	for _, u := range n.upstreams {
@@ -135,8 +136,8 @@
 	n.post(t.addr, m)
 }
 
-// askSpan gives after what span chunks that did not come are asked for again. Of a large payload that is longer with each
-// try, since the sender may have spent its budget.
+// askSpan gives after what span chunks that did not come are asked for again. Of a large payload that is
+// longer with each try, since the sender may have spent its budget.
 func (t *transfer) askSpan() Time {
 	if len(t.chunks) <= smallPayload {
 		return chunkSpan
@@ -295,8 +296,8 @@
 	return nil, false
 }
 
-// finish takes the version of a whole payload over. Danger: a spoilt payload; nothing of it counts, and it is asked for
-// of another machine.
+// finish takes the version of a whole payload over. Danger: a spoilt payload; nothing of it counts, and it is
+// asked for of another machine.
 func (n *node) finish() {
 	p := n.transfer.payload
 	document, encoded := n.unpacked(p)
--- a/fleet/config/upstream.go
+++ b/fleet/config/upstream.go
@@ -33,7 +33,7 @@
 	maxUnanswered   = 3                  // heartbeats in a row, and
 	silentSpan      = 1400 * Millisecond // that no answer came for so long: then another upstream is chosen
 	slowAttempts    = 12                 // attempts after which they come once in two seconds
-	reviewSpan      = 30 * Second        // after which the first choice is tried again; as much again is drawn
+	reviewSpan      = 30 * Second        // after which the first choice is tried again, and so much is drawn
 )
 
 // choose takes another upstream, or the first choice on attempt 0.
@@ -48,7 +48,8 @@
 	}
 }
 
-// candidate gives the address for an attempt. The second upstream is another than the first where there is another.
+// candidate gives the address for an attempt. The second upstream is another than the first where there is
+// another.
 func (u *upstream) candidate(n *node) string {
 	if u.reportsTo {
 		return n.topology.first(u.attempt, &n.source)
@@ -80,8 +81,8 @@
 	u.heartbeat(n, nil)
 }
 
-// silent tells whether an upstream has to be taken for gone. Reports may go several times a second, so it takes a span
-// as well as a number.
+// silent tells whether an upstream has to be taken for gone. Reports may go several times a second, so it
+// takes a span as well as a number.
 func (u *upstream) silent(now Time) bool {
 	if !u.answered {
 		return u.unanswered > 0
@@ -89,8 +90,8 @@
 	return u.unanswered >= maxUnanswered && now-u.askedSince >= silentSpan
 }
 
-// review looks whether the first choice is another one since the list of machines has changed. The second upstream is
-// drawn anew, so that children spread over the machines that have come.
+// review looks whether the first choice is another one since the list of machines has changed. The second
+// upstream is drawn anew, so that children spread over the machines that have come.
 func (u *upstream) review(n *node) {
 	u.reviewAt = n.now + reviewSpan + n.source.Below(reviewSpan)
 	if !u.reportsTo || n.topology.first(0, &n.source) != u.addr {
@@ -117,7 +118,9 @@
 	default:
 		u.nextAt = n.now + probeSpan
 	}
-	n.post(u.addr, &message{kind: heartbeat, seq: u.seq, version: n.chain.version, first: u.reportsTo, reports: reports})
+	m := &message{kind: heartbeat, seq: u.seq, version: n.chain.version, first: u.reportsTo}
+	m.reports = reports
+	n.post(u.addr, m)
 }
 
 // flushReports sends what the upstream does not know yet.
--- a/fleet/config/wire.go
+++ b/fleet/config/wire.go
@@ -6,8 +6,8 @@
 	"google.golang.org/protobuf/encoding/protowire"
 )
 
-// All encodings are fields in the wire format of protocol buffers: a field that a program does not know is passed over,
-// so an older program reads what a newer one writes.
+// All encodings are fields in the wire format of protocol buffers: a field that a program does not know is
+// passed over, so an older program reads what a newer one writes.
 
 // field is one field as it is read. One of the two values is set.
 type field struct {
--- a/fleet/config/world_test.go
+++ b/fleet/config/world_test.go
@@ -11,8 +11,9 @@
 	"micatrack/internal/mwc"
 )
 
-// A world of fronts and control machines on one virtual clock, over links that delay, lose, double and spoil. In place
-// of consensus, which package lease has, stands a list of entries that a majority of control machines extends.
+// A world of fronts and control machines on one virtual clock, over links that delay, lose, double and spoil.
+// In place of consensus, which package lease has, stands a list of entries that a majority of control
+// machines extends.
 
 type event struct {
 	at    Time
@@ -282,7 +283,8 @@
 	}
 }
 
-// PutInForce is the rule that all tests hold: a version goes forward only, and is the very one that the log has.
+// PutInForce is the rule that all tests hold: a version goes forward only, and is the very one that the log
+// has.
 func (m *machine) PutInForce(v Version, texts []ScopeText) error {
 	w := m.w
 	if v <= m.inForce {
