--- a/cmd/micatrack/capacity.go
+++ b/cmd/micatrack/capacity.go
@@ -30,7 +30,9 @@
 func capacityCommand() *cobra.Command {
 	var o capacityOptions
 	c := &cobra.Command{Use: "capacity", Short: "Play a whole fleet on a virtual clock and print what it costs",
-		Args: unexpected, RunE: func(c *cobra.Command, _ []string) error { return o.run(c.OutOrStdout(), c.ErrOrStderr()) }}
+		Args: unexpected, RunE: func(c *cobra.Command, _ []string) error {
+			return o.run(c.OutOrStdout(), c.ErrOrStderr())
+		}}
 	flags := c.Flags()
 	flags.IntVar(&o.size.Fronts, "fronts", 100, "hollow fronts")
 	flags.IntVar(&o.size.Stores, "stores", 99, "stores, in groups of three")
@@ -45,7 +47,8 @@
 	flags.IntVar(&o.spans.Calm, "calm", 60, "seconds of calm")
 	flags.IntVar(&o.spans.Event, "event-time", 10, "seconds that the trouble lasts")
 	flags.IntVar(&o.spans.Recovery, "recovery", 20, "seconds behind it")
-	flags.StringVar(&o.slopes, "slopes", "", "vary one figure and fit slopes: fronts, stores, statements, zones or regions")
+	flags.StringVar(&o.slopes, "slopes", "",
+		"vary one figure and fit slopes: fronts, stores, statements, zones or regions")
 	flags.Float64SliceVar(&o.sizes, "sizes", nil, "sizes for --slopes, in place of its own")
 	flags.BoolVar(&o.asJSON, "json", false, "print JSON in place of a table")
 	flags.StringVar(&o.cpuProfile, "cpu-profile", "", "write a profile of processor time to this file")
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -9,7 +9,8 @@
 )
 
 // small is a fleet that plays in a second or two; what the tests hold is counted on the virtual clock alone.
-var small = Size{Fronts: 16, Stores: 24, Zones: 3, Regions: 1, Statements: 2, Watch: true, Leases: true, Seed: 1}
+var small = Size{Fronts: 16, Stores: 24, Zones: 3, Regions: 1, Statements: 2, Watch: true, Leases: true,
+	Seed: 1}
 
 var shortly = Spans{Start: 15, Calm: 30, Event: 5, Recovery: 15}
 
@@ -26,7 +27,8 @@
 	return result
 }
 
-// TestFitFindsExponents: a power law gives its exponent, noise a residual, and what cannot be fitted an error.
+// TestFitFindsExponents: a power law gives its exponent, noise a residual, and what cannot be fitted an
+// error.
 func TestFitFindsExponents(t *testing.T) {
 	sizes := []float64{100, 200, 400, 800}
 	for _, exponent := range []float64{0, 0.5, 1, 2} {
@@ -35,7 +37,8 @@
 			values = append(values, 3*math.Pow(size, exponent))
 		}
 		fit, err := FitPower(sizes, values)
-		if err != nil || math.Abs(fit.Exponent-exponent) > 1e-9 || math.Abs(fit.Factor-3) > 1e-6 || fit.Residual > 1e-9 {
+		if err != nil || math.Abs(fit.Exponent-exponent) > 1e-9 || math.Abs(fit.Factor-3) > 1e-6 ||
+			fit.Residual > 1e-9 {
 			t.Errorf("exponent %v: %+v, %v", exponent, fit, err)
 		}
 	}
@@ -71,7 +74,8 @@
 	}
 }
 
-// TestLimitsAreHeld: a figure over its limit is told, in the table and by Over; a start's first contact has no limit.
+// TestLimitsAreHeld: a figure over its limit is told, in the table and by Over; a start's first contact has
+// no limit.
 func TestLimitsAreHeld(t *testing.T) {
 	result := &Result{}
 	result.add("start.worst.sent.bytes", BytesSecond, Simulated, 100*LimitBytes)
--- a/internal/capacity/counter.go
+++ b/internal/capacity/counter.go
@@ -27,9 +27,12 @@
 type storeWorst struct{ connects, probes int }
 
 func newCounter(w *world.World) *counter {
-	c := &counter{world: w, fronts: make([]world.Traffic, len(w.Fronts)), stores: make([]storeCounts, len(w.Stores)),
-		voters: make([]world.Traffic, len(w.Voters))}
-	return c
+	return &counter{
+		world:  w,
+		fronts: make([]world.Traffic, len(w.Fronts)),
+		stores: make([]storeCounts, len(w.Stores)),
+		voters: make([]world.Traffic, len(w.Voters)),
+	}
 }
 
 // begin starts a phase.
@@ -54,6 +57,10 @@
 	return world.Flow{Messages: a.Messages - b.Messages, Bytes: a.Bytes - b.Bytes}
 }
 
+func more(a, b world.Flow) world.Flow {
+	return world.Flow{Messages: a.Messages + b.Messages, Bytes: a.Bytes + b.Bytes}
+}
+
 func larger(a, b world.Flow) world.Flow {
 	if b.Bytes > a.Bytes {
 		return b
@@ -67,8 +74,8 @@
 	for k, front := range c.world.Fronts {
 		sent := less(sum(front.Traffic.Sent), sum(c.fronts[k].Sent))
 		received := less(sum(front.Traffic.Received), sum(c.fronts[k].Received))
-		now.sent.Bytes, now.sent.Messages = now.sent.Bytes+sent.Bytes, now.sent.Messages+sent.Messages
-		now.received.Bytes, now.received.Messages = now.received.Bytes+received.Bytes, now.received.Messages+received.Messages
+		now.sent = more(now.sent, sent)
+		now.received = more(now.received, received)
 		now.oneSent, now.oneReceived = larger(now.oneSent, sent), larger(now.oneReceived, received)
 		c.fronts[k] = front.Traffic
 	}
@@ -82,7 +89,8 @@
 	}
 }
 
-// end gives a phase's figures. Those of "calm" are its mean; the worst of every phase are kept for the whole play.
+// end gives a phase's figures. Those of "calm" are its mean; the worst of every phase are kept for the whole
+// play.
 func (c *counter) end(r *Result, phase string) {
 	fronts := float64(len(c.world.Fronts))
 	c.mean(r, phase, fronts)
@@ -94,9 +102,8 @@
 func (c *counter) mean(r *Result, phase string, fronts float64) {
 	var sent, received world.Flow
 	for _, second := range c.seconds {
-		sent = world.Flow{Messages: sent.Messages + second.sent.Messages, Bytes: sent.Bytes + second.sent.Bytes}
-		received = world.Flow{Messages: received.Messages + second.received.Messages,
-			Bytes: received.Bytes + second.received.Bytes}
+		sent = more(sent, second.sent)
+		received = more(received, second.received)
 	}
 	each := fronts * float64(len(c.seconds))
 	r.add(phase+".sent.bytes", BytesSecond, Simulated, float64(sent.Bytes)/each)
@@ -110,14 +117,15 @@
 			if subject == world.Lists { // fronts only hear of it
 				told = less(c.fronts[k].Received[subject], c.begun[k].Received[subject])
 			}
-			flow = world.Flow{Messages: flow.Messages + told.Messages, Bytes: flow.Bytes + told.Bytes}
+			flow = more(flow, told)
 		}
 		r.BySubject = append(r.BySubject, BySubject{phase, subject.String(), float64(flow.Bytes) / each,
 			float64(flow.Messages) / each})
 	}
 }
 
-// worst tells the worst second and the worst ten seconds in a row of the mean front, and the worst second of any front.
+// worst tells the worst second and the worst ten seconds in a row of the mean front, and the worst second of
+// any front.
 func (c *counter) worst(r *Result, phase string, fronts float64) {
 	var sent, received, oneSent, oneReceived world.Flow
 	for _, second := range c.seconds {
--- a/internal/capacity/event_test.go
+++ b/internal/capacity/event_test.go
@@ -2,8 +2,8 @@
 
 import "testing"
 
-// TestEventsEndWhole: behind each trouble every front runs and holds every other for alive, and no store holds more
-// connections than the fronts open in calm and a few beside them.
+// TestEventsEndWhole: behind each trouble every front runs and holds every other for alive, and no store
+// holds more connections than the fronts open in calm and a few beside them.
 func TestEventsEndWhole(t *testing.T) {
 	size := small
 	size.Fronts, size.Zones, size.Regions, size.Statements = 12, 4, 2, 1
--- a/internal/capacity/fit.go
+++ b/internal/capacity/fit.go
@@ -14,7 +14,8 @@
 type Fit struct {
 	Exponent float64 `json:"exponent"`
 	Factor   float64 `json:"factor"`
-	Residual float64 `json:"residual"` // standard deviation of the logarithm round the line; of two points it is 0
+	// standard deviation of the logarithm round the line; of two points it is 0
+	Residual float64 `json:"residual"`
 }
 
 // FitPower fits one.
--- a/internal/capacity/limits.go
+++ b/internal/capacity/limits.go
@@ -49,8 +49,8 @@
 // Over tells whether a figure is beyond its limit.
 func (q Quantity) Over() bool { return q.Limit > 0 && q.Value > q.Limit }
 
-// limitOf gives the limit of a quantity, by its name without the phase; 0: there is none. A start's first snapshot is told
-// apart, so what goes out and comes in while fronts find each other has no limit.
+// limitOf gives the limit of a quantity, by its name without the phase; 0: there is none. A start's first
+// snapshot is told apart, so what goes out and comes in while fronts find each other has no limit.
 func limitOf(name string) float64 {
 	phase, rest, _ := strings.Cut(name, ".")
 	switch {
--- a/internal/capacity/play.go
+++ b/internal/capacity/play.go
@@ -72,7 +72,8 @@
 }
 
 func (r *Result) add(name string, unit Unit, source Source, value float64) {
-	r.Quantities = append(r.Quantities, Quantity{Name: name, Unit: unit, Source: source, Value: value, Limit: limitOf(name)})
+	r.Quantities = append(r.Quantities, Quantity{Name: name, Unit: unit, Source: source, Value: value,
+		Limit: limitOf(name)})
 }
 
 // run is a play under way.
@@ -192,7 +193,8 @@
 	}
 	control := each(world.Fleet) + each(world.Watch) + each(world.LeaseHolder) + each(world.List)
 	r.result.add(phase+".processor.control", MillisecondsOfOne, Measured, control)
-	for _, part := range []world.Part{world.Fleet, world.Watch, world.LeaseHolder, world.List, world.Core, world.Outside} {
+	for _, part := range []world.Part{world.Fleet, world.Watch, world.LeaseHolder, world.List, world.Core,
+		world.Outside} {
 		r.result.add(phase+".processor."+part.String(), MillisecondsOfOne, Measured, each(part))
 	}
 	if r.Size.Leases {
--- a/internal/capacity/size.go
+++ b/internal/capacity/size.go
@@ -1,7 +1,7 @@
-// Package capacity plays whole fleets of hollow fronts on one virtual clock and tells what each part costs: bytes and
-// messages of control, processor time, memory, and what stores are asked. A hollow front is the real control code
-// (membership, zones, leases, watch, list, decision module, core) without sockets. Figures are held against limits, and
-// slopes over sizes against the exponent that each mechanism promises.
+// Package capacity plays whole fleets of hollow fronts on one virtual clock and tells what each part costs:
+// bytes and messages of control, processor time, memory, and what stores are asked. A hollow front is the
+// real control code (membership, zones, leases, watch, list, decision module, core) without sockets. Figures
+// are held against limits, and slopes over sizes against the exponent that each mechanism promises.
 package capacity
 
 import (
@@ -68,11 +68,16 @@
 	if err != nil {
 		return world.Plan{}, fmt.Errorf("settings: %w", err)
 	}
-	plan := world.Plan{Charter: limits, Host: host, Fronts: s.Fronts, Groups: s.Stores / replicas, Replicas: replicas,
-		Cores: storeCores, Takes: 2 * world.Millisecond, Queue: 256, Lag: 20 * world.Millisecond, Delay: world.Millisecond,
-		ListDelay: 200 * world.Millisecond, Rate: s.Statements, Patience: world.Second, Fleet: true, Watch: s.Watch,
-		WatchWait: 15 * world.Millisecond, Period: 500 * world.Millisecond, PeerDelay: 2 * world.Millisecond,
-		PeerLoss: lossRate, Seed: s.Seed, Distance: 40 * world.Millisecond, Changes: true, Links: links}
+	plan := world.Plan{
+		Charter: limits, Host: host, Seed: s.Seed,
+		Fronts: s.Fronts, Groups: s.Stores / replicas, Replicas: replicas,
+		Cores: storeCores, Takes: 2 * world.Millisecond, Queue: 256, Lag: 20 * world.Millisecond,
+		Delay: world.Millisecond, Distance: 40 * world.Millisecond,
+		ListDelay: 200 * world.Millisecond, Changes: true,
+		Rate: s.Statements, Patience: world.Second, Links: links,
+		Fleet: true, Period: 500 * world.Millisecond, PeerDelay: 2 * world.Millisecond, PeerLoss: lossRate,
+		Watch: s.Watch, WatchWait: 15 * world.Millisecond,
+	}
 	for n := range s.Zones {
 		plan.Zones = append(plan.Zones, string(rune('a'+n)))
 		plan.Regions = append(plan.Regions, fmt.Sprint("r", n%s.Regions))
@@ -81,7 +86,12 @@
 		plan.Voters = controls
 		plan.Terms = lease.Terms{Span: leaseSpan * world.Second, Drift: leaseDrift, Margin: 10 * world.Millisecond}
 	}
-	plan.Kinds = []world.Kind{{Class: "any", Share: 8}, {Class: "near", Share: 4, Bound: 400 * world.Millisecond},
-		{Class: "mine", Fenced: true, Share: 4}, {Class: "save", Write: true}, {Class: "order", Write: true, Keyed: true}}
+	plan.Kinds = []world.Kind{
+		{Class: "any", Share: 8},
+		{Class: "near", Share: 4, Bound: 400 * world.Millisecond},
+		{Class: "mine", Fenced: true, Share: 4},
+		{Class: "save", Write: true},
+		{Class: "order", Write: true, Keyed: true},
+	}
 	return plan, nil
 }
--- a/internal/capacity/slope.go
+++ b/internal/capacity/slope.go
@@ -22,7 +22,9 @@
 		{"fronts", []float64{100, 200, 400, 800}, func(s *Size, v float64) { s.Fronts = int(v) }},
 		{"stores", []float64{99, 198, 399, 798}, func(s *Size, v float64) { s.Stores = int(v) }},
 		{"statements", []float64{10, 50, 200, 800}, func(s *Size, v float64) { s.Statements = v }},
-		{"zones", []float64{1, 2, 3, 6}, func(s *Size, v float64) { s.Zones, s.Regions = int(v), min(s.Regions, int(v)) }},
+		{"zones", []float64{1, 2, 3, 6}, func(s *Size, v float64) {
+			s.Zones, s.Regions = int(v), min(s.Regions, int(v))
+		}},
 		{"regions", []float64{1, 2}, func(s *Size, v float64) { s.Regions = int(v) }},
 	}
 }
--- a/internal/capacity/slope_test.go
+++ b/internal/capacity/slope_test.go
@@ -2,8 +2,8 @@
 
 import "testing"
 
-// TestSlopesOverFronts: over a factor of eight in fronts, with all else as it was, what grows grows no faster than its
-// mechanism promises, and small fleets keep within bounds that are counted on the virtual clock.
+// TestSlopesOverFronts: over a factor of eight in fronts, with all else as it was, what grows grows no faster
+// than its mechanism promises, and small fleets keep within bounds that are counted on the virtual clock.
 func TestSlopesOverFronts(t *testing.T) {
 	axis, err := AxisByName("fronts")
 	if err != nil {
@@ -20,9 +20,11 @@
 	}
 	for _, slope := range study.Slopes {
 		if slope.Fit != nil {
-			t.Logf("%s: %v, exponent %.2f, residual %.2f", slope.Quantity, slope.Values, slope.Fit.Exponent, slope.Fit.Residual)
+			t.Logf("%s: %v, exponent %.2f, residual %.2f", slope.Quantity, slope.Values, slope.Fit.Exponent,
+				slope.Fit.Residual)
 		}
-		if bound, ok := map[string]float64{"calm.sent.bytes": 0.35, "calm.received.bytes": 0.35, "calm.sent.messages": 0.2,
+		if bound, ok := map[string]float64{"calm.sent.bytes": 0.35, "calm.received.bytes": 0.35,
+			"calm.sent.messages":           0.2,
 			"calm.stores.connections.most": 1.1, "calm.stores.handshakes": 1.2, "calm.stores.probes": 0.75,
 			"calm.voter.received.messages": 1.1, "members.held.most": 1.01}[slope.Quantity]; ok {
 			if slope.Fit == nil || slope.Fit.Exponent > bound {
@@ -48,7 +50,8 @@
 	for _, c := range []struct {
 		quantity, axis string
 		exponent       float64
-	}{{"calm.sent.bytes", "fronts", 0}, {"calm.voter.sent.bytes", "fronts", 1}, {"calm.processor.control", "statements", 1},
+	}{{"calm.sent.bytes", "fronts", 0}, {"calm.voter.sent.bytes", "fronts", 1}, {"calm.processor.control",
+		"statements", 1},
 		{"calm.processor.control", "zones", 0}, {"calm.stores.connections.most", "fronts", 1}} {
 		if p, ok := promised(c.quantity, c.axis); !ok || p.exponent != c.exponent || p.by == "" {
 			t.Errorf("%s over %s: %+v, %v", c.quantity, c.axis, p, ok)
--- a/internal/capacity/table.go
+++ b/internal/capacity/table.go
@@ -29,8 +29,9 @@
 
 // Print writes a play's table.
 func (r *Result) Print(out io.Writer) error {
-	fmt.Fprintf(out, "%s; event %s; start %d s, calm %d s, event %d s, recovery %d s; seed %d; played in %.0f s\n", r.Size,
-		r.Event, r.Spans.Start, r.Spans.Calm, r.Spans.Event, r.Spans.Recovery, r.Size.Seed, r.Seconds)
+	const head = "%s; event %s; start %d s, calm %d s, event %d s, recovery %d s; seed %d; played in %.0f s\n"
+	fmt.Fprintf(out, head,
+		r.Size, r.Event, r.Spans.Start, r.Spans.Calm, r.Spans.Event, r.Spans.Recovery, r.Size.Seed, r.Seconds)
 	table := columns(out)
 	fmt.Fprintln(table, "quantity\tvalue\tunit\tlimit\tmargin\tsource")
 	for _, quantity := range r.Quantities {
@@ -41,14 +42,17 @@
 		if quantity.Over() {
 			margin = fmt.Sprintf("OVER, %.1f times", quantity.Value/quantity.Limit)
 		}
-		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%s\n", quantity.Name, number(quantity.Value), quantity.Unit, limit, margin,
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%s\n", quantity.Name, number(quantity.Value), quantity.Unit, limit,
+			margin,
 			quantity.Source)
 	}
 	for _, row := range r.BySubject {
-		fmt.Fprintf(table, "%s.%s\t%s\tbytes/s\t\t\t%s messages/s a front\n", row.Phase, row.Subject, number(row.Bytes),
+		fmt.Fprintf(table, "%s.%s\t%s\tbytes/s\t\t\t%s messages/s a front\n", row.Phase, row.Subject,
+			number(row.Bytes),
 			number(row.Messages))
 	}
-	fmt.Fprintf(table, "requests\t%d\tcount\t\t\t%d in time, %d late, %d refused, %d failed, %d lost\n", r.Outcome.Requests,
+	fmt.Fprintf(table, "requests\t%d\tcount\t\t\t%d in time, %d late, %d refused, %d failed, %d lost\n",
+		r.Outcome.Requests,
 		r.Outcome.InTime, r.Outcome.Late, r.Outcome.Back, r.Outcome.Off, r.Outcome.Lost)
 	return table.Flush()
 }
@@ -77,7 +81,8 @@
 		if slope.Finding() {
 			note = "FINDING, steeper than: " + slope.By
 		}
-		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%s\t%s\n", slope.Quantity, strings.Join(values, " "), slope.Unit, exponent,
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%s\t%s\n", slope.Quantity, strings.Join(values, " "), slope.Unit,
+			exponent,
 			residual, promised, note)
 	}
 	return table.Flush()
--- a/internal/world/control.go
+++ b/internal/world/control.go
@@ -24,7 +24,8 @@
 
 func newControl(w *World, n int) *Control {
 	zone := w.Zones[n%len(w.Zones)]
-	c := &Control{Node: Node{Name: fmt.Sprint("c", n), Zone: zone, Region: w.Plan.region(zone)}, w: w, id: uint64(n + 1)}
+	c := &Control{Node: Node{Name: fmt.Sprint("c", n), Zone: zone, Region: w.Plan.region(zone)}, w: w,
+		id: uint64(n + 1)}
 	c.Start()
 	return c
 }
--- a/internal/world/meter.go
+++ b/internal/world/meter.go
@@ -18,8 +18,8 @@
 	return [...]string{"world", "fleet", "watch", "leases", "voter", "list", "core"}[p]
 }
 
-// Meter adds up the time that the world's goroutine spends in each part, by a clock that is handed in. Time in a part
-// that another one calls counts for the inner one alone. The play does not depend on it.
+// Meter adds up the time that the world's goroutine spends in each part, by a clock that is handed in. Time
+// in a part that another one calls counts for the inner one alone. The play does not depend on it.
 type Meter struct {
 	Clock    func() int64 // nanoseconds
 	Overhead int64        // nanoseconds that one look at the clock takes, which count for no part
--- a/internal/world/region.go
+++ b/internal/world/region.go
@@ -66,7 +66,8 @@
 // Peer is one front as another holds it.
 type Peer struct{ Name, State string }
 
-// Forget drops what is kept of requests that are over, so that a long play does not grow. Check then tells nothing of them.
+// Forget drops what is kept of requests that are over, so that a long play does not grow. Check then tells
+// nothing of them.
 func (w *World) Forget() {
 	w.Done = nil
 	w.sent = map[string]Time{}
--- a/internal/world/region_test.go
+++ b/internal/world/region_test.go
@@ -2,15 +2,18 @@
 
 import "testing"
 
-// TestExchangesGivenUpInACut: what a front has given up while the way was cut does not arrive once the cut is over, neither
-// whole exchanges nor connections.
+// TestExchangesGivenUpInACut: what a front has given up while the way was cut does not arrive once the cut is
+// over, neither whole exchanges nor connections.
 func TestExchangesGivenUpInACut(t *testing.T) {
 	p := plan(t, 6, 2, 1, 5)
 	p.Fleet, p.Regions = true, []string{"r0", "r1", "r0"}
 	w := New(p)
 	w.Load()
 	w.Run(10 * Second)
-	heal := w.Cut(func(from, to Node) bool { return from.Region != "" && to.Region != "" && from.Region != to.Region })
+	heal := w.Cut(func(from, to Node) bool {
+		return from.Region != "" && to.Region != "" &&
+			from.Region != to.Region
+	})
 	w.Run(120 * Second)
 	exchanges := func() (received int) {
 		for _, f := range w.Fronts {
--- a/internal/world/traffic.go
+++ b/internal/world/traffic.go
@@ -30,7 +30,8 @@
 	f.Bytes += bytes
 }
 
-// Traffic is what a front's control has sent and received since the world began, over all of the front's lives.
+// Traffic is what a front's control has sent and received since the world began, over all of the front's
+// lives.
 type Traffic struct{ Sent, Received [Subjects]Flow }
 
 // subjectOf tells what a message of membership is about.
