--- a/cmd/micatrack/config.go
+++ b/cmd/micatrack/config.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	maxCommand = 256 << 10       // bytes of a command to the control address
+	maxCommand = 512 << 10       // bytes of a command to the control address
 	loopWithin = 2 * time.Second // that the loop may take to answer one
 )
 
@@ -33,11 +33,14 @@
 	target  string // address of discovery that is to be followed; empty: no other one
 }
 
-// hosted gives what a voter keeps beside its leases. Danger: a voter without it could not take the others' entries, so it is
-// there also where this front's file does not switch the configuration on; nothing is handed out then.
+// hosted gives what a voter keeps beside its leases. Danger: a voter without it could not take the others'
+// entries, so it is there also where this front's file does not switch the configuration on; nothing is
+// handed out then.
 func hosted(t *together, o *orders, addr string) *configuration.Control {
 	f := &o.operators.Fleet
-	options := configuration.ControlOptions{Fleet: f.Name, Name: o.name, Addr: addr, Seed: o.charter.Seed, On: f.Config.On}
+	options := configuration.ControlOptions{
+		Fleet: f.Name, Name: o.name, Addr: addr, Seed: o.charter.Seed, On: f.Config.On,
+	}
 	control := configuration.NewControl(options, t.peers, t.log)
 	control.ToFront(func(body []byte) {
 		if f := t.handsTo.Load(); f != nil {
@@ -125,10 +128,12 @@
 	}
 }
 
-// Discover has discovery be followed at the address that the configuration names, or else at that of the front's file.
+// Discover has discovery be followed at the address that the configuration names, or else at that of the
+// front's file.
 func (c *configured) Discover(text []byte) { c.target = discoveryOf(c.o, text) }
 
-// discoveryOf gives the address of discovery to follow: a flag's comes first, then the fleet's, then the file's.
+// discoveryOf gives the address of discovery to follow: a flag's comes first, then the fleet's, then the
+// file's.
 func discoveryOf(o *orders, text []byte) string {
 	addr, err := configuration.FleetDiscovery(text)
 	if o.pinned || len(text) == 0 || err != nil {
@@ -149,7 +154,8 @@
 	}
 }
 
-// Peers tells who is there: the voters, and the fronts that membership has alive. It tells the control part too.
+// Peers tells who is there: the voters, and the fronts that membership has alive. It tells the control part
+// too.
 func (c *configured) Peers() (there config.Peers) {
 	for _, s := range c.t.deputy.Seats() {
 		there.Controls = append(there.Controls, config.Peer{Name: s.Name, Addr: s.Addr})
@@ -172,7 +178,8 @@
 	return true
 }
 
-// fromFleet puts the version that this front had last in the place of its files' parts. What cannot be taken is left aside.
+// fromFleet puts the version that this front had last in the place of its files' parts. What cannot be taken
+// is left aside.
 func (o *orders) fromFleet() {
 	stored, err := configuration.Load(o.operators.Fleet.Config.State)
 	if err != nil {
--- a/cmd/micatrack/config_test.go
+++ b/cmd/micatrack/config_test.go
@@ -19,7 +19,8 @@
 	"micatrack/internal/rig"
 )
 
-// inForceWithin is the users' bound from the acceptance of a change to its being in force on the last live front.
+// inForceWithin is the users' bound from the acceptance of a change to its being in force on the last live
+// front.
 const inForceWithin = 6 * time.Second
 
 const (
@@ -109,8 +110,8 @@
 	return at, false
 }
 
-// everywhere waits until a version, or a newer one, is in force on these fronts, and tells when the last one had it. since is
-// a moment before it was acknowledged, from which the bound counts.
+// everywhere waits until a version, or a newer one, is in force on these fronts, and tells when the last one
+// had it. since is a moment before it was acknowledged, from which the bound counts.
 func everywhere(r *rig.Rig, version uint64, since time.Time, fronts ...*rig.Front) (last time.Duration) {
 	r.T.Helper()
 	for _, f := range fronts {
@@ -135,7 +136,8 @@
 	errs    string
 }
 
-// judge holds what writers were told against the history: what was acknowledged is there, what was refused is not.
+// judge holds what writers were told against the history: what was acknowledged is there, what was refused is
+// not.
 func judge(r *rig.Rig, list []config.Record, changes []toldChange) {
 	r.T.Helper()
 	by := map[string]config.Version{}
@@ -170,8 +172,9 @@
 	}
 }
 
-// TestConfigLeaderOfControlsFails is hard case 1: the leader of the control machines is killed, cut off, stopped and continued
-// while two writers change the configuration. What was acknowledged is never lost, what was refused never appears.
+// TestConfigLeaderOfControlsFails is hard case 1: the leader of the control machines is killed, cut off,
+// stopped and continued while two writers change the configuration. What was acknowledged is never lost, what
+// was refused never appears.
 func TestConfigLeaderOfControlsFails(t *testing.T) {
 	t.Parallel()
 	r := rig.New(t, configuredFleet(t, 5, 3))
@@ -203,7 +206,8 @@
 			time.Sleep(withoutLeader)
 			r.Start(lead)
 		case 1:
-			// Both writers still reach it, the other control machines do not: what it takes in must not count.
+			// Both writers still reach it, the other control machines do not: what it takes in must not
+			// count.
 			others := func(n rig.Node) bool { return n.Name != lead.Name && n.Name < "f3" && n.Front }
 			heal := r.Between(rig.Across(named(lead.Name), others), rig.Fault{Cut: true})
 			time.Sleep(withoutLeader)
@@ -228,8 +232,8 @@
 	t.Logf("version %d in force on all %v after it was asked for", c.version, everywhere(r, c.version, last, r.Fronts...))
 }
 
-// TestConfigFrontsComeAndGo is hard case 2: fronts are restarted and replaced all the while, one joins in the middle of a change,
-// and one takes the name of another that is gone.
+// TestConfigFrontsComeAndGo is hard case 2: fronts are restarted and replaced all the while, one joins in the
+// middle of a change, and one takes the name of another that is gone.
 func TestConfigFrontsComeAndGo(t *testing.T) {
 	t.Parallel()
 	r := rig.New(t, configuredFleet(t, 6, 3))
@@ -279,8 +283,8 @@
 	}
 }
 
-// TestConfigFaultyChangeAndTwoWriters is hard case 4: of a faulty change one line names the key and nothing is in force
-// anywhere; of two writers at once one wins.
+// TestConfigFaultyChangeAndTwoWriters is hard case 4: of a faulty change one line names the key and nothing
+// is in force anywhere; of two writers at once one wins.
 func TestConfigFaultyChangeAndTwoWriters(t *testing.T) {
 	t.Parallel()
 	r := rig.New(t, configuredFleet(t, 4, 3))
@@ -343,8 +347,8 @@
 	}
 }
 
-// TestConfigWithoutControls is hard case 5: all control machines are gone; fronts serve, restart from their disks and say how old
-// their configuration is.
+// TestConfigWithoutControls is hard case 5: all control machines are gone; fronts serve, restart from their
+// disks and say how old their configuration is.
 func TestConfigWithoutControls(t *testing.T) {
 	t.Parallel()
 	r := rig.New(t, configuredFleet(t, 5, 3))
--- a/cmd/micatrack/configcommands.go
+++ b/cmd/micatrack/configcommands.go
@@ -60,7 +60,8 @@
 	if err != nil {
 		return err
 	}
-	r, err := http.NewRequest(method, (&url.URL{Scheme: "http", Host: addr, Path: "/config"}).String(), bytes.NewReader(body))
+	target := url.URL{Scheme: "http", Host: addr, Path: "/config"}
+	r, err := http.NewRequest(method, target.String(), bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
@@ -128,12 +129,15 @@
 	}
 	c.Flags().StringVar(&n.who, "who", name, "who changes it, for the history")
 	c.Flags().StringVar(&n.why, "why", "", "why, for the history")
-	c.Flags().Uint64Var(&n.base, "base", 0, "the version that the change was made from; without it the newest one now")
+	c.Flags().Uint64Var(&n.base, "base", 0,
+		"the version that the change was made from; without it the newest one now")
 	c.Flags().DurationVar(&n.wait, "wait", 0, "wait for so long at most until it is in force everywhere")
 }
 
 // request fills in what all changes have.
-func (n *notes) request(c *cobra.Command, client *configClient, op configuration.Op) (r configuration.Request, err error) {
+func (n *notes) request(
+	c *cobra.Command, client *configClient, op configuration.Op,
+) (r configuration.Request, err error) {
 	if n.why == "" || n.who == "" {
 		return r, fmt.Errorf("give --why, and --who")
 	}
@@ -160,14 +164,17 @@
 			return nil
 		}
 	}
-	return exit{statusNotDone, fmt.Errorf("version %d is accepted, and was not in force everywhere within %v", version, n.wait)}
+	err := fmt.Errorf("version %d is accepted, and was not in force everywhere within %v", version, n.wait)
+	return exit{statusNotDone, err}
 }
 
 // configCommands ask and change the fleet's configuration.
 func configCommands() *cobra.Command {
 	client := &configClient{}
-	root := &cobra.Command{Use: "config", Short: "Ask about the fleet's configuration, or change it, by way of this machine's front"}
-	root.PersistentFlags().StringVar(&client.switches, "operators", "", "the operators' file, whose fleet.control is asked")
+	root := &cobra.Command{Use: "config",
+		Short: "Ask about the fleet's configuration, or change it, by way of this machine's front"}
+	root.PersistentFlags().StringVar(&client.switches, "operators", "",
+		"the operators' file, whose fleet.control is asked")
 	root.PersistentFlags().StringVar(&client.control, "control", "", "address to ask instead")
 	root.PersistentFlags().BoolVar(&client.asJSON, "json", false, "print JSON")
 	root.AddCommand(client.getCommand(), client.setCommand(), client.diffCommand(), client.historyCommand(),
@@ -178,7 +185,8 @@
 func (c *configClient) getCommand() *cobra.Command {
 	var version uint64
 	var here bool
-	get := &cobra.Command{Use: "get [SCOPE]", Short: "Print a version's texts, or one scope's", Args: cobra.MaximumNArgs(1)}
+	get := &cobra.Command{Use: "get [SCOPE]", Args: cobra.MaximumNArgs(1),
+		Short: "Print a version's texts, or one scope's"}
 	get.Flags().Uint64Var(&version, "version", 0, "an older version; without it the newest")
 	get.Flags().BoolVar(&here, "here", false, "what is in force on this machine's front, whoever can be reached")
 	get.RunE = func(cmd *cobra.Command, args []string) error {
@@ -242,8 +250,10 @@
 	set.Flags().Uint32Var(&program, "program", 0, "the oldest program that can take it")
 	set.Flags().StringVar(&front, "first-front", "", "roll-out in steps: this front first")
 	set.Flags().StringVar(&zone, "then-zone", "", "roll-out in steps: then this zone, then all")
-	set.Flags().DurationVar(&soak, "soak", 10*time.Second, "roll-out: for which a step has to stand before the next")
-	set.Flags().DurationVar(&limit, "limit", time.Minute, "roll-out: after which a step that is not done ends it")
+	set.Flags().DurationVar(&soak, "soak", 10*time.Second,
+		"roll-out: for which a step has to stand before the next")
+	set.Flags().DurationVar(&limit, "limit", time.Minute,
+		"roll-out: after which a step that is not done ends it")
 	set.RunE = func(cmd *cobra.Command, args []string) error {
 		if (len(args) == 2) == remove {
 			return fmt.Errorf("give a file, or --remove")
@@ -258,7 +268,9 @@
 		}
 		r.Scope, r.Text, r.Program = args[0], text, program
 		if front != "" || zone != "" {
-			r.Rollout = &configuration.Rollout{Front: front, Zone: zone, SoakMS: soak.Milliseconds(), LimitMS: limit.Milliseconds()}
+			r.Rollout = &configuration.Rollout{
+				Front: front, Zone: zone, SoakMS: soak.Milliseconds(), LimitMS: limit.Milliseconds(),
+			}
 		}
 		a, err := c.ask(r)
 		if err != nil {
@@ -293,7 +305,8 @@
 
 func (c *configClient) rollbackCommand() *cobra.Command {
 	var n notes
-	back := &cobra.Command{Use: "rollback VERSION", Short: "Make a new version with the texts of an older one", Args: cobra.ExactArgs(1)}
+	back := &cobra.Command{Use: "rollback VERSION", Args: cobra.ExactArgs(1),
+		Short: "Make a new version with the texts of an older one"}
 	n.flags(back)
 	back.RunE = func(cmd *cobra.Command, args []string) error {
 		to, err := strconv.ParseUint(args[0], 10, 64)
@@ -315,7 +328,8 @@
 }
 
 func (c *configClient) historyCommand() *cobra.Command {
-	return &cobra.Command{Use: "history", Short: "List the versions: who made each, when and why", Args: unexpected,
+	return &cobra.Command{Use: "history", Args: unexpected,
+		Short: "List the versions: who made each, when and why",
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			a, err := c.ask(configuration.Request{Op: configuration.OpHistory})
 			if err != nil {
@@ -334,7 +348,8 @@
 				case config.KindRollback:
 					what += fmt.Sprint(" to ", r.To)
 				}
-				fmt.Fprintf(w, "%d\t%s\t%q\t%s\t%q\n", r.Version, what, r.Author, time.UnixMilli(r.At).UTC().Format(time.RFC3339), r.Reason)
+				when := time.UnixMilli(r.At).UTC().Format(time.RFC3339)
+				fmt.Fprintf(w, "%d\t%s\t%q\t%s\t%q\n", r.Version, what, r.Author, when, r.Reason)
 			}
 			return w.Flush()
 		}}
@@ -366,8 +381,8 @@
 
 func (c *configClient) statusCommand() *cobra.Command {
 	var alone bool
-	status := &cobra.Command{Use: "status", Short: "Show what is in force here, and how far the newest version has come in the fleet",
-		Args: unexpected}
+	status := &cobra.Command{Use: "status", Args: unexpected,
+		Short: "Show what is in force here, and how far the newest version has come in the fleet"}
 	status.Flags().BoolVar(&alone, "here", false, "only what is in force here; no control machine is asked")
 	status.RunE = func(cmd *cobra.Command, _ []string) error {
 		var here configuration.View
@@ -413,7 +428,8 @@
 	case v.Fresh:
 		return "the newest"
 	case v.AgeMS < 0:
-		return fmt.Sprintf("put in force %v ago and not heard to be the newest since", time.Duration(v.ForMS)*time.Millisecond)
+		ago := time.Duration(v.ForMS) * time.Millisecond
+		return fmt.Sprintf("put in force %v ago and not heard to be the newest since", ago)
 	}
 	return fmt.Sprintf("last heard to be the newest %v ago", time.Duration(v.AgeMS)*time.Millisecond)
 }
@@ -424,8 +440,9 @@
 	if s == nil {
 		return nil
 	}
-	fmt.Fprintf(out, "fleet: newest version %d, lowest in force %d, in force everywhere: %v; %d fronts have it, %d are silent\n",
-		s.Newest, s.Lowest, s.Everywhere, s.InForce, s.Silent)
+	fmt.Fprintf(out, "fleet: newest version %d, lowest in force %d, in force everywhere: %v; ",
+		s.Newest, s.Lowest, s.Everywhere)
+	fmt.Fprintf(out, "%d fronts have it, %d are silent\n", s.InForce, s.Silent)
 	if a.Stage != nil {
 		fmt.Fprintf(out, "roll-out of %s since version %d, now at %s\n", a.Stage.Scope, a.Stage.Began, a.Stage.Step)
 	}
@@ -436,7 +453,8 @@
 		if f.Silent >= 0 {
 			heard = fmt.Sprint((time.Duration(f.Silent) * tick).Round(time.Millisecond), " ago")
 		}
-		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%s\t%s\n", f.Name, f.Zone, f.State, f.InForce, f.Received, heard, f.Reason)
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%s\t%s\n",
+			f.Name, f.Zone, f.State, f.InForce, f.Received, heard, f.Reason)
 	}
 	return w.Flush()
 }
--- a/cmd/micatrack/configdiff.go
+++ b/cmd/micatrack/configdiff.go
@@ -11,7 +11,8 @@
 	"micatrack/internal/configuration"
 )
 
-const maxCompared = 4 << 20 // lines of one text times lines of the other; above it the whole text is shown as changed
+// maxCompared bounds the lines of one text times those of the other; above it the whole text is shown as changed.
+const maxCompared = 4 << 20
 
 // printDiff prints which lines differ, scope by scope.
 func printDiff(out io.Writer, old, new []configuration.Text) {
@@ -65,7 +66,8 @@
 	return changed
 }
 
-// commonLengths gives how many lines the rests of two texts have in common, from each pair of lines on; nil: too many.
+// commonLengths gives how many lines the rests of two texts have in common, from each pair of lines on; nil:
+// too many.
 func commonLengths(old, new []string) [][]int32 {
 	if len(old)*len(new) > maxCompared {
 		return nil
--- a/fleet/lease/machine.go
+++ b/fleet/lease/machine.go
@@ -8,8 +8,9 @@
 	pb "go.etcd.io/raft/v3/raftpb"
 )
 
-// StateMachine is a second state machine in the voters' replicated log, beside the book of leases. It is applied to by the
-// voter's goroutine alone. Its entries are told apart from those of leases, which begin with 1.
+// StateMachine is a second state machine in the voters' replicated log, beside the book of leases. It is
+// applied to by the voter's goroutine alone. Its entries are told apart from those of leases, which begin
+// with 1.
 type StateMachine interface {
 	Owns(entry []byte) bool        // whether an entry is one of this machine's
 	MaxEntry() int                 // bytes of one entry
@@ -23,7 +24,8 @@
 var (
 	ErrNotLeader = errors.New("this voter does not lead")
 	ErrBusy      = errors.New("too many proposals are open")
-	// ErrOutcomeUnknown: the lead was lost while the entry was on its way. It may be committed later, or never.
+	// ErrOutcomeUnknown: the lead was lost while the entry was on its way. It may be committed later, or
+	// never.
 	ErrOutcomeUnknown = errors.New("the lead was lost before the entry was committed")
 	errNoMachine      = errors.New("a snapshot with a state that this voter does not host")
 )
@@ -43,8 +45,9 @@
 	done  func(err error)
 }
 
-// Propose proposes an entry of the second state machine. done is called by the voter's goroutine, once: with what Apply
-// gave, once the entry is committed, or with ErrOutcomeUnknown; it must not call the voter. An error returned: nothing was proposed.
+// Propose proposes an entry of the second state machine. done is called by the voter's goroutine, once: with
+// what Apply gave, once the entry is committed, or with ErrOutcomeUnknown; it must not call the voter. An
+// error returned: nothing was proposed.
 func (v *Voter) Propose(now Time, entry []byte, done func(err error)) error {
 	defer v.recoverCore()
 	v.now = now
@@ -70,8 +73,8 @@
 // Ready tells whether this voter leads and has applied all that was committed before it did.
 func (v *Voter) Ready() bool { return v.leads && v.readyAt != 0 }
 
-// Confirm has done called once a quorum has confirmed, after now, that this voter leads, and all that was committed before
-// is applied. It is not called where the lead is lost meanwhile.
+// Confirm has done called once a quorum has confirmed, after now, that this voter leads, and all that was
+// committed before is applied. It is not called where the lead is lost meanwhile.
 func (v *Voter) Confirm(now Time, done func()) {
 	defer v.recoverCore()
 	v.now = now
@@ -86,7 +89,8 @@
 func (v *Voter) applyToMachine(e *pb.Entry) {
 	v.machineBytes += len(e.Data)
 	err := v.machine.Apply(e.Data)
-	for len(v.proposals) > 0 && v.proposals[0].term < e.GetTerm() { // the lead was lost and won again in one step
+	// The lead may have been lost and won again in one step.
+	for len(v.proposals) > 0 && v.proposals[0].term < e.GetTerm() {
 		p := v.proposals[0]
 		v.proposals = v.proposals[1:]
 		p.done(ErrOutcomeUnknown)
@@ -124,8 +128,8 @@
 	return maxLeaseEntry
 }
 
-// snapshotData gives the state of both machines. Without a state of the second one it is the book's alone, as it was before
-// there was a second one.
+// snapshotData gives the state of both machines. Without a state of the second one it is the book's alone, as
+// it was before there was a second one.
 func (v *Voter) snapshotData() []byte {
 	book := v.book.snapshot()
 	if v.machine == nil {
@@ -175,8 +179,8 @@
 	return book, state, v.machine.Check(state)
 }
 
-// restore replaces both machines' states by those of a snapshot. Danger: a voter with one machine's state from before the
-// snapshot and the other's from after; so both are read before either is replaced.
+// restore replaces both machines' states by those of a snapshot. Danger: a voter with one machine's state
+// from before the snapshot and the other's from after; so both are read before either is replaced.
 func (v *Voter) restore(data []byte) error {
 	book, state, err := v.checkSnapshot(data)
 	if err != nil {
--- a/fleet/lease/machine_test.go
+++ b/fleet/lease/machine_test.go
@@ -7,7 +7,8 @@
 	"testing"
 )
 
-// entryList is a second state machine: the entries that it was given, one after the other. One entry comes in once.
+// entryList is a second state machine: the entries that it was given, one after the other. One entry comes in
+// once.
 type entryList struct{ state []byte }
 
 const listMark = 0xEE
@@ -83,8 +84,8 @@
 	return told
 }
 
-// TestSecondMachine: entries come to all voters in one order beside leases, outlive restarts and snapshots, and a voter
-// that was away gets a snapshot of both machines.
+// TestSecondMachine: entries come to all voters in one order beside leases, outlive restarts and snapshots,
+// and a voter that was away gets a snapshot of both machines.
 func TestSecondMachine(t *testing.T) {
 	w := hosting(t)
 	w.askers[0].h.Want(w.askers[0].clock(), "l")
@@ -130,7 +131,8 @@
 	}
 }
 
-// TestProposalOutcome: a leader that is cut off tells its proposer that it does not know, and never that it was refused.
+// TestProposalOutcome: a leader that is cut off tells its proposer that it does not know, and never that it
+// was refused.
 func TestProposalOutcome(t *testing.T) {
 	w := hosting(t)
 	lead := w.leader()
@@ -167,8 +169,8 @@
 	}
 }
 
-// TestSnapshotForms: without a state of the second machine a snapshot is as it was before there was one; a spoilt one, or
-// one of a machine that is not there, is refused as a whole.
+// TestSnapshotForms: without a state of the second machine a snapshot is as it was before there was one; a
+// spoilt one, or one of a machine that is not there, is refused as a whole.
 func TestSnapshotForms(t *testing.T) {
 	w := hosting(t)
 	lead := w.leader()
--- a/internal/configuration/check.go
+++ b/internal/configuration/check.go
@@ -1,9 +1,9 @@
-// Package configuration carries what fleet/config decides for one machine: messages go by internal/peers, entries into the
-// voters' log by internal/leases, the version in force to the front's disk. It checks texts by the code that checks files,
-// and decides nothing else.
+// Package configuration carries what fleet/config decides for one machine: messages go by internal/peers,
+// entries into the voters' log by internal/leases, the version in force to the front's disk. It checks texts
+// by the code that checks files, and decides nothing else.
 //
-// Front is the loop's part on every front. Control is the voter's part on the control machines and lives in the voter's
-// goroutine. Service answers the commands, in goroutines of its own.
+// Front is the loop's part on every front. Control is the voter's part on the control machines and lives in
+// the voter's goroutine. Service answers the commands, in goroutines of its own.
 package configuration
 
 import (
@@ -28,8 +28,8 @@
 // Program is this program's number, which a change may ask for.
 const Program = 1
 
-// shared are the parts of the operators' file that all fronts may have from the fleet's configuration. The others name
-// addresses and files of one machine.
+// shared are the parts of the operators' file that all fronts may have from the fleet's configuration. The
+// others name addresses and files of one machine.
 var shared = []string{"$schema", "door"}
 
 // Check tells what is wrong with a scope's text, by the code that checks files.
--- a/internal/configuration/configuration_test.go
+++ b/internal/configuration/configuration_test.go
@@ -25,7 +25,8 @@
 	return a.ProvenAt == b.ProvenAt && a.ForceAt == b.ForceAt && a.Version == b.Version && bytes.Equal(a.Kept, b.Kept) && bytes.Equal(x, y)
 }
 
-// TestDiskWholeOrNot: a file is read as it was written, or not at all: cut at each byte, with any bit flipped, missing.
+// TestDiskWholeOrNot: a file is read as it was written, or not at all: cut at each byte, with any bit
+// flipped, missing.
 func TestDiskWholeOrNot(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "configuration")
 	if s, err := Load(path); err != nil || s.Version != 0 {
@@ -97,8 +98,8 @@
 	}
 }
 
-// TestOutcomes: what control machines say in a row, and what the command may say then. After a try whose answer was lost,
-// nothing may be called refused but what can no more be committed.
+// TestOutcomes: what control machines say in a row, and what the command may say then. After a try whose
+// answer was lost, nothing may be called refused but what can no more be committed.
 func TestOutcomes(t *testing.T) {
 	down, lost := peers.ErrUnreachable, peers.ErrNoAnswer
 	faulty, conflict := Answer{Outcome: Refused, Error: "faulty"}, Answer{Outcome: Refused, Lost: true}
--- a/internal/configuration/control.go
+++ b/internal/configuration/control.go
@@ -3,7 +3,6 @@
 import (
 	"log/slog"
 	"math"
-	"slices"
 	"strings"
 	"time"
 
@@ -32,8 +31,8 @@
 	On          bool // versions are served; without it they are only kept, as the log tells them
 }
 
-// Control is the control machine's part: the second state machine in the voters' log, and what hands its versions out. It
-// is the voter's goroutine's.
+// Control is the control machine's part: the second state machine in the voters' log, and what hands its
+// versions out. It is the voter's goroutine's.
 type Control struct {
 	options     ControlOptions
 	log         *slog.Logger
@@ -83,7 +82,9 @@
 func (c *Control) Started(now Time, v *lease.Voter) {
 	c.now, c.voter = now, v
 	if c.options.On {
-		options := config.DistributorOptions{Fleet: c.options.Fleet, Name: controlName + c.options.Name, Seed: c.options.Seed}
+		options := config.DistributorOptions{
+			Fleet: c.options.Fleet, Name: controlName + c.options.Name, Seed: c.options.Seed,
+		}
 		c.distributor = config.NewDistributor(now, options, c.state, c)
 	}
 }
@@ -140,7 +141,8 @@
 	}
 }
 
-// Beat does what is due, after each step of the voter. leader is where the voter that leads is reached, if that is known.
+// Beat does what is due, after each step of the voter. leader is where the voter that leads is reached, if
+// that is known.
 func (c *Control) Beat(now Time, leader string) {
 	if c.now = now; c.distributor == nil {
 		return
@@ -170,14 +172,16 @@
 }
 
 // committed tells whether the version that follows a base is this very request's.
-// Danger: a request that is asked again, since its answer was lost, would be told that another's change was first.
+// Danger: a request that is asked again, since its answer was lost, would be told that another's change was
+// first.
 func (c *Control) committed(r *Request) bool {
 	for _, record := range c.state.History() {
 		if record.Version != config.Version(r.Base)+1 {
 			continue
 		}
 		mine := record.Author == r.Author && record.Reason == r.Reason && record.At == r.At && r.At > 0
-		return mine && c.says(record.Version, r) && record.Kind.String() == r.kind() && string(record.Scope) == r.Scope && uint64(record.To) == r.To
+		alike := record.Kind.String() == r.kind() && string(record.Scope) == r.Scope && uint64(record.To) == r.To
+		return mine && alike && c.says(record.Version, r)
 	}
 	return false
 }
@@ -284,6 +288,11 @@
 	if s == nil {
 		return nil
 	}
-	step := map[config.Step]string{config.StepFront: "front " + s.Plan.Front, config.StepZone: "zone " + s.Plan.Zone}[s.Step]
-	return &Rollout{Scope: string(s.Change.Scope), Text: string(slices.Clone(s.Change.Text)), Began: uint64(s.Began), Step: step}
+	step := "front " + s.Plan.Front
+	if s.Step == config.StepZone {
+		step = "zone " + s.Plan.Zone
+	}
+	return &Rollout{
+		Scope: string(s.Change.Scope), Text: string(s.Change.Text), Began: uint64(s.Began), Step: step,
+	}
 }
--- a/internal/configuration/disk.go
+++ b/internal/configuration/disk.go
@@ -12,8 +12,9 @@
 	"micatrack/fleet/config"
 )
 
-// The file of the version in force: a mark, a checksum over what follows, the moments at which the version was last
-// known to be the fleet's newest and was put in force, what fleet/config keeps, and the texts that count for this front.
+// The file of the version in force: a mark, a checksum over what follows, the moments at which the version
+// was last known to be the fleet's newest and was put in force, what fleet/config keeps, and the texts that
+// count for this front.
 const (
 	fileMark = "micatrack configuration 1\n"
 	headSize = len(fileMark) + 4 + 8 + 8 + 4 // mark, checksum, two moments, length of what fleet/config keeps
@@ -129,7 +130,8 @@
 	return dir.Sync()
 }
 
-// writer writes versions in a goroutine of its own, the newest only. Danger: the loop would wait for a disk that stands still.
+// writer writes versions in a goroutine of its own, the newest only. Danger: the loop would wait for a disk
+// that stands still.
 type writer struct {
 	path string
 	next chan *Stored
--- a/internal/configuration/front.go
+++ b/internal/configuration/front.go
@@ -16,7 +16,7 @@
 
 const (
 	controlPrefix = "control/"        // before the address of a control machine's part, as fleet/config knows it
-	controlName   = "c/"              // before the name of a control machine's part: the front on the same machine has that name
+	controlName   = "c/"              // before its name, which the front on that machine has too
 	lookAtPeers   = config.Second     // between two looks at who is there
 	provenRefresh = time.Minute       // after which the file says again that its version is the newest
 	closeWithin   = time.Second       // that an end waits for the disk
@@ -72,15 +72,18 @@
 
 // NewFront starts a front's part.
 func NewFront(o Options, now func() Time, p *peers.Peers, h Host, wake func(), log *slog.Logger) *Front {
-	f := &Front{options: o, host: h, now: now, peers: p, log: log, wake: wake, handed: make(chan handed, maxWaiting)}
+	f := &Front{
+		options: o, host: h, now: now, peers: p, log: log, wake: wake, handed: make(chan handed, maxWaiting),
+	}
 	f.started, f.forceAt = o.Stored.Texts, o.Stored.ForceAt
 	f.provenAt, f.writtenAt = o.Stored.ProvenAt, o.Stored.ProvenAt
 	f.texts = f.started
 	if o.Path != "" {
 		f.writer = newWriter(o.Path, func(err error) { log.Error("configuration not kept", "error", err.Error()) })
 	}
-	f.agent = config.NewAgent(now(), config.AgentOptions{Fleet: o.Fleet, Name: o.Name, Zone: o.Zone, Life: o.Life,
-		Program: Program, Seed: o.Seed, Kept: o.Stored.Kept}, f)
+	f.agent = config.NewAgent(now(), config.AgentOptions{
+		Fleet: o.Fleet, Name: o.Name, Zone: o.Zone, Life: o.Life, Program: Program, Seed: o.Seed, Kept: o.Stored.Kept,
+	}, f)
 	if version := f.agent.InForce(); version != 0 {
 		log.Info("configuration from disk", "version", version, "age_ms", f.View().AgeMS)
 	}
@@ -149,7 +152,9 @@
 		return
 	}
 	f.writtenAt = f.provenAt
-	f.writer.put(&Stored{ProvenAt: f.provenAt, ForceAt: f.forceAt, Version: f.agent.InForce(), Texts: f.texts, Kept: f.kept})
+	f.writer.put(&Stored{
+		ProvenAt: f.provenAt, ForceAt: f.forceAt, Version: f.agent.InForce(), Texts: f.texts, Kept: f.kept,
+	})
 }
 
 // Log tells what the agent has to say.
@@ -164,8 +169,8 @@
 	f.takeFrom(f.now(), from, bytes.Clone(m.Body))
 }
 
-// takeFrom hands a message to the agent. Danger: what an agent has to do next is told from the moment at which it was called
-// last, so where messages come all the while its own matters would never be due.
+// takeFrom hands a message to the agent. Danger: what an agent has to do next is told from the moment at
+// which it was called last, so where messages come all the while its own matters would never be due.
 func (f *Front) takeFrom(now Time, from string, body []byte) {
 	f.agent.Take(now, from, body)
 	f.due = min(f.due, f.agent.Next())
@@ -251,7 +256,7 @@
 	Received uint64   `json:"received"` // newer where that one is held or refused
 	State    string   `json:"state"`
 	Reason   string   `json:"reason,omitempty"`
-	AgeMS    int64    `json:"age_ms"`          // since it was last known to be the fleet's newest, by this start or the one before; -1: never
+	AgeMS    int64    `json:"age_ms"`          // since it was known to be the fleet's newest; -1: never
 	ForMS    int64    `json:"for_ms"`          // since it was put in force here, also by the start before
 	Fresh    bool     `json:"fresh"`           // that is so at the moment
 	Waits    []string `json:"waits,omitempty"` // scopes that wait for the next start
@@ -282,8 +287,10 @@
 // View tells what is in force here.
 func (f *Front) View() View {
 	s := f.agent.Status(f.now())
-	v := View{Front: f.options.Name, Version: uint64(s.InForce), Received: uint64(s.Received), State: s.State.String(),
-		Reason: s.Reason, AgeMS: neverProven, Waits: f.waits(), Texts: shown(f.texts)}
+	v := View{
+		Front: f.options.Name, Version: uint64(s.InForce), Received: uint64(s.Received), State: s.State.String(),
+		Reason: s.Reason, AgeMS: neverProven, Waits: f.waits(), Texts: shown(f.texts),
+	}
 	if s.InForce != 0 {
 		v.ForMS = max(time.Now().UnixMilli()-f.forceAt, 0)
 	}
--- a/internal/configuration/request.go
+++ b/internal/configuration/request.go
@@ -64,7 +64,7 @@
 	Error   string          `json:"error,omitempty"`  // one line
 	Leader  string          `json:"leader,omitempty"` // where the leader is reached, if that is known
 	Version uint64          `json:"version,omitempty"`
-	Lost    bool            `json:"lost,omitempty"` // refused, since another change was first: an earlier try is refused with it
+	Lost    bool            `json:"lost,omitempty"` // another change was first: earlier tries are refused too
 	Texts   []Text          `json:"texts,omitempty"`
 	Stage   *Rollout        `json:"rollout,omitempty"`
 	History []config.Record `json:"history,omitempty"`
@@ -86,14 +86,24 @@
 
 // change gives the change of a set.
 func (r *Request) change() config.Change {
-	c := config.Change{Base: config.Version(r.Base), Scope: config.Scope(r.Scope), Text: []byte(r.Text), Author: r.Author,
-		Reason: r.Reason, At: r.At, Program: r.Program}
+	c := config.Change{
+		Base: config.Version(r.Base), Scope: config.Scope(r.Scope), Text: []byte(r.Text), Program: r.Program,
+		Author: r.Author, Reason: r.Reason, At: r.At,
+	}
 	if o := r.Rollout; o != nil {
-		c.Plan = &config.Plan{Front: o.Front, Zone: o.Zone, Soak: o.SoakMS * config.Millisecond, Limit: o.LimitMS * config.Millisecond}
+		c.Plan = &config.Plan{Front: o.Front, Zone: o.Zone}
+		c.Plan.Soak, c.Plan.Limit = span(o.SoakMS), span(o.LimitMS)
 	}
 	return c
 }
 
+// span gives milliseconds as a span. Danger: a number that overflows would come out as a sound one.
+func span(milliseconds int64) Time {
+	return min(max(milliseconds, -1), maxSpanMS) * config.Millisecond
+}
+
+const maxSpanMS = 1 << 40
+
 // rollback gives the change of a rollback.
 func (r *Request) rollback() config.Rollback {
 	return config.Rollback{
@@ -111,7 +121,8 @@
 	return nil
 }
 
-// ReadRequest reads a request. Danger: what comes from the network is bounded before anything is done with it.
+// ReadRequest reads a request. Danger: what comes from the network is bounded before anything is done with
+// it.
 func ReadRequest(text []byte) (r Request, err error) {
 	if err := json.Unmarshal(text, &r); err != nil {
 		return r, err
@@ -119,10 +130,13 @@
 	switch {
 	case len(r.Text) > config.MaxTexts:
 		err = fmt.Errorf("%w: a text of %d bytes, at most %d", config.ErrTooLarge, len(r.Text), config.MaxTexts)
-	case r.At < 0 || len(r.Scope) > config.MaxScopeName || len(r.Author) > config.MaxAuthor || len(r.Reason) > config.MaxReason:
-		err = fmt.Errorf("%w: a scope's name, an author or a reason", config.ErrTooLarge)
+	case r.At < 0 || len(r.Scope) > config.MaxScopeName:
+		err = fmt.Errorf("%w: a scope's name of over %d bytes, or no time", config.ErrTooLarge, config.MaxScopeName)
+	case len(r.Author) > config.MaxAuthor || len(r.Reason) > config.MaxReason:
+		err = fmt.Errorf("%w: who at most %d bytes, why %d", config.ErrTooLarge, config.MaxAuthor, config.MaxReason)
 	}
-	if o := r.Rollout; err == nil && o != nil && (len(o.Front) > config.MaxName || len(o.Zone) > config.MaxName) {
+	o := r.Rollout
+	if err == nil && o != nil && (len(o.Front) > config.MaxName || len(o.Zone) > config.MaxName) {
 		err = fmt.Errorf("%w: a name of a roll-out's front or zone", config.ErrTooLarge)
 	}
 	return r, err
--- a/internal/configuration/service.go
+++ b/internal/configuration/service.go
@@ -10,16 +10,17 @@
 )
 
 const (
-	changeWithin = 4 * time.Second        // that a change takes at most, an election of the control machines included
-	readWithin   = 2 * time.Second        // and a question
-	askAgain     = 100 * time.Millisecond // between two rounds
-	knownFirst   = "the control machines did not answer in time; it may come into force: see 'micatrack config history'"
-	nobodyThere  = "no control machine leads, or none can be reached; nothing was changed"
+	changeWithin   = 4 * time.Second        // that a change takes at most, an election included
+	readWithin     = 2 * time.Second        // and a question
+	askAgain       = 100 * time.Millisecond // between two rounds
+	outcomeUnknown = "no control machine answered in time; it may come into force: see 'micatrack config history'"
+	nobodyThere    = "no control machine leads, or none can be reached; nothing was changed"
 )
 
 // Service asks the control machines for one front's commands. Any goroutine may use it, but not the loop.
 type Service struct {
-	Ask func(addr string, request []byte) ([]byte, error) // of one control machine; peers.ErrUnreachable: nothing was sent
+	// Ask asks one control machine; peers.ErrUnreachable: nothing was sent.
+	Ask func(addr string, request []byte) ([]byte, error)
 }
 
 // attempt is how far a command has come.
@@ -54,7 +55,7 @@
 		}
 	}
 	if a.uncertain {
-		return Answer{Outcome: Unknown, Error: knownFirst}
+		return Answer{Outcome: Unknown, Error: outcomeUnknown}
 	}
 	return Answer{Outcome: Elsewhere, Error: nobodyThere}
 }
@@ -76,7 +77,8 @@
 	case Done:
 		a.answer, a.over = answer, true
 	case Refused:
-		// Danger: a try whose answer was lost may be committed, so what refuses this one must refuse that one as well.
+		// Danger: a try whose answer was lost may be committed, so what refuses this one must refuse that one
+		// as well.
 		a.answer, a.over = answer, !a.uncertain || answer.Lost
 	case Unknown:
 		a.uncertain = a.uncertain || r.changes()
--- a/internal/peers/config.go
+++ b/internal/peers/config.go
@@ -10,8 +10,8 @@
 	"micatrack/fleet/config"
 )
 
-// Messages of the configuration (fleet/config). Fronts and control machines share a port, so each message tells for which
-// part of a machine it is, and from which part of which machine.
+// Messages of the configuration (fleet/config). Fronts and control machines share a port, so each message
+// tells for which part of a machine it is, and from which part of which machine.
 
 const (
 	kindConfig  = 10
@@ -20,7 +20,7 @@
 	fieldConfig  = 13
 	fieldRequest = 14
 
-	maxRequest = 256 << 10 // bytes of a request to a control machine, and of its answer: a whole configuration and more
+	maxRequest = 1 << 20 // bytes of a request to a control machine, and of its answer
 )
 
 // Config is one message of the configuration.
@@ -77,7 +77,10 @@
 		return m, err
 	}
 	at, err := netip.ParseAddrPort(m.Addr)
-	if err != nil || !near(at.Addr()) || len(m.Addr) > mostText || len(m.Body) == 0 || len(m.Body) > config.MaxMessage {
+	if err != nil || !near(at.Addr()) || len(m.Addr) > mostText {
+		return m, errShape
+	}
+	if len(m.Body) == 0 || len(m.Body) > config.MaxMessage {
 		return m, errShape
 	}
 	return m, nil
@@ -90,8 +93,9 @@
 	return appendNumber(dst, 3, kind)
 }
 
-// OnConfig has messages of the configuration handed on from now on: those for the front to the loop, by Take; those for a
-// control machine to several goroutines, which must not block and keep nothing. nil: they are dropped.
+// OnConfig has messages of the configuration handed on from now on: those for the front to the loop, by Take;
+// those for a control machine to several goroutines, which must not block and keep nothing. nil: they are
+// dropped.
 func (p *Peers) OnConfig(front, control func(m Config)) {
 	p.onConfig = front
 	if control != nil {
@@ -100,13 +104,15 @@
 	p.configured.Store(true)
 }
 
-// OnRequest has requests to this control machine handed to answer, by several goroutines. It has answerWithin.
+// OnRequest has requests to this control machine handed to answer, by several goroutines. It has
+// answerWithin.
 func (p *Peers) OnRequest(answer func(body []byte) []byte) { p.requested.Store(&answer) }
 
 // AnswerWithin is for how long a request may be worked on.
 const AnswerWithin = patience - 500*time.Millisecond
 
-// Config sends a message of the configuration: a datagram, or a connection where the names of its frame make it longer.
+// Config sends a message of the configuration: a datagram, or a connection where the names of its frame make
+// it longer.
 func (p *Peers) Config(addr string, m *Config) {
 	b := AppendConfig(p.buffer(), p.fleet, m)
 	if len(b) <= datagram {
@@ -165,7 +171,8 @@
 	return appendText(appendHead(make([]byte, 4), p.fleet, kindRequest), fieldRequest, (*work)(body)), true
 }
 
-// Request asks a control machine and waits for its answer; it is not the loop's to call. ErrUnreachable: nothing was sent.
+// Request asks a control machine and waits for its answer; it is not the loop's to call. ErrUnreachable:
+// nothing was sent.
 func (p *Peers) Request(addr string, body []byte) ([]byte, error) {
 	to, err := netip.ParseAddrPort(addr)
 	if err != nil || !near(to.Addr()) {
--- a/internal/peers/config_test.go
+++ b/internal/peers/config_test.go
@@ -48,8 +48,8 @@
 	}
 }
 
-// TestConfigBetweenTwo: messages reach the part that they are for, also where a long name of the fleet takes them off
-// datagrams; requests are answered; without the configuration switched on nothing of it is taken.
+// TestConfigBetweenTwo: messages reach the part that they are for, also where a long name of the fleet takes
+// them off datagrams; requests are answered; without the configuration switched on nothing of it is taken.
 func TestConfigBetweenTwo(t *testing.T) {
 	fleet := strings.Repeat("n", 64)
 	open := func() *Peers {
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -88,8 +88,9 @@
 }
 
 const (
-	mostLog = 20_000
-	outer   = 30 * time.Second // of every wait
+	mostLog    = 20_000
+	mostReport = 60               // lines of a report of a race or a panic
+	outer      = 30 * time.Second // of every wait
 )
 
 // New makes the stores, relays and files. Fronts are started by Start.
@@ -290,7 +291,7 @@
 	f.mu.Unlock()
 	r.T.Cleanup(func() { cmd.Process.Signal(syscall.SIGCONT); cmd.Process.Kill(); <-done })
 	go func() {
-		told := false
+		told, report := false, 0
 		for lines := bufio.NewScanner(out); lines.Scan(); {
 			text := lines.Text()
 			f.mu.Lock()
@@ -300,6 +301,11 @@
 			f.mu.Unlock()
 			if strings.Contains(text, "DATA RACE") || strings.HasPrefix(text, "panic") {
 				r.T.Errorf("%s: %s", f.Name, text)
+				report = mostReport
+			}
+			if report > 0 { // what follows tells where
+				report--
+				r.T.Logf("%s: %s", f.Name, text)
 			}
 			if !told && strings.Contains(text, "msg=serving") {
 				told = true
