A view of the leases that was given up is no longer written to where it is read

Cause: View returned after a second while the voter's goroutine could still fill in the same value; the race detector ended a front in TestConfigLeaderOfControlsFails on a loaded machine (its report was not kept; this fault fits it, and nothing else was found).

Change: the voter's goroutine makes the view and hands it over.

--- a/internal/leases/leases.go
+++ b/internal/leases/leases.go
@@ -394,23 +394,30 @@
 var errNoVote = errors.New("this front has no vote: ask one that has")
 
 // View asks this front's voter, within a second.
-func (l *Leases) View() (w View, err error) {
-	err = l.ask(func(v *lease.Voter) error {
-		lead := v.Leader()
-		for _, id := range v.Voters() {
-			c := Chair{ID: id, Leads: id == lead, Here: id == l.vote.id}
-			if s := l.vote.seat(id); s != nil {
-				c.Name, c.Addr = s.Name, s.Addr
-			}
-			w.Chairs = append(w.Chairs, c)
-		}
-		w.Leases, w.Leads, w.Refused, w.Dropped = v.Grants(), v.Leads(), v.Refused, l.Dropped.Load()
-		if err := v.Aside(); err != nil {
-			w.Aside = err.Error()
+// Danger: one that was given up is made all the same, so it must not be written where this one reads.
+func (l *Leases) View() (View, error) {
+	made := make(chan View, 1)
+	if err := l.ask(func(*lease.Voter) error { made <- l.vote.view(); return nil }); err != nil {
+		return View{}, err
+	}
+	return <-made, nil
+}
+
+// view is the voter's goroutine's to call.
+func (v *vote) view() (w View) {
+	lead := v.v.Leader()
+	for _, id := range v.v.Voters() {
+		c := Chair{ID: id, Leads: id == lead, Here: id == v.id}
+		if s := v.seat(id); s != nil {
+			c.Name, c.Addr = s.Name, s.Addr
 		}
-		return nil
-	})
-	return w, err
+		w.Chairs = append(w.Chairs, c)
+	}
+	w.Leases, w.Leads, w.Refused, w.Dropped = v.v.Grants(), v.v.Leads(), v.v.Refused, v.l.Dropped.Load()
+	if err := v.v.Aside(); err != nil {
+		w.Aside = err.Error()
+	}
+	return w
 }
 
 // Change adds a voter or removes one, by way of this front's, which has to lead.
--- a/internal/leases/leases_test.go
+++ b/internal/leases/leases_test.go
@@ -374,3 +374,15 @@
 		})
 	}
 }
+
+// TestViewGivenUp: a view that was given up after its second is made all the same, later: it is nobody's by then (a fault that the
+// race detector finds).
+func TestViewGivenUp(t *testing.T) {
+	t.Parallel()
+	m := some(t, "givenup", 1)[0]
+	m.vote.put(func(*lease.Voter) { time.Sleep(1500 * time.Millisecond) }) // nothing else orders the two
+	if v, err := m.View(); err == nil {
+		t.Errorf("a voter that stands still gave %+v", v)
+	}
+	await(t, 5*time.Second, "the voter goes on", func() bool { _, err := m.View(); return err == nil })
+}
