--- a/fleet/config/message.go
+++ b/fleet/config/message.go
@@ -23,7 +23,7 @@
 type message struct {
 	kind    messageKind
 	seq     uint64  // of a heartbeat, and of the answer to it
-	version Version // the newest that the sender holds whole, and of an offer the one that it has or is getting
+	version Version // the newest that the sender holds whole; of an offer the one that it has or gets
 	getting Version // of an answer: the version that a part of has come in, 0 if none
 	proven  bool    // of an answer: nothing newer than version existed
 	age     Time    // at some moment at most this long before the answer was sent
@@ -84,9 +84,11 @@
 	reportState    = 6
 	reportProgram  = 7
 	reportReason   = 8
+	reportAge      = 9
 )
 
-// checksum tells a message of this fleet from a spoilt one and from another fleet's. It is no proof against forging.
+// checksum tells a message of this fleet from a spoilt one and from another fleet's. It is no proof against
+// forging.
 func checksum(fleet string, body []byte) uint32 {
 	var d xxhash.Digest
 	d.Reset()
@@ -208,7 +210,8 @@
 
 // sound tells which bound a message breaks.
 func (m *message) sound() error {
-	if len(m.bases) > maxBases || len(m.reports) > maxReports || m.total > maxChunks || len(m.data) > chunkSize {
+	lists := len(m.bases) > maxBases || len(m.reports) > maxReports
+	if lists || m.total > maxChunks || len(m.data) > chunkSize {
 		return fmt.Errorf("%w: a message over its bounds", ErrMalformed)
 	}
 	if len(m.wanted) > (maxChunks+7)/8 {
@@ -218,7 +221,8 @@
 		return nil
 	}
 	last := m.index+1 == m.total
-	if m.index >= m.total || m.payload.to <= m.payload.from || len(m.data) == 0 || !last && len(m.data) != chunkSize {
+	cut := len(m.data) == 0 || !last && len(m.data) != chunkSize
+	if m.index >= m.total || m.payload.to <= m.payload.from || cut {
 		return fmt.Errorf("%w: a chunk of no payload", ErrMalformed)
 	}
 	return nil
@@ -234,6 +238,7 @@
 	state    FrontState
 	program  uint32
 	reason   string
+	age      uint64 // seconds for which relays have had it
 }
 
 func (r *report) append(dst []byte) []byte {
@@ -246,7 +251,8 @@
 	}
 	dst = appendNumber(dst, reportState, uint64(r.state))
 	dst = appendNumber(dst, reportProgram, uint64(r.program))
-	return appendText(dst, reportReason, r.reason)
+	dst = appendText(dst, reportReason, r.reason)
+	return appendNumber(dst, reportAge, r.age)
 }
 
 func readReport(encoded []byte) (r report, err error) {
@@ -266,6 +272,8 @@
 			r.state = FrontState(min(f.value, math.MaxUint8))
 		case reportProgram:
 			r.program = uint32(min(f.value, math.MaxUint32))
+		case reportAge:
+			r.age = min(f.value, math.MaxUint32)
 		case reportReason:
 			r.reason, err = f.text(maxWords)
 		}
--- a/fleet/config/transfer.go
+++ b/fleet/config/transfer.go
@@ -21,17 +21,18 @@
 // Spans and bounds of a transfer.
 const (
 	pullSpan      = 500 * Millisecond // after which an unanswered pull is sent again
-	chunkSpan     = 400 * Millisecond // the same where some chunks have come, and as much more with each try: the sender may have spent its budget
+	chunkSpan     = 400 * Millisecond // the same where some chunks have come
 	takeOverSpan  = 2 * Second        // without a new chunk, then another payload may take this one's place
-	window        = 4                 // chunks that are asked for at once, so that the receiver sets the pace
+	smallPayload  = 4                 // chunks; so many are asked for at once,
+	largeWindow   = 2                 // and of a larger one only these, so that the receiver sets the pace
 	maxPullTries  = 8                 // in a row, then the transfer is given up and begun anew
 	giveUpSpan    = 60 * Second       // without a new chunk
 	maxRecent     = maxBases - 1      // versions kept beside the newest, so that an upstream finds a base
 	maxRecentSize = 128 << 10         // bytes of them
 )
 
-// recent are versions held before, as bytes, the newest last. An upstream that went from one version to a later one in
-// one step knows those between no more: it needs a base that both have.
+// recent are versions held before, as bytes, the newest last. An upstream that went from one version to a
+// later one in one step knows those between no more: it needs a base that both have.
 type recent struct {
 	list []recentVersion
 	size int
@@ -95,8 +96,9 @@
 	}
 }
 
-// sourceOf gives the address of a machine to pull from: an upstream with something newer, another than the one named if
-// there is another, else the one named; a control machine where no upstream has a delta from what is held.
+// sourceOf gives the address of a machine to pull from: an upstream with something newer, another than the
+// one named if there is another, else the one named; a control machine where no upstream has a delta from
+// what is held.
 func (n *node) sourceOf(not string) string {
 	found, stuck := "", false
 	for _, u := range n.upstreams {
@@ -126,7 +128,7 @@
 	}
 	span := pullSpan
 	if t.payload != nil {
-		span = chunkSpan * Time(1+min(t.tries, 6))
+		span = t.askSpan()
 		t.awaited = t.nextBits()
 		m.payload, m.wanted = t.payloadID, t.awaited
 	}
@@ -134,12 +136,29 @@
 	n.post(t.addr, m)
 }
 
+// askSpan gives after what span chunks that did not come are asked for again. Of a large payload that is
+// longer with each try, since the sender may have spent its budget.
+func (t *transfer) askSpan() Time {
+	if len(t.chunks) <= smallPayload {
+		return chunkSpan
+	}
+	return chunkSpan * Time(1+min(t.tries, 6))
+}
+
+// windowOf gives how many of a payload's chunks are asked for at once.
+func windowOf(chunks int) int {
+	if chunks > smallPayload {
+		return largeWindow
+	}
+	return chunks
+}
+
 // nextBits gives the first few chunks that have not come.
 func (t *transfer) nextBits() []byte {
 	bits := make([]byte, (len(t.chunks)+7)/8)
 	count := 0
 	for k := range t.chunks {
-		if t.chunks[k] == nil && count < window {
+		if t.chunks[k] == nil && count < windowOf(len(t.chunks)) {
 			bits[k/8] |= 1 << (k % 8)
 			count++
 		}
@@ -149,7 +168,7 @@
 
 // idleSpan gives after what span without a new chunk another payload may take this one's place.
 func (t *transfer) idleSpan() Time {
-	if len(t.chunks) <= window {
+	if len(t.chunks) <= smallPayload {
 		return pullSpan // little is lost
 	}
 	return takeOverSpan
@@ -235,7 +254,7 @@
 	if t.payload == nil {
 		t.payload = &payload{m.payload, make([][]byte, m.total)}
 		t.missing = int(m.total)
-		t.awaited = firstBits(min(len(t.chunks), window))
+		t.awaited = firstBits(windowOf(len(t.chunks)))
 	}
 	if t.payloadID != m.payload || int(m.total) != len(t.chunks) || t.chunks[m.index] != nil {
 		return
@@ -248,7 +267,7 @@
 		return
 	}
 	if !t.open() { // Danger: a sender with a larger budget than this machine's
-		t.retryAt = n.budget.chunkAt(n.now, chunkSize)
+		t.retryAt = n.budget.chunkAt(n.now, windowOf(len(t.chunks))*chunkSize, reserve(len(t.chunks)))
 	}
 	if len(t.chunks)-t.missing == 1 {
 		n.newVersion()
@@ -277,8 +296,8 @@
 	return nil, false
 }
 
-// finish takes the version of a whole payload over. Danger: a spoilt payload; nothing of it counts, and it is asked for
-// of another machine.
+// finish takes the version of a whole payload over. Danger: a spoilt payload; nothing of it counts, and it is
+// asked for of another machine.
 func (n *node) finish() {
 	p := n.transfer.payload
 	document, encoded := n.unpacked(p)
