Discovery's address moves without a start; a reload keeps to it, and to the file's once the scope is out

Cause: a reload could go back to an address that the fleet's configuration had left, and a changed file would have been told as waiting for the next start.

Change: a reload takes the address that is in force; two control machines that take each other for the leader are no longer asked in turn without a pause. The tests' commands end without the race detector's second.

--- a/cmd/micatrack/config_test.go
+++ b/cmd/micatrack/config_test.go
@@ -17,6 +17,7 @@
 	"micatrack/fleet/config"
 	"micatrack/internal/configuration"
 	"micatrack/internal/rig"
+	"micatrack/internal/standin"
 )
 
 // inForceWithin is the users' bound from the acceptance of a change to its being in force on the last live
@@ -58,7 +59,7 @@
 func command(f *rig.Front, input string, args ...string) (out, errs string, status int) {
 	c := exec.Command(program, append([]string{"config", "--control", f.Control}, args...)...)
 	c.Stdin = strings.NewReader(input)
-	c.Env = append(os.Environ(), "GORACE=atexit_sleep_ms=0") // it waits for a second at each end without that
+	c.Env = append(os.Environ(), noSleep)
 	var stdout, stderr bytes.Buffer
 	c.Stdout, c.Stderr = &stdout, &stderr
 	err := c.Run()
@@ -416,3 +417,53 @@
 	}
 	judge(r, history(r, r.Fronts[4]), []toldChange{{"before they are gone", version, 0, ""}, {"while they are gone", 0, statusNotDone, ""}})
 }
+
+// TestConfigMovesDiscovery: the address of discovery is in force without a start; a reload and a start keep to it, and once the
+// scope is out each front follows its own file's again.
+func TestConfigMovesDiscovery(t *testing.T) {
+	t.Parallel()
+	r := rig.New(t, configuredFleet(t, 3, 3))
+	r.Start(r.Fronts...)
+	leader(r)
+	f := r.Fronts[0]
+	// follows tells where the front says that it follows discovery, after a reload.
+	follows := func() (addr string) {
+		at := time.Now()
+		f.Signal(syscall.SIGHUP)
+		r.Await(outer, "the reload is told", func() bool {
+			lines := f.Logged(at, "configuration read again")
+			if len(lines) > 0 {
+				_, addr, _ = strings.Cut(lines[0].Text, "discovery=")
+				addr, _, _ = strings.Cut(addr, " ")
+			}
+			return addr != ""
+		})
+		return addr
+	}
+	own := follows()
+	other := standin.NewDiscovery()
+	t.Cleanup(other.Close)
+	change := func(want string, args ...string) {
+		t.Helper()
+		at := time.Now()
+		out, errs, status := command(f, fmt.Sprintf(`{"discovery":%q}`, other.Addr()), append([]string{"set", "discovery", "--why", "move"}, args...)...)
+		var version uint64
+		if fmt.Sscanf(out, "version %d", &version); status != 0 {
+			t.Fatalf("%d: %s", status, errs)
+		}
+		everywhere(r, version, at, r.Fronts...)
+		if got := follows(); got != want {
+			t.Errorf("version %d: discovery is followed at %s, want %s", version, got, want)
+		}
+	}
+	change(other.Addr(), "-")
+	f.Signal(syscall.SIGKILL)
+	r.Start(f)
+	if got := follows(); got != other.Addr() {
+		t.Errorf("after a start discovery is followed at %s, want %s", got, other.Addr())
+	}
+	change(own, "--remove")
+	if v, err := here(f); err != nil || len(v.Waits) > 0 {
+		t.Errorf("%+v, %v", v, err)
+	}
+}
--- a/cmd/micatrack/lease_test.go
+++ b/cmd/micatrack/lease_test.go
@@ -15,6 +15,9 @@
 	"micatrack/internal/standin"
 )
 
+// noSleep has a program with the race detector in it end at once, in place of a second later.
+const noSleep = "GORACE=atexit_sleep_ms=0"
+
 const (
 	leaseSpan = 900 * time.Millisecond
 	// followed is by when another front acts after a holder is gone, though the leader may be gone with it: the lease's
@@ -144,7 +147,9 @@
 }
 
 func views(t *testing.T, f *rig.Front) (v leases.View, err error) {
-	out, err := exec.Command(program, "fleet", "leases", "--control", f.Control, "--json").Output()
+	c := exec.Command(program, "fleet", "leases", "--control", f.Control, "--json")
+	c.Env = append(os.Environ(), noSleep) // else it is told a second late who leads
+	out, err := c.Output()
 	if err == nil {
 		err = json.Unmarshal(out, &v)
 	}
--- a/cmd/micatrack/serve.go
+++ b/cmd/micatrack/serve.go
@@ -137,6 +137,7 @@
 	}
 	fresh.known, fresh.version, fresh.charter.Seed = o.known, o.version, o.charter.Seed
 	fresh.stored, fresh.trouble = o.stored, o.trouble
+	o.ownDiscovery = fresh.ownDiscovery
 	if !reflect.DeepEqual(fresh, *o) {
 		log.Warn("more than discovery has changed; the rest waits for the next start")
 	}
--- a/internal/configuration/service.go
+++ b/internal/configuration/service.go
@@ -14,6 +14,7 @@
 	readWithin     = 2 * time.Second        // and a question
 	askAgain       = 100 * time.Millisecond // between two rounds
 	outcomeUnknown = "no control machine answered in time; it may come into force: see 'micatrack config history'"
+	maxHops        = 3 // to another machine that is said to lead, before the next one in the list is asked
 	nobodyThere    = "no control machine leads, or none can be reached; nothing was changed"
 )
 
@@ -46,7 +47,8 @@
 	}
 	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(askAgain) {
 		for _, addr := range controls {
-			for addr != "" && !a.over && time.Now().Before(end) {
+			// Danger: two that take each other for the leader would be asked in turn without a pause.
+			for hops := 0; addr != "" && hops < maxHops && !a.over && time.Now().Before(end); hops++ {
 				addr = a.ask(s, addr, request, &r)
 			}
 		}
