--- a/cmd/micatrack/config_test.go
+++ b/cmd/micatrack/config_test.go
@@ -470,3 +470,19 @@
 		t.Errorf("%+v, %v", v, err)
 	}
 }
+
+// TestConfigOff: without the configuration switched on its commands say so in one line, and no file of it is made.
+func TestConfigOff(t *testing.T) {
+	t.Parallel()
+	r := rig.New(t, bed(t, 1, true))
+	r.Start(r.Fronts...)
+	for _, args := range [][]string{{"status"}, {"history"}, {"set", "discovery", "-", "--why", "try"}} {
+		out, errs, status := command(r.Fronts[0], "{}", args...)
+		if status != statusNotDone || out != "" || errs != "micatrack: fleet.config is not switched on" {
+			t.Errorf("%v: %d, %q, %q", args, status, out, errs)
+		}
+	}
+	if _, err := os.Stat(r.Fronts[0].Stored()); err == nil {
+		t.Error("there is a file of the configuration")
+	}
+}
