--- a/cmd/micatrack/config_test.go
+++ b/cmd/micatrack/config_test.go
@@ -25,10 +25,10 @@
 const inForceWithin = 6 * time.Second
 
 const (
-	// heardWithin is by when the control machines have heard of a version from each live front. It is shorter than the span after
-	// which they pass over one that is silent.
+	// heardWithin is by when the control machines have heard of a version from each live front. It is shorter
+	// than the span after which they pass over one that is silent.
 	heardWithin   = 12 * time.Second
-	controlSpan   = 3 * time.Second         // of the control machines' leases, as it is without a word in the operators' file
+	controlSpan   = 3 * time.Second         // of the control machines' leases, the default
 	withoutLeader = 2000 * time.Millisecond // for which a leader is gone: another is elected within 1 s
 )
 
@@ -78,7 +78,8 @@
 
 // set changes the settings and gives the version, or the status that the command ended with.
 func set(f *rig.Front, text, why string, args ...string) (version uint64, errs string, status int) {
-	out, errs, status := command(f, text, append([]string{"set", "settings", "-", "--who", "test", "--why", why}, args...)...)
+	args = append([]string{"set", "settings", "-", "--who", "test", "--why", why}, args...)
+	out, errs, status := command(f, text, args...)
 	fmt.Sscanf(out, "version %d", &version)
 	return version, errs, status
 }
@@ -170,7 +171,8 @@
 			r.T.Errorf("%s: the command did not end by itself: %s", c.why, c.errs)
 		}
 	}
-	r.T.Logf("%d changes asked for: %d acknowledged, %d not done, %d not known", len(changes), counts[0], counts[1], counts[statusUnknown])
+	r.T.Logf("%d changes asked for: %d acknowledged, %d not done, %d not known",
+		len(changes), counts[0], counts[1], counts[statusUnknown])
 	if counts[0] == 0 {
 		r.T.Error("no change was acknowledged")
 	}
@@ -233,7 +235,8 @@
 	if c.status != 0 {
 		t.Fatalf("with all machines back a change is not taken: %s", c.errs)
 	}
-	t.Logf("version %d in force on all %v after it was asked for", c.version, everywhere(r, c.version, last, r.Fronts...))
+	took := everywhere(r, c.version, last, r.Fronts...)
+	t.Logf("version %d in force on all %v after it was asked for", c.version, took)
 }
 
 // TestConfigFrontsComeAndGo is hard case 2: fronts are restarted and replaced all the while, one joins in the
@@ -310,7 +313,8 @@
 		{"plans", `{}`, "plans"},
 	} {
 		_, errs, status := command(r.Fronts[3], c.text, "set", c.scope, "-", "--who", "test", "--why", "faulty")
-		if status != 2 || strings.Contains(errs, "\n") || !strings.Contains(errs, c.key) || !strings.Contains(errs, c.scope) {
+		named := strings.Contains(errs, c.key) && strings.Contains(errs, c.scope)
+		if status != 2 || strings.Contains(errs, "\n") || !named {
 			t.Errorf("%s %.40s: status %d, %q", c.scope, c.text, status, errs)
 		}
 	}
@@ -323,7 +327,8 @@
 			defer both.Done()
 			c := &changes[w]
 			c.why = fmt.Sprint("writer ", w)
-			c.version, c.errs, c.status = set(r.Fronts[w+1], settingsText(t, r, 10+w), c.why, "--base", fmt.Sprint(first))
+			text := settingsText(t, r, 10+w)
+			c.version, c.errs, c.status = set(r.Fronts[w+1], text, c.why, "--base", fmt.Sprint(first))
 		}()
 	}
 	both.Wait()
@@ -341,7 +346,8 @@
 			t.Errorf("%s: %s", f.Name, lines[0].Text)
 		}
 	}
-	out, errs, status := command(r.Fronts[3], "", "rollback", fmt.Sprint(first), "--who", "test", "--why", "back", "--wait", "15s")
+	back := []string{"rollback", fmt.Sprint(first), "--who", "test", "--why", "back", "--wait", "15s"}
+	out, errs, status := command(r.Fronts[3], "", back...)
 	if status != 0 || !strings.Contains(out, "in force everywhere") {
 		shown, _, _ := command(r.Fronts[3], "", "status")
 		t.Errorf("%d: %s%s\n%s", status, out, errs, shown)
@@ -374,7 +380,8 @@
 		f.Signal(syscall.SIGKILL)
 	}
 	time.Sleep(time.Second)
-	if _, errs, status := set(r.Fronts[4], settingsText(t, r, 8), "while they are gone"); status != statusNotDone {
+	_, errs, status = set(r.Fronts[4], settingsText(t, r, 8), "while they are gone")
+	if status != statusNotDone {
 		t.Errorf("a change without control machines: %d, %s", status, errs)
 	}
 	again := r.Fronts[3]
@@ -384,7 +391,10 @@
 	for _, f := range r.Fronts[3:] {
 		v, err := here(f)
 		old := time.Duration(v.AgeMS) * time.Millisecond
-		if err != nil || v.Version != version || v.State != "in-force" || v.Fresh || old < 0 || old > time.Since(asked)+3*time.Second {
+		if err != nil || v.Version != version || v.State != "in-force" {
+			t.Errorf("%s: %+v, %v", f.Name, v, err)
+		}
+		if v.Fresh || old < 0 || old > time.Since(asked)+3*time.Second {
 			t.Errorf("%s: %+v, %v", f.Name, v, err)
 		}
 		out, _, _ := command(f, "", "status")
@@ -418,11 +428,12 @@
 			return err == nil && v.Version == version && v.Fresh
 		})
 	}
-	judge(r, history(r, r.Fronts[4]), []toldChange{{"before they are gone", version, 0, ""}, {"while they are gone", 0, statusNotDone, ""}})
+	told := []toldChange{{"before they are gone", version, 0, ""}, {"while they are gone", 0, statusNotDone, ""}}
+	judge(r, history(r, r.Fronts[4]), told)
 }
 
-// TestConfigMovesDiscovery: the address of discovery is in force without a start; a reload and a start keep to it, and once the
-// scope is out each front follows its own file's again.
+// TestConfigMovesDiscovery: the address of discovery is in force without a start; a reload and a start keep
+// to it, and once the scope is out each front follows its own file's again.
 func TestConfigMovesDiscovery(t *testing.T) {
 	t.Parallel()
 	r := rig.New(t, configuredFleet(t, 3, 3))
@@ -449,7 +460,8 @@
 	change := func(want string, args ...string) {
 		t.Helper()
 		at := time.Now()
-		out, errs, status := command(f, fmt.Sprintf(`{"discovery":%q}`, other.Addr()), append([]string{"set", "discovery", "--why", "move"}, args...)...)
+		args = append([]string{"set", "discovery", "--who", "test", "--why", "move"}, args...)
+		out, errs, status := command(f, fmt.Sprintf(`{"discovery":%q}`, other.Addr()), args...)
 		var version uint64
 		if fmt.Sscanf(out, "version %d", &version); status != 0 {
 			t.Fatalf("%d: %s", status, errs)
@@ -471,12 +483,13 @@
 	}
 }
 
-// TestConfigOff: without the configuration switched on its commands say so in one line, and no file of it is made.
+// TestConfigOff: without the configuration switched on its commands say so in one line, and no file of it is
+// made.
 func TestConfigOff(t *testing.T) {
 	t.Parallel()
 	r := rig.New(t, bed(t, 1, true))
 	r.Start(r.Fronts...)
-	for _, args := range [][]string{{"status"}, {"history"}, {"set", "discovery", "-", "--why", "try"}} {
+	for _, args := range [][]string{{"status"}, {"history"}, {"set", "discovery", "-", "--who", "test", "--why", "try"}} {
 		out, errs, status := command(r.Fronts[0], "{}", args...)
 		if status != statusNotDone || out != "" || errs != "micatrack: fleet.config is not switched on" {
 			t.Errorf("%v: %d, %q, %q", args, status, out, errs)
@@ -486,3 +499,40 @@
 		t.Error("there is a file of the configuration")
 	}
 }
+
+// TestConfigRollsOutInSteps: a change goes to one front, then to a zone, then to all; meanwhile no other
+// change is taken.
+func TestConfigRollsOutInSteps(t *testing.T) {
+	t.Parallel()
+	r := rig.New(t, configuredFleet(t, 5, 3))
+	r.Start(r.Fronts...)
+	leader(r)
+	text := settingsText(t, r, 5)
+	first, others := r.Fronts[3], []*rig.Front{r.Fronts[0], r.Fronts[1], r.Fronts[2], r.Fronts[4]} // zones a, b, c, b
+	steps := []string{"--first-front", first.Name, "--then-zone", "b", "--soak", "2s"}
+	if _, errs, status := set(r.Fronts[4], text, "in steps", steps...); status != 0 {
+		t.Fatalf("%d: %s", status, errs)
+	}
+	has := func(f *rig.Front) bool {
+		v, err := here(f)
+		return err == nil && len(v.Texts) == 1 && v.Texts[0].Text == text
+	}
+	r.Await(outer, "the first front has it", func() bool { return has(first) })
+	for _, f := range others {
+		if has(f) {
+			t.Errorf("%s has it in the first step", f.Name)
+		}
+	}
+	if _, errs, status := set(r.Fronts[4], text, "meanwhile"); status != 2 || !strings.Contains(errs, "roll-out") {
+		t.Errorf("another change meanwhile: %d, %s", status, errs)
+	}
+	r.Await(outer, "the zone has it", func() bool { return has(r.Fronts[1]) && has(r.Fronts[4]) })
+	if has(r.Fronts[0]) || has(r.Fronts[2]) {
+		t.Error("another zone has it in the zone's step")
+	}
+	r.Await(outer, "all have it", func() bool { return has(r.Fronts[0]) && has(r.Fronts[2]) && has(first) })
+	list := history(r, r.Fronts[0])
+	if len(list) != 3 || list[1].Kind != config.KindAdvance || list[2].Kind != config.KindAdvance {
+		t.Errorf("%+v", list)
+	}
+}
--- a/cmd/micatrack/configcommands.go
+++ b/cmd/micatrack/configcommands.go
@@ -159,15 +159,35 @@
 		if err != nil || a.Status == nil {
 			continue
 		}
-		if uint64(a.Status.Newest) >= version && a.Status.Everywhere {
-			fmt.Fprintln(c.OutOrStdout(), "in force everywhere")
-			return nil
+		if a.Stage == nil && uint64(a.Status.Newest) >= version && a.Status.Everywhere {
+			return client.finished(c.OutOrStdout(), version)
 		}
 	}
 	err := fmt.Errorf("version %d is accepted, and was not in force everywhere within %v", version, n.wait)
 	return exit{statusNotDone, err}
 }
 
+// finished tells that a version is in force everywhere, unless it began a roll-out that was stopped.
+func (c *configClient) finished(out io.Writer, version uint64) error {
+	a, err := c.ask(configuration.Request{Op: configuration.OpHistory})
+	if err != nil {
+		return err
+	}
+	for _, r := range a.History {
+		if uint64(r.Version) <= version {
+			continue
+		}
+		if r.Kind == config.KindAbort {
+			return exit{statusNotDone, fmt.Errorf("the roll-out was stopped: %s", r.Reason)}
+		}
+		if r.Kind != config.KindAdvance {
+			break // a later change is another matter
+		}
+	}
+	fmt.Fprintln(out, "in force everywhere")
+	return nil
+}
+
 // configCommands ask and change the fleet's configuration.
 func configCommands() *cobra.Command {
 	client := &configClient{}
--- a/cmd/micatrack/configdiff.go
+++ b/cmd/micatrack/configdiff.go
@@ -11,7 +11,8 @@
 	"micatrack/internal/configuration"
 )
 
-// maxCompared bounds the lines of one text times those of the other; above it the whole text is shown as changed.
+// maxCompared bounds the lines of one text times those of the other; above it the whole text is shown as
+// changed.
 const maxCompared = 4 << 20
 
 // printDiff prints which lines differ, scope by scope.
--- a/internal/configuration/configuration_test.go
+++ b/internal/configuration/configuration_test.go
@@ -15,14 +15,19 @@
 )
 
 func stored() *Stored {
-	texts := []config.ScopeText{{Scope: Discovery, Text: []byte(`{"discovery":"127.0.0.1:8500"}`)}, {Scope: Settings, Text: []byte(`{}`)}}
-	return &Stored{ProvenAt: 1_700_000_000_000, ForceAt: 1_600_000_000_000, Version: 7, Texts: texts, Kept: []byte("what the agent keeps")}
+	discovery := config.ScopeText{Scope: Discovery, Text: []byte(`{"discovery":"127.0.0.1:8500"}`)}
+	settings := config.ScopeText{Scope: Settings, Text: []byte(`{}`)}
+	return &Stored{
+		ProvenAt: 1_700_000_000_000, ForceAt: 1_600_000_000_000, Version: 7,
+		Texts: []config.ScopeText{discovery, settings}, Kept: []byte("what the agent keeps"),
+	}
 }
 
 func same(a, b *Stored) bool {
 	x, _ := a.Text(Settings)
 	y, _ := b.Text(Settings)
-	return a.ProvenAt == b.ProvenAt && a.ForceAt == b.ForceAt && a.Version == b.Version && bytes.Equal(a.Kept, b.Kept) && bytes.Equal(x, y)
+	moments := a.ProvenAt == b.ProvenAt && a.ForceAt == b.ForceAt
+	return moments && a.Version == b.Version && bytes.Equal(a.Kept, b.Kept) && bytes.Equal(x, y)
 }
 
 // TestDiskWholeOrNot: a file is read as it was written, or not at all: cut at each byte, with any bit
@@ -87,11 +92,13 @@
 		{Settings, `{"Profiles":[]}`, "Profiles"},
 		{"plans", `{}`, "scope"},
 	} {
-		if err := Check(c.scope, []byte(c.text)); err == nil || !strings.Contains(err.Error(), c.key) || strings.Contains(err.Error(), "\n") {
+		err := Check(c.scope, []byte(c.text))
+		if err == nil || !strings.Contains(err.Error(), c.key) || strings.Contains(err.Error(), "\n") {
 			t.Errorf("%s %s: %v", c.scope, c.text, err)
 		}
 	}
-	for scope, text := range map[config.Scope]string{Discovery: `{"discovery":"127.0.0.1:1"}`, Operators: `{"door":{"on":true}}`} {
+	sound := map[config.Scope]string{Discovery: `{"discovery":"127.0.0.1:1"}`, Operators: `{"door":{"on":true}}`}
+	for scope, text := range sound {
 		if err := Check(scope, []byte(text)); err != nil {
 			t.Error(err)
 		}
@@ -102,6 +109,7 @@
 // answer was lost, nothing may be called refused but what can no more be committed.
 func TestOutcomes(t *testing.T) {
 	down, lost := peers.ErrUnreachable, peers.ErrNoAnswer
+	done, elsewhere := Answer{Outcome: Done, Version: 3}, Answer{Outcome: Elsewhere}
 	faulty, conflict := Answer{Outcome: Refused, Error: "faulty"}, Answer{Outcome: Refused, Lost: true}
 	for name, c := range map[string]struct {
 		told []any // by one machine after the other, the last again and again
@@ -109,9 +117,9 @@
 		want Outcome
 	}{
 		"all gone":                      {[]any{down}, OpSet, Elsewhere},
-		"done":                          {[]any{down, Answer{Outcome: Elsewhere}, Answer{Outcome: Done, Version: 3}}, OpSet, Done},
+		"done":                          {[]any{down, elsewhere, done}, OpSet, Done},
 		"faulty at once":                {[]any{faulty}, OpSet, Refused},
-		"lost, then done":               {[]any{lost, Answer{Outcome: Done, Version: 3}}, OpSet, Done},
+		"lost, then done":               {[]any{lost, done}, OpSet, Done},
 		"lost, then all gone":           {[]any{lost, down}, OpSet, Unknown},
 		"lost, then faulty":             {[]any{lost, faulty}, OpSet, Unknown},
 		"lost, then another was first":  {[]any{lost, conflict}, OpSet, Refused},
@@ -129,7 +137,8 @@
 				}
 				return json.Marshal(c.told[n])
 			}}
-			got := s.Do([]string{"a", "b", "c"}, Request{Op: c.op, Scope: "discovery", Text: `{"discovery":"127.0.0.1:1"}`})
+			r := Request{Op: c.op, Scope: "discovery", Text: `{"discovery":"127.0.0.1:1"}`}
+			got := s.Do([]string{"a", "b", "c"}, r)
 			if got.Outcome != c.want {
 				t.Errorf("%+v", got)
 			}
--- a/internal/peers/config_test.go
+++ b/internal/peers/config_test.go
@@ -75,7 +75,8 @@
 				into = control
 			}
 			var got Config
-			for end := time.Now().Add(5 * time.Second); got.Addr == "" && time.Now().Before(end); time.Sleep(time.Millisecond) {
+			end := time.Now().Add(5 * time.Second)
+			for ; got.Addr == "" && time.Now().Before(end); time.Sleep(time.Millisecond) {
 				b.Take(nil, nil)
 				select {
 				case got = <-into:
@@ -87,7 +88,8 @@
 			}
 		}
 	}
-	if back, err := a.Request(b.Addr(), long); err != nil || !bytes.HasSuffix(back, long) || !bytes.HasPrefix(back, []byte("answer")) {
+	back, err := a.Request(b.Addr(), long)
+	if err != nil || !bytes.Equal(back, append([]byte("answer to "), long...)) {
 		t.Errorf("%.40q, %v", back, err)
 	}
 	if _, err := a.Request(off.Addr(), []byte("?")); err != ErrNoAnswer {
