--- a/internal/configuration/configuration_test.go
+++ b/internal/configuration/configuration_test.go
@@ -105,9 +105,9 @@
 	}
 }
 
-// TestOutcomes: what control machines say in a row, and what the command may say then. After a try whose
+// TestServiceOutcomes: what control machines say in a row, and what the command may say then. After a try whose
 // answer was lost, nothing may be called refused but what can no more be committed.
-func TestOutcomes(t *testing.T) {
+func TestServiceOutcomes(t *testing.T) {
 	down, lost := peers.ErrUnreachable, peers.ErrNoAnswer
 	done, elsewhere := Answer{Outcome: Done, Version: 3}, Answer{Outcome: Elsewhere}
 	faulty, conflict := Answer{Outcome: Refused, Error: "faulty"}, Answer{Outcome: Refused, Lost: true}
