--- a/internal/peers/config_test.go
+++ b/internal/peers/config_test.go
@@ -48,8 +48,8 @@
 	}
 }
 
-// TestConfigBetweenTwo: messages reach the part that they are for, also where a long name of the fleet takes them off
-// datagrams; requests are answered; without the configuration switched on nothing of it is taken.
+// TestConfigBetweenTwo: messages reach the part that they are for, also where a long name of the fleet takes
+// them off datagrams; requests are answered; without the configuration switched on nothing of it is taken.
 func TestConfigBetweenTwo(t *testing.T) {
 	fleet := strings.Repeat("n", 64)
 	open := func() *Peers {
@@ -75,7 +75,8 @@
 				into = control
 			}
 			var got Config
-			for end := time.Now().Add(5 * time.Second); got.Addr == "" && time.Now().Before(end); time.Sleep(time.Millisecond) {
+			end := time.Now().Add(5 * time.Second)
+			for ; got.Addr == "" && time.Now().Before(end); time.Sleep(time.Millisecond) {
 				b.Take(nil, nil)
 				select {
 				case got = <-into:
@@ -87,7 +88,8 @@
 			}
 		}
 	}
-	if back, err := a.Request(b.Addr(), long); err != nil || !bytes.HasSuffix(back, long) || !bytes.HasPrefix(back, []byte("answer")) {
+	back, err := a.Request(b.Addr(), long)
+	if err != nil || !bytes.Equal(back, append([]byte("answer to "), long...)) {
 		t.Errorf("%.40q, %v", back, err)
 	}
 	if _, err := a.Request(off.Addr(), []byte("?")); err != ErrNoAnswer {
