--- a/cmd/micatrack/main_test.go
+++ b/cmd/micatrack/main_test.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -308,12 +309,12 @@
 	return cl
 }
 
-var serial int
+// serial numbers the requests of all tests, of which some run side by side.
+var serial atomic.Int64
 
 func (cl *client) ask(profile string) {
-	serial++
 	cl.c.Write(pgwire.AppendSimple(nil, fmt.Sprintf("/* id=%d,c=%s,d=2500,cluster=1 */ SELECT payload FROM entries "+
-		"WHERE ref = 'k'", serial, profile)))
+		"WHERE ref = 'k'", serial.Add(1), profile)))
 }
 
 // answer gives "value", an SQLSTATE, "ready" for an answer without either, or "closed".
