--- a/balance/front.go
+++ b/balance/front.go
@@ -51,7 +51,7 @@
 	AtMostOnce
 )
 
-// Profile is one kind of request.
+// Class is one kind of request.
 type Class struct {
 	Name         string
 	Need         Need
@@ -66,7 +66,7 @@
 	LateCredit   float64 // part of the credit left after the expected time
 }
 
-// Customer is one of those who share the service.
+// Tenant is one of those who share the service.
 type Tenant struct {
 	Name  string
 	Quota float64 // requests a second within its share, over all fronts
