The decision module takes other settings while it runs

Need: a change of the fleet's settings came into force at the next start of each front; Balancer knew New alone.

Change: Balancer.Configure puts settings in force whole or, with an error, not at all. A class that changes gets a new place and requests in hand keep the one that they came under: a write that may have run is never repeated by rules that came later. Fences, budgets, roles and what was learnt stay. Places of classes are given back.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -9,6 +9,7 @@
 import (
 	"cmp"
 	"fmt"
+	"slices"
 
 	"micatrack/internal/mwc"
 )
@@ -22,48 +23,104 @@
 	search    = 0.125 // part of the credit of what waits that a search for its primary may cost
 )
 
+// New starts the module with a front's settings. It returns an error if they are out of range.
 func New(now Time, c Charter, f Front) (*Balancer, error) {
+	b := &Balancer{front: f, now: now, mwc: mwc.New(c.Seed), classOf: map[string]int32{},
+		tenants: map[string]*tenant{}, memberOf: map[uint32]int32{}, groupOf: map[uint64]int32{},
+		requestOf: map[string]int32{}, fences: make([]Time, 1<<fenceBits), writes: make([]int32, 1<<fenceBits),
+		parts: map[string]float64{}, crowded: -never, scarce: -never, spill: 1, closing: never}
+	if err := b.Configure(now, c); err != nil {
+		return nil, err
+	}
+	b.probeNow = b.probeEvery
+	if b.watchAt = now + b.askPace; !c.ListPushed { // all may be starting together, so it is spread
+		b.watchAt = now + b.chance(b.askWithin/8)
+	}
+	f.Wake(b.beat)
+	return b, nil
+}
+
+// Configure puts other settings in force, or none of them if it returns an error. Requests in hand keep their
+// class as it was, all else counts for them too. What was learnt, fences and budgets among it, is kept.
+func (b *Balancer) Configure(now Time, c Charter) error {
 	if len(c.Classes) == 0 {
-		return nil, fmt.Errorf("charter: no profiles")
+		return fmt.Errorf("charter: no profiles")
 	}
-	b := &Balancer{front: f, now: now, mwc: mwc.New(c.Seed), zone: c.Zone, overShare: c.OverShare,
-		checks: c.Checks, carried: c.FencesCarried, askWithin: c.AskWithin, onlyDrains: c.OnlyDraining,
-		startShare: c.StartShare, cold: c.Cold, coldPart: c.FallMultiple, span: c.FallSpan,
-		mostAttempts: max(c.MostAttempts, 1), mayProbe: c.MayProbe, mayCancel: c.MayCancel,
-		classOf: map[string]int32{}, tenants: map[string]*tenant{}, memberOf: map[uint32]int32{},
-		groupOf: map[uint64]int32{}, requestOf: map[string]int32{},
-		fences: make([]Time, 1<<fenceBits), writes: make([]int32, 1<<fenceBits),
-		parts: map[string]float64{}, mostPause: c.MostPause, crowded: -never, scarce: -never, spill: 1,
-		askPace: cmp.Or(c.AgentGrace/4, never), tightest: never, closing: never, quickest: never,
-		least: 3 / float64(max(c.Fronts, 1)), priced: c.CrossPrice > 0}
-	for i, p := range c.Classes {
+	for _, p := range c.Classes {
 		if p.Bound < 0 || p.ExpectedTime <= 0 || p.Deadline <= 0 || p.Window < 0 {
-			return nil, fmt.Errorf("charter: profile %q: bound, window or times out of range", p.Name)
-		}
-		b.classOf[p.Name] = int32(i)
-		b.classes = append(b.classes, class{Class: p, typical: float64(p.ExpectedTime) / 4, stills: 1})
-		b.quickest = min(b.quickest, p.ExpectedTime)
-		b.usual += p.Credit / float64(len(c.Classes))
-		if p.Need == Bounded {
-			b.tightest = min(b.tightest, p.Bound)
+			return fmt.Errorf("charter: profile %q: bound, window or times out of range", p.Name)
 		}
 	}
-	for _, q := range c.Tenants {
-		rate := q.Quota / float64(second) / float64(max(c.Fronts, 1))
-		b.tenants[q.Name] = &tenant{perTime: rate, bucket: rate * float64(second), filled: now}
+	b.now, b.zone, b.overShare, b.checks, b.carried = now, c.Zone, c.OverShare, c.Checks, c.FencesCarried
+	b.askWithin, b.onlyDrains, b.priced = c.AskWithin, c.OnlyDraining, c.CrossPrice > 0
+	b.startShare, b.cold, b.coldPart, b.span = c.StartShare, c.Cold, c.FallMultiple, c.FallSpan
+	b.mostAttempts, b.mayProbe, b.mayCancel = max(c.MostAttempts, 1), c.MayProbe, c.MayCancel
+	b.mostPause, b.askPace = c.MostPause, cmp.Or(c.AgentGrace/4, never)
+	b.least = 3 / float64(max(c.Fronts, 1))
+	b.setClasses(c.Classes)
+	b.setTenants(c)
+	for i := range b.members {
+		b.members[i].far = b.priced && b.members[i].zone != b.zone
 	}
 	// Answers must come within the slack after the limit, so the module looks around twice in it.
 	b.beat = max(c.Round, min(2*c.Round, c.AnswerSlack/2), 1)
 	// Eight short attempts in a span, over all fronts, tip no store.
 	b.trickle = 2 * float64(b.quickest) / float64(max(b.span, 1)) / float64(max(c.Fronts, 1))
 	b.probeEvery = max(min(b.tightest, b.quickest)/3, b.beat)
-	b.probeNow, b.probesPerRequest = b.probeEvery, thrift/max(c.ProbePrice, thrift/10)
+	b.probesPerRequest = thrift / max(c.ProbePrice, thrift/10)
 	b.perCredit = search / max(c.ProbePrice, thrift/10)
-	if b.watchAt = now + b.askPace; !c.ListPushed { // all may be starting together, so it is spread
-		b.watchAt = now + b.chance(b.askWithin/8)
+	return nil
+}
+
+// setClasses gives a class that has changed a place of its own. The one that it had stays for as long as a
+// request in hand has it. Danger: a write that may have run might be sent again by rules that came later.
+func (b *Balancer) setClasses(classes []Class) {
+	taken, before, places := make([]bool, len(b.classes)), b.classOf, slices.Clone(b.classes)
+	for i := range b.requests {
+		if b.requests[i].id != "" {
+			taken[b.requests[i].class] = true
+		}
+	}
+	for _, p := range classes {
+		if i, known := before[p.Name]; known && places[i].Class == p {
+			taken[i] = true
+		}
+	}
+	b.classOf, b.tightest, b.quickest, b.usual = make(map[string]int32, len(classes)), never, never, 0
+	for _, p := range classes {
+		i, known := before[p.Name]
+		if !known || places[i].Class != p {
+			next := class{typical: float64(p.ExpectedTime) / 4, stills: 1}
+			if known {
+				next = places[i]
+			}
+			next.Class = p
+			if i = int32(slices.Index(taken, false)); i < 0 {
+				i = int32(len(b.classes))
+				b.classes, taken = append(b.classes, class{}), append(taken, true)
+			}
+			b.classes[i], taken[i] = next, true
+		}
+		b.classOf[p.Name] = i
+		b.quickest, b.usual = min(b.quickest, p.ExpectedTime), b.usual+p.Credit/float64(len(classes))
+		if p.Need == Bounded {
+			b.tightest = min(b.tightest, p.Bound)
+		}
+	}
+}
+
+// setTenants keeps what the buckets of those hold who were there before.
+func (b *Balancer) setTenants(c Charter) {
+	before := b.tenants
+	b.tenants = make(map[string]*tenant, len(c.Tenants))
+	for _, q := range c.Tenants {
+		rate := q.Quota / float64(second) / float64(max(c.Fronts, 1))
+		next := &tenant{perTime: rate, bucket: rate * float64(second), filled: b.now}
+		if t := before[q.Name]; t != nil {
+			next.bucket, next.filled = min(t.bucket, next.bucket), t.filled
+		}
+		b.tenants[q.Name] = next
 	}
-	f.Wake(b.beat)
-	return b, nil
 }
 
 // chance draws from 0 to n-1 with a multiply-with-carry generator.
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -569,7 +569,7 @@
 	for n := range 1500 {
 		switch k := r.IntN(20); {
 		case k < 6:
-			in := ask(fmt.Sprint("j", n), c.Classes[r.IntN(len(c.Classes))].Name)
+			in := ask(fmt.Sprint("j", n), w.charter.Classes[r.IntN(len(w.charter.Classes))].Name)
 			in.Group, in.Session, in.Left = uint64(r.IntN(2)), fmt.Sprint("s", r.IntN(9)), Time(r.IntN(12000))
 			if r.IntN(2) == 0 {
 				in.WriteAge = Time(r.IntN(8000))
@@ -602,6 +602,8 @@
 				p.final = 1
 				w.b.Left(w.now, p.in.ID)
 			}
+		case k == 17 && shape&128 != 0 && r.IntN(3) == 0:
+			w.configure(otherSettings(w.charter, r))
 		case k == 17 && r.IntN(10) == 0:
 			w.pass(Time(r.IntN(60000)))
 		case k == 18 && len(w.ids) > 0 && shape&32 == 0: // what peers say, true or not
@@ -663,6 +665,7 @@
 func FuzzRules(f *testing.F) {
 	for seed := range uint64(32) {
 		f.Add(seed, uint8(seed))
+		f.Add(seed, uint8(seed)|128) // with changes of the settings
 	}
 	f.Fuzz(func(t *testing.T, seed uint64, shape uint8) { drive(t, seed, shape) })
 }
--- /dev/null
+++ b/balance/configure_test.go
@@ -0,0 +1,159 @@
+package balance
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+)
+
+// configure puts other settings in force, in the module and in the model.
+func (w *world) configure(c Charter) {
+	w.t.Helper()
+	w.note("configure %+v", c.Classes)
+	if err := w.b.Configure(w.now, c); err != nil {
+		w.t.Fatal(err)
+	}
+	w.charter = c
+}
+
+// otherSettings draws settings that differ from some in what operators change while fronts run: what classes there are and
+// what each asks for, tenants, attempts and the number of fronts.
+func otherSettings(c Charter, r *rand.Rand) Charter {
+	whole := testCharter().Classes
+	c.Classes = nil
+	for _, class := range whole {
+		if r.IntN(6) == 0 {
+			continue // it is taken out
+		}
+		class.Bound = class.Bound * Time(1+r.IntN(4)) / 2
+		class.Window = class.Window * Time(1+r.IntN(4)) / 2
+		class.ExpectedTime = class.ExpectedTime * Time(1+r.IntN(4)) / 2
+		class.Deadline = class.Deadline * Time(1+r.IntN(4)) / 2
+		class.Credit = float64(r.IntN(5))
+		if class.Need == Write {
+			class.Repeat = []Repeat{AtMostOnce, Keyed}[r.IntN(2)]
+		}
+		c.Classes = append(c.Classes, class)
+	}
+	if len(c.Classes) == 0 {
+		c.Classes = whole[:1]
+	}
+	r.Shuffle(len(c.Classes), func(i, k int) { c.Classes[i], c.Classes[k] = c.Classes[k], c.Classes[i] })
+	c.Tenants = []Tenant{{Name: "c", Quota: float64(r.IntN(900))}, {Name: "d", Quota: 10}}[:1+r.IntN(2)]
+	c.MostAttempts = 2 + r.IntN(6)
+	c.Fronts = 1 + r.IntN(800)
+	return c
+}
+
+// changed gives settings in which one class is another, by its name.
+func changed(c Charter, name string, change func(class *Class)) Charter {
+	c.Classes = slices.Clone(c.Classes)
+	for i := range c.Classes {
+		if c.Classes[i].Name == name {
+			change(&c.Classes[i])
+		}
+	}
+	return c
+}
+
+// TestWriteInHandKeepsItsRepeat: settings come into force that allow repeats of a class while a write of it is out, and its
+// answer is lost. It came as at-most-once and has one attempt; one that comes later may be repeated.
+func TestWriteInHandKeepsItsRepeat(t *testing.T) {
+	w := three(t, testCharter())
+	w.take(ask("before", "once"))
+	w.configure(changed(w.charter, "once", func(class *Class) { class.Repeat = Idempotent }))
+	w.take(ask("behind", "once"))
+	for _, id := range []string{"before", "behind"} {
+		w.back(id, 0, Return{Ending: Severed})
+	}
+	w.pass(2 * second)
+	if before, behind := len(w.requests["before"].attempts), len(w.requests["behind"].attempts); before != 1 || behind < 2 {
+		t.Errorf("%d attempts of the write that came before, %d of the one behind", before, behind)
+	}
+	if w.requests["before"].final != 1 {
+		t.Error("the write that came before has no final answer")
+	}
+}
+
+// TestClassTakenOutWithAWriteInHand: a class is taken out while a write of it is out. The write is answered, the reads of its
+// session see it, and no further request of that class is taken.
+func TestClassTakenOutWithAWriteInHand(t *testing.T) {
+	c := testCharter()
+	c.FencesCarried = false
+	w := three(t, c)
+	write := ask("w", "once")
+	write.Session = "s"
+	w.take(write)
+	without := w.charter
+	without.Classes = slices.DeleteFunc(slices.Clone(c.Classes), func(class Class) bool { return class.Name == "once" })
+	w.configure(without)
+	w.pass(100)
+	w.back("w", 0, Return{Ending: Served, Note: Report{Position: w.now, Role: Primary}})
+	read := ask("r", "session")
+	read.Session = "s"
+	w.take(read)
+	w.pass(1000) // it may ask a replica first
+	if store := w.at(t, "r"); store != 1 {
+		t.Errorf("a read behind the write went to store %d, which has not shown it", store)
+	}
+	if err := w.b.Take(w.now, ask("late", "once")); err == nil {
+		t.Error("a class that was taken out is taken")
+	}
+}
+
+// TestFaultySettingsChangeNothing: settings out of range are refused, and those before stay in force as a whole.
+func TestFaultySettingsChangeNothing(t *testing.T) {
+	w := three(t, testCharter())
+	before := *w.b
+	for _, faulty := range []Charter{
+		{Fronts: 9},
+		changed(w.charter, "marked", func(class *Class) { class.Window = -1 }),
+		changed(w.charter, "any", func(class *Class) { class.ExpectedTime = 0 }),
+	} {
+		faulty.Cold, faulty.MostAttempts = 5, 1
+		if err := w.b.Configure(w.now+50, faulty); err == nil {
+			t.Error("faulty settings are taken")
+		}
+	}
+	after := w.b
+	if after.cold != before.cold || after.mostAttempts != before.mostAttempts || after.least != before.least ||
+		!slices.Equal(after.classes, before.classes) {
+		t.Error("a part of the faulty settings is in force")
+	}
+	w.take(ask("w", "marked"))
+	w.at(t, "w")
+}
+
+// TestClassPlacesAreGivenBack: what is kept of classes is bounded by those in force and those that requests in hand came
+// under, however often settings change.
+func TestClassPlacesAreGivenBack(t *testing.T) {
+	w := three(t, testCharter())
+	w.take(ask("long", "once"))
+	for n := range 2000 {
+		w.configure(changed(w.charter, "any", func(class *Class) { class.Credit = float64(n + 2) }))
+	}
+	if most := len(w.charter.Classes) + 2; len(w.b.classes) > most {
+		t.Errorf("%d places of classes, %d at most expected", len(w.b.classes), most)
+	}
+}
+
+// TestLearntIsKept: new figures of a class leave what its attempts were seen to take, and what tenants have left.
+func TestLearntIsKept(t *testing.T) {
+	w := three(t, testCharter())
+	for k := range 40 {
+		id := string(rune('A' + k))
+		in := ask(id, "any")
+		in.Tenant = "c"
+		w.take(in)
+		w.pass(100)
+		w.back(id, 0, Return{Ending: Served, Note: Report{Position: w.now, Role: Replica}})
+	}
+	typical, bucket := w.b.classes[w.b.classOf["any"]].typical, w.b.tenants["c"].bucket
+	w.configure(changed(w.charter, "any", func(class *Class) { class.Credit = 9 }))
+	if got := w.b.classes[w.b.classOf["any"]]; got.typical != typical || got.Credit != 9 {
+		t.Errorf("typical %v with credit %v, %v before", got.typical, got.Credit, typical)
+	}
+	if got := w.b.tenants["c"].bucket; got != bucket {
+		t.Errorf("the tenant's bucket holds %v, %v before", got, bucket)
+	}
+}
