Settings and the door of the fleet's configuration act at once, without a start

Change: Core.Configure puts settings and the door in force as a whole or not at all; a request keeps the class that it came under; what waits at the door arrives anew at its successor, and is refused if its class is gone or needs other data. Zones and the watch of positions take their figures too. The log line and status no longer name what waits: nothing does. limits.Saw is told the expected time in place of a class's number.

Tests in internal/front fail with the renumbering or the new arrival taken out.

--- a/cmd/micatrack/config.go
+++ b/cmd/micatrack/config.go
@@ -128,29 +128,30 @@
 	}
 }
 
-// Discover has discovery be followed at the address that the configuration names, or else at that of the
-// front's file.
-func (c *configured) Discover(text []byte) { c.target = discoveryOf(c.o, text) }
-
-// discoveryOf gives the address of discovery to follow: a flag's comes first, then the fleet's, then the
-// file's.
-func discoveryOf(o *orders, text []byte) string {
-	addr, err := configuration.FleetDiscovery(text)
-	if o.pinned || len(text) == 0 || err != nil {
-		return o.ownDiscovery
+// PutInForce has the front go by a version's texts, as a whole or not at all.
+func (c *configured) PutInForce(texts []config.ScopeText) error {
+	fresh, err := c.o.under(texts)
+	if err != nil {
+		return err
+	}
+	if err := c.t.reconfigure(c.o, &fresh); err != nil {
+		return err
 	}
-	return addr
+	c.target = fresh.discovery
+	fresh.discovery = c.o.discovery // until the loop has moved there
+	*c.o = fresh
+	return nil
 }
 
-// reader reads the front's files as a start would, but with discovery as it is in force now.
+// reader reads the front's files as a start would, but with the version that is in force now.
 // Danger: the version's file may be on its way to the disk, and a reload would go back to an older address.
 func (c *configured) reader(read reader) reader {
 	return func() (orders, error) {
 		fresh, err := read()
-		if err == nil {
-			fresh.discovery = discoveryOf(&fresh, c.front.InForce(configuration.Discovery))
+		if err != nil {
+			return fresh, err
 		}
-		return fresh, err
+		return fresh.under(c.front.InForce())
 	}
 }
 
@@ -186,36 +187,13 @@
 		o.trouble = err.Error()
 		return
 	}
-	if err := o.overlay(&stored); err != nil {
+	fresh, err := o.under(stored.Texts)
+	if err != nil {
 		o.trouble = err.Error()
 		return
 	}
-	o.stored = stored
-}
-
-// overlay takes over all texts of a version, or none.
-func (o *orders) overlay(stored *configuration.Stored) error {
-	fresh := *o
-	if text, has := stored.Text(configuration.Settings); has {
-		c, host, err := configuration.FleetSettings(text)
-		if err != nil {
-			return err
-		}
-		c.Zone = o.charter.Zone
-		fresh.charter, fresh.host = c, host
-	}
-	if text, has := stored.Text(configuration.Operators); has {
-		parts, err := configuration.FleetOperators(text)
-		if err != nil {
-			return err
-		}
-		fresh.operators.Door = parts.Door
-	}
-	if text, has := stored.Text(configuration.Discovery); has {
-		fresh.discovery = discoveryOf(o, text)
-	}
 	*o = fresh
-	return nil
+	o.stored = stored
 }
 
 // answer serves the commands about the fleet's configuration.
--- a/cmd/micatrack/configcommands.go
+++ b/cmd/micatrack/configcommands.go
@@ -437,9 +437,6 @@
 	if v.Reason != "" {
 		fmt.Fprintf(out, "%s: version %d is %s: %s\n", v.Front, v.Received, v.State, v.Reason)
 	}
-	if len(v.Waits) > 0 {
-		fmt.Fprintf(out, "%s: waits for the next start: %s\n", v.Front, strings.Join(v.Waits, ", "))
-	}
 }
 
 // age says how old the version in force is.
--- a/cmd/micatrack/fleet.go
+++ b/cmd/micatrack/fleet.go
@@ -55,7 +55,6 @@
 	}
 	t := &together{now: now, peers: p, name: f.Name, wake: wake, log: log.With("fleet", f.Name), asks: make(chan func(), 16)}
 	span := f.PeriodMS * 10
-	t.bridge = joined.NewBridge(&o.charter)
 	addr, life := cmp.Or(f.Advertise, p.Addr()), uint64(now())/10
 	t.Fleet = fleet.New(now(), membership.Self{Name: o.name, Zone: cmp.Or(o.charter.Zone, "-"), Addr: addr, Incarnation: life, Seed: o.charter.Seed, Period: span, Seeds: f.Seeds, Members: f.Members, NoteLife: noteLife * span},
 		zones.Self{StartShare: o.charter.StartShare, Cold: o.charter.Cold, FallSpan: o.charter.FallSpan}, t)
--- a/cmd/micatrack/serve.go
+++ b/cmd/micatrack/serve.go
@@ -19,7 +19,6 @@
 	"time"
 
 	"micatrack/balance"
-	"micatrack/door"
 	"micatrack/internal/charter"
 	"micatrack/internal/configuration"
 	"micatrack/internal/discovery"
@@ -43,7 +42,7 @@
 	stored                  configuration.Stored // the fleet's configuration, as this front had it last
 	trouble                 string               // why it was not taken, if it was not
 	pinned                  bool                 // a flag names discovery
-	ownDiscovery            string               // that goes by no fleet's configuration
+	own                     parts                // as the front's files have them
 }
 
 // readConfiguration reads the file. What flags name comes first; the environment fills in what is named nowhere
@@ -92,11 +91,12 @@
 	if o.charter, o.host, err = configuration.ReadSettings(w.Settings); err != nil {
 		return o, fmt.Errorf("settings: %w", err)
 	}
-	o.pinned, o.ownDiscovery = pinned, o.discovery
+	o.charter.Seed, o.pinned = seed, pinned
+	o.settle()
+	o.own = parts{o.discovery, o.charter, o.host, o.operators.Door}
 	if on.Fleet.On && on.Fleet.Config.On {
 		o.fromFleet()
 	}
-	o.charter.Seed = seed
 	if len(w.Known) > 0 {
 		if o.version, o.known, err = discovery.Decode(w.Known); err != nil {
 			return o, fmt.Errorf("known: %w", err)
@@ -135,9 +135,9 @@
 		o.discovery = fresh.discovery
 		move(fresh.discovery)
 	}
-	fresh.known, fresh.version, fresh.charter.Seed = o.known, o.version, o.charter.Seed
+	fresh.known, fresh.version = o.known, o.version
 	fresh.stored, fresh.trouble = o.stored, o.trouble
-	o.ownDiscovery = fresh.ownDiscovery
+	o.own.discovery = fresh.own.discovery
 	if !reflect.DeepEqual(fresh, *o) {
 		log.Warn("more than discovery has changed; the rest waits for the next start")
 	}
@@ -172,10 +172,7 @@
 	limits := front.Limits{Links: links, Clients: links / 2, Answer: answer, Kept: int(o.memory / 16), Rest: int64(rest / tick), Grace: int64(grace / tick),
 		Longest: int64(longest / tick), Secret: make([]byte, 32)}
 	rand.Read(limits.Secret)
-	if d := o.operators.Door; d.On {
-		limits.Door = &door.Bounds{Jobs: d.Jobs, Bytes: d.Kilobytes << 10, Customers: d.Customers, Places: d.Places,
-			Strangers: d.Strangers, Further: d.Further}
-	}
+	limits.Door = doorBounds(&o.operators.Door)
 	if b := o.operators.Bolt; b.On {
 		bound, err := net.Also(b.Listen, front.Bolt)
 		if err != nil {
@@ -193,16 +190,13 @@
 			others.config.move = watcher.Move
 			read = others.config.reader(read)
 		}
-		limits.Saw = func(store string, how balance.Ending, profile int, took front.Time) {
-			others.bridge.Saw(now(), store, how, profile, took)
+		limits.Saw = func(store string, how balance.Ending, expected, took front.Time) {
+			others.bridge.Saw(now(), store, how, expected, took)
 		}
 	}
 	if others != nil && others.look != nil {
 		limits.Watch = others.look
 	}
-	if o.charter.ListPushed {
-		o.charter.AgentGrace = o.host.Grace
-	}
 	core, err := front.New(now(), o.charter, o.host, limits, net, watcher.Ask, log)
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
--- /dev/null
+++ b/cmd/micatrack/settings.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"micatrack/balance"
+	"micatrack/door"
+	"micatrack/fleet/config"
+	"micatrack/internal/charter"
+	"micatrack/internal/configuration"
+	"micatrack/internal/front"
+	"micatrack/internal/operators"
+)
+
+// parts are what the fleet's configuration may say in place of a front's files.
+type parts struct {
+	discovery string
+	charter   balance.Charter
+	host      charter.Host
+	door      operators.Door
+}
+
+// settle works out what the settings leave to the program round the module.
+func (o *orders) settle() {
+	if o.charter.ListPushed {
+		o.charter.AgentGrace = o.host.Grace
+	}
+}
+
+// under returns the orders as they are under a version's texts. A scope without a text is as the front's files have it; a
+// flag that names discovery comes before them.
+func (o *orders) under(texts []config.ScopeText) (orders, error) {
+	fresh := *o
+	fresh.charter, fresh.host, fresh.operators.Door = o.own.charter, o.own.host, o.own.door
+	fresh.discovery = o.own.discovery
+	version := config.Document{Texts: texts}
+	if text, has := version.Text(configuration.Settings); has {
+		settings, host, err := configuration.FleetSettings(text)
+		if err != nil {
+			return *o, err
+		}
+		settings.Zone, settings.Seed = o.own.charter.Zone, o.own.charter.Seed
+		fresh.charter, fresh.host = settings, host
+	}
+	if text, has := version.Text(configuration.Operators); has {
+		shared, err := configuration.FleetOperators(text)
+		if err != nil {
+			return *o, err
+		}
+		fresh.operators.Door = shared.Door
+	}
+	if text, has := version.Text(configuration.Discovery); has && !o.pinned {
+		addr, err := configuration.FleetDiscovery(text)
+		if err != nil {
+			return *o, err
+		}
+		fresh.discovery = addr
+	}
+	fresh.settle()
+	return fresh, nil
+}
+
+// doorBounds returns the bounds of the door, nil if it is off.
+func doorBounds(d *operators.Door) *door.Bounds {
+	if !d.On {
+		return nil
+	}
+	return &door.Bounds{Jobs: d.Jobs, Bytes: d.Kilobytes << 10, Customers: d.Customers, Places: d.Places,
+		Strangers: d.Strangers, Further: d.Further}
+}
+
+// reconfigure has the running front go by other settings and another door, as a whole or not at all. Before its core is
+// there nothing has to be done: it starts with them.
+func (t *together) reconfigure(before, after *orders) error {
+	if t.core == nil {
+		return nil
+	}
+	next := front.Settings{Module: after.charter, Host: after.host, Door: doorBounds(&after.operators.Door)}
+	if err := t.core.Configure(t.now(), next); err != nil {
+		return err
+	}
+	t.Zones.Configure(after.charter.StartShare, after.charter.Cold, after.charter.FallSpan)
+	if t.look != nil {
+		wait, storeWait := watchWaits(after)
+		t.look.w.Configure(wait, storeWait)
+	}
+	return nil
+}
+
+// watchWaits returns how long the watch of positions waits for a watcher's answer, half of what a read waits for a
+// position, and for a store's.
+func watchWaits(o *orders) (wait, storeWait front.Time) {
+	quickest := o.charter.Classes[0].ExpectedTime
+	for _, class := range o.charter.Classes {
+		quickest = min(quickest, class.ExpectedTime)
+	}
+	return max(quickest/20, 1), o.host.Dial
+}
--- a/cmd/micatrack/watch.go
+++ b/cmd/micatrack/watch.go
@@ -11,15 +11,12 @@
 	w *watch.Watch
 }
 
-// look opens a front's part in the watch. wait is for a watcher's answer, at most.
+// look opens a front's part in the watch.
 func look(t *together, o *orders, addr string) *lookout {
-	quickest := o.charter.Classes[0].ExpectedTime
-	for _, p := range o.charter.Classes {
-		quickest = min(quickest, p.ExpectedTime)
-	}
+	wait, storeWait := watchWaits(o)
 	l := &lookout{t: t}
-	l.w = watch.New(t.now(), watch.Self{Name: o.name, Addr: addr, Wait: max(quickest/20, 1), // half of what a read waits for a position
-		Period: o.operators.Fleet.PeriodMS * 10, Patience: o.host.Dial, Seed: o.charter.Seed}, l)
+	l.w = watch.New(t.now(), watch.Self{Name: o.name, Addr: addr, Wait: wait, Period: o.operators.Fleet.PeriodMS * 10,
+		Patience: storeWait, Seed: o.charter.Seed}, l)
 	t.bridge.Watch = l.w
 	t.peers.OnWatch(func(q watch.Query) { l.w.Hear(t.now(), q) }, func(a watch.Answer) { l.w.Told(t.now(), a) })
 	return l
--- a/door/doc.go
+++ b/door/doc.go
@@ -27,5 +27,6 @@
 //	contention.go  log lines about contention
 //	names.go       places of tenants
 //	calendar.go    work that was promised a time
+//	successor.go   other settings or bounds while it runs
 //	pile.go        pairing heaps
 package door
--- a/fleet/watch/watch.go
+++ b/fleet/watch/watch.go
@@ -133,6 +133,12 @@
 	return w
 }
 
+// Configure takes over how long a watcher's answer and a store's are waited for. Questions that are out keep their time.
+func (w *Watch) Configure(wait, storeWait Time) {
+	w.self.Wait, w.self.Patience = wait, storeWait
+	w.beatAt = min(w.beatAt, w.now) // it may be due sooner
+}
+
 // Peer is another front that is there.
 type Peer struct{ Name, Addr string }
 
--- a/fleet/zones/zones.go
+++ b/fleet/zones/zones.go
@@ -94,11 +94,18 @@
 		storeByID:       map[string]int{},
 		zoneByName:      map[string]int{},
 		observerByName:  map[string]int{},
-		window:          max(windowFallSpans*self.FallSpan, windowPeriods*self.Period, self.Cold/windowColdDivisor),
 		evidenceVersion: self.Incarnation << incarnationShift,
 		nextTickAt:      now,
 	}
+	z.Configure(self.StartShare, self.Cold, self.FallSpan)
 	z.zoneIndex(self.Zone, true)
 	z.zones[ownZone].fronts = 1
 	return z
 }
+
+// Configure takes over what the settings say of cold stores: the part of its capacity with which one starts, after which
+// time it has all of it, and how long it must be overloaded to fail. Orders and steps that have begun keep their times.
+func (z *Zones) Configure(startShare float64, cold, fallSpan Time) {
+	z.self.StartShare, z.self.Cold, z.self.FallSpan = startShare, cold, fallSpan
+	z.window = max(windowFallSpans*fallSpan, windowPeriods*z.self.Period, cold/windowColdDivisor)
+}
--- a/internal/configuration/front.go
+++ b/internal/configuration/front.go
@@ -36,7 +36,9 @@
 
 // Host is what the front does for its configuration.
 type Host interface {
-	Discover(text []byte)       // follow discovery at another address; none: that of the front's file
+	// PutInForce has the front go by a version's texts, all of them or, if it returns an error, none. What a scope
+	// without a text would say comes from the front's files. Texts were checked.
+	PutInForce(texts []config.ScopeText) error
 	Peers() config.Peers        // who is there; addresses as the fleet has them
 	ToControl(body []byte) bool // hands a message to the control part of this machine, if there is one
 }
@@ -52,7 +54,6 @@
 	wake    func()
 	handed  chan handed
 
-	started   []config.ScopeText // texts that this start took
 	texts     []config.ScopeText // in force
 	known     config.Peers
 	lookAt    Time
@@ -75,9 +76,8 @@
 	f := &Front{
 		options: o, host: h, now: now, peers: p, log: log, wake: wake, handed: make(chan handed, maxWaiting),
 	}
-	f.started, f.forceAt = o.Stored.Texts, o.Stored.ForceAt
+	f.texts, f.forceAt = o.Stored.Texts, o.Stored.ForceAt
 	f.provenAt, f.writtenAt = o.Stored.ProvenAt, o.Stored.ProvenAt
-	f.texts = f.started
 	if o.Path != "" {
 		f.writer = newWriter(o.Path, func(err error) { log.Error("configuration not kept", "error", err.Error()) })
 	}
@@ -106,17 +106,14 @@
 			return &refusal{t.Scope, err}
 		}
 	}
-	before, after := config.Document{Texts: f.texts}, config.Document{Texts: texts}
-	was, _ := before.Text(Discovery)
-	is, _ := after.Text(Discovery)
+	if err := f.host.PutInForce(texts); err != nil {
+		return err
+	}
 	f.texts = slices.Clone(texts)
 	if f.agent != nil { // else it is that of the start before
 		f.forceAt, f.provenAt, f.writtenAt = time.Now().UnixMilli(), 0, 0
 	}
-	if !bytes.Equal(was, is) {
-		f.host.Discover(is)
-	}
-	f.log.Info("configuration in force", "version", version, "waits", strings.Join(f.waits(), ","))
+	f.log.Info("configuration in force", "version", version)
 	return nil
 }
 
@@ -128,19 +125,6 @@
 
 func (r *refusal) Error() string { return string(r.scope) + ": " + r.err.Error() }
 
-// waits names the scopes whose texts wait for the next start.
-func (f *Front) waits() (scopes []string) {
-	was, is := config.Document{Texts: f.started}, config.Document{Texts: f.texts}
-	for _, scope := range []config.Scope{Operators, Settings} {
-		then, _ := was.Text(scope)
-		now, _ := is.Text(scope)
-		if !bytes.Equal(then, now) {
-			scopes = append(scopes, string(scope))
-		}
-	}
-	return scopes
-}
-
 // Keep has the version in force written to disk.
 func (f *Front) Keep(kept []byte) {
 	f.kept = kept
@@ -251,16 +235,15 @@
 
 // View is what one front has in force, as it is shown.
 type View struct {
-	Front    string   `json:"front"`
-	Version  uint64   `json:"version"`  // in force; 0: none, the front goes by its files
-	Received uint64   `json:"received"` // newer where that one is held or refused
-	State    string   `json:"state"`
-	Reason   string   `json:"reason,omitempty"`
-	AgeMS    int64    `json:"age_ms"`          // since it was known to be the fleet's newest; -1: never
-	ForMS    int64    `json:"for_ms"`          // since it was put in force here, also by the start before
-	Fresh    bool     `json:"fresh"`           // that is so at the moment
-	Waits    []string `json:"waits,omitempty"` // scopes that wait for the next start
-	Texts    []Text   `json:"texts"`
+	Front    string `json:"front"`
+	Version  uint64 `json:"version"`  // in force; 0: none, the front goes by its files
+	Received uint64 `json:"received"` // newer where that one is held or refused
+	State    string `json:"state"`
+	Reason   string `json:"reason,omitempty"`
+	AgeMS    int64  `json:"age_ms"` // since it was known to be the fleet's newest; -1: never
+	ForMS    int64  `json:"for_ms"` // since it was put in force here, also by the start before
+	Fresh    bool   `json:"fresh"`  // that is so at the moment
+	Texts    []Text `json:"texts"`
 }
 
 // Text is one scope's text, as it is shown.
@@ -277,19 +260,15 @@
 	return list
 }
 
-// InForce gives a scope's text in force, nil if there is none.
-func (f *Front) InForce(scope config.Scope) []byte {
-	d := config.Document{Texts: f.texts}
-	text, _ := d.Text(scope)
-	return text
-}
+// InForce gives the texts in force.
+func (f *Front) InForce() []config.ScopeText { return f.texts }
 
 // View tells what is in force here.
 func (f *Front) View() View {
 	s := f.agent.Status(f.now())
 	v := View{
 		Front: f.options.Name, Version: uint64(s.InForce), Received: uint64(s.Received), State: s.State.String(),
-		Reason: s.Reason, AgeMS: neverProven, Waits: f.waits(), Texts: shown(f.texts),
+		Reason: s.Reason, AgeMS: neverProven, Texts: shown(f.texts),
 	}
 	if s.InForce != 0 {
 		v.ForMS = max(time.Now().UnixMilli()-f.forceAt, 0)
--- a/internal/front/bolt.go
+++ b/internal/front/bolt.go
@@ -185,7 +185,7 @@
 		code, why = bolt.BadBookmark, err.Error()
 	case err != nil:
 		why = err.Error()
-	case t.After > c.now+c.longest: // Danger: nothing would ever have come so far
+	case t.After > c.now+c.classes.longest: // Danger: nothing would ever have come so far
 		code, why = bolt.BadBookmark, "a bookmark is from the future"
 	}
 	b.terms = b.terms[:0]
@@ -200,7 +200,7 @@
 	if t.Carried {
 		t.Session = nil // what the bookmark says goes before what this front remembers
 	}
-	if kind, ok := c.classes[string(t.Profile)]; ok && r.Extra.Reads && c.needs[kind] == balance.Write {
+	if kind, ok := c.classes.byName[string(t.Profile)]; ok && r.Extra.Reads && c.classes.settings[kind].Need == balance.Write {
 		why = "a job that writes came in access mode r"
 	}
 	if why == "" {
@@ -519,7 +519,7 @@
 		c.out = append(c.out, raw...)
 	} else {
 		var mark []byte
-		if over && w != bolt.Rollback && c.needs[j.kind] == balance.Write && k.note.Position > 0 {
+		if over && w != bolt.Rollback && j.class().Need == balance.Write && k.note.Position > 0 {
 			mark = bolt.AppendBookmark(nil, j.terms.Group, k.note.Position)
 		}
 		c.out, _ = bolt.AppendSummary(c.out, a.Fields, mark) // it could be read before
@@ -576,7 +576,7 @@
 		c.module.Streams(c.now, j.id)
 	}
 	if k.bolt.shown = true; !k.bolt.course.Transaction {
-		k.errand.until = c.now + c.longest
+		k.errand.until = c.now + c.classes.longest
 	}
 }
 
@@ -624,7 +624,7 @@
 	r := balance.Return{Ending: proven(a.Code), Note: k.note, Load: k.load, Since: k.up}
 	var answer []byte
 	failed := true
-	switch k.bolt.course.End(c.repeats[j.kind] == balance.Idempotent) {
+	switch k.bolt.course.End(j.class().Repeat == balance.Idempotent) {
 	case course.Failed:
 		if r.Ending = balance.Faulted; bolt.Clients(a.Code) {
 			r.Ending = balance.Served // the store is well; the statement is not
@@ -663,7 +663,7 @@
 		// Danger: another store's answer behind this one's beginning would be taken for one.
 		if j := &c.requests[k.errand.request]; j.client != nil {
 			s := j.client.speech
-			if b.course.End(c.repeats[j.kind] == balance.Idempotent) == course.TurnedBack {
+			if b.course.End(j.class().Repeat == balance.Idempotent) == course.TurnedBack {
 				c.answer(k.errand.request, s.refusal(c.out[:0], 0), true)
 			} else {
 				c.answer(k.errand.request, s.failure(c.out[:0], "the store is lost"), true)
--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -43,14 +43,15 @@
 	client  *client
 	terms   terms.Terms
 	cut     pgwire.Cut
-	bolt    bool  // it came in Bolt
-	offset  int   // of its command in its client's ring
-	kind    int   // its class, as the charter numbers them
-	left    Time  // as its client said, less what has passed since
-	came    Time  // when its last byte had come
-	sent    int   // attempts
-	attempt *conn // the one that is out on a connection
-	waits   bool  // the one that is out waits for a connection
+	bolt    bool        // it came in Bolt
+	offset  int         // of its command in its client's ring
+	classes *classTable // under which it came
+	kind    int         // its class there
+	left    Time        // as its client said, less what has passed since
+	came    Time        // when its last byte had come
+	sent    int         // attempts
+	attempt *conn       // the one that is out on a connection
+	waits   bool        // the one that is out waits for a connection
 	store   uint32
 	least   Time // position that the answer to the attempt that is out has to show; 0: none
 	owed    int  // results that the module has yet to hear of
@@ -236,7 +237,7 @@
 
 // begin takes a request in hand, or tells what is wrong with it.
 func (cl *client) begin(c *Core, t terms.Terms, cut pgwire.Cut) (index int32, f fault, why string) {
-	kind, ok := c.classes[string(t.Profile)]
+	kind, ok := c.classes.byName[string(t.Profile)]
 	if !ok {
 		return -1, noClass, "unknown class"
 	}
@@ -261,7 +262,7 @@
 	c.freeRequests = c.freeRequests[:len(c.freeRequests)-1]
 	c.inHand++
 	j := &c.requests[i]
-	*j = request{id: j.id, client: cl, terms: t, cut: cut, kind: kind, bolt: speaks, came: c.now, left: t.Left, busy: true}
+	*j = request{id: j.id, client: cl, terms: t, cut: cut, classes: c.classes, kind: kind, bolt: speaks, came: c.now, left: t.Left, busy: true}
 	c.arrivals = append(c.arrivals, i)
 	return i, sound, ""
 }
@@ -271,6 +272,8 @@
 	j := &c.requests[i]
 	switch {
 	case !j.busy || j.final: // its client left at once
+	case !c.renumber(j): // it was never sent, so trying again is harmless
+		c.answer(i, j.client.speech.refusal(c.out[:0], 0), true)
 	case c.door == nil:
 		c.take(i)
 	default:
@@ -290,7 +293,7 @@
 	waited := c.now - j.came
 	in := balance.Request{ID: j.id, Class: string(s.Profile), Tenant: string(s.Customer), Group: s.Group,
 		Left: j.left - waited, Waited: waited, Repeated: s.Repeated, WriteAge: -1}
-	if need := c.needs[j.kind]; need == balance.Write || need == balance.Session {
+	if need := j.class().Need; need == balance.Write || need == balance.Session {
 		in.Session = string(s.Session)
 	}
 	if s.Carried {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -89,9 +89,9 @@
 	Address string       // where Bolt clients reach this front, for ROUTE, if they do not say
 	Drain   Time         // how long an open transaction may go on at a store that drains
 	Secret  []byte       // from which the keys are made by which clients cancel
-	// Saw, if it is set, is told how each attempt (of a class, by its number in the charter) and each probe (-1) came
-	// back, and how long after it set out.
-	Saw   func(store string, how balance.Ending, class int, took Time)
+	// Saw, if it is set, is told how each attempt and each probe came back, and how long after it set out. Expected is
+	// the expected time of the attempt's class, 0 for a probe.
+	Saw   func(store string, how balance.Ending, expected, took Time)
 	Watch Watch // nil: every question goes to the store itself
 }
 
@@ -143,10 +143,8 @@
 	log          *slog.Logger
 	host         charter.Host
 	limits       Limits
-	classes      map[string]int // as the charter numbers them
-	needs        []balance.Need
-	repeats      []balance.Repeat
-	longest      Time // of the classes' deadlines
+	classes      *classTable
+	settings     Settings // in force
 	now          Time
 	wakeAt       Time
 	watch        func()
@@ -182,13 +180,8 @@
 func New(now Time, c balance.Charter, h charter.Host, l Limits, s Sockets, watch func(),
 	log *slog.Logger) (*Core, error) {
 	f := &Core{sockets: s, log: log, host: h, limits: l, now: now, watch: watch,
-		classes: map[string]int{}, storeOf: map[string]uint32{}, groups: map[uint64]bool{}}
-	for i, p := range c.Classes {
-		f.classes[p.Name] = i
-		f.needs = append(f.needs, p.Need)
-		f.repeats = append(f.repeats, p.Repeat)
-		f.longest = max(f.longest, p.Deadline)
-	}
+		classes: newClassTable(c.Classes), settings: Settings{Module: c, Host: h, Door: l.Door},
+		storeOf: map[string]uint32{}, groups: map[uint64]bool{}}
 	var err error
 	if f.module, err = balance.New(now, c, f); err == nil && l.Door != nil {
 		f.door, err = door.New(now, c, *l.Door, gate{f})
@@ -237,7 +230,7 @@
 // answered before the front is ended by force.
 func (c *Core) Stop(now Time) {
 	if c.stopAt == 0 {
-		span := min(c.longest, cmp.Or(c.limits.Longest, c.longest))
+		span := min(c.classes.longest, cmp.Or(c.limits.Longest, c.classes.longest))
 		// Danger: where limits are short, new connections still come when most of that time is over.
 		c.stopAt, c.endAt = now+max(span*3/4, c.limits.Grace), now+span+c.limits.Grace
 		c.module.Closing(now, c.endAt) // Danger: what the end by force finds unanswered is lost.
--- a/internal/front/pipeline.go
+++ b/internal/front/pipeline.go
@@ -127,7 +127,7 @@
 	if err != nil {
 		return false
 	}
-	class, known := c.classes[string(query.Terms.Profile)]
+	class, known := c.classes.byName[string(query.Terms.Profile)]
 	if !known || !cl.independent(c, class, &query.Terms) {
 		return false
 	}
@@ -163,7 +163,7 @@
 // Danger: within its session a command has to see the effect of those before it, and none of those behind it.
 func (c *Core) beside(earlier int32, class int, query *terms.Terms) bool {
 	before := &c.requests[earlier]
-	writes, wrote := c.needs[class] == balance.Write, c.needs[before.kind] == balance.Write
+	writes, wrote := c.classes.settings[class].Need == balance.Write, before.class().Need == balance.Write
 	if !writes && !wrote {
 		return true
 	}
--- /dev/null
+++ b/internal/front/settings.go
@@ -0,0 +1,86 @@
+package front
+
+import (
+	"micatrack/balance"
+	"micatrack/door"
+	"micatrack/internal/charter"
+)
+
+// classTable is what the core knows of the settings' classes, numbered as the settings have them. It is replaced as a
+// whole and never changed, so a request goes by the one under which it came.
+type classTable struct {
+	settings []balance.Class
+	byName   map[string]int
+	longest  Time // of the classes' deadlines
+}
+
+func newClassTable(classes []balance.Class) *classTable {
+	table := &classTable{settings: classes, byName: make(map[string]int, len(classes))}
+	for i := range classes {
+		table.byName[classes[i].Name] = i
+		table.longest = max(table.longest, classes[i].Deadline)
+	}
+	return table
+}
+
+// class is the one under which a request came.
+func (r *request) class() *balance.Class { return &r.classes.settings[r.kind] }
+
+// Settings is what a front goes by that may change while it runs.
+type Settings struct {
+	Module balance.Charter
+	Host   charter.Host
+	Door   *door.Bounds // nil: there is no door
+}
+
+// Configure puts other settings in force, as a whole or, if it returns an error, not at all. Requests that the module
+// has in hand go on by the class that they came under; those that wait at the door are admitted anew.
+func (c *Core) Configure(now Time, s Settings) error {
+	successor, waiting, err := c.nextDoor(now, &s)
+	if err != nil {
+		return err
+	}
+	if err := c.module.Configure(now, s.Module); err != nil {
+		return err
+	}
+	c.door = successor
+	c.arrivals = append(c.arrivals, waiting...)
+	c.classes = newClassTable(s.Module.Classes)
+	c.host, c.settings = s.Host, s
+	c.wakeAt = min(c.wakeAt, now) // what waits here is looked at in the next step
+	return nil
+}
+
+// nextDoor returns the door for other settings, and the requests that wait at the present one, the oldest first, if
+// another takes its place.
+func (c *Core) nextDoor(now Time, s *Settings) (next *door.Door, waiting []int32, err error) {
+	switch {
+	case s.Door == nil && c.door == nil:
+		return nil, nil, nil
+	case s.Door == nil:
+		return nil, c.door.Requests(), nil
+	case c.door == nil:
+		next, err = door.New(now, s.Module, *s.Door, gate{c})
+		return next, nil, err
+	case door.Alike(&s.Module, &c.settings.Module) && *s.Door == *c.settings.Door:
+		return c.door, nil, nil
+	}
+	next, err = c.door.Successor(now, s.Module, *s.Door)
+	return next, c.door.Requests(), err
+}
+
+// renumber gives a request that the module has not been handed its class by the settings in force; false: they do not
+// have it, or it needs other data than the request was taken for.
+//
+// Danger: what may run beside it on its connection was judged by what it needed when it came.
+func (c *Core) renumber(r *request) bool {
+	if r.classes == c.classes {
+		return true
+	}
+	kind, known := c.classes.byName[r.class().Name]
+	if !known || c.classes.settings[kind].Need != r.class().Need {
+		return false
+	}
+	r.classes, r.kind = c.classes, kind
+	return true
+}
--- /dev/null
+++ b/internal/front/settings_test.go
@@ -0,0 +1,168 @@
+package front
+
+import (
+	"slices"
+	"strings"
+	"testing"
+
+	"micatrack/balance"
+	"micatrack/internal/pgwire"
+)
+
+// configure puts changed settings in force.
+func (s *stage) configure(change func(settings *Settings)) {
+	s.t.Helper()
+	if err := s.core.Configure(s.now, s.changed(change)); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// changed gives the settings in force with a change.
+func (s *stage) changed(change func(settings *Settings)) Settings {
+	settings := s.core.settings
+	settings.Module.Classes = slices.Clone(settings.Module.Classes)
+	if settings.Door != nil {
+		bounds := *settings.Door
+		settings.Door = &bounds
+	}
+	change(&settings)
+	return settings
+}
+
+// TestSettingsWhileAWriteIsOut: a class of writes may be repeated from now on, while one of it is out whose answer is lost.
+// Its client is told that it may have run, and it is not sent again. That of one that comes later is told to come again.
+func TestSettingsWhileAWriteIsOut(t *testing.T) {
+	s := newStage(t, 100)
+	before := s.client()
+	s.say(before, ask("once", 1001))
+	s.store()
+	s.configure(func(settings *Settings) { settings.Module.Classes[2].Repeat = balance.Idempotent })
+	s.step(Event{s.dials[0], Closed})
+	s.pass(second / 10)
+	if got := code(t, before.take()); got != pgwire.Unresolved {
+		t.Errorf("the write that was out: %s", got)
+	}
+	if n := s.queries(); n != 1 {
+		t.Errorf("%d queries for one attempt", n)
+	}
+	later := newStage(t, 100)
+	later.configure(func(settings *Settings) { settings.Module.Classes[2].Repeat = balance.Idempotent })
+	cl := later.client()
+	later.say(cl, ask("once", 1002))
+	later.store()
+	later.step(Event{later.dials[0], Closed})
+	later.pass(2 * second) // its store says nothing more
+	if got := code(t, cl.take()); got != pgwire.TooMany {
+		t.Errorf("a write that comes later: %s", got)
+	}
+}
+
+// TestSettingsWithoutAClass: a class is taken out while a request of it is out. That one is answered, and no other is taken.
+func TestSettingsWithoutAClass(t *testing.T) {
+	s := newStage(t, 100)
+	cl := s.client()
+	s.say(cl, ask("any", 1001))
+	store := s.store()
+	s.configure(func(settings *Settings) { settings.Module.Classes = settings.Module.Classes[1:] })
+	s.say(store, value, ready)
+	if got := code(t, cl.take()); got != "value" {
+		t.Errorf("the request that was out: %s", got)
+	}
+	s.say(cl, ask("any", 1002))
+	if got := code(t, cl.take()); got == "value" || got == "" {
+		t.Errorf("a request of a class that was taken out: %q", got)
+	}
+}
+
+// TestSettingsWhileRequestsWaitAtTheDoor: other tenants, other bounds, and no door at all come into force while requests wait.
+// Each has one answer in its time, and none is sent twice.
+func TestSettingsWhileRequestsWaitAtTheDoor(t *testing.T) {
+	for name, change := range map[string]func(settings *Settings){
+		"tenants": func(settings *Settings) {
+			settings.Module.Tenants = []balance.Tenant{{Name: "a", Quota: 5}, {Name: "b", Quota: 9}}
+		},
+		"fewer places": func(settings *Settings) { settings.Door.Jobs = 5 },
+		"times":        func(settings *Settings) { settings.Module.Classes[0].ExpectedTime = 1000 },
+		"no door":      func(settings *Settings) { settings.Door = nil },
+	} {
+		s := doorStage(t)
+		clients := crowd(s, 60, "any")
+		held := s.core.door.Waiting()
+		if held < 20 {
+			t.Fatalf("%s: %d wait at the door", name, held)
+		}
+		s.configure(change)
+		s.step()
+		if s.core.door != nil && s.core.door.Waiting() > held {
+			t.Errorf("%s: %d wait, %d before", name, s.core.door.Waiting(), held)
+		}
+		s.pass(2 * second)
+		answered := 0
+		for _, cl := range clients {
+			if got := cl.take(); len(got) > 0 {
+				code(t, got) // of one answer, or it fails
+				answered++
+			}
+		}
+		if answered != len(clients) || s.core.inHand != 0 {
+			t.Errorf("%s: %d of %d have an answer, %v", name, answered, len(clients), s.core)
+		}
+		for _, w := range s.dials {
+			if queries := strings.Count(string(w.out), "/* id=1"); queries > 1 {
+				t.Errorf("%s: %d queries on one connection whose store says nothing", name, queries)
+			}
+		}
+		for _, cl := range clients {
+			s.step(Event{cl, Closed})
+		}
+		s.pass(4 * second)
+		s.idle(0)
+	}
+}
+
+// TestClassOfOtherNeedAtTheDoor: a class of reads becomes one of writes while requests of it wait at the door. They were taken
+// as reads, beside others of their connections, so they are refused and never sent.
+func TestClassOfOtherNeedAtTheDoor(t *testing.T) {
+	s := doorStage(t)
+	clients := crowd(s, 60, "any")
+	held := s.core.door.Waiting()
+	sent := s.queries()
+	s.configure(func(settings *Settings) {
+		settings.Module.Classes[0].Need, settings.Module.Classes[0].Repeat = balance.Write, balance.AtMostOnce
+	})
+	s.step()
+	refused := 0
+	for _, cl := range clients {
+		if got := cl.take(); len(got) > 0 && code(t, got) == pgwire.TooMany {
+			refused++
+		}
+	}
+	if refused != held || s.queries() != sent {
+		t.Errorf("%d refused of %d that waited, %d queries more", refused, held, s.queries()-sent)
+	}
+}
+
+// TestFaultySettings: what is out of range, in the module's part or in the door's, changes nothing.
+func TestFaultySettings(t *testing.T) {
+	s := doorStage(t)
+	clients := crowd(s, 60, "any")
+	held, classes, entrance := s.core.door.Waiting(), s.core.classes, s.core.door
+	for name, change := range map[string]func(settings *Settings){
+		"door":    func(settings *Settings) { settings.Door.Jobs = 0 },
+		"classes": func(settings *Settings) { settings.Module.Classes[1].Deadline = 0 },
+		"module":  func(settings *Settings) { settings.Module.Classes[0].Window = -1 },
+	} {
+		if err := s.core.Configure(s.now, s.changed(change)); err == nil {
+			t.Errorf("%s: taken", name)
+		}
+	}
+	if s.core.classes != classes || s.core.door != entrance || s.core.door.Waiting() != held {
+		t.Error("a part of the faulty settings is in force")
+	}
+	s.pass(2 * second)
+	for _, cl := range clients {
+		if len(cl.take()) == 0 {
+			t.Error("a client has no answer")
+		}
+	}
+}
--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -184,11 +184,11 @@
 	if c.limits.Saw == nil {
 		return
 	}
-	kind := -1
+	expected := Time(0)
 	if e.request >= 0 {
-		kind = c.requests[e.request].kind
+		expected = c.requests[e.request].class().ExpectedTime
 	}
-	c.limits.Saw(c.stores[i].id, how, kind, c.now-e.since)
+	c.limits.Saw(c.stores[i].id, how, expected, c.now-e.since)
 }
 
 // ride writes the errand's query on a ready connection.
@@ -313,7 +313,7 @@
 // learned tells the watch what an answer has shown. A commit's position is told rounded up, so it is none.
 func (c *Core) learned(w Watch, i uint32, e errand, r balance.Return) {
 	position := r.Load.Position
-	if e.request >= 0 && c.needs[c.requests[e.request].kind] != balance.Write {
+	if e.request >= 0 && c.requests[e.request].class().Need != balance.Write {
 		position = max(position, r.Note.Position)
 	}
 	switch {
@@ -467,7 +467,7 @@
 		// At the end a query that has come in part is waited for; its client sends the rest without knowing.
 		over := c.Stopping() && (len(cl.link.Peek()) == 0 || c.now >= c.endAt)
 		// Danger: one that never hangs up on its side would hold its descriptor, and the front's end, for ever.
-		rest := c.longest
+		rest := c.classes.longest
 		if cl.ending && cl.link.Empty() {
 			rest = c.limits.Rest
 		}
@@ -476,7 +476,7 @@
 			cl.gone(c)
 			continue
 		}
-		if cl.request < 0 && !cl.ending && (over || !cl.greeted && c.now >= cl.since+c.longest) {
+		if cl.request < 0 && !cl.ending && (over || !cl.greeted && c.now >= cl.since+c.classes.longest) {
 			cl.finish(c)
 		}
 	}
--- a/internal/joined/joined.go
+++ b/internal/joined/joined.go
@@ -15,21 +15,11 @@
 
 // Bridge is that of one front.
 type Bridge struct {
-	Zones    *zones.Zones
-	Expected []balance.Time // of the profiles, as the charter numbers them
-	Watch    *watch.Watch   // nil: off
-	stores   []zones.Store  // scratch
-	watched  []string
-	peers    []watch.Peer
-}
-
-// NewBridge takes the profiles' expected times; Zones is set once it is there.
-func NewBridge(c *balance.Charter) Bridge {
-	var b Bridge
-	for _, p := range c.Classes {
-		b.Expected = append(b.Expected, p.ExpectedTime)
-	}
-	return b
+	Zones   *zones.Zones
+	Watch   *watch.Watch  // nil: off
+	stores  []zones.Store // scratch
+	watched []string
+	peers   []watch.Peer
 }
 
 // Listed hands a list of stores on.
@@ -85,13 +75,13 @@
 	b.Watch.Members(b.peers)
 }
 
-// Saw hands on how a trip or a probe came back, as front.Limits tells it.
-func (b *Bridge) Saw(now front.Time, store string, how balance.Ending, profile int, took front.Time) {
-	end, expected := zones.Answered, balance.Time(0)
+// Saw hands on how an attempt or a probe came back, as front.Limits tells it.
+func (b *Bridge) Saw(now front.Time, store string, how balance.Ending, expected, took front.Time) {
+	end := zones.Answered
 	switch how {
 	case balance.Served, balance.Behind, balance.Crowded, balance.Faulted:
-		if how == balance.Served && profile >= 0 {
-			expected = b.Expected[profile]
+		if how != balance.Served {
+			expected = 0
 		}
 	case balance.Unreached:
 		end = zones.Refused
