Fronts' talk keeps to budgets of bytes, and full exchanges carry what differs

Change: facts of other members and quiet notes go by token buckets, failures before answers; urgent notes go as before. Where many members change at once each fact is sent four times, and exchanges tell the rest. A program without digests is told everything, as before. Steps of a recovery in other zones are spread quietly.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -72,12 +72,20 @@
 
 func (a adapter) StopSpreading(key string) { a.fleet.Members.StopSpreading(key) }
 
-func (a adapter) NoteReceived(key []byte, note membership.Note, age Time) bool {
-	return a.fleet.Zones.Heard(a.fleet.now, key, note.Version, age, note.Body)
+func (a adapter) NoteReceived(key []byte, note membership.Note, age Time) membership.Spread {
+	return spreads[a.fleet.Zones.Heard(a.fleet.now, key, note.Version, age, note.Body)]
 }
 
-func (a adapter) Publish(key string, version uint64, body []byte, urgent bool) {
-	a.fleet.Members.Publish(a.fleet.now, key, version, body, urgent)
+// spreads gives membership's word for each of zones'.
+var spreads = [...]membership.Spread{
+	zones.DoNotSpread:    membership.DoNotSpread,
+	zones.SpreadQuietly:  membership.SpreadQuietly,
+	zones.SpreadSoon:     membership.SpreadSoon,
+	zones.SpreadUrgently: membership.SpreadUrgently,
+}
+
+func (a adapter) Publish(key string, version uint64, body []byte, spread zones.Spread) {
+	a.fleet.Members.Publish(a.fleet.now, key, version, body, spreads[spread])
 }
 
 // Take takes in a received message. It returns whether the sender expects Members.Open(membership.Answer) in
--- /dev/null
+++ b/fleet/membership/budget.go
@@ -0,0 +1,57 @@
+package membership
+
+// Figures of the budget. A fleet's control has 3,000 bytes a second for each front in the worst ten seconds; probes,
+// positions, leases and the configuration take their parts of it. Urgent notes are few, and are not held back.
+const (
+	factRate  = 300   // bytes a second of facts of other members
+	factBurst = 3_000 // bytes of them that may go at once after a quiet time
+	noteRate  = 400   // the same of quiet notes
+	noteBurst = 8_000
+
+	gossipHeadBytes = 60  // of a message of gossip, besides facts and notes
+	minGossipBytes  = 400 // of facts or of notes for which a round is worth its message
+
+	answerRate     = 400    // bytes a second of answers to full exchanges
+	answerBurst    = 6_000  // bytes of them at once
+	minAnswerBytes = 1_000  // of one answer in any case
+	unitsPerByte   = 10_000 // units of a bucket in a byte: a Time at a rate of one byte a second is one unit
+)
+
+// bucket is a token bucket (RFC 2697) in bytes. A bucket may be overdrawn by its last use.
+type bucket struct {
+	rate, burst int64 // bytes a second, bytes
+	units       int64
+	filledAt    Time
+}
+
+func newBucket(now Time, rate, burst int64) bucket {
+	return bucket{rate: rate, burst: burst, units: burst * unitsPerByte, filledAt: now}
+}
+
+// left fills the bucket up to a moment and returns the bytes that it holds.
+func (b *bucket) left(now Time) int64 {
+	passed := max(now-b.filledAt, 0)
+	b.filledAt = now
+	b.units = min(b.units+min(passed, b.burst*unitsPerByte)*b.rate, b.burst*unitsPerByte)
+	return b.units / unitsPerByte
+}
+
+func (b *bucket) take(bytes int) { b.units -= int64(bytes) * unitsPerByte }
+
+// room returns how many bytes a bucket allows in one datagram.
+func (b *bucket) room(now Time) int { return int(min(max(b.left(now), 0), datagramBytes)) }
+
+// mayGossip reports whether a round of gossip is worth its messages now.
+//
+// Danger: where a zone or a region is lost, hundreds of members change at once, and each front would tell all others of each
+// of them, many times what the network is given for it.
+func (m *Members) mayGossip() bool {
+	switch {
+	case m.urgent.length > 0:
+		return true
+	case m.quiet.length > 0 && m.noteBudget.room(m.now) >= minGossipBytes:
+		return true
+	default:
+		return m.facts.length > 0 && m.factBudget.room(m.now) >= minGossipBytes
+	}
+}
--- /dev/null
+++ b/fleet/membership/budget_test.go
@@ -0,0 +1,154 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+)
+
+// TestTalkKeepsToItsBudget: a zone of a hundred fronts is cut off for a minute and comes back. What a front sends in the worst
+// ten seconds stays within what its budgets allow, whatever the fleet's size, and all hold all for alive again soon after.
+func TestTalkKeepsToItsBudget(t *testing.T) {
+	const (
+		window = 10 * 10_000 // Time
+		// Both budgets full at the start of the window and spent in it; pings, their answers and the heads of rounds.
+		allowed = (factBurst+noteBurst)/10 + factRate + noteRate + 700
+	)
+	for _, each := range []int{20, 100} {
+		n := fleet(12, each)
+		n.run(150 * period)
+		worst := 0.0
+		run := func(spans int) {
+			for range spans {
+				before := n.bytes
+				n.run(window)
+				worst = max(worst, float64(n.bytes-before)/float64(len(n.order))/10)
+			}
+		}
+		n.cut = func(from, to string) bool { return (from[0] == 'a') != (to[0] == 'a') }
+		run(6)
+		n.cut = nil
+		run(9)
+		t.Logf("%d members: %.0f bytes a second in the worst ten seconds", 3*each, worst)
+		if worst > allowed {
+			t.Errorf("%d members: %.0f bytes a second in the worst ten seconds, %d allowed", 3*each, worst, allowed)
+		}
+		for _, o := range n.order {
+			for _, e := range o.m.List() {
+				if e.State != Alive {
+					t.Fatalf("%d members: %s holds %s for %v, 90 s after the return", 3*each, o.m.self.Name, e.Name, e.State)
+				}
+			}
+		}
+	}
+}
+
+// TestBucket: a bucket holds its burst at most, fills at its rate, and an overdrawn one has to fill up first.
+func TestBucket(t *testing.T) {
+	b := newBucket(0, 100, 1000)
+	for _, step := range []struct {
+		now  Time
+		take int
+		left int64
+	}{{0, 0, 1000}, {10_000, 300, 1000}, {10_000, 0, 700}, {20_000, 900, 800}, {30_000, 0, 0}, {40_000, 0, 100}, {1 << 50, 0, 1000}} {
+		if left := b.left(step.now); left != step.left {
+			t.Errorf("at %d: %d bytes left, want %d", step.now, left, step.left)
+		}
+		b.take(step.take)
+	}
+}
+
+// view gives a view of so many members of one zone, which have all answered.
+func viewOf(members int) *Members {
+	d := &node{net: newNet(1), dead: map[string]int{}, heard: map[string]uint64{}}
+	d.m = New(1, Self{Name: "self", Zone: "a", Addr: "self", Period: period, Members: 1024, NoteLife: 1 << 40}, d)
+	for k := range members {
+		name := fmt.Sprintf("m%d", k)
+		d.m.Take(1, &Message{Kind: Gossip, Sender: Fact{Name: []byte(name), Zone: []byte("a"), Addr: []byte(name), Incarnation: 1}})
+	}
+	return d.m
+}
+
+// TestExchangeCarriesWhatDiffers: of two views that hold the same an answer carries nothing; of two that differ in one member
+// it carries that member and little else; and a program that sends no digest is told everything.
+func TestExchangeCarriesWhatDiffers(t *testing.T) {
+	a, b := viewOf(300), viewOf(300)
+	ask := func(digest []byte) *Message {
+		b.rememberDigest(&Message{Kind: Whole, Digest: digest})
+		return b.Open(Answer)
+	}
+	digest := append([]byte(nil), a.Open(Whole).Digest...)
+	if got := ask(digest); len(got.Facts) != 0 || len(got.Notes) != 0 {
+		t.Errorf("%d facts and %d notes of what both hold", len(got.Facts), len(got.Notes))
+	}
+	b.applyFact(&Fact{Name: []byte("m7"), Zone: []byte("a"), Addr: []byte("m7"), Incarnation: 2})
+	b.Publish(1, "note", 1, []byte("body"), SpreadQuietly)
+	got := ask(digest)
+	told := false
+	for _, fact := range got.Facts {
+		told = told || string(fact.Name) == "m7" && fact.Incarnation == 2
+	}
+	if !told || len(got.Facts) > 20 || len(got.Notes) != 1 {
+		t.Errorf("%d facts, %d notes; the one that differs among them: %v", len(got.Facts), len(got.Notes), told)
+	}
+	if got := ask(nil); len(got.Facts) != 300 {
+		t.Errorf("without a digest %d facts", len(got.Facts))
+	}
+	starting := viewOf(1)
+	if got := ask(starting.Open(Whole).Digest); len(got.Facts) != 300 {
+		t.Errorf("a front that starts is told %d facts", len(got.Facts))
+	}
+}
+
+// TestAnswersKeepToTheirBudget: many that hold other things ask at once. The first are told more than the last, each is told
+// something, and over many asks all members are told.
+func TestAnswersKeepToTheirBudget(t *testing.T) {
+	a, b := viewOf(300), viewOf(300)
+	for k := range 300 {
+		name := fmt.Appendf(nil, "m%d", k)
+		b.applyFact(&Fact{Name: name, Zone: []byte("a"), Addr: name, Incarnation: 2})
+	}
+	digest := append([]byte(nil), a.Open(Whole).Digest...)
+	told, bytes := map[string]bool{}, 0
+	const asks = 60
+	for k := range asks {
+		b.rememberDigest(&Message{Kind: Whole, Digest: digest})
+		answer := b.Open(Answer)
+		for i := range answer.Facts {
+			told[string(answer.Facts[i].Name)] = true
+			bytes += answer.Facts[i].size()
+		}
+		if len(answer.Facts) < 20 {
+			t.Fatalf("ask %d is told %d facts", k, len(answer.Facts))
+		}
+	}
+	if most := answerBurst + asks*(minAnswerBytes+100); bytes > most {
+		t.Errorf("%d bytes, %d at most expected", bytes, most)
+	}
+	if len(told) < 290 {
+		t.Errorf("%d of 300 members were told of", len(told))
+	}
+}
+
+// TestContestedDeathIsTold: one front holds a member for dead that another holds for alive. Once the second has answered the
+// first, it is told of the death as a suspicion, which the member can refute.
+func TestContestedDeathIsTold(t *testing.T) {
+	m := viewOf(5)
+	dead := Fact{Name: []byte("m3"), Zone: []byte("a"), Addr: []byte("m3"), Incarnation: 1, State: Dead}
+	m.applyFact(&dead)
+	alive := dead
+	alive.State = Alive
+	m.nextContestAt = 3 // so that it is not told in an exchange of its own, which begins at once otherwise
+	m.Take(2, &Message{Kind: Answer, Sender: Fact{Name: []byte("m1"), Zone: []byte("a"), Addr: []byte("m1"), Incarnation: 1}, Facts: []Fact{alive}})
+	if got := m.Open(Whole); len(got.Facts) != 1 || string(got.Facts[0].Name) != "m3" || got.Facts[0].State != Dead {
+		t.Errorf("the next exchange tells %+v", got.Facts)
+	}
+	if got := m.Open(Whole); len(got.Facts) != 0 {
+		t.Errorf("it is told again: %+v", got.Facts)
+	}
+	for k, now := range []Time{4, 5} { // the first begins an exchange, which takes the fact along; the second has to wait
+		m.Take(now, &Message{Kind: Answer, Sender: Fact{Name: []byte("m1"), Zone: []byte("a"), Addr: []byte("m1"), Incarnation: 1}, Facts: []Fact{alive}})
+		if waiting := len(m.contested); waiting != k {
+			t.Errorf("%d facts wait for an exchange after answer %d", waiting, k+1)
+		}
+	}
+}
--- a/fleet/membership/gossip.go
+++ b/fleet/membership/gossip.go
@@ -5,43 +5,63 @@
 	retransmitFactor = 4  // times that a fact is sent for each decimal digit of the fleet's size, and once more
 	gossipFanout     = 3  // members that a round goes to
 	roundsPerPeriod  = 10 // rounds of gossip in a protocol period
+	bulkFacts        = 32 // facts of other members in the queue past which each is sent fewer times
+	bulkSends        = 4  // times that it is sent then
 )
 
 // maxSends returns how many times a fact is sent.
 func (m *Members) maxSends() int { return retransmitFactor*m.fleetDigits() + 1 }
 
-// spreadMember queues a member's fact before all others, to be sent its full number of times.
+// factSends returns how many times a member's fact is sent. Where many have changed at once it is sent fewer times: of
+// random messages that go to each member four times on average one in fifty misses it, and full exchanges tell it those.
+func (m *Members) factSends() int {
+	if m.facts.length > bulkFacts {
+		return bulkSends
+	}
+	return m.maxSends()
+}
+
+// spreadMember queues a member's fact, to be sent its full number of times: this front's own is urgent, and another's
+// goes before those that have been sent already.
 func (m *Members) spreadMember(index int32) {
 	e := &m.members[index]
 	e.timesSent = 0
-	if !e.queued {
-		e.queued = true
-		m.queue.pushFront(index)
+	if e.queued {
+		return
+	}
+	e.queued = true
+	if index == selfIndex {
+		m.urgent.pushFront(index)
+	} else {
+		m.facts.pushFront(index)
 	}
 }
 
-// spreadNote queues a note: an urgent one first, and for its full number of times; another one last, for half
-// of that.
-func (m *Members) spreadNote(index int32, urgent bool) {
+// spreadNote queues a note: an urgent one for its full number of times, another one for half of that.
+func (m *Members) spreadNote(index int32, spread Spread) {
 	n := &m.notes[index]
 	n.timesSent = 0
 	n.maxSends = m.maxSends()
-	if !urgent {
+	if spread != SpreadUrgently {
 		n.maxSends = (n.maxSends + 1) / 2
 	}
 	if n.queued {
 		return
 	}
 	n.queued = true
-	if urgent {
-		m.queue.pushFront(subjectOfNote(index))
-	} else {
-		m.queue.pushBack(subjectOfNote(index))
+	switch spread {
+	case SpreadUrgently:
+		m.urgent.pushFront(subjectOfNote(index))
+	case SpreadSoon:
+		m.quiet.pushFront(subjectOfNote(index))
+	default:
+		m.quiet.pushBack(subjectOfNote(index))
 	}
 }
 
-// fillMessage fills the scratch message with what is queued, as far as a datagram has room. A suspect that it
-// goes to is told of its suspicion first, so that it may refute it.
+// fillMessage fills the scratch message with what is queued, as far as a datagram and the budgets have room: what is urgent
+// first, then quiet notes, then facts. A suspect that it goes to is told of its suspicion in any case, so that it may refute
+// it.
 func (m *Members) fillMessage(to int32) {
 	m.messageFacts = m.messageFacts[:0]
 	m.messageNotes = m.messageNotes[:0]
@@ -51,25 +71,37 @@
 		m.messageFacts = append(m.messageFacts, fact)
 		room -= fact.size()
 	}
-	for left := m.queue.length; left > 0; left-- {
-		next := m.queue.pop()
+	room -= m.drain(&m.urgent, room)
+	used := m.drain(&m.quiet, min(room, m.noteBudget.room(m.now)))
+	m.noteBudget.take(used)
+	room -= used
+	used = m.drain(&m.facts, min(room, m.factBudget.room(m.now)))
+	m.factBudget.take(used)
+	m.message.Facts = m.messageFacts
+	m.message.Notes = m.messageNotes
+}
+
+// drain moves the subjects of a queue into the scratch message, each once, as long as they fit, and returns the bytes that
+// they take. A subject that is to be sent again goes to the queue's end.
+func (m *Members) drain(queue *broadcastQueue, room int) (used int) {
+	for subjects := queue.length; subjects > 0; subjects-- {
+		next := queue.pop()
 		size, fits, again := 0, false, false
 		if next >= 0 {
-			size, fits, again = m.addFact(next, room)
+			size, fits, again = m.addFact(next, room-used)
 		} else {
-			size, fits, again = m.addNote(subjectOfNote(next), room)
+			size, fits, again = m.addNote(subjectOfNote(next), room-used)
 		}
 		if !fits {
-			m.queue.pushFront(next)
+			queue.pushFront(next)
 			break
 		}
-		room -= size
+		used += size
 		if again {
-			m.queue.pushBack(next)
+			queue.pushBack(next)
 		}
 	}
-	m.message.Facts = m.messageFacts
-	m.message.Notes = m.messageNotes
+	return used
 }
 
 // addFact adds a member's fact to the scratch message if it fits, and returns its size and whether it is to
@@ -87,7 +119,7 @@
 	}
 	m.messageFacts = append(m.messageFacts, fact)
 	e.timesSent++
-	e.queued = e.timesSent < m.maxSends()
+	e.queued = e.timesSent < m.factSends()
 	return size, true, e.queued
 }
 
@@ -116,6 +148,7 @@
 		return
 	}
 	m.fillMessage(to)
+	m.message.Digest = nil
 	m.message.Kind = kind
 	m.message.Seq = sequence
 	m.message.Sender = m.factOf(selfIndex)
@@ -133,12 +166,13 @@
 
 // gossip plays one round: what is queued goes to random members of random zones, and last to any member.
 func (m *Members) gossip() {
-	for k := 0; k < gossipFanout && m.queue.length > 0; k++ {
+	for k := 0; k < gossipFanout && m.mayGossip(); k++ {
 		to := m.pickAnyZone()
 		if k == gossipFanout-1 {
 			to = m.pickUnverified(to)
 		}
 		if to > selfIndex {
+			m.factBudget.take(gossipHeadBytes)
 			m.sendTo(to, Gossip, 0)
 		}
 	}
--- a/fleet/membership/members.go
+++ b/fleet/membership/members.go
@@ -4,6 +4,8 @@
 	"slices"
 	"unsafe"
 
+	"github.com/cespare/xxhash/v2"
+
 	"micatrack/internal/mwc"
 )
 
@@ -28,8 +30,8 @@
 	// MemberChanged is told the new state of a member.
 	MemberChanged(name, zone string, state State)
 	// NoteReceived is told a note that is newer than what was known of its key, and its age. It returns
-	// whether the note should be spread further.
-	NoteReceived(key []byte, note Note, age Time) bool
+	// whether and how the note should be spread further.
+	NoteReceived(key []byte, note Note, age Time) Spread
 	// Log writes one line of the front's log.
 	Log(text string)
 }
@@ -87,7 +89,19 @@
 	messageNotes []Note
 	zoneNames    []string
 
-	queue broadcastQueue
+	// What is still to be sent (gossip.go): what is urgent, facts of other members, and quiet notes.
+	urgent, facts, quiet   broadcastQueue
+	factBudget, noteBudget bucket
+
+	// Full exchanges (sync.go, digest.go).
+	answerBudget   bucket
+	askerDigest    digest  // of the Whole that Open(Answer) answers next
+	askerHasDigest bool    // a program before this one sends none, and everything instead
+	contested      []int32 // members of which the last Answer told something older
+	nextContestAt  Time    // before which no exchange is begun for those alone
+	digestText     []byte
+	hash           xxhash.Digest
+	hashed         [8]byte
 
 	// Dropped counts messages, facts and notes that were refused: malformed, out of bounds, or without a free
 	// place.
@@ -110,6 +124,10 @@
 		probe:       probe{target: noMember},
 		nextTickAt:  now,
 		lastHeardAt: now,
+
+		factBudget:   newBucket(now, factRate, factBurst),
+		noteBudget:   newBucket(now, noteRate, noteBurst),
+		answerBudget: newBucket(now, answerRate, answerBurst),
 	}
 	m.members = append(m.members, member{
 		name:        self.Name,
--- a/fleet/membership/message.go
+++ b/fleet/membership/message.go
@@ -60,6 +60,7 @@
 	Target, TargetAddr []byte // of a PingRequest
 	Facts              []Fact
 	Notes              []Note
+	Digest             []byte // of a Whole: what its sender holds; empty: its Facts are all
 }
 
 // Bounds of what is accepted. Lengths are in bytes.
--- a/fleet/membership/notes.go
+++ b/fleet/membership/notes.go
@@ -1,7 +1,15 @@
 package membership
 
-// Quiet is the first byte of the keys of notes that few fronts need: they are sent half as often as others.
-const Quiet = 'e'
+// Spread is whether a note that was received goes on to other fronts.
+type Spread uint8
+
+// The ways to spread a note.
+const (
+	DoNotSpread    Spread = iota
+	SpreadQuietly         // half as often as what is urgent, and as far as the budget for notes reaches
+	SpreadSoon            // the same, before those that are spread quietly
+	SpreadUrgently        // before all else, whatever the budget
+)
 
 // notesPerMember bounds the notes of a view, for each place of the table.
 const notesPerMember = 2
@@ -25,9 +33,9 @@
 
 func (m *Members) noteExpired(n *note) bool { return m.now-n.madeAt > m.self.NoteLife }
 
-// Publish spreads a note of this front's own. Its version must be larger than any known of its key. An urgent
-// note goes before all else and is sent more often. Without a free place the note is counted in Dropped.
-func (m *Members) Publish(now Time, key string, version uint64, body []byte, urgent bool) {
+// Publish spreads a note of this front's own. Its version must be larger than any known of its key. Without a free place the
+// note is counted in Dropped.
+func (m *Members) Publish(now Time, key string, version uint64, body []byte, spread Spread) {
 	m.now = now
 	index, known := m.noteByKey[key]
 	if !known {
@@ -41,7 +49,7 @@
 	n.version = version
 	n.madeAt = now
 	n.body = append(n.body[:0], body...)
-	m.spreadNote(index, urgent)
+	m.spreadNote(index, spread)
 }
 
 // StopSpreading ends the sending of a note. Full exchanges carry it all the same.
@@ -93,8 +101,8 @@
 	n.madeAt = m.now - in.Age
 	n.body = append(n.body[:0], in.Body...)
 	received := Note{Key: in.Key, Version: in.Version, Age: in.Age, Body: n.body}
-	if m.host.NoteReceived(in.Key, received, in.Age) {
-		m.spreadNote(index, in.Key[0] != Quiet)
+	if spread := m.host.NoteReceived(in.Key, received, in.Age); spread != DoNotSpread {
+		m.spreadNote(index, spread)
 	} else {
 		m.StopSpreading(m.notes[index].key) // not through n: the host may have published, which moves the places
 	}
--- a/fleet/membership/receive.go
+++ b/fleet/membership/receive.go
@@ -75,6 +75,9 @@
 			fact.By = in.Sender.Name
 		}
 		m.applyFact(fact)
+		if in.Kind == Answer {
+			m.compareAnswer(fact)
+		}
 	}
 	for k := range in.Notes {
 		m.applyNote(&in.Notes[k])
@@ -94,6 +97,7 @@
 		m.receiveNack(in.Seq)
 	case Whole:
 		m.joined = true
+		m.rememberDigest(in)
 		return true
 	case Answer:
 		m.joined = true
@@ -101,6 +105,8 @@
 			m.replayDue = false
 			m.replayNotes()
 		}
+		m.compareAnswer(&in.Sender)
+		m.tellContested(from)
 	}
 	return false
 }
--- a/fleet/membership/sync.go
+++ b/fleet/membership/sync.go
@@ -7,11 +7,28 @@
 	joinPeriods   = 1  // with the seeds, until one has answered
 )
 
-// Open returns the message that begins a full exchange (Whole) or answers one (Answer). It is valid until the
-// next call.
+// Open returns the message that begins a full exchange (Whole) or answers the one that was taken in last (Answer). It is
+// valid until the next call.
 func (m *Members) Open(kind Kind) *Message {
 	m.messageFacts = m.messageFacts[:0]
 	m.messageNotes = m.messageNotes[:0]
+	m.message = Message{Kind: kind, Sender: m.factOf(selfIndex)}
+	switch {
+	case kind == Whole:
+		m.openDigest()
+	case m.askerHasDigest && !m.askerDigest.holdsNothing():
+		m.openDifference()
+	default:
+		m.openAll()
+	}
+	m.askerHasDigest = false
+	m.message.Facts, m.message.Notes = m.messageFacts, m.messageNotes
+	return &m.message
+}
+
+// openAll fills the scratch message with all that this front holds: the asker has just started, or its program sends no
+// digest.
+func (m *Members) openAll() {
 	for index := 1; index < len(m.members); index++ {
 		if m.members[index].used {
 			m.messageFacts = append(m.messageFacts, m.factOf(int32(index)))
@@ -23,8 +40,6 @@
 			m.messageNotes = append(m.messageNotes, m.noteMessage(n))
 		}
 	}
-	m.message = Message{Kind: kind, Sender: m.factOf(selfIndex), Facts: m.messageFacts, Notes: m.messageNotes}
-	return &m.message
 }
 
 // startExchanges asks for the full exchanges that are due.
--- a/fleet/membership/table.go
+++ b/fleet/membership/table.go
@@ -20,6 +20,7 @@
 	firstPingAt      Time   // of the last one
 	timesSent        int    // times that its newest fact has been sent
 	queued           bool
+	contested        bool // it is in Members.contested
 	used             bool
 }
 
--- a/fleet/zones/orders.go
+++ b/fleet/zones/orders.go
@@ -56,7 +56,7 @@
 	published := held.order
 	published.span = held.until - z.now
 	z.body = published.append(z.body[:0])
-	z.host.Publish(string(keyOrder)+zn.name, held.refreshVersion, z.body, false)
+	z.host.Publish(string(keyOrder)+zn.name, held.refreshVersion, z.body, SpreadQuietly)
 }
 
 // Order takes in an operator's order: to drain a zone for a span, or to return to it. The version must grow
@@ -83,7 +83,7 @@
 	given := order{leave: leave, force: force, span: span}
 	version = max(version<<orderRefreshBits, zn.order.refreshVersion+1<<orderRefreshBits)
 	z.applyOrder(index, given, version, 0)
-	z.host.Publish(string(keyOrder)+zone, version, given.append(z.body[:0]), true)
+	z.host.Publish(string(keyOrder)+zone, version, given.append(z.body[:0]), SpreadUrgently)
 	z.review(index)
 	return nil
 }
--- a/fleet/zones/plan.go
+++ b/fleet/zones/plan.go
@@ -103,7 +103,7 @@
 	if state.drains() || state == Recovering && previous.state.drains() {
 		r.baseEpoch = r.epoch
 	}
-	z.publishRow(zoneIndex, true)
+	z.publishRow(zoneIndex, SpreadUrgently)
 	z.rowChanged(zoneIndex, &previous, reason)
 	z.applyShare(zoneIndex)
 }
@@ -126,14 +126,14 @@
 }
 
 // publishRow publishes a row to all fronts.
-func (z *Zones) publishRow(zoneIndex int, urgent bool) {
+func (z *Zones) publishRow(zoneIndex int, spread Spread) {
 	zn := &z.zones[zoneIndex]
 	r := &zn.row
 	r.heardAt = z.now
 	published := r.plan
 	published.age = z.now - r.since
 	z.body = published.append(z.body[:0])
-	z.host.Publish(string(keyPlan)+z.self.Zone+"\x00"+zn.name, r.version(), z.body, urgent)
+	z.host.Publish(string(keyPlan)+z.self.Zone+"\x00"+zn.name, r.version(), z.body, spread)
 }
 
 // refreshRow publishes a row again before what the others hold of it is too old.
@@ -146,7 +146,7 @@
 	if r.refreshes == 0 { // it has overflowed, and only a new epoch is newer
 		r.epoch++
 	}
-	z.publishRow(zoneIndex, false)
+	z.publishRow(zoneIndex, SpreadQuietly)
 }
 
 // refreshAfter is the age at which this front publishes a note of a zone again, fronts of a lower rank first.
--- a/fleet/zones/publish.go
+++ b/fleet/zones/publish.go
@@ -46,7 +46,7 @@
 	z.publishedAt = z.now
 	z.publishedLoad = load
 	z.body = appendEvidence(z.body[:0], z.self.Zone, load, z.evidenceRows)
-	z.host.Publish(string(keyEvidence)+z.self.Name, z.evidenceVersion, z.body, false)
+	z.host.Publish(string(keyEvidence)+z.self.Name, z.evidenceVersion, z.body, spreadOf(z.evidenceRows))
 }
 
 // collectEvidence gathers the rows of a note, zones with failures first, as many as a note holds.
--- a/fleet/zones/receive.go
+++ b/fleet/zones/receive.go
@@ -2,28 +2,38 @@
 
 import "slices"
 
+// Spread is whether a note goes on to other fronts, and how.
+type Spread uint8
+
+// The ways to spread a note.
+const (
+	DoNotSpread Spread = iota
+	SpreadQuietly
+	SpreadSoon // before what is spread quietly
+	SpreadUrgently
+)
+
 // Heard takes in a note of another front, by the first byte of its key, and returns whether it should be
-// spread further. Notes that cannot be read are counted in Dropped. Keys of other packages return false.
-func (z *Zones) Heard(now Time, key []byte, version uint64, age Time, body []byte) bool {
+// spread further. Notes that cannot be read are counted in Dropped. Keys of other packages are not spread.
+func (z *Zones) Heard(now Time, key []byte, version uint64, age Time, body []byte) Spread {
 	z.now = now
 	switch key[0] {
 	case keyEvidence:
 		return z.receiveEvidence(string(key[1:]), age, body)
 	case keyPlan:
-		z.receivePlan(key[1:], version, age, body)
+		return z.receivePlan(key[1:], version, age, body)
 	case keyOrder:
 		z.receiveOrder(string(key[1:]), version, age, body)
-	default:
-		return false
+		return SpreadUrgently
 	}
-	return true
+	return DoNotSpread
 }
 
 // receiveEvidence takes in an observer's evidence. That of a front that is no member counts for nothing here.
-func (z *Zones) receiveEvidence(name string, age Time, body []byte) (spread bool) {
+func (z *Zones) receiveEvidence(name string, age Time, body []byte) Spread {
 	index, known := z.observerByName[name]
 	if !known {
-		return true
+		return SpreadQuietly
 	}
 	o := &z.observers[index]
 	o.hasEvidence = o.read(body) == nil
@@ -31,21 +41,37 @@
 		z.Dropped++
 	}
 	o.evidenceAt = z.now - age
-	return !z.superseded(o.zone, o.rows)
+	if z.superseded(o.zone, o.rows) {
+		return DoNotSpread
+	}
+	return spreadOf(o.rows)
+}
+
+// spreadOf returns how evidence is spread: failures before answers.
+//
+// Danger: while a zone recovers many fronts tell that its stores answer, and that they fail again would come behind all of it.
+func spreadOf(rows []zoneEvidence) Spread {
+	for k := range rows {
+		if rows[k].failed != 0 {
+			return SpreadSoon
+		}
+	}
+	return SpreadQuietly
 }
 
 // receivePlan takes in a row; the key has the zone that it is for, a zero byte, and the zone that it is
-// about. Rows of other zones are not adopted, and kept as testimony.
-func (z *Zones) receivePlan(key []byte, version uint64, age Time, body []byte) {
+// about. Rows of other zones are not adopted, and kept as testimony. They are spread at once as long as they drain a zone,
+// since that ends the spreading of evidence; nobody waits for the steps of a recovery elsewhere.
+func (z *Zones) receivePlan(key []byte, version uint64, age Time, body []byte) Spread {
 	separator := slices.Index(key, 0)
 	if separator < 0 {
 		z.Dropped++
-		return
+		return SpreadUrgently
 	}
 	received, err := readPlan(body)
 	if err != nil {
 		z.Dropped++
-		return
+		return SpreadUrgently
 	}
 	about, aboutKnown := z.zoneByName[string(key[separator+1:])]
 	from, fromKnown := z.zoneByName[string(key[:separator])]
@@ -60,7 +86,11 @@
 			baseEpoch:  received.baseEpoch,
 			heardAt:    z.now - age,
 		})
+		if !received.state.drains() {
+			return SpreadQuietly
+		}
 	}
+	return SpreadUrgently
 }
 
 func (z *Zones) keepOtherRow(from, about int, received otherRow) {
--- a/fleet/zones/zones.go
+++ b/fleet/zones/zones.go
@@ -24,7 +24,7 @@
 	// SetShare is told the share of ordinary traffic that may go to a zone, from 0 to 1.
 	SetShare(zone string, share float64)
 	// Publish spreads a note to all fronts. The body is valid only during the call.
-	Publish(key string, version uint64, body []byte, urgent bool)
+	Publish(key string, version uint64, body []byte, spread Spread)
 	// StopSpreading says that the note held under this key need not be spread any more.
 	StopSpreading(key string)
 	// Log writes one line of the front's log.
--- a/internal/peers/codec.go
+++ b/internal/peers/codec.go
@@ -13,6 +13,9 @@
 
 const version = 1
 
+// digestField is the number of a Whole's digest; 11 to 13 are of leases, the watch and the configuration.
+const digestField = 14
+
 var (
 	errShape   = errors.New("a message of an unknown shape")
 	errFleet   = errors.New("a message of another fleet")
@@ -67,7 +70,7 @@
 			return appendText(appendNumber(dst, 3, uint64(max(n.Age, 0))), 4, n.Body)
 		})
 	}
-	return dst
+	return appendText(dst, digestField, m.Digest)
 }
 
 // fields calls take for each field of a message, in its order; a field that take does not know is passed over, and
@@ -185,6 +188,11 @@
 			var o membership.Note
 			o, err = readNote(text)
 			m.Notes = append(m.Notes, o)
+		case digestField:
+			if len(text) != membership.DigestBytes {
+				return errShape
+			}
+			m.Digest = text
 		}
 		return err
 	})
