Starting fronts ask one seed at a time, answers to them have a budget, and much news asks for more

After a zone's return heads of urgent messages used up the budget of facts.

Change: seeds are asked in turn, from a drawn one on; answers to fronts that know nobody have a bucket of their own; an answer that told of eight members or more has the next exchange follow within some periods; a round's head is charged to what asked for the round.

Membership's digest is recorded anew.

--- a/fleet/membership/budget.go
+++ b/fleet/membership/budget.go
@@ -11,9 +11,12 @@
 	gossipHeadBytes = 60  // of a message of gossip, besides facts and notes
 	minGossipBytes  = 400 // of facts or of notes for which a round is worth its message
 
-	answerRate     = 400    // bytes a second of answers to full exchanges
-	answerBurst    = 6_000  // bytes of them at once
-	minAnswerBytes = 1_000  // of one answer in any case
+	answerRate     = 400   // bytes a second of answers to full exchanges
+	answerBurst    = 6_000 // bytes of them at once
+	minAnswerBytes = 1_000 // of one answer in any case
+	firstRate      = 4_000 // the same of answers to fronts that have just started
+	firstBurst     = 64_000
+	minFirstBytes  = 4_000
 	unitsPerByte   = 10_000 // units of a bucket in a byte: a Time at a rate of one byte a second is one unit
 )
 
@@ -41,7 +44,7 @@
 // room returns how many bytes a bucket allows in one datagram.
 func (b *bucket) room(now Time) int { return int(min(max(b.left(now), 0), datagramBytes)) }
 
-// mayGossip reports whether a round of gossip is worth its messages now.
+// mayGossip reports whether a round of gossip is worth a message now, and charges what asks for it with the message's head.
 //
 // Danger: where a zone or a region is lost, hundreds of members change at once, and each front would tell all others of each
 // of them, many times what the network is given for it.
@@ -50,8 +53,12 @@
 	case m.urgent.length > 0:
 		return true
 	case m.quiet.length > 0 && m.noteBudget.room(m.now) >= minGossipBytes:
+		m.noteBudget.take(gossipHeadBytes)
+		return true
+	case m.facts.length > 0 && m.factBudget.room(m.now) >= minGossipBytes:
+		m.factBudget.take(gossipHeadBytes)
 		return true
 	default:
-		return m.facts.length > 0 && m.factBudget.room(m.now) >= minGossipBytes
+		return false
 	}
 }
--- a/fleet/membership/budget_test.go
+++ b/fleet/membership/budget_test.go
@@ -93,10 +93,20 @@
 	if got := ask(nil); len(got.Facts) != 300 {
 		t.Errorf("without a digest %d facts", len(got.Facts))
 	}
-	starting := viewOf(1)
-	if got := ask(starting.Open(Whole).Digest); len(got.Facts) != 300 {
+	starting := append([]byte(nil), viewOf(1).Open(Whole).Digest...)
+	if got := ask(starting); len(got.Facts) != 300 {
 		t.Errorf("a front that starts is told %d facts", len(got.Facts))
 	}
+	bytes := 0
+	for range 200 { // a whole fleet starts
+		answer := ask(starting)
+		for i := range answer.Facts {
+			bytes += answer.Facts[i].size()
+		}
+	}
+	if most := firstBurst + 200*(minFirstBytes+100); bytes > most {
+		t.Errorf("%d bytes for 200 fronts that start at once, %d at most expected", bytes, most)
+	}
 }
 
 // TestAnswersKeepToTheirBudget: many that hold other things ask at once. The first are told more than the last, each is told
--- a/fleet/membership/digest.go
+++ b/fleet/membership/digest.go
@@ -97,12 +97,12 @@
 }
 
 // openDifference fills the scratch message with what is in the buckets that differ from those of the asker, from another
-// place on each time, as far as the budget for answers reaches.
+// place on each time, as far as the budget reaches, and the least in any case.
 //
 // Danger: behind a cut each of hundreds of fronts asks the few on the other side for all that they hold.
-func (m *Members) openDifference() {
+func (m *Members) openDifference(budget *bucket, least int64) {
 	sums := m.digestNow()
-	room := int(max(m.answerBudget.left(m.now), minAnswerBytes))
+	room := int(max(budget.left(m.now), least))
 	sent := 0
 	differs := func(bucket int) bool { return sums[bucket] != m.askerDigest[bucket] }
 	for k := range m.notes {
@@ -124,7 +124,7 @@
 		m.messageFacts = append(m.messageFacts, fact)
 		sent += fact.size()
 	}
-	m.answerBudget.take(sent)
+	budget.take(sent)
 }
 
 // noteContested has a fact told to whoever is asked next, if its sender holds an older one than this front.
--- a/fleet/membership/digest_test.go
+++ b/fleet/membership/digest_test.go
@@ -11,7 +11,7 @@
 // exchanges, changes of members, notes handed on, log lines and final tables. It was recorded before the
 // package was split into files by job, and anew when gossip got its budgets and exchanges their digests. A change that
 // is meant to change actions records it anew and says so.
-const playDigest = "68b93216c0dc569a"
+const playDigest = "9948ac9b4bc33b7d"
 
 // TestPlayDigest plays one seeded fleet through loss, a kill, a leave, a cut, a stopped process, a second
 // process of one name, unknown members and notes, and compares the hash of all actions.
--- a/fleet/membership/facts.go
+++ b/fleet/membership/facts.go
@@ -90,6 +90,7 @@
 		e.suspectUntil = m.now + m.suspicionTimeout(0)
 	}
 	m.spreadMember(index)
+	m.learned++
 	if previous != e.state || previous == Dead {
 		m.host.MemberChanged(e.name, e.zone, e.state)
 	}
--- a/fleet/membership/gossip.go
+++ b/fleet/membership/gossip.go
@@ -172,7 +172,6 @@
 			to = m.pickUnverified(to)
 		}
 		if to > selfIndex {
-			m.factBudget.take(gossipHeadBytes)
 			m.sendTo(to, Gossip, 0)
 		}
 	}
--- a/fleet/membership/members.go
+++ b/fleet/membership/members.go
@@ -95,6 +95,9 @@
 
 	// Full exchanges (sync.go, digest.go).
 	answerBudget   bucket
+	firstBudget    bucket  // of answers to fronts that have just started
+	learned        int     // members of which the message in hand has told something new
+	seedTurn       int     // position in Self.Seeds of the one that is asked next
 	askerDigest    digest  // of the Whole that Open(Answer) answers next
 	askerHasDigest bool    // a program before this one sends none, and everything instead
 	contested      []int32 // members of which the last Answer told something older
@@ -128,6 +131,7 @@
 		factBudget:   newBucket(now, factRate, factBurst),
 		noteBudget:   newBucket(now, noteRate, noteBurst),
 		answerBudget: newBucket(now, answerRate, answerBurst),
+		firstBudget:  newBucket(now, firstRate, firstBurst),
 	}
 	m.members = append(m.members, member{
 		name:        self.Name,
@@ -143,6 +147,7 @@
 	m.nextProbeAt = now + m.random.Below(self.Period)
 	m.nextRejoinAt = now
 	m.nextSyncAt = now + m.jitter(syncPeriods)
+	m.seedTurn = int(m.random.Below(int64(max(len(self.Seeds), 1))))
 	m.spreadMember(selfIndex)
 	return m
 }
--- a/fleet/membership/receive.go
+++ b/fleet/membership/receive.go
@@ -68,6 +68,7 @@
 // Danger: two halves of a cut fleet would declare each other's members dead when they meet. In a full
 // exchange a dead member counts as suspected by the sender, so that it may refute that.
 func (m *Members) applyContents(in *Message) {
+	m.learned = 0
 	for k := range in.Facts {
 		fact := &in.Facts[k]
 		if fact.State == Dead && in.Kind >= Whole {
@@ -105,6 +106,7 @@
 			m.replayDue = false
 			m.replayNotes()
 		}
+		m.catchUp()
 		m.compareAnswer(&in.Sender)
 		m.tellContested(from)
 	}
--- a/fleet/membership/sync.go
+++ b/fleet/membership/sync.go
@@ -2,11 +2,15 @@
 
 // Mean times between full exchanges, in periods.
 const (
-	syncPeriods   = 60 // with any member
-	rejoinPeriods = 8  // with a member that is dead, or with a seed
-	joinPeriods   = 1  // with the seeds, until one has answered
+	syncPeriods    = 60 // with any member
+	rejoinPeriods  = 8  // with a member that is dead, or with a seed
+	joinPeriods    = 1  // with the seeds in turn, until one has answered
+	catchUpPeriods = 4  // with any member, after an answer that told much
 )
 
+// minLearned is of how many members an answer has to tell something new to count as much.
+const minLearned = 8
+
 // Open returns the message that begins a full exchange (Whole) or answers the one that was taken in last (Answer). It is
 // valid until the next call.
 func (m *Members) Open(kind Kind) *Message {
@@ -16,8 +20,10 @@
 	switch {
 	case kind == Whole:
 		m.openDigest()
-	case m.askerHasDigest && !m.askerDigest.holdsNothing():
-		m.openDifference()
+	case m.askerHasDigest && m.askerDigest.holdsNothing():
+		m.openDifference(&m.firstBudget, minFirstBytes)
+	case m.askerHasDigest:
+		m.openDifference(&m.answerBudget, minAnswerBytes)
 	default:
 		m.openAll()
 	}
@@ -26,8 +32,7 @@
 	return &m.message
 }
 
-// openAll fills the scratch message with all that this front holds: the asker has just started, or its program sends no
-// digest.
+// openAll fills the scratch message with all that this front holds: the asker's program sends no digest.
 func (m *Members) openAll() {
 	for index := 1; index < len(m.members); index++ {
 		if m.members[index].used {
@@ -57,8 +62,10 @@
 	}
 }
 
-// rejoin contacts the seeds until one has answered, and after that one address at a time that may belong to
+// rejoin contacts one seed after the other until one has answered, and after that one address at a time that may belong to
 // another half of a cut fleet.
+//
+// Danger: where a whole fleet starts, each seed is asked by all at once.
 func (m *Members) rejoin() {
 	if m.joined {
 		addr := m.unreachedAddr()
@@ -68,13 +75,23 @@
 		return
 	}
 	m.nextRejoinAt = m.now + m.jitter(joinPeriods)
-	for _, addr := range m.self.Seeds {
+	for range m.self.Seeds {
+		addr := m.self.Seeds[m.seedTurn]
+		m.seedTurn = (m.seedTurn + 1) % len(m.self.Seeds)
 		if addr != m.self.Addr {
 			m.host.Exchange(addr)
+			return
 		}
 	}
 }
 
+// catchUp has the next exchange follow soon where the last answer told of many members: there is more to be told then.
+func (m *Members) catchUp() {
+	if m.learned >= minLearned {
+		m.nextSyncAt = min(m.nextSyncAt, m.now+m.jitter(catchUpPeriods))
+	}
+}
+
 // unreachedAddr returns the address of a member that is dead, or of a seed that no living member has, from a
 // random position on; or "".
 func (m *Members) unreachedAddr() string {
