--- a/balance/attempt.go
+++ b/balance/attempt.go
@@ -158,7 +158,7 @@
 	}
 }
 
-// Written tells that a write's answer has come, in part at least, or it may have run. Its session must see it.
+// Written tells that a write has been answered, in part at least, or may have run. Its session must see it.
 // Danger: an answer may stop short, be lost or find its client gone, and the write is there all the same.
 func (b *Balancer) Written(now Time, id string, position Time) {
 	b.now = now
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -1,6 +1,6 @@
 // Package balance holds every decision of the router, for one front.
 //
-// New is handed the Charter once; List, Take, Returned, Probed, Left, Streams, Beat follow as things happen,
+// New is handed the Settings once; List, Take, Returned, Probed, Left, Streams, Beat follow as things happen,
 // one at a time, each with the present moment. The module acts through the Front that New was given.
 // The mechanism is pgpilot's: a session has a fence, the log position of its last write; a read goes to the
 // least busy replica known to have passed what it needs, else to the primary. See docs/design.md.
@@ -15,16 +15,16 @@
 )
 
 const (
-	never     = Time(1) << 60
-	second    = Time(10000)
-	toldBy    = 6 * second // what discovery has counts as told by then, whether or not a call came through
-	fenceBits = 14
-	thrift    = 0.005 // part of the result that probes may cost on the ordinary path
-	search    = 0.125 // part of the credit of what waits that a search for its primary may cost
+	never        = Time(1) << 60
+	second       = Time(10000)
+	toldBy       = 6 * second // what discovery has counts as told by then, whether or not a call came through
+	fenceBits    = 14
+	probeBudget  = 0.005 // part of the result that probes may cost on the ordinary path
+	searchBudget = 0.125 // part of the credit of what waits that a search for its primary may cost
 )
 
 // New starts the module with a front's settings. It returns an error if they are out of range.
-func New(now Time, c Charter, f Front) (*Balancer, error) {
+func New(now Time, c Settings, f Front) (*Balancer, error) {
 	b := &Balancer{front: f, now: now, mwc: mwc.New(c.Seed), classOf: map[string]int32{},
 		tenants: map[string]*tenant{}, memberOf: map[uint32]int32{}, groupOf: map[uint64]int32{},
 		requestOf: map[string]int32{}, fences: make([]Time, 1<<fenceBits), writes: make([]int32, 1<<fenceBits),
@@ -42,13 +42,13 @@
 
 // Configure puts other settings in force, or none of them if it returns an error. Requests in hand keep their
 // class as it was, all else counts for them too. What was learnt, fences and budgets among it, is kept.
-func (b *Balancer) Configure(now Time, c Charter) error {
+func (b *Balancer) Configure(now Time, c Settings) error {
 	if len(c.Classes) == 0 {
-		return fmt.Errorf("charter: no profiles")
+		return fmt.Errorf("settings: no classes")
 	}
 	for _, p := range c.Classes {
 		if p.Bound < 0 || p.ExpectedTime <= 0 || p.Deadline <= 0 || p.Window < 0 {
-			return fmt.Errorf("charter: profile %q: bound, window or times out of range", p.Name)
+			return fmt.Errorf("settings: class %q: bound, window or times out of range", p.Name)
 		}
 	}
 	b.now, b.zone, b.overShare, b.checks, b.carried = now, c.Zone, c.OverShare, c.Checks, c.FencesCarried
@@ -67,8 +67,8 @@
 	// Eight short attempts in a span, over all fronts, tip no store.
 	b.trickle = 2 * float64(b.quickest) / float64(max(b.span, 1)) / float64(max(c.Fronts, 1))
 	b.probeEvery = max(min(b.tightest, b.quickest)/3, b.beat)
-	b.probesPerRequest = thrift / max(c.ProbePrice, thrift/10)
-	b.perCredit = search / max(c.ProbePrice, thrift/10)
+	b.probesPerRequest = probeBudget / max(c.ProbePrice, probeBudget/10)
+	b.perCredit = searchBudget / max(c.ProbePrice, probeBudget/10)
 	return nil
 }
 
@@ -110,7 +110,7 @@
 }
 
 // setTenants keeps what the buckets of those hold who were there before.
-func (b *Balancer) setTenants(c Charter) {
+func (b *Balancer) setTenants(c Settings) {
 	before := b.tenants
 	b.tenants = make(map[string]*tenant, len(c.Tenants))
 	for _, q := range c.Tenants {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -8,7 +8,7 @@
 )
 
 // three is a group of a primary and two replicas, heard from just now.
-func three(t testing.TB, c Charter) *world {
+func three(t testing.TB, c Settings) *world {
 	w := newWorld(t, c)
 	w.list(ListCached, Member{Store: 1, Group: 9, Zone: "a", Condition: Ready, Primary: true, Size: 1},
 		Member{Store: 2, Group: 9, Zone: "a", Condition: Ready, Size: 1},
@@ -46,7 +46,7 @@
 }
 
 func TestOrdinaryPath(t *testing.T) {
-	w := three(t, testCharter())
+	w := three(t, testSettings())
 	w.hear(3, w.now-20, Replica)
 	if w.take(ask("write", "once")); w.at(t, "write") != 1 {
 		t.Error("writes go to the primary")
@@ -69,7 +69,7 @@
 
 // The least busy rule alone sent all that idle fronts had to the same few members.
 func TestLeastBusyByWhatTheyCanDo(t *testing.T) {
-	w := three(t, testCharter())
+	w := three(t, testSettings())
 	for n := range 40 {
 		w.take(ask(fmt.Sprint("least", n), "session"))
 	}
@@ -80,7 +80,7 @@
 
 // Fronts with few requests each knew only old positions, and all their reads spilled to the primary.
 func TestLikelyReplicaIsAsked(t *testing.T) {
-	w := three(t, testCharter())
+	w := three(t, testSettings())
 	w.now += 3100
 	w.take(ask("r", "bounded"))
 	if !w.held("r") || len(w.probes) != 1 {
@@ -93,7 +93,7 @@
 }
 
 func TestFenceRemembered(t *testing.T) {
-	c := testCharter()
+	c := testSettings()
 	c.FencesCarried = false
 	w := three(t, c)
 	write := ask("w", "once")
@@ -123,7 +123,7 @@
 
 // A store that turns all away at once looked the least busy and drew every request.
 func TestFastRefusals(t *testing.T) {
-	w := three(t, testCharter())
+	w := three(t, testSettings())
 	drawn := 0
 	for n := range 200 {
 		w.hear(2, w.now-50, Replica)
@@ -146,7 +146,7 @@
 
 // A draining primary turned writes away as a replica while its reads still claimed the role.
 func TestDeniedPrimaryProvesItself(t *testing.T) {
-	w := three(t, testCharter())
+	w := three(t, testSettings())
 	w.take(ask("w1", "once"))
 	w.take(ask("r1", "fresh"))
 	w.back("w1", 0, Return{Ending: Behind, Note: Report{Position: w.now, Role: Replica}})
@@ -174,14 +174,14 @@
 
 // A numbered request that may have run waited past the time for which its repeats are dropped.
 func TestNumberedJobKeepsItsWindow(t *testing.T) {
-	w := three(t, testCharter())
+	w := three(t, testSettings())
 	in := ask("m", "marked")
 	in.Left = 30000
 	w.take(in)
 	w.pass(100)
 	w.back("m", 0, Return{Ending: Faulted, Note: Report{Position: w.now, Role: Primary}})
 	w.list(ListChanges, Member{Store: 1, Group: 9, Zone: "a", Condition: Draining, Size: 1})
-	w.pass(testCharter().Classes[5].Window)
+	w.pass(testSettings().Classes[5].Window)
 	w.hear(2, w.now, Primary)
 	if w.requests["m"].final != 1 {
 		t.Error("the job outlived its window")
@@ -190,7 +190,7 @@
 
 // Attempts whose answers were lost filled a member's limit until their clients gave up, and counted as load.
 func TestLostAnswersAreNotLoad(t *testing.T) {
-	w := three(t, testCharter())
+	w := three(t, testSettings())
 	w.take(ask("a", "marked"))
 	w.pass(10)
 	w.take(ask("b", "marked"))
@@ -216,7 +216,7 @@
 
 // A store that took no connection was always held for a cold one, though its log moved on meanwhile.
 func TestFewConnectionsAreNoRestart(t *testing.T) {
-	w := three(t, testCharter())
+	w := three(t, testSettings())
 	m := &w.b.members[0]
 	for _, behind := range []Time{0, 100} {
 		id := fmt.Sprint("w", behind)
@@ -239,7 +239,7 @@
 		kept         bool
 		scarce, anew bool
 	}{{1, true, false, false}, {1, false, false, true}, {3, true, true, false}} {
-		w := three(t, testCharter())
+		w := three(t, testSettings())
 		m, up := &w.b.members[0], w.now
 		w.pass(200)
 		for n := range c.refused {
@@ -267,7 +267,7 @@
 		took     Time
 		attempts int
 	}{{false, 500, 3}, {true, 500, 1}, {true, 1, 6}} {
-		w := three(t, testCharter())
+		w := three(t, testSettings())
 		if c.crowded {
 			w.b.overload()
 		}
@@ -289,7 +289,7 @@
 }
 
 func TestReadsSpillByTheirOdds(t *testing.T) {
-	w := three(t, testCharter())
+	w := three(t, testSettings())
 	spilled := 0
 	for n := range 40 {
 		w.hear(1, w.now, Primary)
@@ -308,7 +308,7 @@
 
 // Hundreds of fronts with an attempt each pushed a cold store over; what all send together is held against the rule.
 func TestManyFrontsBeforeAColdStore(t *testing.T) {
-	c := testCharter()
+	c := testSettings()
 	c.Fronts = 200
 	sent, warm := 0, Time(c.FallSpan/2)
 	for k := range c.Fronts {
@@ -329,7 +329,7 @@
 // TestWonChanceOutlastsAProbe: a read that asked a cold store for its position had to win its chance there again once
 // the answer came, for the beat in between cut it back to what is saved up in half a span.
 func TestWonChanceOutlastsAProbe(t *testing.T) {
-	c := testCharter()
+	c := testSettings()
 	c.Fronts = 200
 	w := newWorld(t, c)
 	w.list(ListCached, Member{Store: 1, Group: 9, Condition: Ready, Primary: true, Size: 1, Started: w.now})
@@ -349,7 +349,7 @@
 
 // An attempt from each of many fronts crowds a store, so under a limit of one a front rests; good answers end that.
 func TestFrontsRestUnderOneTrip(t *testing.T) {
-	c := testCharter()
+	c := testSettings()
 	c.Fronts = 240
 	w := three(t, c)
 	for n := range 10 {
@@ -375,7 +375,7 @@
 
 // A last try has all the time that is left, more than a first one; first tries were then refused on arrival.
 func TestFirstTriesAreNotTakenForFurtherOnes(t *testing.T) {
-	w := three(t, testCharter())
+	w := three(t, testSettings())
 	for n := range 20 {
 		in := ask(fmt.Sprint("j", n), "any")
 		if in.Left = 4000; n%5 == 4 {
@@ -390,7 +390,7 @@
 
 // All stores were listed as gone while they served; a drain that was told binds all the same.
 func TestListThatCallsAllGone(t *testing.T) {
-	c := testCharter()
+	c := testSettings()
 	c.OnlyDraining = true
 	w := three(t, c)
 	w.list(ListChanges, Member{Store: 3, Group: 9, Condition: Draining, Size: 1})
@@ -404,7 +404,7 @@
 // TestStoresReplacedForGood: one gone for a cold time leaves no trace, and the new one has nothing of it.
 func TestStoresReplacedForGood(t *testing.T) {
 	for _, onlyDrains := range []bool{false, true} {
-		c := testCharter()
+		c := testSettings()
 		c.OnlyDraining = onlyDrains
 		w := newWorld(t, c)
 		last := Member{}
@@ -428,7 +428,7 @@
 }
 
 func TestProbesKeepToTheirPrice(t *testing.T) {
-	w := three(t, testCharter())
+	w := three(t, testSettings())
 	w.pass(20 * second)
 	if n := len(w.probes); n > 3 {
 		t.Errorf("%d probes in 20 s without a job", n)
@@ -442,7 +442,7 @@
 // TestSearchForAPrimaryKeepsToWhatWaits: three hundred fronts that each held one write asked every member of its group
 // every half beat and then ever more seldom, at a cost far above that write's credit.
 func TestSearchForAPrimaryKeepsToWhatWaits(t *testing.T) {
-	c := testCharter()
+	c := testSettings()
 	c.ProbePrice = 0.08
 	w := three(t, c)
 	w.take(ask("w", "once"))
@@ -455,13 +455,13 @@
 		}
 	}
 	credit, mean := 4.0, (1+2+1+1+4+4)/6.0
-	if most := 1 + int(search*credit/mean/c.ProbePrice); len(w.probes) > most || len(w.probes) == 0 {
+	if most := 1 + int(searchBudget*credit/mean/c.ProbePrice); len(w.probes) > most || len(w.probes) == 0 {
 		t.Errorf("%d probes for one write that waits, %d are paid for", len(w.probes), most)
 	}
 }
 
 func TestProbeThatNeverLeftBlamesNoStore(t *testing.T) {
-	w := three(t, testCharter())
+	w := three(t, testSettings())
 	for _, store := range w.ids {
 		w.b.Probed(w.now, store, Return{Ending: Unsent})
 	}
@@ -479,7 +479,7 @@
 }
 
 func TestWatchIsRenewed(t *testing.T) {
-	c := testCharter()
+	c := testSettings()
 	c.ListPushed = false
 	w := three(t, c)
 	w.pass(c.AskWithin / 8)
@@ -502,8 +502,8 @@
 	}
 }
 
-func TestCharterRefused(t *testing.T) {
-	c := testCharter()
+func TestSettingsRefused(t *testing.T) {
+	c := testSettings()
 	c.Classes[1].Bound = -1
 	if _, err := New(0, c, &world{t: t}); err == nil || !strings.Contains(err.Error(), "bounded") {
 		t.Errorf("negative bound: %v", err)
@@ -511,7 +511,7 @@
 }
 
 func TestOrdinaryPathAllocatesNothing(t *testing.T) {
-	w := three(t, testCharter())
+	w := three(t, testSettings())
 	f := &still{}
 	w.b.front = f
 	in := ask("j", "session")
@@ -538,7 +538,7 @@
 // drive plays a generated day and returns what was done.
 func drive(t testing.TB, seed uint64, shape uint8) []string {
 	r := rand.New(rand.NewPCG(seed, uint64(shape)))
-	c := testCharter()
+	c := testSettings()
 	c.FencesCarried, c.ListPushed, c.Checks, c.OnlyDraining = shape&1 == 0, shape&2 == 0, shape&4 != 0, shape&8 != 0
 	c.Fronts, c.Seed = 1+int(shape&16)*6, seed
 	w := newWorld(t, c)
@@ -569,7 +569,7 @@
 	for n := range 1500 {
 		switch k := r.IntN(20); {
 		case k < 6:
-			in := ask(fmt.Sprint("j", n), w.charter.Classes[r.IntN(len(w.charter.Classes))].Name)
+			in := ask(fmt.Sprint("j", n), w.settings.Classes[r.IntN(len(w.settings.Classes))].Name)
 			in.Group, in.Session, in.Left = uint64(r.IntN(2)), fmt.Sprint("s", r.IntN(9)), Time(r.IntN(12000))
 			if r.IntN(2) == 0 {
 				in.WriteAge = Time(r.IntN(8000))
@@ -603,7 +603,7 @@
 				w.b.Left(w.now, p.in.ID)
 			}
 		case k == 17 && shape&128 != 0 && r.IntN(3) == 0:
-			w.configure(otherSettings(w.charter, r))
+			w.configure(otherSettings(w.settings, r))
 		case k == 17 && r.IntN(10) == 0:
 			w.pass(Time(r.IntN(60000)))
 		case k == 18 && len(w.ids) > 0 && shape&32 == 0: // what peers say, true or not
@@ -621,7 +621,7 @@
 // TestBudgetGrowsWhileAChanceStands: a chance that is won at a cold member must not stop what it is given anyway. Where few fronts send
 // much, it would get next to nothing for as long as it is taken to be cold.
 func TestBudgetGrowsWhileAChanceStands(t *testing.T) {
-	w := three(t, testCharter())
+	w := three(t, testSettings())
 	m := &w.b.members[2]
 	m.started, w.b.flow = w.now, 50
 	m.budget, m.won = 100, w.now
@@ -638,7 +638,7 @@
 // TestPeersVouch: a read goes to a replica that a peer says has passed its need, and its answer has to show that. One that
 // does not ends the trust for a cold time.
 func TestPeersVouch(t *testing.T) {
-	c := testCharter()
+	c := testSettings()
 	c.MayProbe = false
 	w := three(t, c)
 	w.pass(40000)
@@ -679,7 +679,7 @@
 
 // TestOlderList: a list that has gone back was told before a drain, and would have opened the store again.
 func TestOlderList(t *testing.T) {
-	w := three(t, testCharter())
+	w := three(t, testSettings())
 	w.list(ListChanges, Member{Store: 2, Group: 9, Zone: "a", Condition: Draining, Size: 1})
 	old := []Member{{Store: 1, Group: 9, Zone: "a", Condition: Ready, Primary: true, Size: 1},
 		{Store: 2, Group: 9, Zone: "a", Condition: Ready, Size: 1}, {Store: 4, Group: 9, Zone: "a", Condition: Ready, Size: 1}}
@@ -705,7 +705,7 @@
 // seconds, however many calls failed before.
 func TestDiscoveryIsAskedInTime(t *testing.T) {
 	for _, within := range []Time{20000, 100000, 3000000} {
-		c := testCharter()
+		c := testSettings()
 		c.AskWithin = within
 		w := three(t, c)
 		for n := range 40 {
@@ -724,7 +724,7 @@
 // start and from each failure on, for as long as there is no list, and no more once there is one.
 func TestAgentIsAskedWithinTheGrace(t *testing.T) {
 	for _, grace := range []Time{2500, 5000, 20000} {
-		c := testCharter()
+		c := testSettings()
 		c.AskWithin, c.AgentGrace, c.ListPushed = 100000, grace, true
 		w := three(t, c)
 		asked, last := w.watches, w.now
@@ -753,7 +753,7 @@
 		after Time
 		again bool
 	}{{100, true}, {7100, true}, {7410, false}, {8900, false}} {
-		w := three(t, testCharter())
+		w := three(t, testSettings())
 		w.take(ask("m", "marked"))
 		w.pass(c.after)
 		w.back("m", 0, Return{Ending: Severed})
@@ -767,7 +767,7 @@
 // TestReadThatWaitedTooLong: a read whose connection came up after what is known of its replica had grown too old is not
 // sent there, but placed anew: where something newer has been heard, or at the primary.
 func TestReadThatWaitedTooLong(t *testing.T) {
-	w := three(t, testCharter())
+	w := three(t, testSettings())
 	w.take(ask("r", "bounded"))
 	first := w.at(t, "r")
 	w.pass(2960)
@@ -781,7 +781,7 @@
 // TestFenceMovesWhileAReadWaits: where the front remembers fences, a write of the session that is answered while a read is
 // held, or waits for its connection, counts for the read as well.
 func TestFenceMovesWhileAReadWaits(t *testing.T) {
-	c := testCharter()
+	c := testSettings()
 	c.FencesCarried = false
 	w := three(t, c)
 	write, read := ask("w", "once"), ask("r", "session")
@@ -805,7 +805,7 @@
 
 // TestWrittenInPart: a write's answer that stops short, or that comes when its client has gone, moves the fence of its session.
 func TestWrittenInPart(t *testing.T) {
-	c := testCharter()
+	c := testSettings()
 	c.FencesCarried = false
 	for _, position := range []Time{0, 1000090} {
 		for _, left := range []bool{false, true} {
@@ -833,7 +833,7 @@
 // TestReadWhileAWriteIsOut: the answer of a session's write that is out may have been written and lost. A read of the session
 // goes where a write of a moment ago is, which once its answer could have come is the primary or a replica that keeps up.
 func TestReadWhileAWriteIsOut(t *testing.T) {
-	c := testCharter()
+	c := testSettings()
 	c.FencesCarried, c.MayProbe = false, false
 	w := three(t, c)
 	write := ask("w", "once")
@@ -866,7 +866,7 @@
 // TestCarriedBesideRemembered: where the front remembers fences, a read that comes without a session but says how old its
 // last write is (a bookmark, say) goes by that.
 func TestCarriedBesideRemembered(t *testing.T) {
-	c := testCharter()
+	c := testSettings()
 	c.FencesCarried, c.MayProbe = false, false
 	w := three(t, c)
 	in := ask("r", "session")
--- a/balance/configure_test.go
+++ b/balance/configure_test.go
@@ -7,19 +7,19 @@
 )
 
 // configure puts other settings in force, in the module and in the model.
-func (w *world) configure(c Charter) {
+func (w *world) configure(c Settings) {
 	w.t.Helper()
 	w.note("configure %+v", c.Classes)
 	if err := w.b.Configure(w.now, c); err != nil {
 		w.t.Fatal(err)
 	}
-	w.charter = c
+	w.settings = c
 }
 
 // otherSettings draws settings that differ from some in what operators change while fronts run: what classes there are and
 // what each asks for, tenants, attempts and the number of fronts.
-func otherSettings(c Charter, r *rand.Rand) Charter {
-	whole := testCharter().Classes
+func otherSettings(c Settings, r *rand.Rand) Settings {
+	whole := testSettings().Classes
 	c.Classes = nil
 	for _, class := range whole {
 		if r.IntN(6) == 0 {
@@ -46,7 +46,7 @@
 }
 
 // changed gives settings in which one class is another, by its name.
-func changed(c Charter, name string, change func(class *Class)) Charter {
+func changed(c Settings, name string, change func(class *Class)) Settings {
 	c.Classes = slices.Clone(c.Classes)
 	for i := range c.Classes {
 		if c.Classes[i].Name == name {
@@ -59,9 +59,9 @@
 // TestWriteInHandKeepsItsRepeat: settings come into force that allow repeats of a class while a write of it is out, and its
 // answer is lost. It came as at-most-once and has one attempt; one that comes later may be repeated.
 func TestWriteInHandKeepsItsRepeat(t *testing.T) {
-	w := three(t, testCharter())
+	w := three(t, testSettings())
 	w.take(ask("before", "once"))
-	w.configure(changed(w.charter, "once", func(class *Class) { class.Repeat = Idempotent }))
+	w.configure(changed(w.settings, "once", func(class *Class) { class.Repeat = Idempotent }))
 	w.take(ask("behind", "once"))
 	for _, id := range []string{"before", "behind"} {
 		w.back(id, 0, Return{Ending: Severed})
@@ -78,13 +78,13 @@
 // TestClassTakenOutWithAWriteInHand: a class is taken out while a write of it is out. The write is answered, the reads of its
 // session see it, and no further request of that class is taken.
 func TestClassTakenOutWithAWriteInHand(t *testing.T) {
-	c := testCharter()
+	c := testSettings()
 	c.FencesCarried = false
 	w := three(t, c)
 	write := ask("w", "once")
 	write.Session = "s"
 	w.take(write)
-	without := w.charter
+	without := w.settings
 	without.Classes = slices.DeleteFunc(slices.Clone(c.Classes), func(class Class) bool { return class.Name == "once" })
 	w.configure(without)
 	w.pass(100)
@@ -103,12 +103,12 @@
 
 // TestFaultySettingsChangeNothing: settings out of range are refused, and those before stay in force as a whole.
 func TestFaultySettingsChangeNothing(t *testing.T) {
-	w := three(t, testCharter())
+	w := three(t, testSettings())
 	before := *w.b
-	for _, faulty := range []Charter{
+	for _, faulty := range []Settings{
 		{Fronts: 9},
-		changed(w.charter, "marked", func(class *Class) { class.Window = -1 }),
-		changed(w.charter, "any", func(class *Class) { class.ExpectedTime = 0 }),
+		changed(w.settings, "marked", func(class *Class) { class.Window = -1 }),
+		changed(w.settings, "any", func(class *Class) { class.ExpectedTime = 0 }),
 	} {
 		faulty.Cold, faulty.MostAttempts = 5, 1
 		if err := w.b.Configure(w.now+50, faulty); err == nil {
@@ -127,19 +127,19 @@
 // TestClassPlacesAreGivenBack: what is kept of classes is bounded by those in force and those that requests in hand came
 // under, however often settings change.
 func TestClassPlacesAreGivenBack(t *testing.T) {
-	w := three(t, testCharter())
+	w := three(t, testSettings())
 	w.take(ask("long", "once"))
 	for n := range 2000 {
-		w.configure(changed(w.charter, "any", func(class *Class) { class.Credit = float64(n + 2) }))
+		w.configure(changed(w.settings, "any", func(class *Class) { class.Credit = float64(n + 2) }))
 	}
-	if most := len(w.charter.Classes) + 2; len(w.b.classes) > most {
+	if most := len(w.settings.Classes) + 2; len(w.b.classes) > most {
 		t.Errorf("%d places of classes, %d at most expected", len(w.b.classes), most)
 	}
 }
 
 // TestLearntIsKept: new figures of a class leave what its attempts were seen to take, and what tenants have left.
 func TestLearntIsKept(t *testing.T) {
-	w := three(t, testCharter())
+	w := three(t, testSettings())
 	for k := range 40 {
 		id := string(rune('A' + k))
 		in := ask(id, "any")
@@ -149,7 +149,7 @@
 		w.back(id, 0, Return{Ending: Served, Note: Report{Position: w.now, Role: Replica}})
 	}
 	typical, bucket := w.b.classes[w.b.classOf["any"]].typical, w.b.tenants["c"].bucket
-	w.configure(changed(w.charter, "any", func(class *Class) { class.Credit = 9 }))
+	w.configure(changed(w.settings, "any", func(class *Class) { class.Credit = 9 }))
 	if got := w.b.classes[w.b.classOf["any"]]; got.typical != typical || got.Credit != 9 {
 		t.Errorf("typical %v with credit %v, %v before", got.typical, got.Credit, typical)
 	}
--- a/balance/front.go
+++ b/balance/front.go
@@ -3,8 +3,8 @@
 // Time is a moment or a span in whole tenths of a millisecond.
 type Time = int64
 
-// Charter is what a front is handed once, when it starts.
-type Charter struct {
+// Settings is what a front is handed once, when it starts.
+type Settings struct {
 	Seed          uint64
 	Fronts        int // how many there are
 	Zone          string
--- a/balance/helper_test.go
+++ b/balance/helper_test.go
@@ -41,7 +41,7 @@
 // world is a Front that keeps a slow, plain model of the rules and holds every action against it.
 type world struct {
 	t        testing.TB
-	charter  Charter
+	settings Settings
 	b        *Balancer
 	now      Time
 	requests map[string]*past
@@ -57,8 +57,8 @@
 	peak     float64 // most attempts that a warm store was sent in a span, for its size
 }
 
-func testCharter() Charter {
-	return Charter{Seed: 7, Fronts: 1, Zone: "a", Round: 50, FencesCarried: true, ListPushed: true, AskWithin: 100000, AnswerSlack: 200, StartShare: 0.2, Cold: 100000, FallMultiple: 3, FallSpan: 15000, MostAttempts: 6, MayProbe: true, MayCancel: true, ProbePrice: 0.01, OverShare: 0.2, Tenants: []Tenant{{Name: "c", Quota: 500}},
+func testSettings() Settings {
+	return Settings{Seed: 7, Fronts: 1, Zone: "a", Round: 50, FencesCarried: true, ListPushed: true, AskWithin: 100000, AnswerSlack: 200, StartShare: 0.2, Cold: 100000, FallMultiple: 3, FallSpan: 15000, MostAttempts: 6, MayProbe: true, MayCancel: true, ProbePrice: 0.01, OverShare: 0.2, Tenants: []Tenant{{Name: "c", Quota: 500}},
 		Classes: []Class{
 			{Name: "any", Need: Any, ExpectedTime: 3000, Deadline: 12000, Credit: 1},
 			{Name: "bounded", Need: Bounded, Bound: 3000, ExpectedTime: 4000, Deadline: 15000, Credit: 2},
@@ -69,8 +69,8 @@
 		}}
 }
 
-func newWorld(t testing.TB, c Charter) *world {
-	w := &world{t: t, charter: c, now: 1000000, requests: map[string]*past{}, stores: map[uint32]*known{},
+func newWorld(t testing.TB, c Settings) *world {
+	w := &world{t: t, settings: c, now: 1000000, requests: map[string]*past{}, stores: map[uint32]*known{},
 		fences: map[string]Time{}}
 	b, err := New(w.now, c, w)
 	if err != nil {
@@ -94,22 +94,22 @@
 	w.note("list %d %v", news, members)
 	if news == ListWhole || news == ListCached {
 		for _, k := range w.stores {
-			k.open = k.open && w.charter.OnlyDraining
+			k.open = k.open && w.settings.OnlyDraining
 		}
 	}
 	for _, m := range members {
 		k := w.stores[m.Store]
 		if k == nil {
-			k = &known{group: m.Group, open: w.charter.OnlyDraining}
+			k = &known{group: m.Group, open: w.settings.OnlyDraining}
 			w.stores[m.Store] = k
 			w.ids = append(w.ids, m.Store)
 		}
-		k.open = m.Condition == Ready || m.Condition == Gone && w.charter.OnlyDraining && k.open
+		k.open = m.Condition == Ready || m.Condition == Gone && w.settings.OnlyDraining && k.open
 		k.size = m.Size
 		if m.Primary && k.claimed == 0 {
 			k.claimed = w.now
 		}
-		if m.Started > k.started && w.now-m.Started < w.charter.Cold {
+		if m.Started > k.started && w.now-m.Started < w.settings.Cold {
 			k.started, k.sends = m.Started, nil // what went there before it was told of counts against nobody
 		}
 	}
@@ -120,12 +120,12 @@
 
 func (w *world) take(in Request) *past {
 	p := &past{in: in, came: w.now}
-	for _, q := range w.charter.Classes {
+	for _, q := range w.settings.Classes {
 		if q.Name == in.Class {
 			p.class = q
 		}
 	}
-	if w.charter.FencesCarried {
+	if w.settings.FencesCarried {
 		if in.WriteAge >= 0 {
 			p.fence = w.now - in.WriteAge
 		}
@@ -196,7 +196,7 @@
 // overdue holds rule 1 against every request at hand.
 func (w *world) overdue() {
 	for _, id := range w.order {
-		if p := w.requests[id]; p.final == 0 && w.now > p.came+p.in.Left+w.charter.AnswerSlack {
+		if p := w.requests[id]; p.final == 0 && w.now > p.came+p.in.Left+w.settings.AnswerSlack {
 			w.broken("lost", "job %s has no final answer", id)
 		}
 	}
@@ -225,17 +225,17 @@
 	case Bounded:
 		need = w.now - p.class.Bound
 	case Session:
-		if need = p.fence; !w.charter.FencesCarried && p.in.Session != "" {
+		if need = p.fence; !w.settings.FencesCarried && p.in.Session != "" {
 			need = max(need, w.fences[p.in.Session])
 		}
 	case Fresh:
 		need = never
 	}
 	role := k.claimed > 0 && (k.denied == 0 || k.wroteSince || k.claimed > k.denied+2*second)
-	if p.class.Need != Write && k.position < need && least < need && !role && !w.charter.Checks {
+	if p.class.Need != Write && k.position < need && least < need && !role && !w.settings.Checks {
 		w.broken("stale", "%s needs %d, store %d shows %d", id, need, store, k.position)
 	}
-	if k.started > 0 && w.now-k.started < w.charter.Cold {
+	if k.started > 0 && w.now-k.started < w.settings.Cold {
 		w.cold(store, k)
 		k.sends = append(k.sends, w.now)
 	} else {
@@ -247,15 +247,15 @@
 
 // cold holds the sends to a cold store against the most that a warm one was ever sent in such a span, for its size.
 func (w *world) cold(store uint32, k *known) {
-	part := w.charter.StartShare + (1-w.charter.StartShare)*float64(w.now-k.started)/float64(w.charter.Cold)
-	if n := w.recent(k); n > 10+w.charter.FallMultiple*part*w.peak*k.size {
+	part := w.settings.StartShare + (1-w.settings.StartShare)*float64(w.now-k.started)/float64(w.settings.Cold)
+	if n := w.recent(k); n > 10+w.settings.FallMultiple*part*w.peak*k.size {
 		w.broken("cold", "store %d was sent %v, its busiest warm peer %v", store, n, w.peak)
 	}
 }
 
 func (w *world) recent(k *known) (n float64) {
 	for _, t := range k.sends {
-		if t > w.now-w.charter.FallSpan {
+		if t > w.now-w.settings.FallSpan {
 			n++
 		}
 	}
@@ -298,7 +298,7 @@
 	if k != nil && k.open && w.listing {
 		return // its line follows in the same list, and takes it up anew
 	}
-	if k == nil || k.open && !w.charter.OnlyDraining {
+	if k == nil || k.open && !w.settings.OnlyDraining {
 		w.broken("forget", "store %d is in use", store)
 	}
 	for id, p := range w.requests {
--- a/cmd/micatrack/config.go
+++ b/cmd/micatrack/config.go
@@ -39,7 +39,7 @@
 func hosted(t *together, o *orders, addr string) *configuration.Control {
 	f := &o.operators.Fleet
 	options := configuration.ControlOptions{
-		Fleet: f.Name, Name: o.name, Addr: addr, Seed: o.charter.Seed, On: f.Config.On,
+		Fleet: f.Name, Name: o.name, Addr: addr, Seed: o.settings.Seed, On: f.Config.On,
 	}
 	control := configuration.NewControl(options, t.peers, t.log)
 	control.ToFront(func(body []byte) {
@@ -58,7 +58,7 @@
 	c := &configured{t: t, o: o, control: control, addr: addr}
 	f := &o.operators.Fleet
 	options := configuration.Options{
-		Fleet: f.Name, Name: o.name, Zone: o.charter.Zone, Addr: addr, Life: life, Seed: o.charter.Seed,
+		Fleet: f.Name, Name: o.name, Zone: o.settings.Zone, Addr: addr, Life: life, Seed: o.settings.Seed,
 		Path: f.Config.State, Stored: o.stored,
 	}
 	c.front = configuration.NewFront(options, t.now, t.peers, c, t.wake, t.log)
--- a/cmd/micatrack/configlive_test.go
+++ b/cmd/micatrack/configlive_test.go
@@ -133,7 +133,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	o.charter.Zone, o.own.charter.Zone = "b", "b"
+	o.settings.Zone, o.own.settings.Zone = "b", "b"
 	var file struct{ Settings map[string]any }
 	text, err := json.Marshal(map[string]any{"discovery": "127.0.0.2:99"})
 	if err != nil {
@@ -158,7 +158,7 @@
 	if whole.discovery != "127.0.0.2:99" || doorBounds(&whole.operators.Door).Jobs != 77 || doorBounds(&o.operators.Door) != nil {
 		t.Errorf("discovery %s, door %+v", whole.discovery, whole.operators.Door)
 	}
-	if c := whole.charter; c.Zone != "b" || c.Seed != o.charter.Seed || c.AgentGrace != 20000 {
+	if c := whole.settings; c.Zone != "b" || c.Seed != o.settings.Seed || c.AgentGrace != 20000 {
 		t.Errorf("zone %q, seed %x, grace of an agent %d", c.Zone, c.Seed, c.AgentGrace)
 	}
 	pinned := whole
@@ -167,7 +167,7 @@
 		t.Errorf("a flag names discovery, and %s is followed; %v", p.discovery, err)
 	}
 	back, err := whole.under(nil)
-	if err != nil || back.discovery != o.discovery || back.charter.AgentGrace != o.charter.AgentGrace || back.operators.Door.On {
+	if err != nil || back.discovery != o.discovery || back.settings.AgentGrace != o.settings.AgentGrace || back.operators.Door.On {
 		t.Errorf("without a text: %+v, %v", back.own, err)
 	}
 	for _, faulty := range []config.ScopeText{
--- a/cmd/micatrack/fleet.go
+++ b/cmd/micatrack/fleet.go
@@ -19,8 +19,8 @@
 	"micatrack/fleet"
 	"micatrack/fleet/membership"
 	"micatrack/fleet/zones"
+	"micatrack/internal/bridge"
 	"micatrack/internal/front"
-	"micatrack/internal/joined"
 	"micatrack/internal/operators"
 	"micatrack/internal/peers"
 )
@@ -35,7 +35,7 @@
 	peers   *peers.Peers
 	core    *front.Core
 	log     *slog.Logger
-	bridge  joined.Bridge
+	bridge  bridge.Bridge
 	deputy  *deputy     // nil: no leases
 	look    *lookout    // nil: no watch of positions
 	config  *configured // nil: each front goes by its own files
@@ -56,8 +56,8 @@
 	t := &together{now: now, peers: p, name: f.Name, wake: wake, log: log.With("fleet", f.Name), asks: make(chan func(), 16)}
 	span := f.PeriodMS * 10
 	addr, life := cmp.Or(f.Advertise, p.Addr()), uint64(now())/10
-	t.Fleet = fleet.New(now(), membership.Self{Name: o.name, Zone: cmp.Or(o.charter.Zone, "-"), Addr: addr, Incarnation: life, Seed: o.charter.Seed, Period: span, Seeds: f.Seeds, Members: f.Members, NoteLife: noteLife * span},
-		zones.Self{StartShare: o.charter.StartShare, Cold: o.charter.Cold, FallSpan: o.charter.FallSpan}, t)
+	t.Fleet = fleet.New(now(), membership.Self{Name: o.name, Zone: cmp.Or(o.settings.Zone, "-"), Addr: addr, Incarnation: life, Seed: o.settings.Seed, Period: span, Seeds: f.Seeds, Members: f.Members, NoteLife: noteLife * span},
+		zones.Self{StartShare: o.settings.StartShare, Cold: o.settings.Cold, FallSpan: o.settings.FallSpan}, t)
 	t.bridge.Zones = t.Zones
 	if len(f.Lease.Voters) > 0 {
 		control := hosted(t, o, addr)
--- a/cmd/micatrack/lease.go
+++ b/cmd/micatrack/lease.go
@@ -50,7 +50,7 @@
 		return nil, fmt.Errorf("lease.voters: %d voters bear no more losses than %d", len(l.Voters), len(l.Voters)-1)
 	}
 	order := leases.Order{Fleet: o.operators.Fleet.Name, Self: lease.Party{Name: o.name, Life: life}, Addr: addr, State: l.State,
-		Terms: lease.Terms{Span: l.SpanMS * 10, Drift: l.Drift, Margin: l.MarginMS * 10}, Seed: o.charter.Seed, Companion: c}
+		Terms: lease.Terms{Span: l.SpanMS * 10, Drift: l.Drift, Margin: l.MarginMS * 10}, Seed: o.settings.Seed, Companion: c}
 	for _, v := range l.Voters {
 		if slices.ContainsFunc(order.Seats, func(s lease.Seat) bool { return s.Name == v.Name }) {
 			return nil, fmt.Errorf("lease.voters: %s is named twice", v.Name)
--- a/cmd/micatrack/serve.go
+++ b/cmd/micatrack/serve.go
@@ -19,12 +19,12 @@
 	"time"
 
 	"micatrack/balance"
-	"micatrack/internal/charter"
 	"micatrack/internal/configuration"
 	"micatrack/internal/discovery"
 	"micatrack/internal/front"
 	"micatrack/internal/operators"
 	"micatrack/internal/pgwire"
+	"micatrack/internal/settings"
 	"micatrack/internal/sock"
 )
 
@@ -36,8 +36,8 @@
 	sockets                 int
 	known                   front.List
 	version                 int64
-	charter                 balance.Charter
-	host                    charter.Host
+	settings                balance.Settings
+	host                    settings.Host
 	operators               operators.Orders
 	stored                  configuration.Stored // the fleet's configuration, as this front had it last
 	trouble                 string               // why it was not taken, if it was not
@@ -88,12 +88,12 @@
 	if err != nil {
 		return o, fmt.Errorf("seed: %w", err)
 	}
-	if o.charter, o.host, err = configuration.ReadSettings(w.Settings); err != nil {
+	if o.settings, o.host, err = configuration.ReadSettings(w.Settings); err != nil {
 		return o, fmt.Errorf("settings: %w", err)
 	}
-	o.charter.Seed, o.pinned = seed, pinned
+	o.settings.Seed, o.pinned = seed, pinned
 	o.settle()
-	o.own = parts{o.discovery, o.charter, o.host, o.operators.Door}
+	o.own = parts{o.discovery, o.settings, o.host, o.operators.Door}
 	if on.Fleet.On && on.Fleet.Config.On {
 		o.fromFleet()
 	}
@@ -197,7 +197,7 @@
 	if others != nil && others.look != nil {
 		limits.Watch = others.look
 	}
-	core, err := front.New(now(), o.charter, o.host, limits, net, watcher.Ask, log)
+	core, err := front.New(now(), o.settings, o.host, limits, net, watcher.Ask, log)
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
@@ -205,7 +205,7 @@
 	if others != nil {
 		others.serves(core, o.known, time.Duration(o.operators.Fleet.JoinMS)*time.Millisecond)
 	}
-	if o.charter.ListPushed {
+	if o.settings.ListPushed {
 		watcher.Ask()
 	}
 	var halt, again atomic.Bool
--- a/cmd/micatrack/settings.go
+++ b/cmd/micatrack/settings.go
@@ -4,24 +4,24 @@
 	"micatrack/balance"
 	"micatrack/door"
 	"micatrack/fleet/config"
-	"micatrack/internal/charter"
 	"micatrack/internal/configuration"
 	"micatrack/internal/front"
 	"micatrack/internal/operators"
+	"micatrack/internal/settings"
 )
 
 // parts are what the fleet's configuration may say in place of a front's files.
 type parts struct {
 	discovery string
-	charter   balance.Charter
-	host      charter.Host
+	settings  balance.Settings
+	host      settings.Host
 	door      operators.Door
 }
 
 // settle works out what the settings leave to the program round the module.
 func (o *orders) settle() {
-	if o.charter.ListPushed {
-		o.charter.AgentGrace = o.host.Grace
+	if o.settings.ListPushed {
+		o.settings.AgentGrace = o.host.Grace
 	}
 }
 
@@ -29,7 +29,7 @@
 // flag that names discovery comes before them.
 func (o *orders) under(texts []config.ScopeText) (orders, error) {
 	fresh := *o
-	fresh.charter, fresh.host, fresh.operators.Door = o.own.charter, o.own.host, o.own.door
+	fresh.settings, fresh.host, fresh.operators.Door = o.own.settings, o.own.host, o.own.door
 	fresh.discovery = o.own.discovery
 	version := config.Document{Texts: texts}
 	if text, has := version.Text(configuration.Settings); has {
@@ -37,8 +37,8 @@
 		if err != nil {
 			return *o, err
 		}
-		settings.Zone, settings.Seed = o.own.charter.Zone, o.own.charter.Seed
-		fresh.charter, fresh.host = settings, host
+		settings.Zone, settings.Seed = o.own.settings.Zone, o.own.settings.Seed
+		fresh.settings, fresh.host = settings, host
 	}
 	if text, has := version.Text(configuration.Operators); has {
 		shared, err := configuration.FleetOperators(text)
@@ -73,11 +73,11 @@
 	if t.core == nil {
 		return nil
 	}
-	next := front.Settings{Module: after.charter, Host: after.host, Door: doorBounds(&after.operators.Door)}
+	next := front.Settings{Module: after.settings, Host: after.host, Door: doorBounds(&after.operators.Door)}
 	if err := t.core.Configure(t.now(), next); err != nil {
 		return err
 	}
-	t.Zones.Configure(after.charter.StartShare, after.charter.Cold, after.charter.FallSpan)
+	t.Zones.Configure(after.settings.StartShare, after.settings.Cold, after.settings.FallSpan)
 	if t.look != nil {
 		wait, storeWait := watchWaits(after)
 		t.look.w.Configure(wait, storeWait)
@@ -88,8 +88,8 @@
 // watchWaits returns how long the watch of positions waits for a watcher's answer, half of what a read waits for a
 // position, and for a store's.
 func watchWaits(o *orders) (wait, storeWait front.Time) {
-	quickest := o.charter.Classes[0].ExpectedTime
-	for _, class := range o.charter.Classes {
+	quickest := o.settings.Classes[0].ExpectedTime
+	for _, class := range o.settings.Classes {
 		quickest = min(quickest, class.ExpectedTime)
 	}
 	return max(quickest/20, 1), o.host.Dial
--- a/cmd/micatrack/watch.go
+++ b/cmd/micatrack/watch.go
@@ -16,7 +16,7 @@
 	wait, storeWait := watchWaits(o)
 	l := &lookout{t: t}
 	l.w = watch.New(t.now(), watch.Self{Name: o.name, Addr: addr, Wait: wait, Period: o.operators.Fleet.PeriodMS * 10,
-		Patience: storeWait, Seed: o.charter.Seed}, l)
+		Patience: storeWait, Seed: o.settings.Seed}, l)
 	t.bridge.Watch = l.w
 	t.peers.OnWatch(func(q watch.Query) { l.w.Hear(t.now(), q) }, func(a watch.Answer) { l.w.Told(t.now(), a) })
 	return l
--- a/door/bench_test.go
+++ b/door/bench_test.go
@@ -29,7 +29,7 @@
 func open(t testing.TB, jams bool) *through {
 	g := &through{now: 1e12, jams: jams}
 	var err error
-	if g.door, err = New(g.now, testCharter(), testBounds(), g); err != nil {
+	if g.door, err = New(g.now, testSettings(), testBounds(), g); err != nil {
 		t.Fatal(err)
 	}
 	return g
--- a/door/digest_test.go
+++ b/door/digest_test.go
@@ -154,7 +154,7 @@
 // TestPlayDigest plays one seeded day at the door (calm, a surge, stores that hang, too little room) and
 // compares the hash of all actions.
 func TestPlayDigest(t *testing.T) {
-	settings := balance.Charter{Seed: 7, Round: 5 * digestMillisecond, MostPause: 1000 * digestMillisecond,
+	settings := balance.Settings{Seed: 7, Round: 5 * digestMillisecond, MostPause: 1000 * digestMillisecond,
 		Tenants: []balance.Tenant{{Name: "t0", Quota: 100}, {Name: "t1", Quota: 300}, {Name: "t2"}},
 		Classes: []balance.Class{
 			{Name: "read", ExpectedTime: 300 * digestMillisecond, Deadline: 1200 * digestMillisecond, Credit: 1},
--- a/door/door.go
+++ b/door/door.go
@@ -97,7 +97,7 @@
 
 // New returns a door. The settings give the classes, the tenants and their quotas, the time between ticks and
 // the longest pause. It returns an error for settings or bounds out of range.
-func New(now Time, settings balance.Charter, bounds Bounds, gate Gate) (*Door, error) {
+func New(now Time, settings balance.Settings, bounds Bounds, gate Gate) (*Door, error) {
 	err := checkBounds(&settings, &bounds)
 	if err != nil {
 		return nil, err
@@ -123,7 +123,7 @@
 	return d, nil
 }
 
-func checkBounds(settings *balance.Charter, b *Bounds) error {
+func checkBounds(settings *balance.Settings, b *Bounds) error {
 	if len(settings.Classes) == 0 {
 		return errNoClasses
 	}
@@ -159,7 +159,7 @@
 }
 
 // setTenants gives each tenant of the settings a place and a weight, by its quota over the mean.
-func (d *Door) setTenants(settings *balance.Charter) {
+func (d *Door) setTenants(settings *balance.Settings) {
 	mean := 0.0
 	fixed := []string{}
 	for _, tenant := range settings.Tenants {
--- a/door/door_test.go
+++ b/door/door_test.go
@@ -20,8 +20,8 @@
 	second = 1000 * ms
 )
 
-func testCharter() balance.Charter {
-	return balance.Charter{Seed: 7, Round: 5 * ms, MostPause: second, Classes: []balance.Class{
+func testSettings() balance.Settings {
+	return balance.Settings{Seed: 7, Round: 5 * ms, MostPause: second, Classes: []balance.Class{
 		{Name: "read", ExpectedTime: 300 * ms, Deadline: 1200 * ms, Credit: 1},
 		{Name: "save", Need: balance.Write, ExpectedTime: 600 * ms, Deadline: 3 * second, Credit: 4, LateCredit: 0.3}}}
 }
@@ -36,7 +36,7 @@
 	l := &refusals{t: t, now: 1e12, back: map[int32]bool{}}
 	b := testBounds()
 	b.Jobs, b.Bytes = 20, 10_000
-	c := testCharter()
+	c := testSettings()
 	d, err := New(l.now, c, b, l)
 	if err != nil {
 		t.Fatal(err)
@@ -95,7 +95,7 @@
 		l := &refusals{t: t, now: 1e12, back: map[int32]bool{}}
 		b := testBounds()
 		b.Jobs = 8
-		d, err := New(l.now, testCharter(), b, l)
+		d, err := New(l.now, testSettings(), b, l)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/door/successor.go
+++ b/door/successor.go
@@ -8,7 +8,7 @@
 )
 
 // Alike reports whether two settings give the same door.
-func Alike(a, b *balance.Charter) bool {
+func Alike(a, b *balance.Settings) bool {
 	return a.MostPause == b.MostPause && a.Round == b.Round && a.Seed == b.Seed &&
 		slices.Equal(a.Classes, b.Classes) && slices.Equal(a.Tenants, b.Tenants)
 }
@@ -17,7 +17,7 @@
 // classes of the same name is kept, and the counts are; places, promises and credit of tenants begin anew, and
 // requests that were let in before are the module's alone. It returns an error for settings or bounds out of
 // range. The requests that wait here have to arrive there.
-func (d *Door) Successor(now Time, settings balance.Charter, bounds Bounds) (*Door, error) {
+func (d *Door) Successor(now Time, settings balance.Settings, bounds Bounds) (*Door, error) {
 	next, err := New(now, settings, bounds, d.gate)
 	if err != nil {
 		return nil, err
--- a/internal/joined/joined.go
+++ b/internal/bridge/bridge.go
@@ -1,5 +1,5 @@
-// Package joined carries what a front's core knows to its fleet, in the words of each. It decides nothing.
-package joined
+// Package bridge carries what a front's core knows to its fleet, in the words of each. It decides nothing.
+package bridge
 
 import (
 	"cmp"
--- a/internal/capacity/size.go
+++ b/internal/capacity/size.go
@@ -9,12 +9,12 @@
 	"fmt"
 
 	"micatrack/fleet/lease"
-	"micatrack/internal/charter"
+	"micatrack/internal/settings"
 	"micatrack/internal/world"
 )
 
 //go:embed settings.json
-var settings []byte
+var settingsText []byte
 
 const (
 	replicas   = 3    // stores of a group
@@ -65,12 +65,12 @@
 
 // plan gives the world of that size.
 func (s Size) plan() (world.Plan, error) {
-	limits, host, err := charter.Read(settings)
+	limits, host, err := settings.Read(settingsText)
 	if err != nil {
 		return world.Plan{}, fmt.Errorf("settings: %w", err)
 	}
 	plan := world.Plan{
-		Charter: limits, Host: host, Seed: s.Seed,
+		Settings: limits, Host: host, Seed: s.Seed,
 		Fronts: s.Fronts, Groups: s.Stores / replicas, Replicas: replicas,
 		Cores: storeCores, Takes: 2 * world.Millisecond, Queue: 256, Lag: 20 * world.Millisecond,
 		Delay: world.Millisecond, Distance: 40 * world.Millisecond,
--- a/internal/configuration/check.go
+++ b/internal/configuration/check.go
@@ -14,8 +14,8 @@
 
 	"micatrack/balance"
 	"micatrack/fleet/config"
-	"micatrack/internal/charter"
 	"micatrack/internal/operators"
+	"micatrack/internal/settings"
 )
 
 // The scopes of the configuration.
@@ -49,11 +49,11 @@
 }
 
 // ReadSettings reads the settings of a front's file, or of the fleet's configuration.
-func ReadSettings(text []byte) (balance.Charter, charter.Host, error) {
+func ReadSettings(text []byte) (balance.Settings, settings.Host, error) {
 	if len(text) == 0 {
-		return balance.Charter{}, charter.Host{}, fmt.Errorf("missing")
+		return balance.Settings{}, settings.Host{}, fmt.Errorf("missing")
 	}
-	c, host, err := charter.Read(text)
+	c, host, err := settings.Read(text)
 	if err == nil && (host.Dial <= 0 || host.Idle <= 0) {
 		err = fmt.Errorf("Ceilings.DialTimeout or Ceilings.ConnIdle is missing")
 	}
@@ -61,7 +61,7 @@
 }
 
 // FleetSettings reads the settings of the fleet's configuration. The zone is each front's own.
-func FleetSettings(text []byte) (balance.Charter, charter.Host, error) {
+func FleetSettings(text []byte) (balance.Settings, settings.Host, error) {
 	c, host, err := ReadSettings(text)
 	if err == nil && c.Zone != "" {
 		err = fmt.Errorf("the zone, Az, is each front's own and stays in its file")
--- a/internal/discovery/standing_test.go
+++ b/internal/discovery/standing_test.go
@@ -15,8 +15,8 @@
 	"time"
 
 	"micatrack/balance"
-	"micatrack/internal/charter"
 	"micatrack/internal/front"
+	"micatrack/internal/settings"
 )
 
 // entry is a store's line in the list.
@@ -128,10 +128,10 @@
 func follower(t *testing.T, w *Watcher, until time.Time, told func(l front.List)) {
 	const tick = 100 * time.Microsecond
 	now := func() front.Time { return time.Now().UnixNano() / int64(tick) }
-	c := balance.Charter{Seed: 7, Fronts: 1, Round: 50, ListPushed: true, AskWithin: 100_000, AnswerSlack: 200,
+	c := balance.Settings{Seed: 7, Fronts: 1, Round: 50, ListPushed: true, AskWithin: 100_000, AnswerSlack: 200,
 		Cold:         100_000,
 		MostAttempts: 4, Classes: []balance.Class{{Name: "any", ExpectedTime: 3000, Deadline: 12_000, Credit: 1}}}
-	core, err := front.New(now(), c, charter.Host{Dial: 2500, Idle: 300_000}, front.Limits{Links: 20,
+	core, err := front.New(now(), c, settings.Host{Dial: 2500, Idle: 300_000}, front.Limits{Links: 20,
 		Clients: 10, Answer: 1 << 16},
 		nowhere{}, w.Ask, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	if err != nil {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -13,7 +13,7 @@
 
 	"micatrack/balance"
 	"micatrack/door"
-	"micatrack/internal/charter"
+	"micatrack/internal/settings"
 )
 
 // Time is in tenths of a millisecond since the Unix epoch, read once and then counted monotonically.
@@ -141,7 +141,7 @@
 	door         *door.Door // nil: there is none
 	sockets      Sockets
 	log          *slog.Logger
-	host         charter.Host
+	host         settings.Host
 	limits       Limits
 	classes      *classTable
 	settings     Settings // in force
@@ -177,7 +177,7 @@
 }
 
 // New starts a front. watch is called when the module asks discovery for changes.
-func New(now Time, c balance.Charter, h charter.Host, l Limits, s Sockets, watch func(),
+func New(now Time, c balance.Settings, h settings.Host, l Limits, s Sockets, watch func(),
 	log *slog.Logger) (*Core, error) {
 	f := &Core{sockets: s, log: log, host: h, limits: l, now: now, watch: watch,
 		classes: newClassTable(c.Classes), settings: Settings{Module: c, Host: h, Door: l.Door},
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -10,8 +10,8 @@
 	"testing"
 
 	"micatrack/balance"
-	"micatrack/internal/charter"
 	"micatrack/internal/pgwire"
+	"micatrack/internal/settings"
 )
 
 // wire is a link whose other end is the test.
@@ -60,7 +60,7 @@
 	dials []*wire
 	deny  error
 
-	charter balance.Charter
+	settings balance.Settings
 }
 
 var errLost = errors.New("refused")
@@ -78,15 +78,15 @@
 
 func newStage(t testing.TB, links int, silent ...bool) *stage {
 	s := &stage{t: t, now: 17672256000000}
-	c := balance.Charter{Seed: 7, Fronts: 1, Round: 50, FencesCarried: true, ListPushed: true, AskWithin: 100000,
+	c := balance.Settings{Seed: 7, Fronts: 1, Round: 50, FencesCarried: true, ListPushed: true, AskWithin: 100000,
 		AnswerSlack: 200, StartShare: 0.2, Cold: 100000, FallMultiple: 3, FallSpan: 15000, MostAttempts: 4,
 		MayProbe: len(silent) == 0, MayCancel: true, ProbePrice: 0.01, MostPause: 10000, Classes: []balance.Class{
 			{Name: "any", ExpectedTime: 3000, Deadline: 12000, Credit: 1},
 			{Name: "session", Need: balance.Session, ExpectedTime: 3000, Deadline: 12000, Credit: 1},
 			{Name: "once", Need: balance.Write, Repeat: balance.AtMostOnce, ExpectedTime: 6000, Deadline: 30000,
 				Credit: 4, LateCredit: 0.5}}}
-	s.charter = c
-	h := charter.Host{Dial: 2500, Idle: 300000, Reports: "on_probe"}
+	s.settings = c
+	h := settings.Host{Dial: 2500, Idle: 300000, Reports: "on_probe"}
 	var err error
 	s.core, err = New(s.now, c, h, Limits{Links: links, Clients: links - 2, Answer: 1 << 20, Rest: 2 * second, Grace: second / 2}, s, func() {},
 		slog.New(slog.NewTextHandler(io.Discard, nil)))
@@ -941,9 +941,9 @@
 
 // with starts the core anew with one more class, and these stores.
 func (s *stage) with(p balance.Class, lines ...Line) {
-	s.charter.Classes = append(s.charter.Classes, p)
+	s.settings.Classes = append(s.settings.Classes, p)
 	var err error
-	if s.core, err = New(s.now, s.charter, s.core.host, s.core.limits, s, func() {}, s.core.log); err != nil {
+	if s.core, err = New(s.now, s.settings, s.core.host, s.core.limits, s, func() {}, s.core.log); err != nil {
 		s.t.Fatal(err)
 	}
 	s.core.Tell(List{News: balance.ListWhole, Lines: lines})
@@ -1167,7 +1167,7 @@
 func TestAnswerThatStopsShort(t *testing.T) {
 	for cut := range 3 {
 		s := newStage(t, 20)
-		s.charter.FencesCarried = false
+		s.settings.FencesCarried = false
 		s.with(balance.Class{Name: "x", ExpectedTime: 3000, Deadline: 12000, Credit: 1},
 			Line{ID: "p", Addr: "127.0.0.1:1", Member: balance.Member{Group: 3, Condition: balance.Ready, Primary: true, Size: 1}},
 			Line{ID: "r", Addr: "127.0.0.1:2", Member: balance.Member{Group: 3, Condition: balance.Ready, Size: 1}})
--- a/internal/front/settings.go
+++ b/internal/front/settings.go
@@ -3,7 +3,7 @@
 import (
 	"micatrack/balance"
 	"micatrack/door"
-	"micatrack/internal/charter"
+	"micatrack/internal/settings"
 )
 
 // classTable is what the core knows of the settings' classes, numbered as the settings have them. It is replaced as a
@@ -28,8 +28,8 @@
 
 // Settings is what a front goes by that may change while it runs.
 type Settings struct {
-	Module balance.Charter
-	Host   charter.Host
+	Module balance.Settings
+	Host   settings.Host
 	Door   *door.Bounds // nil: there is no door
 }
 
--- a/internal/leases/leases.go
+++ b/internal/leases/leases.go
@@ -1,5 +1,5 @@
 // Package leases carries what fleet/lease decides for one front: the holder's questions and the voters' messages go by
-// internal/peers, a voter's promises to its disk by internal/record. It decides nothing.
+// internal/peers, a voter's promises to its disk by internal/voterdisk. It decides nothing.
 //
 // The holder is the front's loop's. A voter has a goroutine of its own, since it waits for its disk and the loop never
 // does: when the disk stands still the vote does, and jobs go on.
@@ -20,7 +20,7 @@
 
 	"micatrack/fleet/lease"
 	"micatrack/internal/peers"
-	"micatrack/internal/record"
+	"micatrack/internal/voterdisk"
 )
 
 const (
@@ -86,7 +86,7 @@
 func Open(o Order, now func() Time, p *peers.Peers, h Host, wake func(), log *slog.Logger) *Leases {
 	l := &Leases{host: h, order: o, now: now, peers: p, wake: wake, log: log, replies: make(chan reply, waiting)}
 	for k := range l.order.Seats {
-		l.order.Seats[k].ID = record.FirstID(o.Fleet, l.order.Seats[k].Name)
+		l.order.Seats[k].ID = voterdisk.FirstID(o.Fleet, l.order.Seats[k].Name)
 	}
 	l.seats = l.order.Seats
 	l.Holder = lease.NewHolder(now(), o.Self, o.Addr, len(o.Seats), o.Terms, o.Seed, holder{l})
@@ -235,7 +235,7 @@
 	l          *Leases
 	id         uint64
 	v          *lease.Voter
-	disk       *record.Disk
+	disk       *voterdisk.Disk
 	saver      interface{ Save(lease.Batch) error } // the disk, but where a test has another
 	in         chan func(v *lease.Voter)
 	stop, done chan struct{}
@@ -243,7 +243,7 @@
 }
 
 func (l *Leases) voter() (*vote, error) {
-	disk, kept, err := record.Open(l.order.State, l.order.Fleet, l.order.Self.Name)
+	disk, kept, err := voterdisk.Open(l.order.State, l.order.Fleet, l.order.Self.Name)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/leases/leases_test.go
+++ b/internal/leases/leases_test.go
@@ -20,7 +20,7 @@
 
 	"micatrack/fleet/lease"
 	"micatrack/internal/peers"
-	"micatrack/internal/record"
+	"micatrack/internal/voterdisk"
 )
 
 const span = 900 * time.Millisecond
@@ -81,7 +81,7 @@
 		path := ""
 		if k < votes {
 			path = filepath.Join(t.TempDir(), "state")
-			if _, err := record.Create(path, fleet, names[k], true, names[:votes]); err != nil {
+			if _, err := voterdisk.Create(path, fleet, names[k], true, names[:votes]); err != nil {
 				t.Fatal(err)
 			}
 		}
@@ -215,8 +215,8 @@
 	number := func() *uint64 {
 		return proto.Uint64([]uint64{0, 1, 2, 3, 5, 100, 1 << 40, ^uint64(0)}[chance.IntN(8)])
 	}
-	ids := []uint64{record.FirstID("ours", "f0"), record.FirstID("ours", "f1"), record.FirstID("ours", "f2"), 7}
-	roll := (&record.Who{Fleet: "ours", Voters: []string{"f0", "f1", "f2"}}).Roll()
+	ids := []uint64{voterdisk.FirstID("ours", "f0"), voterdisk.FirstID("ours", "f1"), voterdisk.FirstID("ours", "f2"), 7}
+	roll := (&voterdisk.Who{Fleet: "ours", Voters: []string{"f0", "f1", "f2"}}).Roll()
 	for n := range 4000 {
 		to := ours[chance.IntN(3)]
 		kind := pb.MessageType(chance.IntN(24))
--- a/internal/charter/charter.go
+++ b/internal/settings/settings.go
@@ -1,5 +1,5 @@
-// Package charter reads the settings that a front is given at its start, for every host of the module.
-package charter
+// Package settings reads the settings that a front is given at its start, for every host of the module.
+package settings
 
 import (
 	"encoding/json"
@@ -18,8 +18,8 @@
 	Grace        balance.Time // nothing new goes to a store that long after a drain of it was told
 }
 
-// Read turns the settings into the module's charter. Keys that it does not know are passed over.
-func Read(text []byte) (balance.Charter, Host, error) {
+// Read turns the settings into those of the module. Keys that it does not know are passed over.
+func Read(text []byte) (balance.Settings, Host, error) {
 	var w struct {
 		Az       string
 		Ceilings struct {
@@ -57,11 +57,11 @@
 		Round        int64
 	}
 	if err := json.Unmarshal(text, &w); err != nil {
-		return balance.Charter{}, Host{}, err
+		return balance.Settings{}, Host{}, err
 	}
 	h := Host{PositionZero: w.Extra.PositionZero, Dial: w.Ceilings.DialTimeout / microsPerTime,
 		Idle: w.Ceilings.ConnIdle / microsPerTime, Reports: w.Report.Source, Grace: w.Contract.DrainGrace / microsPerTime}
-	c := balance.Charter{
+	c := balance.Settings{
 		Fronts: w.ReplicasOfMe, Zone: w.Az, Round: w.Round / microsPerTime,
 		OverShare:     w.OverShareWorth,
 		Checks:        w.Extra.Behind == "refuse" || w.Extra.Behind == "wait",
--- a/internal/charter/charter_test.go
+++ b/internal/settings/settings_test.go
@@ -1,4 +1,4 @@
-package charter
+package settings
 
 import (
 	"encoding/json"
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -10,7 +10,7 @@
 	"strings"
 
 	"micatrack/balance"
-	"micatrack/internal/charter"
+	"micatrack/internal/settings"
 )
 
 const microsPerTime = 100 // the wire's microseconds in one balance.Time
@@ -274,7 +274,7 @@
 	if err != nil {
 		return fmt.Errorf("UP: Entropy: %w", err)
 	}
-	c, settings, err := charter.Read([]byte(h.fields["BootInfo"]))
+	c, settings, err := settings.Read([]byte(h.fields["BootInfo"]))
 	if err != nil {
 		return fmt.Errorf("UP %s: BootInfo: %w", name, err)
 	}
--- a/internal/tenantsim/world.go
+++ b/internal/tenantsim/world.go
@@ -31,7 +31,7 @@
 type World struct {
 	Now        Time
 	Door       *door.Door // nil: requests go straight to the module
-	Settings   balance.Charter
+	Settings   balance.Settings
 	FIFO       bool     // the module holds requests in order of arrival
 	Speed      float64  // of the stores; 1 at first
 	Violations []string // of what must not happen
@@ -55,12 +55,12 @@
 }
 
 // Settings returns those of a service with a read of any data and a keyed write.
-func Settings() balance.Charter {
+func Settings() balance.Settings {
 	read := balance.Class{Name: "read", Need: balance.Any, ExpectedTime: 300 * millisecond,
 		Deadline: 1200 * millisecond, Credit: 1}
 	save := balance.Class{Name: "save", Need: balance.Write, Repeat: balance.Keyed, Window: 3000 * millisecond,
 		ExpectedTime: 600 * millisecond, Deadline: 3000 * millisecond, Credit: 4, LateCredit: 0.3}
-	return balance.Charter{Seed: settingsSeed, Fronts: 1, Round: tickSpan, MostPause: 1000 * millisecond,
+	return balance.Settings{Seed: settingsSeed, Fronts: 1, Round: tickSpan, MostPause: 1000 * millisecond,
 		Classes: []balance.Class{read, save}}
 }
 
--- a/internal/record/record.go
+++ b/internal/voterdisk/voterdisk.go
@@ -1,7 +1,7 @@
-// Package record is the disk of one voter (fleet/lease): what it has promised, in an embedded store, written through
+// Package voterdisk is the disk of one voter (fleet/lease): what it has promised, in an embedded store, written through
 // before it promises. It decides nothing. Each record carries a checksum over its key and its text; what is found at the
 // start is read whole and has to fit together, or the voter does not start and says why in one line.
-package record
+package voterdisk
 
 import (
 	"crypto/rand"
--- a/internal/record/record_test.go
+++ b/internal/voterdisk/voterdisk_test.go
@@ -1,4 +1,4 @@
-package record
+package voterdisk
 
 import (
 	"errors"
--- a/internal/world/standing_test.go
+++ b/internal/world/standing_test.go
@@ -86,8 +86,8 @@
 func TestAttemptsBeginAgain(t *testing.T) {
 	settings := map[string]func(p *Plan){
 		"as it is": func(p *Plan) {},
-		"dear":     func(p *Plan) { p.Charter.ProbePrice = 0.1 },
-		"checks":   func(p *Plan) { p.Charter.Checks = true },
+		"dear":     func(p *Plan) { p.Settings.ProbePrice = 0.1 },
+		"checks":   func(p *Plan) { p.Settings.Checks = true },
 	}
 	spans, fleets := []Time{2 * Second, 6 * Second}, []int{1, 300}
 	if raced {
--- a/internal/world/store.go
+++ b/internal/world/store.go
@@ -69,7 +69,7 @@
 
 // strength is the part of its work that it does now.
 func (s *Store) strength(at Time) float64 {
-	c := &s.w.Charter
+	c := &s.w.Settings
 	if s.upAt == 0 || at >= s.upAt+c.Cold || c.Cold == 0 {
 		return 1
 	}
@@ -168,7 +168,7 @@
 
 // bears notes a request while the store is cold, and lets it fall over where too many come in one span.
 func (s *Store) bears(told bool) {
-	c, now := &s.w.Charter, s.w.Now
+	c, now := &s.w.Settings, s.w.Now
 	if s.upAt == 0 || now >= s.upAt+c.Cold+c.FallSpan {
 		return
 	}
@@ -193,6 +193,6 @@
 
 // budget is how many requests the settings allow in a span that begins then.
 func (s *Store) budget(at Time) float64 {
-	c := &s.w.Charter
+	c := &s.w.Settings
 	return float64(s.w.Cores) / float64(s.w.Takes) * s.strength(at) * c.FallMultiple * float64(c.FallSpan)
 }
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -23,11 +23,11 @@
 	"micatrack/fleet/summary"
 	"micatrack/fleet/watch"
 	"micatrack/fleet/zones"
-	"micatrack/internal/charter"
+	"micatrack/internal/bridge"
 	"micatrack/internal/front"
-	"micatrack/internal/joined"
 	"micatrack/internal/mwc"
 	"micatrack/internal/peers"
+	"micatrack/internal/settings"
 	"micatrack/internal/standin"
 )
 
@@ -44,8 +44,8 @@
 
 // Plan is what a world is made of.
 type Plan struct {
-	Charter   balance.Charter // zone, number of fronts and seed are filled in
-	Host      charter.Host
+	Settings  balance.Settings // zone, number of fronts and seed are filled in
+	Host      settings.Host
 	Fronts    int // spread over the zones in turn
 	Zones     []string
 	Groups    int // each with a member in every zone; the primary is in each zone in turn
@@ -310,7 +310,7 @@
 	life    int
 	core    *front.Core
 	fleet   *fleet.Fleet
-	bridge  joined.Bridge
+	bridge  bridge.Bridge
 	watch   *watch.Watch
 	Lies    func(a *watch.Answer) // what it says as a watcher is changed by that
 	Mute    bool                  // as a watcher it says nothing
@@ -336,7 +336,7 @@
 	w := f.w
 	f.life++
 	f.events, f.links, f.lists, f.idle, f.stepAt, f.frozen, f.left, f.slept = nil, map[*link]bool{}, nil, nil, 0, false, false, nil
-	c := w.Charter
+	c := w.Settings
 	c.Fronts, c.Zone, c.Seed = w.Plan.Fronts, f.Zone, w.Seed<<20+uint64(f.n+1)<<8+uint64(f.life)
 	limits := front.Limits{Links: cmp.Or(w.Plan.Links, 1000), Clients: cmp.Or(w.Plan.Links, 1000) / 2, Answer: 1 << 16, Rest: 2 * Second, Grace: 600 * Millisecond, Longest: 3 * Second}
 	together := w.Plan.Fleet && (w.Without == nil || !w.Without(f.n))
@@ -346,7 +346,7 @@
 		for k := range min(3, len(w.Fronts)) {
 			seeds = append(seeds, w.Fronts[k].addr)
 		}
-		f.bridge = joined.Bridge{}
+		f.bridge = bridge.Bridge{}
 		limits.Saw = func(store string, how balance.Ending, expected, took Time) {
 			before := w.Meter.enter(Fleet)
 			f.bridge.Saw(w.Now, store, how, expected, took)
--- a/internal/world/world_test.go
+++ b/internal/world/world_test.go
@@ -8,7 +8,7 @@
 	"testing"
 
 	"micatrack/fleet/watch"
-	"micatrack/internal/charter"
+	"micatrack/internal/settings"
 )
 
 const (
@@ -41,7 +41,7 @@
 		Lag: 20 * Millisecond, Delay: Millisecond, Rate: rate, Patience: Second, Period: 500 * Millisecond, PeerDelay: 10 * Millisecond, Seed: 1,
 		Kinds: []Kind{{Class: "any", Share: 8}, {Class: "near", Share: 4, Bound: 400 * Millisecond}, {Class: "mine", Fenced: true, Share: 4},
 			{Class: "save", Write: true}, {Class: "order", Write: true, Keyed: true}}}
-	if p.Charter, p.Host, err = charter.Read(text); err != nil {
+	if p.Settings, p.Host, err = settings.Read(text); err != nil {
 		t.Fatal(err)
 	}
 	return p
