--- /dev/null
+++ b/deploy/policy_test.go
@@ -0,0 +1,65 @@
+package deploy_test
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+	"unicode/utf8"
+)
+
+// Bounds of the files that decide where a request goes.
+const (
+	mostLines = 920 // that are not blank, in all files together
+	mostWidth = 110 // characters of a line
+)
+
+// undecided are the files of package balance that hold no decision: the interface, and what is kept.
+var undecided = []string{"balance/front.go", "balance/state.go"}
+
+// TestPolicyFiles: each file of package balance is named under policy, or is known to hold no decision; the named ones keep
+// to the bounds.
+func TestPolicyFiles(t *testing.T) {
+	text, err := os.ReadFile("balancer.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	list := regexp.MustCompile(`(?m)^policy = \[(.*)\]$`).FindSubmatch(text)
+	if list == nil {
+		t.Fatal("balancer.toml names no policy")
+	}
+	var named []string
+	for _, quoted := range strings.Split(string(list[1]), ",") {
+		named = append(named, strings.Trim(strings.TrimSpace(quoted), `"`))
+	}
+	lines := 0
+	for _, name := range named {
+		text, err := os.ReadFile(filepath.Join("..", name))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for k, line := range strings.Split(string(text), "\n") {
+			if strings.TrimSpace(line) != "" {
+				lines++
+			}
+			if utf8.RuneCountInString(line) > mostWidth {
+				t.Errorf("%s:%d is wider than %d", name, k+1, mostWidth)
+			}
+		}
+	}
+	if lines > mostLines {
+		t.Errorf("the policy has %d lines, %d are allowed", lines, mostLines)
+	}
+	files, err := filepath.Glob("../balance/*.go")
+	if err != nil || len(files) < len(named) {
+		t.Fatalf("%d files in balance, %v", len(files), err)
+	}
+	for _, file := range files {
+		name := "balance/" + filepath.Base(file)
+		if !strings.HasSuffix(name, "_test.go") && !slices.Contains(named, name) && !slices.Contains(undecided, name) {
+			t.Errorf("%s is not named under policy", name)
+		}
+	}
+}
