--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -521,6 +521,33 @@
 	}
 }
 
+// TestLossDuringTheReturn: the zone fails again in the middle of its return, when what told of its first loss has used up what
+// may be told at once. Three seconds later hardly any front goes on with the return, after six none does.
+func TestLossDuringTheReturn(t *testing.T) {
+	const fronts = 60
+	for seed := uint64(1); seed <= 6; seed++ {
+		w := build(seed, fronts, 3, 10, 20)
+		w.run(15 * second)
+		w.lose(2)
+		w.run(5 * second)
+		w.gain(2)
+		w.run(5 * second)
+		w.lose(2)
+		for _, most := range []int{fronts / 10, 0} {
+			w.run(3 * second)
+			going := 0
+			for _, o := range w.fronts {
+				if o.parts[2] > start {
+					going++
+				}
+			}
+			if going > most {
+				t.Errorf("seed %d: %d of %d fronts go on with the return, %d at most expected", seed, going, fronts, most)
+			}
+		}
+	}
+}
+
 // TestReturnUnderTrouble: the zone returns cold, a tenth of the fronts start again during the ramp, it fails again at a
 // third of the way, and the fleet is cut in two during the second return: no store is pushed over.
 func TestReturnUnderTrouble(t *testing.T) {
--- a/fleet/membership/budget_test.go
+++ b/fleet/membership/budget_test.go
@@ -10,8 +10,8 @@
 func TestTalkKeepsToItsBudget(t *testing.T) {
 	const (
 		window = 10 * 10_000 // Time
-		// Both budgets full at the start of the window and spent in it; pings, their answers and the heads of rounds.
-		allowed = (factBurst+noteBurst)/10 + factRate + noteRate + 700
+		// The budget of facts full at the start of the window and spent in it; pings, their answers and refutations. There are no notes.
+		allowed = factBurst/10 + factRate + 700
 	)
 	for _, each := range []int{20, 100} {
 		n := fleet(12, each)
@@ -55,6 +55,10 @@
 		}
 		b.take(step.take)
 	}
+	b.take(1 << 30)
+	if left := b.left(1<<50 + 10_000); left != -900 {
+		t.Errorf("%d bytes left a second after much was taken, want the burst overdrawn and a second's rate", left)
+	}
 }
 
 // view gives a view of so many members of one zone, which have all answered.
--- a/fleet/membership/gossip.go
+++ b/fleet/membership/gossip.go
@@ -53,14 +53,14 @@
 	case SpreadUrgently:
 		m.urgent.pushFront(subjectOfNote(index))
 	case SpreadSoon:
-		m.quiet.pushFront(subjectOfNote(index))
+		m.soon.pushFront(subjectOfNote(index))
 	default:
 		m.quiet.pushBack(subjectOfNote(index))
 	}
 }
 
 // fillMessage fills the scratch message with what is queued, as far as a datagram and the budgets have room: what is urgent
-// first, then quiet notes, then facts. A suspect that it goes to is told of its suspicion in any case, so that it may refute
+// first, then notes, then facts. A suspect that it goes to is told of its suspicion in any case, so that it may refute
 // it.
 func (m *Members) fillMessage(to int32) {
 	m.messageFacts = m.messageFacts[:0]
@@ -71,21 +71,18 @@
 		m.messageFacts = append(m.messageFacts, fact)
 		room -= fact.size()
 	}
-	used := m.drain(&m.urgent, min(room, m.urgentBudget.room(m.now)))
-	m.urgentBudget.take(used)
-	room -= used
-	used = m.drain(&m.quiet, min(room, m.noteBudget.room(m.now)))
-	m.noteBudget.take(used)
-	room -= used
-	used = m.drain(&m.facts, min(room, m.factBudget.room(m.now)))
-	m.factBudget.take(used)
+	room -= m.drain(&m.urgent, &m.urgentBudget, room)
+	room -= m.drain(&m.soon, &m.soonBudget, room)
+	room -= m.drain(&m.quiet, &m.quietBudget, room)
+	m.drain(&m.facts, &m.factBudget, room)
 	m.message.Facts = m.messageFacts
 	m.message.Notes = m.messageNotes
 }
 
-// drain moves the subjects of a queue into the scratch message, each once, as long as they fit, and returns the bytes that
-// they take. A subject that is to be sent again goes to the queue's end.
-func (m *Members) drain(queue *broadcastQueue, room int) (used int) {
+// drain moves the subjects of a queue into the scratch message, each once, as far as the room and the budget reach, and
+// returns the bytes that they take. A subject that is to be sent again goes to the queue's end.
+func (m *Members) drain(queue *broadcastQueue, budget *bucket, room int) (used int) {
+	room = min(room, budget.room(m.now))
 	for subjects := queue.length; subjects > 0; subjects-- {
 		next := queue.pop()
 		size, fits, again := 0, false, false
@@ -103,6 +100,7 @@
 			queue.pushBack(next)
 		}
 	}
+	budget.take(used)
 	return used
 }
 
--- a/fleet/membership/members.go
+++ b/fleet/membership/members.go
@@ -89,9 +89,9 @@
 	messageNotes []Note
 	zoneNames    []string
 
-	// What is still to be sent (gossip.go): what is urgent, facts of other members, and quiet notes.
-	urgent, facts, quiet                 broadcastQueue
-	urgentBudget, factBudget, noteBudget bucket
+	// What is still to be sent (gossip.go): what is urgent, notes that are spread soon or quietly, facts of other members.
+	urgent, soon, quiet, facts                        broadcastQueue
+	urgentBudget, soonBudget, quietBudget, factBudget bucket
 
 	// Full exchanges (sync.go, digest.go).
 	answerBudget   bucket
@@ -130,7 +130,8 @@
 
 		urgentBudget: newBucket(now, urgentRate, urgentBurst),
 		factBudget:   newBucket(now, factRate, factBurst),
-		noteBudget:   newBucket(now, noteRate, noteBurst),
+		soonBudget:   newBucket(now, soonRate, soonBurst),
+		quietBudget:  newBucket(now, quietRate, quietBurst),
 		answerBudget: newBucket(now, answerRate, answerBurst),
 		firstBudget:  newBucket(now, firstRate, firstBurst),
 	}
--- a/fleet/membership/notes.go
+++ b/fleet/membership/notes.go
@@ -6,8 +6,8 @@
 // The ways to spread a note.
 const (
 	DoNotSpread    Spread = iota
-	SpreadQuietly         // half as often as what is urgent, and as far as the budget for notes reaches
-	SpreadSoon            // the same, before those that are spread quietly
+	SpreadQuietly         // half as often as what is urgent, and as far as its budget reaches
+	SpreadSoon            // the same, from a budget of its own
 	SpreadUrgently        // before all else, whatever the budget
 )
 
