--- a/balance/admission.go
+++ b/balance/admission.go
@@ -34,7 +34,7 @@
 	b.requestRate += float64(b.beat) / float64(second)
 	p, ok := b.classOf[in.Class]
 	if !ok {
-		return fmt.Errorf("request %s: class %q is not in the settings", in.ID, in.Class)
+		return fmt.Errorf("request %s: profile %q is not in the settings", in.ID, in.Class)
 	}
 	if len(b.free) == 0 {
 		b.requests = append(b.requests, request{})
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -44,11 +44,11 @@
 // class as it was, all else counts for them too. What was learnt, fences and budgets among it, is kept.
 func (b *Balancer) Configure(now Time, c Settings) error {
 	if len(c.Classes) == 0 {
-		return fmt.Errorf("settings: no classes")
+		return fmt.Errorf("settings: no profiles")
 	}
 	for _, p := range c.Classes {
 		if p.Bound < 0 || p.ExpectedTime <= 0 || p.Deadline <= 0 || p.Window < 0 {
-			return fmt.Errorf("settings: class %q: bound, window or times out of range", p.Name)
+			return fmt.Errorf("settings: profile %q: bound, window or times out of range", p.Name)
 		}
 	}
 	b.now, b.zone, b.overShare, b.checks, b.carried = now, c.Zone, c.OverShare, c.Checks, c.FencesCarried
