--- a/cmd/micatrack/serve.go
+++ b/cmd/micatrack/serve.go
@@ -250,6 +250,7 @@
 	if others != nil {
 		others.close()
 	}
+	core.LogCounts()
 	log.Info("stopped")
 	return nil
 }
--- a/internal/front/bolt.go
+++ b/internal/front/bolt.go
@@ -32,7 +32,7 @@
 	v, n, err := bolt.Handshake(in)
 	switch {
 	case err != nil: // nothing can be said to what does not speak Bolt
-		cl.finish(c)
+		cl.finish(c, closedByViolation)
 		return len(in)
 	case n == 0:
 	case v == bolt.Manifest:
@@ -42,7 +42,7 @@
 		b.begin(cl, c, v)
 		cl.write(c, bolt.AppendVersion(c.out[:0], v))
 		if v == 0 {
-			cl.finish(c)
+			cl.finish(c, closedByViolation)
 		}
 	}
 	return n
@@ -51,7 +51,7 @@
 func (b *boltClient) choose(cl *client, c *Core, in []byte) int {
 	v, n, err := bolt.Chosen(in)
 	if err != nil {
-		cl.finish(c)
+		cl.finish(c, closedByViolation)
 		return len(in)
 	}
 	if n > 0 {
@@ -66,7 +66,7 @@
 }
 
 func (b *boltClient) decline(cl *client, c *Core, in []byte) int {
-	cl.finish(c)
+	cl.finish(c, closedDeclined)
 	return len(in)
 }
 
@@ -76,7 +76,7 @@
 func (b *boltClient) violate(cl *client, c *Core, code, text string) {
 	cl.write(c, bolt.AppendFailure(c.out[:0], b.v, code, text))
 	cl.leave(c)
-	cl.finish(c)
+	cl.finish(c, closedByViolation)
 }
 
 // more takes one message after the other. Those of a request in hand stay in the ring until they are answered.
@@ -112,7 +112,7 @@
 		switch b.talk.Ask(r, n) {
 		case bolt.Leave:
 			cl.leave(c)
-			cl.finish(c)
+			cl.finish(c, closedAtGoodbye)
 		case bolt.Violate:
 			b.violate(cl, c, bolt.Invalid, "unexpected "+r.What.String())
 		case bolt.Ignore:
@@ -529,7 +529,7 @@
 		e := k.errand
 		k.spent = true
 		c.end(k, e, balance.Return{Ending: balance.Served, Note: k.note, Load: k.load, Since: k.up})
-		c.answer(e.request, c.out, false)
+		c.answer(e.request, c.out, endServed)
 		return true
 	}
 	cl.write(c, c.out)
@@ -623,16 +623,16 @@
 	e, j := k.errand, &c.requests[k.errand.request]
 	r := balance.Return{Ending: proven(a.Code), Note: k.note, Load: k.load, Since: k.up}
 	var answer []byte
-	failed := true
+	end := endFailed
 	switch k.bolt.course.End(j.class().Repeat == balance.Idempotent) {
 	case course.Failed:
 		if r.Ending = balance.Faulted; bolt.Clients(a.Code) {
 			r.Ending = balance.Served // the store is well; the statement is not
 		}
-		answer, failed = append(append(answer, k.link.Peek()[:k.read]...), raw...), false
+		answer, end = append(append(answer, k.link.Peek()[:k.read]...), raw...), endServed
 		t.talk.Answered(false, false)
 	case course.TurnedBack:
-		answer = t.refusal(nil, 0)
+		answer, end = t.refusal(nil, 0), endRefused
 	case course.WrittenOff:
 		r.Ending = balance.Faulted
 		if k.bolt.shown {
@@ -643,7 +643,7 @@
 	k.read, k.spent = 0, true
 	c.end(k, e, r)
 	if answer != nil {
-		c.answer(e.request, answer, failed)
+		c.answer(e.request, answer, end)
 	}
 	if k.at >= 0 { // what is pipelined behind it the store ignores, up to here
 		k.say(c, bolt.Reset, bolt.AppendBare(c.out[:0], bolt.Reset))
@@ -664,9 +664,9 @@
 		if j := &c.requests[k.errand.request]; j.client != nil {
 			s := j.client.speech
 			if b.course.End(j.class().Repeat == balance.Idempotent) == course.TurnedBack {
-				c.answer(k.errand.request, s.refusal(c.out[:0], 0), true)
+				c.answer(k.errand.request, s.refusal(c.out[:0], 0), endRefused)
 			} else {
-				c.answer(k.errand.request, s.failure(c.out[:0], "the store is lost"), true)
+				c.answer(k.errand.request, s.failure(c.out[:0], "the store is lost"), endFailed)
 			}
 		}
 	}
--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -73,10 +73,14 @@
 	skip     bool // until the next Sync
 	ending   bool
 	greeted  bool
+
+	stuckNoted bool // that the system does not take what it was sent is logged
 }
 
 func (c *Core) accept(l Link, what What, s speech) {
 	if len(c.clients) >= c.limits.Links { // those that are being declined fill all that there is
+		c.counts.closed[closedOverLimit]++
+		c.note("client connection closed", "cause", closedOverLimit.String(), "clients", len(c.clients))
 		l.Close()
 		return
 	}
@@ -112,8 +116,11 @@
 		}
 	}
 	if idlest != nil {
-		idlest.link.Close()
-		idlest.gone(c)
+		cause := closedAtRest
+		if !idlest.greeted {
+			cause = closedNew
+		}
+		idlest.hangUp(c, cause)
 	}
 	return idlest != nil
 }
@@ -134,10 +141,16 @@
 		cl.read(c)
 	}
 	if what&Closed != 0 {
-		cl.gone(c)
+		cl.gone(c, closedByPeer)
 	}
 }
 
+// hangUp closes a client's connection at once.
+func (cl *client) hangUp(c *Core, cause closeCause) {
+	cl.link.Close()
+	cl.gone(c, cause)
+}
+
 // read takes one command after the other. While a request is in hand, what may not run beside it waits in the ring.
 func (cl *client) read(c *Core) {
 	for !cl.ending {
@@ -165,10 +178,13 @@
 }
 
 // gone is the one place where a client's connection is given back.
-func (cl *client) gone(c *Core) {
+func (cl *client) gone(c *Core, cause closeCause) {
 	if cl.at < 0 {
 		return
 	}
+	if !cl.ending || cause == closedStayed { // else it was counted when it was told that it was over
+		c.countClose(cl, cause)
+	}
 	last := c.clients[len(c.clients)-1]
 	c.clients[cl.at], last.at = last, cl.at
 	c.clients = c.clients[:len(c.clients)-1]
@@ -181,14 +197,15 @@
 func (cl *client) leave(c *Core) {
 	cl.drop(c)
 	if cl.request >= 0 {
-		c.giveUp(cl.request)
+		c.giveUp(cl.request, endAbandoned)
 		cl.request = -1
 	}
 }
 
 // giveUp is the one place where a request ends without an answer to its client.
-func (c *Core) giveUp(index int32) {
+func (c *Core) giveUp(index int32, end requestEnd) {
 	request := &c.requests[index]
+	c.countRequest(index, end)
 	request.client, request.final = nil, true
 	c.leavers = append(c.leavers, index)
 }
@@ -200,7 +217,7 @@
 			continue
 		}
 		if _, ok := cl.speech.(postgres); ok && cl.request >= 0 && hmac.Equal(c.key(cl), key) {
-			c.giveUp(cl.request)
+			c.giveUp(cl.request, endCancelled)
 			c.out = pgwire.AppendError(c.out[:0], "ERROR", pgwire.Cancelled, "canceled at the client's request", "")
 			cl.conclude(c, pgwire.AppendReady(c.out), true)
 		}
@@ -221,15 +238,15 @@
 		return
 	}
 	if !cl.link.Write(p) { // it does not read what it is sent
-		cl.link.Close()
-		cl.gone(c)
+		cl.hangUp(c, closedUnread)
 		return
 	}
 	c.dirty = append(c.dirty, cl.link)
 }
 
-func (cl *client) finish(c *Core) {
+func (cl *client) finish(c *Core, cause closeCause) {
 	if cl.at >= 0 && !cl.ending {
+		c.countClose(cl, cause)
 		cl.ending, cl.since = true, c.now
 		cl.link.Finish()
 	}
@@ -273,7 +290,7 @@
 	switch {
 	case !j.busy || j.final: // its client left at once
 	case !c.renumber(j): // it was never sent, so trying again is harmless
-		c.answer(i, j.client.speech.refusal(c.out[:0], 0), true)
+		c.answer(i, j.client.speech.refusal(c.out[:0], 0), endRefused)
 	case c.door == nil:
 		c.take(i)
 	default:
@@ -301,13 +318,13 @@
 		in.WriteAge = max(c.now-s.After, 0)
 	}
 	if err := c.module.Take(c.now, in); err != nil {
-		c.answer(i, j.client.speech.faulty(c.out[:0], noClass, err.Error()), true)
+		c.answer(i, j.client.speech.faulty(c.out[:0], noClass, err.Error()), endFaulty)
 	}
 }
 
 func (c *Core) refuse(t task) {
 	if cl := c.requests[t.request].client; cl != nil {
-		c.answer(t.request, cl.speech.refusal(c.out[:0], t.at), true)
+		c.answer(t.request, cl.speech.refusal(c.out[:0], t.at), endRefused)
 	}
 }
 
@@ -316,18 +333,20 @@
 	switch cl := j.client; {
 	case cl == nil:
 	case j.attempt != nil && j.attempt.dialect.undone(j.attempt): // the module knows of an attempt; that it had no effect is known here
-		c.answer(t.request, cl.speech.refusal(c.out[:0], 0), true)
+		c.answer(t.request, cl.speech.refusal(c.out[:0], 0), endRefused)
 	default:
-		c.answer(t.request, cl.speech.failure(c.out[:0], "not known to have run"), true)
+		c.answer(t.request, cl.speech.failure(c.out[:0], "not known to have run"), endFailed)
 	}
 }
 
-// answer gives the request's final answer, text, which is the core's own where it failed, and lets its client's next command follow.
-func (c *Core) answer(i int32, text []byte, failed bool) {
+// answer gives the request's final answer, text, which is the core's own where it was not served, and lets its client's next
+// command follow.
+func (c *Core) answer(i int32, text []byte, end requestEnd) {
 	j := &c.requests[i]
 	if !j.busy || j.final {
 		return
 	}
+	c.countRequest(i, end)
 	if c.door != nil {
 		c.door.Ended(c.now, i)
 	}
@@ -335,7 +354,7 @@
 	j.final, j.client = true, nil
 	c.out = text
 	if cl.request == i {
-		cl.conclude(c, text, failed)
+		cl.conclude(c, text, end != endServed)
 	} else {
 		cl.keep(c, i, text)
 	}
@@ -352,7 +371,7 @@
 	switch {
 	case cl.at < 0:
 	case c.Stopping() && cl.request < 0 && len(cl.link.Peek()) == 0: // Danger: what was read and is not answered is lost.
-		cl.finish(c)
+		cl.finish(c, closedAtShutdown)
 	default:
 		cl.read(c)
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -172,7 +172,8 @@
 	out          []byte  // scratch for what is being written
 	stopAt       Time    // 0: not stopping; from then on idle clients are hung up
 	endAt        Time    // by then all must be answered
-	logged       int     // lines in this second; more are dropped
+	counts       eventCounts
+	logged       int // lines in this second; more are dropped
 	loggedAt     Time
 }
 
@@ -285,6 +286,7 @@
 	beat := now >= c.wakeAt
 	if beat {
 		c.sweep()
+		c.summarize()
 	}
 	for once := true; once || len(c.backs)+len(c.arrivals)+len(c.leavers)+len(c.tasks) > 0; once = false {
 		for k := 0; k < len(c.backs); k++ {
--- a/internal/front/pipeline.go
+++ b/internal/front/pipeline.go
@@ -211,7 +211,7 @@
 func (cl *client) drop(c *Core) {
 	for _, behind := range cl.pipeline.behind {
 		if behind.request >= 0 {
-			c.giveUp(behind.request)
+			c.giveUp(behind.request, endAbandoned)
 		}
 		c.kept -= len(behind.reply)
 	}
--- a/internal/front/postgres.go
+++ b/internal/front/postgres.go
@@ -17,7 +17,9 @@
 
 func (postgres) done(cl *client, c *Core, _ bool) { cl.discard(c, cl.held) }
 
-func (postgres) overflow(cl *client, c *Core) { cl.fatal(c, pgwire.TooMany, "out of memory") }
+func (postgres) overflow(cl *client, c *Core) {
+	cl.fatal(c, closedDeclined, pgwire.TooMany, "out of memory")
+}
 
 func (postgres) refusal(dst []byte, pause Time) []byte {
 	detail := ""
@@ -70,10 +72,10 @@
 func (postgres) undone(*conn) bool { return false }
 
 // fatal ends a connection whose stream cannot be followed any more.
-func (cl *client) fatal(c *Core, code, text string) {
+func (cl *client) fatal(c *Core, cause closeCause, code, text string) {
 	c.out = pgwire.AppendError(c.out[:0], "FATAL", code, text, "")
 	cl.write(c, c.out)
-	cl.finish(c)
+	cl.finish(c, cause)
 }
 
 // decline reads as far as it must to tell a client that there is no room.
@@ -83,9 +85,9 @@
 		cl.write(c, []byte{'N'})
 	} else if err == nil && n > 0 && code == pgwire.CancelReq {
 		c.cancelled(in[8:n])
-		cl.finish(c)
+		cl.finish(c, closedByCancel)
 	} else if err != nil || n > 0 {
-		cl.fatal(c, pgwire.TooMany, "too many connections")
+		cl.fatal(c, closedDeclined, pgwire.TooMany, "too many connections")
 	}
 	return n
 }
@@ -95,15 +97,15 @@
 	code, n, err := pgwire.Startup(in)
 	switch {
 	case err != nil:
-		cl.fatal(c, pgwire.Violation, err.Error())
+		cl.fatal(c, closedByViolation, pgwire.Violation, err.Error())
 	case n == 0:
 	case code == pgwire.SSLReq || code == pgwire.GSSReq:
 		cl.write(c, []byte{'N'})
 	case code == pgwire.CancelReq:
 		c.cancelled(in[8:n])
-		cl.finish(c)
+		cl.finish(c, closedByCancel)
 	case code>>16 != pgwire.Version>>16:
-		cl.fatal(c, pgwire.Unsupported, "only version 3 of the protocol is spoken here")
+		cl.fatal(c, closedByViolation, pgwire.Unsupported, "only version 3 of the protocol is spoken here")
 	default:
 		c.out = pgwire.AppendWelcome(c.out[:0], code&0xffff, c.key(cl))
 		cl.write(c, c.out)
@@ -117,10 +119,10 @@
 	kind, body, n, err := pgwire.Message(in, pgwire.MostQuery)
 	switch {
 	case err != nil:
-		cl.fatal(c, pgwire.Violation, err.Error())
+		cl.fatal(c, closedByViolation, pgwire.Violation, err.Error())
 	case n == 0:
 	case kind == 'X':
-		cl.finish(c)
+		cl.finish(c, closedAtGoodbye)
 	case cl.skip && kind != 'S':
 	case kind == 'S':
 		cl.skip = false
@@ -134,7 +136,7 @@
 	case kind == 'F':
 		cl.reject(c, pgwire.Unsupported, "function calls are not served")
 	default:
-		cl.fatal(c, pgwire.Violation, "unexpected message")
+		cl.fatal(c, closedByViolation, pgwire.Violation, "unexpected message")
 	}
 	return n
 }
@@ -148,7 +150,7 @@
 func (cl *client) query(c *Core, body []byte) {
 	text, rest, ok := pgwire.Text(body)
 	if !ok || len(rest) > 0 {
-		cl.fatal(c, pgwire.Violation, "malformed query message")
+		cl.fatal(c, closedByViolation, pgwire.Violation, "malformed query message")
 		return
 	}
 	if blank(text) {
@@ -359,7 +361,7 @@
 	}
 	c.end(k, e, r)
 	if r.Ending == balance.Served {
-		c.answer(e.request, pgwire.AppendReady(c.out), false)
+		c.answer(e.request, pgwire.AppendReady(c.out), endServed)
 	}
 	return true
 }
--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -472,12 +472,16 @@
 			rest = c.limits.Rest
 		}
 		if cl.ending && (c.now >= cl.since+rest || c.Stopping() && c.now >= c.endAt) {
-			cl.link.Close()
-			cl.gone(c)
+			cl.hangUp(c, closedStayed)
 			continue
 		}
 		if cl.request < 0 && !cl.ending && (over || !cl.greeted && c.now >= cl.since+c.classes.longest) {
-			cl.finish(c)
+			cause := closedUngreeted
+			if over {
+				cause = closedAtShutdown
+			}
+			cl.finish(c, cause)
 		}
+		c.noteStuckAnswer(cl)
 	}
 }
