--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -5,6 +5,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"net/netip"
 	"os"
@@ -22,15 +23,15 @@
 )
 
 const (
-	spare     = 4 << 10  // of a ring, beside the longest message
-	mostChunk = 32 << 10 // bytes handed to the library at a time
-	noPort    = 24       // IP_BIND_ADDRESS_NO_PORT
-	reserve   = 16       // descriptors that no link has: poller, listener, discovery, log, a dial in the making
+	spare   = 4 << 10 // of a ring, beside the longest message
+	noPort  = 24      // IP_BIND_ADDRESS_NO_PORT
+	reserve = 16      // descriptors that no link has: pollers, listener, discovery, log, a dial in the making
 )
 
 // Net holds the sockets of one front.
 type Net struct {
 	engine *nbio.Engine
+	writes *writability
 	listen net.Listener
 	also   []net.Listener
 	mu     sync.Mutex
@@ -58,13 +59,14 @@
 	closed bool
 	what   front.What // of an event not yet gathered; guarded by Net.mu
 	sent   atomic.Int64
-	// blocked: the system did not take all at once, so the loop is told when it takes more
-	blocked atomic.Bool
-	out     ring.Buffer // the loop's alone, as what follows
-	handed  int64       // bytes given to the library
-	ending  atomic.Bool // nothing is to be sent behind what out holds
-	halved  bool        // the sending has ended
-	client  bool        // it was accepted
+	awaits atomic.Bool // the system takes no more for now, and the loop is told when it does
+	ending atomic.Bool // nothing is to be sent behind what out holds
+
+	descriptor int         // valid while conn is locked and not closed
+	token      int32       // of its last wait; guarded by writability.mu
+	out        ring.Buffer // the loop's alone, as what follows
+	halved     bool        // the sending has ended
+	client     bool        // it was accepted
 }
 
 // Open listens on addr and starts the poller. All rings together grow by no more than memory bytes; the one
@@ -85,14 +87,6 @@
 			l.pump()
 		}
 	})
-	n.engine.OnWrittenSize(func(c *nbio.Conn, _ []byte, size int) {
-		if l := n.of(c); l != nil {
-			l.sent.Add(int64(size))
-			if l.blocked.Load() {
-				n.report(l, 0)
-			}
-		}
-	})
 	n.engine.OnClose(func(c *nbio.Conn, _ error) {
 		if l := n.of(c); l != nil {
 			n.mu.Lock()
@@ -101,10 +95,14 @@
 				n.taken--
 			}
 			n.mu.Unlock()
+			n.writes.forget(l)
 			l.gone()
 		}
 	})
-	if err := n.engine.Start(); err != nil {
+	if n.writes, err = newWritability(func(l *Link) { n.report(l, 0) }); err == nil {
+		err = n.engine.Start()
+	}
+	if err != nil {
 		l.Close()
 		return nil, err
 	}
@@ -186,7 +184,12 @@
 		c.Close()
 		return nil, err
 	}
-	l := &Link{net: n, conn: nc, what: what, client: what&front.Accepted != 0, in: ring.Buffer{Most: in + spare, Budget: &n.budget},
+	descriptor, err := descriptorOf(nc)
+	if err != nil {
+		nc.Close()
+		return nil, err
+	}
+	l := &Link{net: n, conn: nc, descriptor: descriptor, what: what, client: what&front.Accepted != 0, in: ring.Buffer{Most: in + spare, Budget: &n.budget},
 		out: ring.Buffer{Most: out + spare, Budget: &n.budget}}
 	n.mu.Lock()
 	n.links[nc] = l
@@ -199,6 +202,15 @@
 	return l, err
 }
 
+func descriptorOf(conn *nbio.Conn) (descriptor int, err error) {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	err = raw.Control(func(fd uintptr) { descriptor = int(fd) })
+	return descriptor, err
+}
+
 // Dial starts a connection. What is written meanwhile waits until it is up; Closed follows if it is refused.
 // One that never comes up is the core's to close: the library's own dial would leave it no handle for that,
 // and misreads IPv4 addresses besides (1.6.8 takes the first four bytes of the sixteen-byte form).
@@ -394,33 +406,54 @@
 
 func (l *Link) Sent() int64 { return l.sent.Load() }
 
-// Flush hands the library a piece at a time, and the next only once the system has taken the last: what the
-// library holds unseen is bounded, and goes with the connection when it is closed.
+// Flush writes what is queued, as far as the system takes it.
 func (l *Link) Flush() {
-	for l.out.Len() > 0 && l.sent.Load() == l.handed {
-		p := l.out.Peek()
-		p = p[:min(len(p), mostChunk)]
-		l.handed += int64(len(p))
-		if _, err := l.conn.Write(p); err != nil {
-			return // it is closed, and says so
-		}
-		l.out.Discard(len(p))
-		l.blocked.Store(l.sent.Load() < l.handed)
+	if l.awaits.Load() || l.out.Len() == 0 && !l.ending.Load() {
+		return
 	}
-	if l.ending.Load() && !l.halved && l.Empty() {
-		l.halved = true
-		l.conn.Lock() // until it is unlocked the descriptor is not another's
-		if closed, _ := l.conn.IsClosed(); !closed {
-			if raw, err := l.conn.SyscallConn(); err == nil {
-				raw.Control(func(fd uintptr) { syscall.Shutdown(int(fd), syscall.SHUT_WR) })
-			}
-		}
+	l.conn.Lock() // until it is unlocked the descriptor is not another's
+	if closed, _ := l.conn.IsClosed(); closed {
 		l.conn.Unlock()
+		return
+	}
+	err := l.send()
+	halves := err == nil && l.ending.Load() && !l.halved && l.out.Len() == 0
+	if halves {
+		l.halved = true
+		syscall.Shutdown(l.descriptor, syscall.SHUT_WR)
+	}
+	l.conn.Unlock()
+	if err != nil {
+		l.conn.CloseWithError(err)
+	}
+	if halves {
 		l.pump()
 	}
 }
 
-func (l *Link) Empty() bool { return l.out.Len() == 0 && l.sent.Load() == l.handed }
+// send writes until all is out or the system is full. A write that is cut short or interrupted is gone on with at once.
+func (l *Link) send() error {
+	for l.out.Len() > 0 {
+		size, err := syscall.Write(l.descriptor, l.out.Peek())
+		switch {
+		case size > 0:
+			l.sent.Add(int64(size))
+			l.out.Discard(size)
+		case err == syscall.EINTR:
+		case err == syscall.EAGAIN:
+			l.awaits.Store(true)
+			l.net.writes.await(l)
+			return nil
+		case err == nil:
+			return io.ErrShortWrite
+		default:
+			return err
+		}
+	}
+	return nil
+}
+
+func (l *Link) Empty() bool { return l.out.Len() == 0 }
 
 func (l *Link) Finish() {
 	l.ending.Store(true)
