--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -67,6 +67,9 @@
 	out        ring.Buffer // the loop's alone, as what follows
 	halved     bool        // the sending has ended
 	client     bool        // it was accepted
+	rising     bool        // it was dialled, and nothing has been written yet
+	heard      atomic.Bool // something has come in
+	handed     bool        // what it begins with waits in the library until the connection is up
 }
 
 // Open listens on addr and starts the poller. All rings together grow by no more than memory bytes; the one
@@ -238,6 +241,7 @@
 	if err != nil {
 		return nil, err
 	}
+	l.rising = true
 	return l, nil
 }
 
@@ -342,6 +346,7 @@
 		if n > 0 {
 			l.in.Commit(n)
 			got = true
+			l.heard.Store(true)
 			continue
 		}
 		if err == syscall.EINTR {
@@ -408,7 +413,7 @@
 
 // Flush writes what is queued, as far as the system takes it.
 func (l *Link) Flush() {
-	if l.awaits.Load() || l.out.Len() == 0 && !l.ending.Load() {
+	if l.awaits.Load() || l.out.Len() == 0 && !l.ending.Load() || l.handed && !l.heard.Load() {
 		return
 	}
 	l.conn.Lock() // until it is unlocked the descriptor is not another's
@@ -416,41 +421,59 @@
 		l.conn.Unlock()
 		return
 	}
-	err := l.send()
-	halves := err == nil && l.ending.Load() && !l.halved && l.out.Len() == 0
+	up, err := l.send()
+	halves := err == nil && up && l.ending.Load() && !l.halved && l.out.Len() == 0
 	if halves {
 		l.halved = true
 		syscall.Shutdown(l.descriptor, syscall.SHUT_WR)
 	}
 	l.conn.Unlock()
-	if err != nil {
+	switch {
+	case err != nil:
 		l.conn.CloseWithError(err)
-	}
-	if halves {
+	case halves:
 		l.pump()
+	case !up:
+		l.handOver()
 	}
 }
 
 // send writes until all is out or the system is full. A write that is cut short or interrupted is gone on with at once.
-func (l *Link) send() error {
+// up is false where the connection that was dialled is not up yet.
+func (l *Link) send() (up bool, err error) {
 	for l.out.Len() > 0 {
 		size, err := syscall.Write(l.descriptor, l.out.Peek())
 		switch {
 		case size > 0:
 			l.sent.Add(int64(size))
 			l.out.Discard(size)
+			l.rising = false
 		case err == syscall.EINTR:
+		case err == syscall.EAGAIN && l.rising:
+			return false, nil
 		case err == syscall.EAGAIN:
 			l.awaits.Store(true)
 			l.net.writes.await(l)
-			return nil
+			return true, nil
 		case err == nil:
-			return io.ErrShortWrite
+			return true, io.ErrShortWrite
 		default:
-			return err
+			return true, err
 		}
 	}
-	return nil
+	return true, nil
+}
+
+// handOver gives the library what a connection begins with, to be written once it is up: then there is an edge. All else
+// waits until the peer has said something.
+func (l *Link) handOver() {
+	l.rising, l.handed = false, true
+	size := l.out.Len()
+	if _, err := l.conn.Write(l.out.Peek()); err != nil {
+		return // it is closed, and says so
+	}
+	l.out.Discard(size)
+	l.sent.Add(int64(size))
 }
 
 func (l *Link) Empty() bool { return l.out.Len() == 0 }
