--- a/internal/front/bolt.go
+++ b/internal/front/bolt.go
@@ -72,6 +72,13 @@
 
 func (b *boltClient) overflow(cl *client, c *Core) { b.violate(cl, c, bolt.Format, "out of memory") }
 
+func (b *boltClient) stalled(cl *client, c *Core) {
+	if b.talk != nil {
+		cl.write(c, bolt.AppendFailure(c.out[:0], b.v, bolt.Format, "the message was not completed in time"))
+	}
+	cl.finish(c, closedStalled)
+}
+
 // violate ends a connection whose client does not keep to the protocol. A request in hand is left.
 func (b *boltClient) violate(cl *client, c *Core, code, text string) {
 	cl.write(c, bolt.AppendFailure(c.out[:0], b.v, code, text))
--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -19,6 +19,7 @@
 	greet(cl *client, c *Core, in []byte) (used int)   // the first step of a connection
 	decline(cl *client, c *Core, in []byte) (used int) // the same where there is no room for it
 	overflow(cl *client, c *Core)                      // ends a connection whose message has no room
+	stalled(cl *client, c *Core)                       // ends a connection whose client has stopped inside a message
 	more(cl *client, c *Core)                          // something came, or there is room again, while a request is in hand
 	done(cl *client, c *Core, failed bool)             // the request has its final answer; failed: one of the core's own
 	refusal(dst []byte, pause Time) []byte             // the final answers, whole
@@ -66,7 +67,8 @@
 	serial   uint64
 	speech   speech
 	next     func(cl *client, c *Core, in []byte) (used int)
-	since    Time  // when it came, or last said something or was answered
+	since    Time  // when it came, or last completed a message or was answered
+	heard    Time  // when it came, or last sent anything
 	request  int32 // in hand, or -1
 	held     int   // bytes of its query
 	pipeline pipeline
@@ -74,7 +76,8 @@
 	ending   bool
 	greeted  bool
 
-	stuckNoted bool // that the system does not take what it was sent is logged
+	messageSince Time // since when part of a message has been here, as of the last sweep; 0: it has not
+	stuckNoted   bool // that the system does not take what it was sent is logged
 }
 
 func (c *Core) accept(l Link, what What, s speech) {
@@ -85,7 +88,7 @@
 		return
 	}
 	c.serial++
-	cl := &client{link: l, at: len(c.clients), serial: c.serial, speech: s, request: -1, since: c.now}
+	cl := &client{link: l, at: len(c.clients), serial: c.serial, speech: s, request: -1, since: c.now, heard: c.now}
 	cl.next = cl.speech.greet
 	l.Own(cl)
 	c.clients = append(c.clients, cl)
@@ -134,6 +137,9 @@
 	if cl.request >= 0 && !cl.ending {
 		cl.speech.more(cl, c)
 	}
+	if what&Readable != 0 {
+		cl.heard = c.now
+	}
 	if what&Readable != 0 && !cl.ending {
 		if _, speaks := cl.speech.(postgres); speaks && cl.greeted {
 			cl.pipeline.marks.scan(cl.link.Peek(), c.now)
@@ -173,7 +179,7 @@
 			continue
 		}
 		cl.discard(c, n)
-		cl.since = c.now
+		cl.since, cl.messageSince = c.now, 0
 	}
 }
 
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -520,25 +520,30 @@
 }
 
 // TestClientsThatKeepTheirConnections: where room is short those yield that asked nothing for longest, after a rest
-// that is the shorter the less room there is; never in the middle of a query, nor with a request in hand.
+// that is the shorter the less room there is; never in the middle of a query that its client goes on with, nor with a
+// request in hand.
 func TestClientsThatKeepTheirConnections(t *testing.T) {
 	s := newStage(t, 40, true)
 	busy, half, old, young := s.client(), s.client(), s.client(), s.client()
 	s.say(busy, string(pgwire.AppendSimple(nil, "/* id=1,c=once,d=30000,cluster=3 */ SELECT 'k'")))
 	s.store() // it has the query, and hangs
-	s.say(half, ask("any", 2)[:30])
+	rest := ask("any", 2)
+	goOn := func() { s.say(half, rest[:1]); rest = rest[1:] }
+	goOn()
 	s.pass(2 * second)
+	goOn()
 	empty := string(pgwire.AppendSimple(nil, ""))
 	s.say(young, empty)
 	closed := func(old1, young1 bool) {
 		t.Helper()
-		if old.closed != old1 || young.closed != young1 || half.closed || busy.closed {
-			t.Fatalf("closed: old %v, young %v, half %v, busy %v", old.closed, young.closed, half.closed, busy.closed)
+		if old.closed != old1 || young.closed != young1 || half.closed || half.finished || busy.closed {
+			t.Fatalf("closed: old %v, young %v, half %v (told %v), busy %v", old.closed, young.closed, half.closed, half.finished, busy.closed)
 		}
 	}
 	s.pass(second)
 	closed(false, false)
 	s.core.limits.Clients = 7
+	goOn()
 	s.pass(second / 2)
 	closed(true, false)
 	silent := &wire{}
@@ -554,6 +559,7 @@
 		t.Error("one that never greeted does not yield first")
 	}
 	s.core.limits.Clients = 3
+	goOn()
 	s.pass(second / 10)
 	closed(true, true)
 	s.core.limits.Clients = 2
@@ -1186,3 +1192,52 @@
 		}
 	}
 }
+
+// TestStalledMessages: a client that stops inside a message is told and closed, wherever it stops; one that goes on is not,
+// but for messageLimit.
+func TestStalledMessages(t *testing.T) {
+	startup, request := string(pgwire.AppendStartup(nil, "web", "orders")), ask("any", 1)
+	for name, text := range map[string]string{
+		"startup":    startup[:len(startup)-1],
+		"head":       startup + request[:3],
+		"query":      startup + request[:len(request)-1],
+		"other":      startup + "P\x00\x00\x00\x09ab",
+		"after some": startup + string(pgwire.AppendSimple(nil, "")) + request[:9],
+	} {
+		s := newStage(t, 40, true)
+		cl := &wire{in: []byte(text)}
+		s.step(Event{cl, Accepted | Readable})
+		cl.take()
+		s.pass(stallLimit - 10*perMilli)
+		if cl.finished || cl.closed {
+			t.Errorf("%s: given up too early", name)
+		}
+		s.pass(20 * perMilli)
+		if !cl.finished || code(t, cl.take()) != pgwire.Violation {
+			t.Errorf("%s: it is not told", name)
+		}
+	}
+	for _, silent := range []bool{true, false} { // one that says nothing at all, and one that sends a byte a second
+		s := newStage(t, 40, true)
+		cl := &wire{}
+		s.step(Event{cl, Accepted})
+		if !silent {
+			s.say(cl, startup)
+		}
+		rest, took := ask("once", 2), Time(0)
+		for ; !cl.finished && took < 2*messageLimit; took += second {
+			if !silent {
+				s.say(cl, rest[:1])
+				rest = rest[1:]
+			}
+			s.pass(second)
+		}
+		limit := messageLimit
+		if silent {
+			limit = stallLimit
+		}
+		if took < Time(limit) || took > Time(limit)+2*second {
+			t.Errorf("silent %v: ended after %d ms", silent, took/perMilli)
+		}
+	}
+}
--- a/internal/front/postgres.go
+++ b/internal/front/postgres.go
@@ -21,6 +21,10 @@
 	cl.fatal(c, closedDeclined, pgwire.TooMany, "out of memory")
 }
 
+func (postgres) stalled(cl *client, c *Core) {
+	cl.fatal(c, closedStalled, pgwire.Violation, "the message was not completed in time")
+}
+
 func (postgres) refusal(dst []byte, pause Time) []byte {
 	detail := ""
 	if pause >= perMilli {
--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -454,34 +454,5 @@
 			}
 		}
 	}
-	// Danger: what many clients share among them, they may run out of before this front does. Connections that
-	// none of them asks on are given back while half of the room for clients is taken; from five to six eighths
-	// the sooner the less there is.
-	for n, all := len(c.clients), c.limits.Clients; n > all/2; n = len(c.clients) {
-		if !c.evict(c.limits.Rest * Time(max(min(6*all-8*n, all), 0)) / Time(all)) {
-			break
-		}
-	}
-	for n := len(c.clients) - 1; n >= 0; n-- {
-		cl := c.clients[n]
-		// At the end a query that has come in part is waited for; its client sends the rest without knowing.
-		over := c.Stopping() && (len(cl.link.Peek()) == 0 || c.now >= c.endAt)
-		// Danger: one that never hangs up on its side would hold its descriptor, and the front's end, for ever.
-		rest := c.classes.longest
-		if cl.ending && cl.link.Empty() {
-			rest = c.limits.Rest
-		}
-		if cl.ending && (c.now >= cl.since+rest || c.Stopping() && c.now >= c.endAt) {
-			cl.hangUp(c, closedStayed)
-			continue
-		}
-		if cl.request < 0 && !cl.ending && (over || !cl.greeted && c.now >= cl.since+c.classes.longest) {
-			cause := closedUngreeted
-			if over {
-				cause = closedAtShutdown
-			}
-			cl.finish(c, cause)
-		}
-		c.noteStuckAnswer(cl)
-	}
+	c.sweepClients()
 }
--- /dev/null
+++ b/internal/front/timeouts.go
@@ -0,0 +1,68 @@
+package front
+
+const (
+	// stallLimit ends a connection whose client has stopped inside a message, or before it was greeted. Clients are owed an
+	// error or a close within 3 s.
+	stallLimit = 2500 * perMilli
+	// messageLimit ends one whose client goes on, but takes longer than this over one message.
+	messageLimit = 30 * 1000 * perMilli
+)
+
+// sweepClients ends the connections of clients whose time is over.
+func (c *Core) sweepClients() {
+	c.makeRoom()
+	for n := len(c.clients) - 1; n >= 0; n-- {
+		cl := c.clients[n]
+		if cl.ending {
+			c.sweepEnding(cl)
+		} else if cl.request < 0 {
+			c.sweepWaiting(cl)
+		}
+		c.noteStuckAnswer(cl)
+	}
+}
+
+// makeRoom hangs up on clients that ask nothing while many are connected.
+//
+// Danger: what many clients share among them, they may run out of before this front does. Connections that none of them
+// asks on are given back while half of the room for clients is taken; from five to six eighths the sooner the less there is.
+func (c *Core) makeRoom() {
+	for n, all := len(c.clients), c.limits.Clients; n > all/2; n = len(c.clients) {
+		if !c.evict(c.limits.Rest * Time(max(min(6*all-8*n, all), 0)) / Time(all)) {
+			return
+		}
+	}
+}
+
+// sweepEnding hangs up on a client that was told that its connection is over and does not close its side.
+// Danger: one that never does would hold its descriptor, and the front's end, for ever.
+func (c *Core) sweepEnding(cl *client) {
+	patience := c.classes.longest
+	if cl.link.Empty() {
+		patience = c.limits.Rest
+	}
+	if c.now >= cl.since+patience || c.Stopping() && c.now >= c.endAt {
+		cl.hangUp(c, closedStayed)
+	}
+}
+
+// sweepWaiting ends the connection of a client without a request in hand if the front ends, or if the client has stopped
+// inside a message.
+func (c *Core) sweepWaiting(cl *client) {
+	inMessage := len(cl.link.Peek()) > 0
+	if !inMessage {
+		cl.messageSince = 0
+	} else if cl.messageSince == 0 {
+		cl.messageSince = c.now
+	}
+	// At the end a message that has come in part is waited for: its client sends the rest without knowing.
+	over := c.Stopping() && (!inMessage || c.now >= c.endAt)
+	switch {
+	case over:
+		cl.finish(c, closedAtShutdown)
+	case inMessage && (c.now-cl.heard >= stallLimit || c.now-cl.messageSince >= messageLimit):
+		cl.speech.stalled(cl, c)
+	case !cl.greeted && (c.now-cl.heard >= stallLimit || c.now-cl.since >= messageLimit):
+		cl.finish(c, closedUngreeted)
+	}
+}
