--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -258,6 +258,20 @@
 	}
 }
 
+// stays tells whether the client whose request an attempt is for is there, as the system knows this moment.
+// Danger: the front may have been held up since it last looked, and no attempt may begin over 0.1 s after its client went.
+func (c *Core) stays(e errand) bool {
+	if e.request < 0 || c.requests[e.request].client == nil {
+		return true
+	}
+	cl := c.requests[e.request].client
+	if !cl.link.PeerOpen() {
+		cl.gone(c, closedByPeer)
+		return false
+	}
+	return true
+}
+
 // begin takes a request in hand, or tells what is wrong with it.
 func (cl *client) begin(c *Core, t terms.Terms, cut pgwire.Cut) (index int32, f fault, why string) {
 	kind, ok := c.classes.byName[string(t.Profile)]
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -34,6 +34,7 @@
 	Close()              // at once; what is still queued is dropped
 	Abort()              // the same, and what the system holds of it is dropped too
 	Finish()             // ends the sending once all that is queued is out, and closes when the peer does; what comes is dropped
+	PeerOpen() bool      // the peer is there, as the system knows this moment
 	Owner() any          // what Own was told last
 	Own(owner any)
 }
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -22,7 +22,8 @@
 	slips            int // of those, taken at the last moment
 	owner            any
 	closed, finished bool
-	most             int // bytes that Write has room for; 0: any
+	ended            bool // its peer has gone, and the core has not been told
+	most             int  // bytes that Write has room for; 0: any
 }
 
 func (w *wire) Peek() []byte  { return w.in }
@@ -41,8 +42,11 @@
 func (w *wire) Abort()      { w.Close() }
 func (w *wire) Close()      { w.closed, w.stuck = true, w.stuck-w.slips }
 func (w *wire) Finish()     { w.finished = true }
-func (w *wire) Owner() any  { return w.owner }
-func (w *wire) Own(o any)   { w.owner = o }
+func (w *wire) PeerOpen() bool {
+	return !w.ended
+}
+func (w *wire) Owner() any { return w.owner }
+func (w *wire) Own(o any)  { w.owner = o }
 
 func (w *wire) take() string {
 	s := string(w.out)
--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -101,7 +101,7 @@
 // start sends an errand off on the idle connection used last, or lets it wait for a new one.
 func (c *Core) start(i uint32, e errand) {
 	s := &c.stores[i]
-	if !c.due(e) {
+	if !c.due(e) || !c.stays(e) {
 		c.fail(i, e, balance.Unsent)
 		return
 	}
@@ -235,7 +235,7 @@
 	for len(s.waits) > 0 {
 		e := s.waits[0]
 		s.waits = append(s.waits[:0], s.waits[1:]...)
-		if c.due(e) {
+		if c.due(e) && c.stays(e) {
 			k.ride(c, e)
 			return
 		}
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -333,38 +333,56 @@
 // pump reads what the system holds into the ring, as far as there is room.
 func (l *Link) pump() {
 	l.mu.Lock()
-	got, failed := false, false
+	got, ended := l.fill()
+	l.mu.Unlock()
+	l.tell(got, ended)
+}
+
+// fill reads what the system holds into the ring. ended: the peer has closed its side, or the connection has broken. The
+// lock is held.
+func (l *Link) fill() (got, ended bool) {
 	for !l.closed {
 		if l.ending.Load() { // Danger: a close over unread bytes is a reset, and takes what the peer was sent last with it.
 			l.in.Discard(l.in.Len())
 		}
 		space := l.in.Space()
 		if l.full = len(space) == 0; l.full {
-			break
+			return true, false
 		}
 		n, err := l.conn.Read(space)
-		if n > 0 {
+		switch {
+		case n > 0:
 			l.in.Commit(n)
-			got = true
 			l.heard.Store(true)
-			continue
-		}
-		if err == syscall.EINTR {
-			continue
+			got = true
+		case err == syscall.EINTR:
+		default:
+			return got, n == 0 || err != syscall.EAGAIN
 		}
-		failed = n == 0 || err != nil && err != syscall.EAGAIN
-		break
 	}
-	got = got || l.full
-	l.mu.Unlock()
+	return got, false
+}
+
+// tell tells the loop what fill has found.
+func (l *Link) tell(got, ended bool) {
 	if got {
 		l.net.report(l, front.Readable)
 	}
-	if failed {
+	if ended {
 		l.conn.Close()
 	}
 }
 
+// PeerOpen reads what the system holds and tells whether the peer is still there.
+func (l *Link) PeerOpen() bool {
+	l.mu.Lock()
+	got, ended := l.fill()
+	open := !ended && !l.closed
+	l.mu.Unlock()
+	l.tell(got, ended)
+	return open
+}
+
 // gone is told once, by the library, when the descriptor has been given back.
 func (l *Link) gone() {
 	l.mu.Lock()
--- a/internal/world/link.go
+++ b/internal/world/link.go
@@ -86,6 +86,9 @@
 	f.w.At(0, func() { l.news(front.Closed) })
 }
 
+// PeerOpen tells whether the other side is there, as the front knows.
+func (l *link) PeerOpen() bool { return !l.closed }
+
 // push sends bytes to the front.
 func (l *link) push(b []byte) {
 	l.f.w.carry(l.other, l.f.Node, func() {
