--- a/internal/front/bolt.go
+++ b/internal/front/bolt.go
@@ -72,6 +72,8 @@
 
 func (b *boltClient) overflow(cl *client, c *Core) { b.violate(cl, c, bolt.Format, "out of memory") }
 
+func (b *boltClient) noRoom([]byte) []byte { return nil }
+
 func (b *boltClient) stalled(cl *client, c *Core) {
 	if b.talk != nil {
 		cl.write(c, bolt.AppendFailure(c.out[:0], b.v, bolt.Format, "the message was not completed in time"))
--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -18,6 +18,7 @@
 type speech interface {
 	greet(cl *client, c *Core, in []byte) (used int)   // the first step of a connection
 	decline(cl *client, c *Core, in []byte) (used int) // the same where there is no room for it
+	noRoom(dst []byte) []byte                          // that there is no room, to one that has not been greeted
 	overflow(cl *client, c *Core)                      // ends a connection whose message has no room
 	stalled(cl *client, c *Core)                       // ends a connection whose client has stopped inside a message
 	more(cl *client, c *Core)                          // something came, or there is room again, while a request is in hand
@@ -98,34 +99,60 @@
 	cl.notice(c, what)
 }
 
-// evict hangs up on the client that has asked nothing for longest; false: all have asked within rest.
-// Danger: clients that ask once and keep their connections for good would shut all others out. One that has
-// not even greeted counts its silence fourfold.
+// newcomerTime is what a client has for its first bytes before it may be hung up on to make room for others.
+const newcomerTime = 500 * perMilli
+
+// evict hangs up on a client to make room: one that has had all and only has to close its side, else one that has not said
+// anything for longer than newcomerTime, else the one that has asked nothing for longest. False: none may be hung up on.
+// Danger: clients that ask once and keep their connections for good would shut all others out.
 func (c *Core) evict(rest Time) bool {
-	var idlest *client
 	rest = max(rest, breath)
-	longest := rest
-	for _, cl := range c.clients {
-		idle := c.now - cl.since
-		if cl.ending && cl.link.Empty() && idle >= rest { // it has had all, and only has to hang up
-			idlest = cl
-			break
-		}
-		if !cl.greeted {
-			idle *= 4
-		}
-		if idle >= longest && cl.idle() {
-			idlest, longest = cl, idle
+	for cl := c.idlest(rest); cl != nil; cl = c.idlest(rest) {
+		switch {
+		case cl.ending:
+			cl.hangUp(c, closedStayed)
+			return true
+		case !cl.link.CloseAtRest(cl.farewell(c)): // it has just sent something, or gone
+			cl.since, cl.heard = c.now, c.now
+		case cl.greeted:
+			cl.gone(c, closedAtRest)
+			return true
+		default:
+			cl.gone(c, closedNew)
+			return true
 		}
 	}
-	if idlest != nil {
-		cause := closedAtRest
-		if !idlest.greeted {
-			cause = closedNew
+	return false
+}
+
+// farewell is what a client is told that is hung up on to make room. One that rests between requests is told nothing.
+func (cl *client) farewell(c *Core) []byte {
+	if cl.greeted {
+		return nil
+	}
+	return cl.speech.noRoom(c.out[:0])
+}
+
+// idlest gives the client that is the first to be hung up on; nil: all have asked within rest.
+func (c *Core) idlest(rest Time) (first *client) {
+	longest, fresh := rest, true
+	for _, cl := range c.clients {
+		idle := c.now - cl.since
+		switch {
+		case cl.ending:
+			if cl.link.Empty() && idle >= rest {
+				return cl
+			}
+		case !cl.idle():
+		case !cl.greeted:
+			if idle >= newcomerTime && (fresh || idle >= longest) {
+				first, longest, fresh = cl, idle, false
+			}
+		case fresh && idle >= longest:
+			first, longest = cl, idle
 		}
-		idlest.hangUp(c, cause)
 	}
-	return idlest != nil
+	return first
 }
 
 // idle: nothing of a command has come, and the last answer is out.
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -45,6 +45,14 @@
 func (w *wire) PeerOpen() bool {
 	return !w.ended
 }
+func (w *wire) CloseAtRest(last []byte) bool {
+	if len(w.in) > 0 {
+		return false
+	}
+	w.out = append(w.out, last...)
+	w.Close()
+	return true
+}
 func (w *wire) Owner() any { return w.owner }
 func (w *wire) Own(o any)  { w.owner = o }
 
--- a/internal/front/postgres.go
+++ b/internal/front/postgres.go
@@ -21,6 +21,10 @@
 	cl.fatal(c, closedDeclined, pgwire.TooMany, "out of memory")
 }
 
+func (postgres) noRoom(dst []byte) []byte {
+	return pgwire.AppendError(dst, "FATAL", pgwire.TooMany, "too many connections", "")
+}
+
 func (postgres) stalled(cl *client, c *Core) {
 	cl.fatal(c, closedStalled, pgwire.Violation, "the message was not completed in time")
 }
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -25,7 +25,7 @@
 const (
 	spare   = 4 << 10 // of a ring, beside the longest message
 	noPort  = 24      // IP_BIND_ADDRESS_NO_PORT
-	reserve = 16      // descriptors that no link has: pollers, listener, discovery, log, a dial in the making
+	reserve = 24      // descriptors that no link has: pollers, listener, discovery, log, a dial in the making
 )
 
 // Net holds the sockets of one front.
@@ -383,6 +383,32 @@
 	return open
 }
 
+// atRest does end if nothing has come that was not discarded, up to the moment of end.
+func (l *Link) atRest(end func()) bool {
+	l.mu.Lock()
+	got, ended := l.fill()
+	rests := !got && !ended && !l.closed && l.in.Len() == 0
+	if rests {
+		end()
+	}
+	l.mu.Unlock()
+	l.tell(got, ended)
+	return rests
+}
+
+// CloseAtRest closes the connection if nothing has come on it that was not discarded. last is sent before, as far as the
+// system takes it at once.
+func (l *Link) CloseAtRest(last []byte) bool {
+	return l.atRest(func() {
+		l.conn.Lock()
+		if closed, _ := l.conn.IsClosed(); !closed && len(last) > 0 {
+			syscall.Write(l.descriptor, last)
+		}
+		l.conn.Unlock()
+		l.conn.Close()
+	})
+}
+
 // gone is told once, by the library, when the descriptor has been given back.
 func (l *Link) gone() {
 	l.mu.Lock()
--- a/internal/world/link.go
+++ b/internal/world/link.go
@@ -89,6 +89,15 @@
 // PeerOpen tells whether the other side is there, as the front knows.
 func (l *link) PeerOpen() bool { return !l.closed }
 
+// CloseAtRest is Close if nothing of a message has come.
+func (l *link) CloseAtRest([]byte) bool {
+	if len(l.in) > 0 {
+		return false
+	}
+	l.Close()
+	return true
+}
+
 // push sends bytes to the front.
 func (l *link) push(b []byte) {
 	l.f.w.carry(l.other, l.f.Node, func() {
