--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -285,6 +285,15 @@
 	}
 }
 
+// finishAtRest is finish for a client that rests. Danger: what was read and is not answered is lost, so one that has sent
+// something by that moment, or has not had all of its answer, is looked at again at the next beat.
+func (cl *client) finishAtRest(c *Core, cause closeCause) {
+	if cl.at >= 0 && !cl.ending && cl.link.FinishAtRest() {
+		c.countClose(cl, cause)
+		cl.ending, cl.since = true, c.now
+	}
+}
+
 // stays tells whether the client whose request an attempt is for is there, as the system knows this moment.
 // Danger: the front may have been held up since it last looked, and no attempt may begin over 0.1 s after its client went.
 func (c *Core) stays(e errand) bool {
@@ -417,8 +426,9 @@
 	cl.advance(c)
 	switch {
 	case cl.at < 0:
-	case c.Stopping() && cl.request < 0 && len(cl.link.Peek()) == 0: // Danger: what was read and is not answered is lost.
-		cl.finish(c, closedAtShutdown)
+	case c.Stopping() && cl.request < 0 && len(cl.link.Peek()) == 0:
+		cl.link.Flush()
+		cl.finishAtRest(c, closedAtShutdown)
 	default:
 		cl.read(c)
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -35,6 +35,7 @@
 	Abort()              // the same, and what the system holds of it is dropped too
 	Finish()             // ends the sending once all that is queued is out, and closes when the peer does; what comes is dropped
 	PeerOpen() bool      // the peer is there, as the system knows this moment
+	FinishAtRest() bool  // is Finish if nothing has come up to that moment that was not discarded, and nothing is queued
 	// CloseAtRest is Close if nothing has come up to that moment that was not discarded. last is sent before if it can be.
 	CloseAtRest(last []byte) bool
 	Owner() any // what Own was told last
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -45,6 +45,13 @@
 func (w *wire) PeerOpen() bool {
 	return !w.ended
 }
+func (w *wire) FinishAtRest() bool {
+	if len(w.in) > 0 || w.stuck > 0 {
+		return false
+	}
+	w.Finish()
+	return true
+}
 func (w *wire) CloseAtRest(last []byte) bool {
 	if len(w.in) > 0 {
 		return false
--- a/internal/front/timeouts.go
+++ b/internal/front/timeouts.go
@@ -56,10 +56,11 @@
 		cl.messageSince = c.now
 	}
 	// At the end a message that has come in part is waited for: its client sends the rest without knowing.
-	over := c.Stopping() && (!inMessage || c.now >= c.endAt)
 	switch {
-	case over:
+	case c.Stopping() && c.now >= c.endAt:
 		cl.finish(c, closedAtShutdown)
+	case c.Stopping() && !inMessage:
+		cl.finishAtRest(c, closedAtShutdown)
 	case inMessage && (c.now-cl.heard >= stallLimit || c.now-cl.messageSince >= messageLimit):
 		cl.speech.stalled(cl, c)
 	case !cl.greeted && (c.now-cl.heard >= stallLimit || c.now-cl.since >= messageLimit):
--- a/internal/sock/rest_test.go
+++ b/internal/sock/rest_test.go
@@ -29,6 +29,46 @@
 	return other.mu.Unlock
 }
 
+func TestRequestThatThePollerHasNotReadKeepsItsConnection(t *testing.T) {
+	for name, ends := range map[string]func(l *Link) bool{
+		"finish": (*Link).FinishAtRest,
+		"close":  func(l *Link) bool { return l.CloseAtRest([]byte("no room")) },
+	} {
+		n := open(t)
+		peer, l := accepted(t, n)
+		release := holdPoller(t, n)
+		peer.Write([]byte("request"))
+		time.Sleep(20 * time.Millisecond)
+		if len(l.Peek()) > 0 {
+			t.Fatal("the poller is not held")
+		}
+		if ends(l) || string(l.Peek()) != "request" {
+			t.Errorf("%s: the connection was ended over %q", name, l.Peek())
+		}
+		release()
+		l.Discard(len("request"))
+		l.Write([]byte("answer"))
+		l.Flush()
+		got := make([]byte, 6)
+		peer.SetReadDeadline(time.Now().Add(5 * time.Second))
+		if _, err := peer.Read(got); err != nil || string(got) != "answer" {
+			t.Errorf("%s: answered %q, %v", name, got, err)
+		}
+		if !ends(l) {
+			t.Errorf("%s: a connection at rest is not ended", name)
+		}
+		if name == "close" {
+			got = make([]byte, 7)
+			if _, err := peer.Read(got); err != nil || string(got) != "no room" {
+				t.Errorf("told %q, %v", got, err)
+			}
+		}
+		if _, err := peer.Read(got); err == nil {
+			t.Errorf("%s: the peer does not hear of the end", name)
+		}
+	}
+}
+
 func TestPeerThatHasGoneIsSeenBeforeThePollerTells(t *testing.T) {
 	n := open(t)
 	peer, l := accepted(t, n)
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -409,6 +409,19 @@
 	})
 }
 
+// FinishAtRest is Finish, if nothing has come that was not discarded and nothing is queued.
+func (l *Link) FinishAtRest() bool {
+	return l.Empty() && l.atRest(func() {
+		l.ending.Store(true)
+		l.conn.Lock()
+		if closed, _ := l.conn.IsClosed(); !closed {
+			l.halved = true
+			syscall.Shutdown(l.descriptor, syscall.SHUT_WR)
+		}
+		l.conn.Unlock()
+	})
+}
+
 // gone is told once, by the library, when the descriptor has been given back.
 func (l *Link) gone() {
 	l.mu.Lock()
--- a/internal/world/link.go
+++ b/internal/world/link.go
@@ -89,6 +89,15 @@
 // PeerOpen tells whether the other side is there, as the front knows.
 func (l *link) PeerOpen() bool { return !l.closed }
 
+// FinishAtRest is Finish if nothing of a message has come.
+func (l *link) FinishAtRest() bool {
+	if len(l.in) > 0 {
+		return false
+	}
+	l.Finish()
+	return true
+}
+
 // CloseAtRest is Close if nothing of a message has come.
 func (l *link) CloseAtRest([]byte) bool {
 	if len(l.in) > 0 {
