--- a/internal/sock/rest_test.go
+++ b/internal/sock/rest_test.go
@@ -83,3 +83,39 @@
 		t.Error("a peer that has gone is taken for there")
 	}
 }
+
+func TestEventOfAClosedConnectionSparesTheNextOnItsDescriptor(t *testing.T) {
+	n := open(t)
+	firstPeer, first := accepted(t, n)
+	secondPeer, second := accepted(t, n)
+	oldPeer, old := accepted(t, n)
+	first.mu.Lock()
+	firstPeer.Write([]byte("x"))
+	time.Sleep(20 * time.Millisecond) // the poller waits for the first
+	second.mu.Lock()
+	secondPeer.Write([]byte("x"))
+	oldPeer.Close()
+	time.Sleep(20 * time.Millisecond)
+	first.mu.Unlock()
+	time.Sleep(20 * time.Millisecond) // it has both events now, and waits for the second
+	old.Close()
+	var next *Link
+	var peer net.Conn
+	for range 10 { // until one has the descriptor that the old one had
+		if peer, next = accepted(t, n); next.descriptor == old.descriptor {
+			break
+		}
+	}
+	if next.descriptor != old.descriptor {
+		t.Fatal("no connection has the old one's descriptor")
+	}
+	second.mu.Unlock()
+	time.Sleep(20 * time.Millisecond)
+	next.Write([]byte("answer"))
+	next.Flush()
+	got := make([]byte, 6)
+	peer.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if _, err := peer.Read(got); err != nil || string(got) != "answer" {
+		t.Errorf("the next connection on the descriptor: %q, %v", got, err)
+	}
+}
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -32,6 +32,7 @@
 type Net struct {
 	engine *nbio.Engine
 	writes *writability
+	owners *registry
 	listen net.Listener
 	also   []net.Listener
 	mu     sync.Mutex
@@ -63,6 +64,8 @@
 	ending atomic.Bool // nothing is to be sent behind what out holds
 
 	descriptor int         // valid while conn is locked and not closed
+	registered bool        // it is under the poller, or was; guarded by registry.mu, as the next
+	dropped    bool        // the front has closed it
 	token      int32       // of its last wait; guarded by writability.mu
 	out        ring.Buffer // the loop's alone, as what follows
 	halved     bool        // the sending has ended
@@ -86,25 +89,27 @@
 	n.budget.Store(memory)
 	n.engine = nbio.NewEngine(nbio.Config{Network: "tcp", NPoller: 1, EpollMod: nbio.EPOLLET})
 	n.engine.OnRead(func(c *nbio.Conn) {
-		if l := n.of(c); l != nil {
+		if c == n.owners.poll {
+			n.owners.woken()
+		} else if l := n.of(c); l != nil {
 			l.pump()
 		}
 	})
 	n.engine.OnClose(func(c *nbio.Conn, _ error) {
 		if l := n.of(c); l != nil {
-			n.mu.Lock()
-			delete(n.links, c)
-			if l.client {
-				n.taken--
-			}
-			n.mu.Unlock()
-			n.writes.forget(l)
 			l.gone()
 		}
 	})
-	if n.writes, err = newWritability(func(l *Link) { n.report(l, 0) }); err == nil {
+	news := func(l *Link) { n.report(l, 0) }
+	if n.writes, err = newWritability(news); err == nil {
+		n.owners, err = newRegistry(n.put, news)
+	}
+	if err == nil {
 		err = n.engine.Start()
 	}
+	if err == nil {
+		_, err = n.engine.AddConn(n.owners.poll)
+	}
 	if err != nil {
 		l.Close()
 		return nil, err
@@ -201,8 +206,15 @@
 	}
 	n.mu.Unlock()
 	nc.SetNoDelay(true)
-	_, err = n.engine.AddConn(nc) // on an error it closes the connection
-	return l, err
+	n.owners.register(l)
+	return l, nil
+}
+
+// put puts a link under the poller. One that the poller does not take is closed.
+func (n *Net) put(l *Link) {
+	if _, err := n.engine.AddConn(l.conn); err != nil {
+		l.gone()
+	}
 }
 
 func descriptorOf(conn *nbio.Conn) (descriptor int, err error) {
@@ -316,6 +328,7 @@
 		}
 	}
 	n.events = n.events[:0]
+	n.owners.overdue()
 	n.mu.Lock()
 	for k, l := range n.ready {
 		n.events = append(n.events, front.Event{Link: l, What: l.what &^ queued})
@@ -369,7 +382,7 @@
 		l.net.report(l, front.Readable)
 	}
 	if ended {
-		l.conn.Close()
+		l.Close()
 	}
 }
 
@@ -399,14 +412,18 @@
 // CloseAtRest closes the connection if nothing has come on it that was not discarded. last is sent before, as far as the
 // system takes it at once.
 func (l *Link) CloseAtRest(last []byte) bool {
-	return l.atRest(func() {
+	closes := l.atRest(func() {
 		l.conn.Lock()
 		if closed, _ := l.conn.IsClosed(); !closed && len(last) > 0 {
 			syscall.Write(l.descriptor, last)
 		}
 		l.conn.Unlock()
-		l.conn.Close()
+		l.ending.Store(true)
 	})
+	if closes {
+		l.Close()
+	}
+	return closes
 }
 
 // FinishAtRest is Finish, if nothing has come that was not discarded and nothing is queued.
@@ -422,8 +439,20 @@
 	})
 }
 
-// gone is told once, by the library, when the descriptor has been given back.
+// gone is told when the descriptor has been given back.
 func (l *Link) gone() {
+	n := l.net
+	n.mu.Lock()
+	_, known := n.links[l.conn]
+	delete(n.links, l.conn)
+	if known && l.client {
+		n.taken--
+	}
+	n.mu.Unlock()
+	if !known {
+		return
+	}
+	n.writes.forget(l)
 	l.mu.Lock()
 	l.closed = true
 	l.mu.Unlock()
@@ -487,14 +516,21 @@
 	l.conn.Unlock()
 	switch {
 	case err != nil:
-		l.conn.CloseWithError(err)
+		l.close(err)
 	case halves:
 		l.pump()
-	case !up:
+	case !up && l.known():
 		l.handOver()
 	}
 }
 
+// known tells whether the link is under the poller.
+func (l *Link) known() bool {
+	l.net.owners.mu.Lock()
+	defer l.net.owners.mu.Unlock()
+	return l.registered
+}
+
 // send writes until all is out or the system is full. A write that is cut short or interrupted is gone on with at once.
 // up is false where the connection that was dialled is not up yet.
 func (l *Link) send() (up bool, err error) {
@@ -540,7 +576,14 @@
 	l.Flush()
 }
 
-func (l *Link) Close() { l.conn.Close() }
+func (l *Link) Close() { l.close(nil) }
+
+// close is the one place where the front closes a link by itself; the poller closes it where the peer has.
+func (l *Link) close(err error) {
+	if l.net.owners.close(l, err) {
+		l.gone()
+	}
+}
 
 func (l *Link) Abort() {
 	l.conn.Lock()
@@ -548,5 +591,5 @@
 		l.conn.SetLinger(1, 0)
 	}
 	l.conn.Unlock()
-	l.conn.Close()
+	l.Close()
 }
