--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -23,9 +23,12 @@
 )
 
 const (
-	spare   = 4 << 10 // of a ring, beside the longest message
-	noPort  = 24      // IP_BIND_ADDRESS_NO_PORT
-	reserve = 24      // descriptors that no link has: pollers, listener, discovery, log, a dial in the making
+	spare       = 4 << 10               // of a ring, beside the longest message
+	acceptPause = 10 * time.Millisecond // between tries where the system has no descriptor or memory for a connection
+	mostCopies  = 100                   // tries to take a connection over that was accepted
+
+	noPort  = 24 // IP_BIND_ADDRESS_NO_PORT
+	reserve = 24 // descriptors that no link has: pollers, listener, discovery, log, a dial in the making
 )
 
 // Net holds the sockets of one front.
@@ -173,7 +176,7 @@
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
-		time.Sleep(10 * time.Millisecond) // out of descriptors all the same
+		time.Sleep(acceptPause) // out of descriptors all the same
 	}
 }
 
@@ -188,6 +191,10 @@
 // the start that news waits for queue.
 func (n *Net) add(c net.Conn, what front.What, in, out int) (*Link, error) {
 	nc, err := nbio.NBConn(c)
+	for tries := 1; err != nil && what&front.Accepted != 0 && tries < mostCopies && !n.deaf.Load(); tries++ {
+		time.Sleep(acceptPause) // Danger: a client that is accepted has perhaps been read by the machine, and is owed an answer.
+		nc, err = nbio.NBConn(c)
+	}
 	if err != nil {
 		c.Close()
 		return nil, err
