--- a/cmd/micatrack/callfaults_test.go
+++ b/cmd/micatrack/callfaults_test.go
@@ -186,7 +186,7 @@
 	})
 	process := w.startFaulty(faulty(seed, kinds))
 	y := w.exercise(s, span)
-	w.t.Logf("seed %d: %d served, %d refused, %d failed", seed, y.served.Load(), y.refused.Load(), y.failed.Load())
+	w.t.Logf("%s, seed %d: %d served, %d refused, %d failed", w.t.Name(), seed, y.served.Load(), y.refused.Load(), y.failed.Load())
 	if y.served.Load() == 0 {
 		w.t.Errorf("seed %d: nothing was served", seed)
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -42,8 +42,8 @@
 	Own(owner any)
 }
 
-// NoRoom: no descriptor is left for a connection, which is no fault of the store's.
-var NoRoom = errors.New("no descriptor is left")
+// NoRoom: no descriptor, port or memory is left for a connection, which is no fault of the store's.
+var NoRoom = errors.New("no room for a connection")
 
 // Sockets opens connections. What is written on a link that is not up yet waits; Closed follows if it never
 // will be.
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -242,28 +242,39 @@
 		return nil, err
 	}
 	fd, sa, err := named(to)
-	if err == syscall.EMFILE || err == syscall.ENFILE {
-		return nil, front.NoRoom
-	} else if err != nil {
-		return nil, err
+	if err != nil {
+		return nil, lack(err)
 	}
 	file := os.NewFile(uintptr(fd), addr)
 	defer file.Close()
-	if err := syscall.Connect(fd, sa); err != nil && err != syscall.EINPROGRESS {
-		return nil, err
+	if err := syscall.Connect(fd, sa); err != nil && err != syscall.EINPROGRESS && err != syscall.EINTR {
+		return nil, lack(err)
 	}
 	c, err := net.FileConn(file)
 	if err != nil {
-		return nil, err
+		return nil, lack(err)
 	}
 	l, err := n.add(c, 0, n.answer, pgwire.MostQuery)
 	if err != nil {
-		return nil, err
+		return nil, lack(err)
 	}
 	l.rising = true
 	return l, nil
 }
 
+// lack is front.NoRoom where the machine is out of something for a moment, which says nothing of the store; else err.
+func lack(err error) error {
+	var errno syscall.Errno
+	if !errors.As(err, &errno) {
+		return err
+	}
+	switch errno {
+	case syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL, syscall.EADDRINUSE, syscall.EAGAIN:
+		return front.NoRoom
+	}
+	return err
+}
+
 var bind = syscall.Bind // that no socket reads back where the port is left to connect, so a test stands in for it
 
 // named opens a socket that is bound before it connects.
