--- a/cmd/micatrack/serve.go
+++ b/cmd/micatrack/serve.go
@@ -109,8 +109,9 @@
 const (
 	reserve = 24                     // descriptors that are neither clients' nor stores'
 	rest    = 2 * time.Second        // a client that asked nothing for that long yields where there is no room
-	grace   = 600 * time.Millisecond // SIGKILL follows SIGTERM no sooner than this after the longest outer limit,
-	longest = 3 * time.Second        // which counts as that much where it is longer
+	grace   = 600 * time.Millisecond // new connections may come for most of that time behind SIGTERM
+	force   = 500 * time.Millisecond // SIGKILL comes 700 ms after the longest deadline, and the front may be held up for 150 ms
+	longest = 3 * time.Second        // that deadline counts as this much where it is longer
 	tick    = 100 * time.Microsecond // one front.Time
 )
 
@@ -169,7 +170,7 @@
 	now := clock()
 	watcher := discovery.Watch(o.discovery, o.version, net.Wake, log)
 	links := o.sockets - reserve
-	limits := front.Limits{Links: links, Clients: links / 2, Answer: answer, Kept: int(o.memory / 16), Rest: int64(rest / tick), Grace: int64(grace / tick),
+	limits := front.Limits{Links: links, Clients: links / 2, Answer: answer, Kept: int(o.memory / 16), Rest: int64(rest / tick), Grace: int64(grace / tick), Force: int64(force / tick),
 		Longest: int64(longest / tick), Secret: make([]byte, 32)}
 	rand.Read(limits.Secret)
 	limits.Door = doorBounds(&o.operators.Door)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -87,7 +87,8 @@
 	Kept    int          // bytes of answers that wait for those before them on their connections; 0: defaultKept
 	Answer  int          // bytes of one message of a store
 	Rest    Time         // a client that asked nothing for that long may be hung up on to make room
-	Grace   Time         // from Stop to the end by force, beside the longest deadline
+	Grace   Time         // from Stop on, for that long at least, clients are served on
+	Force   Time         // from Stop to the end by force, beside the longest deadline; 0: Grace
 	Longest Time         // that deadline counts as no more than this there; 0: it counts in full
 	Door    *door.Bounds // nil: requests go straight to the module
 	Address string       // where Bolt clients reach this front, for ROUTE, if they do not say
@@ -237,7 +238,7 @@
 	if c.stopAt == 0 {
 		span := min(c.classes.longest, cmp.Or(c.limits.Longest, c.classes.longest))
 		// Danger: where limits are short, new connections still come when most of that time is over.
-		c.stopAt, c.endAt = now+max(span*3/4, c.limits.Grace), now+span+c.limits.Grace
+		c.stopAt, c.endAt = now+max(span*3/4, c.limits.Grace), now+span+cmp.Or(c.limits.Force, c.limits.Grace)
 		c.module.Closing(now, c.endAt) // Danger: what the end by force finds unanswered is lost.
 	}
 }
