--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -78,7 +78,9 @@
 	greeted  bool
 
 	messageSince Time // since when part of a message has been here, as of the last sweep; 0: it has not
-	stuckNoted   bool // that the system does not take what it was sent is logged
+	unreadSince  Time // since when it has taken nothing of what it is sent, as of the last sweep; 0: it has all
+	unreadSent   int64
+	unreadNoted  bool // that is logged
 }
 
 func (c *Core) accept(l Link, what What, s speech) {
--- a/internal/front/events.go
+++ b/internal/front/events.go
@@ -5,10 +5,7 @@
 	"log/slog"
 )
 
-const (
-	summaryInterval = 60 * 1000 * perMilli // between two lines that count what ended
-	answerPatience  = 1000 * perMilli      // an answer that the system has not taken by then is logged
-)
+const summaryInterval = 60 * 1000 * perMilli // between two lines that count what ended
 
 // closeCause says why a client's connection ended.
 type closeCause uint8
@@ -104,15 +101,6 @@
 		"over_ms", over/perMilli, "attempts", request.sent, "store", store, "out", request.attempt != nil, "waits", request.waits)
 }
 
-// noteStuckAnswer logs once that the system has not taken an answer for long.
-func (c *Core) noteStuckAnswer(cl *client) {
-	if cl.stuckNoted || cl.link.Empty() || c.now-cl.since < answerPatience {
-		return
-	}
-	cl.stuckNoted = true
-	c.note("answer not taken", "client", cl.serial, "sent", cl.link.Sent(), "since_ms", (c.now-cl.since)/perMilli)
-}
-
 // summarize logs the counts of what ended, once in each summaryInterval in which something did.
 func (c *Core) summarize() {
 	if c.now < c.counts.summaryAt {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -1260,3 +1260,27 @@
 		}
 	}
 }
+
+// TestClientThatReadsNothing: its connection is given back after unreadLimit, not before, and one that takes a little now and
+// then is waited for.
+func TestClientThatReadsNothing(t *testing.T) {
+	s := newStage(t, 40, true)
+	dead, slow := s.client(), s.client()
+	for _, w := range []*wire{dead, slow} {
+		s.say(w, string(pgwire.AppendSimple(nil, "")))
+		w.stuck = 6
+	}
+	for range 3 {
+		s.pass(unreadLimit / 4)
+		slow.stuck--
+	}
+	if dead.closed || slow.closed {
+		t.Fatal("one that reads nothing is hung up on too early")
+	}
+	s.pass(unreadLimit/4 + second)
+	if !dead.closed || slow.closed {
+		t.Errorf("closed: the one that reads nothing %v, the slow one %v", dead.closed, slow.closed)
+	}
+	slow.stuck = 0
+	s.idle(1)
+}
--- a/internal/front/timeouts.go
+++ b/internal/front/timeouts.go
@@ -6,6 +6,10 @@
 	stallLimit = 2500 * perMilli
 	// messageLimit ends one whose client goes on, but takes longer than this over one message.
 	messageLimit = 30 * 1000 * perMilli
+	// unreadPatience is for how long a client may take nothing of what it is sent before that is logged,
+	unreadPatience = 1000 * perMilli
+	// unreadLimit before it is hung up on.
+	unreadLimit = 30 * 1000 * perMilli
 )
 
 // sweepClients ends the connections of clients whose time is over.
@@ -18,7 +22,29 @@
 		} else if cl.request < 0 {
 			c.sweepWaiting(cl)
 		}
-		c.noteStuckAnswer(cl)
+		if cl.at >= 0 {
+			c.sweepUnread(cl)
+		}
+	}
+}
+
+// sweepUnread hangs up on a client that takes nothing of what it is sent. One that does so slowly is waited for.
+func (c *Core) sweepUnread(cl *client) {
+	if cl.link.Empty() {
+		cl.unreadSince = 0
+		return
+	}
+	if sent := cl.link.Sent(); cl.unreadSince == 0 || sent != cl.unreadSent {
+		cl.unreadSince, cl.unreadSent, cl.unreadNoted = c.now, sent, false
+		return
+	}
+	unread := c.now - cl.unreadSince
+	if unread >= unreadPatience && !cl.unreadNoted {
+		cl.unreadNoted = true
+		c.note("answer not taken", "client", cl.serial, "sent", cl.unreadSent)
+	}
+	if unread >= unreadLimit {
+		cl.hangUp(c, closedUnread)
 	}
 }
 
