--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -201,6 +201,9 @@
 		j.waits, j.attempt = false, k
 	}
 	k.dialect.ask(k, c, e)
+	if k.at >= 0 {
+		k.link.Flush() // Danger: behind all else that this turn has to do, its client may have gone.
+	}
 }
 
 func (k *conn) write(c *Core, p []byte) {
