--- a/internal/sock/register.go
+++ b/internal/sock/register.go
@@ -10,8 +10,9 @@
 	"github.com/lesismal/nbio"
 )
 
-// registerPatience is how long a connection waits for the poller's word before it is put under it all the same.
-const registerPatience = 10 * time.Millisecond
+// registerPatience is how long a connection waits for the poller's word before it is put under it all the same. The poller
+// may be held up for half of that.
+const registerPatience = 300 * time.Millisecond
 
 // registry puts connections under the poller.
 //
