--- a/review/shard/main.go
+++ b/review/shard/main.go
@@ -31,7 +31,7 @@
 		fmt.Println("usage: shard PLAY RUN-LINE RECORD")
 		os.Exit(2)
 	}
-	broken, err := run1(os.Args[1], os.Args[2], os.Args[3])
+	broken, err := playOnce(os.Args[1], os.Args[2], os.Args[3])
 	for k, text := range broken {
 		if k < 10 {
 			fmt.Println("BROKEN", text)
@@ -48,7 +48,7 @@
 	fmt.Println("the rule held")
 }
 
-func run1(name, runLine, out string) (broken []string, err error) {
+func playOnce(name, runLine, out string) (broken []string, err error) {
 	p, ok := plays[name]
 	if !ok && name != "bookmarks" {
 		return nil, fmt.Errorf("no play %q", name)
@@ -98,6 +98,9 @@
 	for _, text := range broken {
 		rec.line("BROKEN %s", text)
 	}
+	for _, text := range append(l.wrong, w.foreign...) {
+		rec.line("also seen: %s", text)
+	}
 	return broken, err
 }
 
