Core: keep a request's index until no queue names it

Cause: tasks, arrivals and abandoned requests name a request by its index, and only results were counted before an index was released. A dispatch that was queued when its client left met a free index, or the request that had been given it; the count of that one fell below zero, its index was released early, the balancer held it for unanswered and refused whatever had the index by its deadline.

Change: each queue entry counts for its request (request.queued), and releaseRequest waits until there is none. With it go two related paths: a task that ran for the next request of an index (a write was sent to a replica), and an arrival that could be handed over twice after a reload. Numbers of stores and the balancer's own table were read and are sound.

--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -68,7 +68,7 @@
 	store       uint32             // number of the store of the last attempt
 	// minPosition is the position that the answer to the current attempt has to show; 0: none.
 	minPosition Time
-	unreported  int  // attempt results that the balancer has not been told yet
+	queued      int  // entries of the core's queues that name it by its index
 	concluded   bool // it has had its final answer, or needs none
 	inUse       bool // the entry in Core.requests is taken
 }
@@ -261,6 +261,7 @@
 	c.countRequest(index, end)
 	req.client, req.concluded = nil, true
 	c.abandoned = append(c.abandoned, index)
+	req.queued++
 }
 
 // handleCancel handles a cancel request: a client asks, with the key that was sent on another of its connections, that
@@ -362,7 +363,7 @@
 	c.pending++
 	req := &c.requests[i]
 	*req = request{id: req.id, client: cl, metadata: meta, timeoutSpan: timeoutSpan, classes: c.classes, classIndex: kind, bolt: isBolt, arrivedAt: c.now, timeLeft: meta.TimeLeft, inUse: true}
-	c.arrived = append(c.arrived, i)
+	c.queueArrival(i)
 	return i, noFault, ""
 }
 
@@ -370,7 +371,7 @@
 func (c *Core) handleArrival(i int32) {
 	req := &c.requests[i]
 	switch {
-	case !req.inUse || req.concluded: // its client disconnected at once
+	case req.concluded: // its client disconnected at once
 	case !c.updateClass(req): // it was never sent, so trying again is safe
 		c.answer(i, req.client.protocol.refusalReply(c.scratch[:0], 0), endRefused)
 	case c.admission == nil:
@@ -477,11 +478,18 @@
 	c.unflushed = append(c.unflushed, cl.link)
 }
 
-// releaseRequest is the only place where a request's index is released, which happens once it is answered and its last
-// attempt has ended.
+// dequeued is called when an entry that named the request was taken from a queue of the core and has been handled.
+func (c *Core) dequeued(i int32) {
+	c.requests[i].queued--
+	c.releaseRequest(i)
+}
+
+// releaseRequest is the only place where a request's index is released, which happens once it is answered, its last
+// attempt has ended, and no entry of a queue names it. Otherwise an entry would act on the request that is given the
+// index next.
 func (c *Core) releaseRequest(i int32) {
 	req := &c.requests[i]
-	if !req.inUse || !req.concluded || req.attemptConn != nil || req.awaitsConn || req.unreported > 0 {
+	if !req.inUse || !req.concluded || req.attemptConn != nil || req.awaitsConn || req.queued > 0 {
 		return
 	}
 	*req = request{id: req.id}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -148,7 +148,7 @@
 // task is an action that the balancer has requested.
 type task struct {
 	run         func(c *Core, t task) // executes the task
-	request     int32                 // index in Core.requests
+	request     int32                 // index in Core.requests; -1: it concerns no request
 	attempt     int                   // number of the attempt
 	store       uint32                // number of the store
 	at          Time                  // end of the attempt, or the pause of a refusal
@@ -342,11 +342,12 @@
 				c.admission.RequestEnded(now, i)
 			}
 			c.balancer.ClientGone(now, c.requests[i].id)
-			c.releaseRequest(i)
+			c.dequeued(i)
 		}
 		c.abandoned = c.abandoned[:0]
 		for k := 0; k < len(c.arrived); k++ {
 			c.handleArrival(c.arrived[k])
+			c.dequeued(c.arrived[k])
 		}
 		c.arrived = c.arrived[:0]
 		if tickDue {
@@ -379,13 +380,31 @@
 func (g admissionHost) Admit(request int32) { g.c.submit(request) }
 func (g admissionHost) Log(text string)     { g.c.logLimited(text) }
 func (g admissionHost) Reject(request int32, pause Time) {
-	g.c.tasks = append(g.c.tasks, task{run: (*Core).refuseRequest, request: request, at: pause})
+	g.c.queueTask(task{run: (*Core).refuseRequest, request: request, at: pause})
+}
+
+// queueArrival queues a request that is to be passed to admission control or the balancer.
+func (c *Core) queueArrival(i int32) {
+	c.requests[i].queued++
+	c.arrived = append(c.arrived, i)
+}
+
+// queueTask queues a task for runTasks.
+func (c *Core) queueTask(t task) {
+	if t.request >= 0 {
+		c.requests[t.request].queued++
+	}
+	c.tasks = append(c.tasks, t)
 }
 
 // runTasks executes the tasks that the balancer and admission control have requested.
 func (c *Core) runTasks() {
 	for k := 0; k < len(c.tasks); k++ {
-		c.tasks[k].run(c, c.tasks[k])
+		t := c.tasks[k]
+		t.run(c, t)
+		if t.request >= 0 {
+			c.dequeued(t.request)
+		}
 	}
 	c.tasks = c.tasks[:0]
 }
@@ -397,10 +416,9 @@
 		return
 	}
 	req := &c.requests[b.request]
-	req.unreported--
 	b.result.Done = req.concluded
 	c.balancer.AttemptDone(c.now, req.id, b.attempt, b.store, b.result)
-	c.releaseRequest(b.request)
+	c.dequeued(b.request)
 }
 
 // applyStoreList numbers the stores of a list and passes it to the balancer.
@@ -475,12 +493,12 @@
 	if c.admission != nil {
 		c.admission.AttemptStarted(c.now, requestIndex(id))
 	}
-	c.tasks = append(c.tasks, task{run: (*Core).startAttempt, request: requestIndex(id), store: store, at: until, minPosition: minPosition})
+	c.queueTask(task{run: (*Core).startAttempt, request: requestIndex(id), store: store, at: until, minPosition: minPosition})
 }
 
 // Cancel cancels an attempt of a request.
 func (c *Core) Cancel(id string, attempt int) {
-	c.tasks = append(c.tasks, task{run: (*Core).cancelAttempt, request: requestIndex(id), attempt: attempt})
+	c.queueTask(task{run: (*Core).cancelAttempt, request: requestIndex(id), attempt: attempt})
 }
 
 // Refuse answers a request with a refusal that tells the client to try again after pause.
@@ -488,30 +506,30 @@
 	if c.admission != nil {
 		pause = c.admission.RetryAfter(c.now, requestIndex(id), pause)
 	}
-	c.tasks = append(c.tasks, task{run: (*Core).refuseRequest, request: requestIndex(id), at: pause})
+	c.queueTask(task{run: (*Core).refuseRequest, request: requestIndex(id), at: pause})
 }
 
 // Fail answers a request with an error that tells that it may have run. If the store protocol proves that it had no
 // effect, the client is told to try again instead.
 func (c *Core) Fail(id string) {
-	c.tasks = append(c.tasks, task{run: (*Core).failRequest, request: requestIndex(id)})
+	c.queueTask(task{run: (*Core).failRequest, request: requestIndex(id)})
 }
 
 // Probe asks a store for its position. The position watch may answer for it if need is not 0 and it knows that the store,
 // or with anyStore any store of its group, has reached need.
 func (c *Core) Probe(store uint32, need Time, anyStore bool) {
-	c.tasks = append(c.tasks, task{run: (*Core).startProbe, store: store, minPosition: need, anyStore: anyStore})
+	c.queueTask(task{run: (*Core).startProbe, request: -1, store: store, minPosition: need, anyStore: anyStore})
 }
 
 // CloseIdle closes the idle connections to a store.
 func (c *Core) CloseIdle(store uint32) {
-	c.tasks = append(c.tasks, task{run: func(c *Core, t task) { c.closeIdle(t.store) }, store: store})
+	c.queueTask(task{run: func(c *Core, t task) { c.closeIdle(t.store) }, request: -1, store: store})
 }
 
 // Forget releases the number of a store that the balancer no longer knows.
 func (c *Core) Forget(store uint32) {
 	c.stores[store].forgotten = true
-	c.tasks = append(c.tasks, task{run: (*Core).removeStore, store: store})
+	c.queueTask(task{run: (*Core).removeStore, request: -1, store: store})
 }
 
 // WakeAfter has Step called with a tick of the balancer after that time at the latest.
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -16,6 +16,7 @@
 
 // fakeLink is a link whose peer is the test.
 type fakeLink struct {
+	addr             string // the address that was dialled; "" for a client
 	in, out          []byte
 	takenBytes       int // bytes read by the test
 	unsentBytes      int // queued bytes that the system has not accepted
@@ -85,11 +86,11 @@
 
 var errLost = errors.New("refused")
 
-func (s *harness) Dial(string) (Link, error) {
+func (s *harness) Dial(addr string) (Link, error) {
 	if s.dialError != nil {
 		return nil, s.dialError
 	}
-	w := &fakeLink{}
+	w := &fakeLink{addr: addr}
 	s.dials = append(s.dials, w)
 	return w, nil
 }
@@ -164,7 +165,7 @@
 		s.t.Errorf("not everything is released: %v", c)
 	}
 	for i := range c.requests {
-		if req := &c.requests[i]; req.inUse || req.unreported != 0 {
+		if req := &c.requests[i]; req.inUse || req.queued != 0 {
 			s.t.Errorf("request %d is still in use", i)
 		}
 	}
--- a/internal/front/settings.go
+++ b/internal/front/settings.go
@@ -46,7 +46,9 @@
 		return err
 	}
 	c.admission = successor
-	c.arrived = append(c.arrived, waiting...)
+	for _, i := range waiting {
+		c.queueArrival(i)
+	}
 	c.classes = newClassTable(s.Balancer.Classes)
 	c.host, c.settings = s.Host, s
 	c.nextWake = min(c.nextWake, now) // the next step re-evaluates everything that waits here
--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -93,7 +93,7 @@
 	req := &c.requests[t.request]
 	attempt := req.attempts
 	req.attempts++
-	if !req.inUse || req.concluded || req.attemptConn != nil || req.awaitsConn || int(t.store) >= len(c.stores) ||
+	if req.concluded || req.attemptConn != nil || req.awaitsConn || int(t.store) >= len(c.stores) ||
 		c.stores[t.store].bolt != req.bolt {
 		c.queueResult(attemptResult{t.request, attempt, t.store, balance.Result{Ending: balance.NotSent}})
 		return
@@ -309,7 +309,7 @@
 // queueResult keeps a result for the balancer.
 func (c *Core) queueResult(b attemptResult) {
 	if b.request >= 0 {
-		c.requests[b.request].unreported++
+		c.requests[b.request].queued++
 		if c.admission != nil {
 			c.admission.AttemptEnded(c.now, b.request, b.result.Ending == balance.Served)
 		}
@@ -377,7 +377,7 @@
 // another request's.
 func (c *Core) cancelAttempt(t task) {
 	req := &c.requests[t.request]
-	if !req.inUse || t.attempt != req.attempts-1 {
+	if t.attempt != req.attempts-1 {
 		return
 	}
 	if req.awaitsConn {
