Core: read what has arrived before a client is ended as stalled

Cause: the poller fills a client's buffer at any time, and its event is handled in the next step.

Limits are as before. With it go related paths: the rest of a message, or a startup with commands behind it, that came while the front stood still, and commands that had arrived by the forced end of a shutdown, which are refused now. evict and finishIfIdle were read and are sound.

Tests: TestInputThatNoEventHasToldOf forces the orders; before the change 9 of its 10 cases fail each time. TestMessageThatGoesOnWithoutEnd holds the limit for a message without an end. Tests of internal/front, internal/sock and internal/world pass.

--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -81,7 +81,8 @@
 	protocol     clientProtocol
 	readNext     func(cl *client, c *Core, in []byte) (used int) // processes the next input; 0: it is incomplete
 	activeAt     Time                                            // when it connected, last completed a message or was last answered
-	lastInput    Time                                            // when it connected or last sent anything
+	lastInput    Time                                            // when it connected or more input was last found
+	inputBytes   int64                                           // bytes of input received by then
 	request      int32                                           // index of the pending request, or -1
 	requestBytes int                                             // bytes of the pending request's query
 	pipeline     pipeline                                        // requests behind the pending one
@@ -183,19 +184,47 @@
 		cl.protocol.inputAvailable(cl, c)
 	}
 	if flags&Readable != 0 {
-		cl.lastInput = c.now
-	}
-	if flags&Readable != 0 && !cl.ending {
-		if _, isPostgres := cl.protocol.(postgres); isPostgres && cl.greeted {
-			cl.pipeline.arrivals.scan(cl.link.Peek(), c.now)
-		}
-		cl.read(c)
+		cl.noteInput(c)
+		cl.processInput(c)
 	}
 	if flags&Closed != 0 {
 		cl.release(c, closedByPeer)
 	}
 }
 
+// noteInput reports whether more input has arrived since the last call.
+func (cl *client) noteInput(c *Core) bool {
+	received := cl.link.ReceivedBytes()
+	if received == cl.inputBytes {
+		return false
+	}
+	cl.inputBytes, cl.lastInput = received, c.now
+	return true
+}
+
+// processInput processes the input that has arrived.
+func (cl *client) processInput(c *Core) {
+	if cl.ending {
+		return
+	}
+	if _, isPostgres := cl.protocol.(postgres); isPostgres && cl.greeted {
+		cl.pipeline.arrivals.scan(cl.link.Peek(), c.now)
+	}
+	cl.read(c)
+}
+
+// receiveInput processes all input that has arrived up to this moment, whether or not an event has told of it. It
+// reports whether the client is still connected.
+func (cl *client) receiveInput(c *Core) bool {
+	if !cl.link.PeerOpen() {
+		return false // its Closed event follows
+	}
+	if cl.noteInput(c) {
+		cl.processInput(c)
+	}
+	return cl.index >= 0
+}
+
 // closeNow closes a client's connection at once.
 func (cl *client) closeNow(c *Core, cause closeCause) {
 	cl.link.Close()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -29,6 +29,8 @@
 	Peek() []byte
 	// Discard drops the first n bytes of the input.
 	Discard(n int)
+	// ReceivedBytes returns the number of bytes of input received so far, discarded or not.
+	ReceivedBytes() int64
 	// ReadBufferFull reports whether there is no room for more input.
 	ReadBufferFull() bool
 	// Write queues all of p, or returns false if there is no room for it.
@@ -46,7 +48,7 @@
 	// CloseWrite ends the output after all that is queued, and closes the socket when the peer does; further input is
 	// dropped.
 	CloseWrite()
-	// PeerOpen reports whether the peer is still connected, as the system knows at this moment.
+	// PeerOpen receives all input that the system holds at this moment, and reports whether the peer is still connected.
 	PeerOpen() bool
 	// CloseWriteIfIdle is CloseWrite if no undiscarded input has been received up to this moment and no output is
 	// queued. It reports whether it closed.
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -18,18 +18,24 @@
 type fakeLink struct {
 	addr             string // the address that was dialled; "" for a client
 	in, out          []byte
-	takenBytes       int // bytes read by the test
-	unsentBytes      int // queued bytes that the system has not accepted
-	queries          int // queries among the bytes read
-	lateSentBytes    int // of the unsent bytes, those accepted just before the close
+	takenBytes       int    // bytes read by the test
+	discardedBytes   int    // bytes of input that the core has discarded
+	heldBytes        []byte // input that the system holds; PeerOpen receives it
+	unsentBytes      int    // queued bytes that the system has not accepted
+	queries          int    // queries among the bytes read
+	lateSentBytes    int    // of the unsent bytes, those accepted just before the close
 	owner            any
 	closed, finished bool
 	peerGone         bool // its peer has disconnected, and the core has not been told
 	writeLimit       int  // bytes that Write has room for; 0: any
 }
 
-func (w *fakeLink) Peek() []byte         { return w.in }
-func (w *fakeLink) Discard(n int)        { w.in = w.in[n:] }
+func (w *fakeLink) Peek() []byte { return w.in }
+func (w *fakeLink) Discard(n int) {
+	w.in = w.in[n:]
+	w.discardedBytes += n
+}
+func (w *fakeLink) ReceivedBytes() int64 { return int64(w.discardedBytes + len(w.in)) }
 func (w *fakeLink) ReadBufferFull() bool { return false }
 func (w *fakeLink) Write(p []byte) bool {
 	if w.writeLimit > 0 && len(w.out)+len(p) > w.writeLimit {
@@ -45,17 +51,19 @@
 func (w *fakeLink) Close()           { w.closed, w.unsentBytes = true, w.unsentBytes-w.lateSentBytes }
 func (w *fakeLink) CloseWrite()      { w.finished = true }
 func (w *fakeLink) PeerOpen() bool {
+	w.in = append(w.in, w.heldBytes...)
+	w.heldBytes = nil
 	return !w.peerGone
 }
 func (w *fakeLink) CloseWriteIfIdle() bool {
-	if len(w.in) > 0 || w.unsentBytes > 0 {
+	if w.PeerOpen(); len(w.in) > 0 || w.unsentBytes > 0 {
 		return false
 	}
 	w.CloseWrite()
 	return true
 }
 func (w *fakeLink) CloseIfIdle(last []byte) bool {
-	if len(w.in) > 0 {
+	if w.PeerOpen(); len(w.in) > 0 {
 		return false
 	}
 	w.out = append(w.out, last...)
--- a/internal/front/timeouts.go
+++ b/internal/front/timeouts.go
@@ -77,21 +77,43 @@
 // sweepWaiting ends the connection of a client without a pending request if the front shuts down, or if the client has
 // stopped within a message.
 func (c *Core) sweepWaiting(cl *client) {
+	// During shutdown a partly received message is waited for, since its client sends the rest unaware of the shutdown.
+	if c.Stopping() && c.now < c.shutdownDeadline && len(cl.link.Peek()) == 0 {
+		cl.finishIfIdle(c, closedAtShutdown)
+		return
+	}
+	if _, over := c.waitOver(cl); !over {
+		return
+	}
+	// Input may have arrived that no event has told of yet: the rest of the message, or whole commands behind a rest.
+	if !cl.receiveInput(c) || cl.ending || cl.request >= 0 {
+		return
+	}
+	switch cause, over := c.waitOver(cl); {
+	case !over:
+	case cause == closedStalled:
+		cl.protocol.messageStalled(cl, c)
+	default:
+		cl.finish(c, cause)
+	}
+}
+
+// waitOver reports whether the front waits no longer for input of a client without a pending request, and why.
+func (c *Core) waitOver(cl *client) (cause closeCause, over bool) {
 	inMessage := len(cl.link.Peek()) > 0
 	if !inMessage {
 		cl.messageSince = 0
 	} else if cl.messageSince == 0 {
 		cl.messageSince = c.now
 	}
-	// During shutdown a partly received message is waited for, since its client sends the rest unaware of the shutdown.
+	silence := c.now - cl.lastInput
 	switch {
 	case c.Stopping() && c.now >= c.shutdownDeadline:
-		cl.finish(c, closedAtShutdown)
-	case c.Stopping() && !inMessage:
-		cl.finishIfIdle(c, closedAtShutdown)
-	case inMessage && (c.now-cl.lastInput >= stallLimit || c.now-cl.messageSince >= messageLimit):
-		cl.protocol.messageStalled(cl, c)
-	case !cl.greeted && (c.now-cl.lastInput >= stallLimit || c.now-cl.activeAt >= messageLimit):
-		cl.finish(c, closedUngreeted)
+		return closedAtShutdown, true
+	case inMessage && (silence >= stallLimit || c.now-cl.messageSince >= messageLimit):
+		return closedStalled, true
+	case !cl.greeted && (silence >= stallLimit || c.now-cl.activeAt >= messageLimit):
+		return closedUngreeted, true
 	}
+	return 0, false
 }
--- a/internal/front/timeouts_test.go
+++ b/internal/front/timeouts_test.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"strings"
 	"testing"
 
 	"micatrack/internal/pgwire"
@@ -55,6 +56,85 @@
 	}
 }
 
+// TestInputThatNoEventHasToldOf guards against whole commands that are answered as an incomplete message, and their
+// connection closed, since they came after a rest. Input arrives after the events of a step were collected, in the link's
+// buffer or with the system, and in that step the client's time is over, counted from its last input.
+func TestInputThatNoEventHasToldOf(t *testing.T) {
+	hello := string(pgwire.AppendStartup(nil, "web", "orders"))
+	commands := ask("any", 1) + ask("any", 2)
+	refusal := pgwire.TooManyConnections
+	for _, c := range []struct {
+		name         string
+		before, late string
+		rest         Time
+		stop         bool // the front shuts down, and the forced end comes in that step
+	}{
+		{"commands after a rest", hello, commands, stallLimit, false},
+		{"the rest of a command", hello + commands[:7], commands[7:], stallLimit, false},
+		{"the startup", "", hello + commands, stallLimit, false},
+		{"the rest of the startup", hello[:5], hello[5:] + commands, stallLimit, false},
+		{"commands at the forced end", hello + commands[:7], commands[7:], 0, true},
+	} {
+		for _, held := range []bool{false, true} {
+			s := newHarness(t, 40, true)
+			cl := &fakeLink{in: []byte(c.before)}
+			s.step(Event{cl, Accepted | Readable})
+			if c.stop {
+				s.core.Stop(s.now)
+				s.now = s.core.shutdownDeadline - 1
+			}
+			s.now += c.rest
+			if held {
+				cl.heldBytes = []byte(c.late)
+			} else {
+				cl.in = append(cl.in, c.late...)
+			}
+			s.now = max(s.now, s.core.NextStep())
+			s.step()
+			cl.PeerOpen()
+			s.step(Event{cl, Readable})
+			s.welcomeAll()
+			if c.stop { // no time is left for an attempt
+				got := cl.takeOutput()
+				if refusals := strings.Count(got, refusal); refusals != 2 {
+					t.Errorf("%s, held %v: %d of 2 refused: %q", c.name, held, refusals, got)
+				}
+				continue
+			}
+			first, second := s.carrierOf(1), s.carrierOf(2)
+			if cl.finished || cl.closed || first == nil || second == nil {
+				t.Errorf("%s, held %v: answered %q", c.name, held, cl.takeOutput())
+				continue
+			}
+			s.send(first, value, ready)
+			s.send(second, value, ready)
+			if got := cl.takeOutput(); !strings.HasSuffix(got, value+ready+value+ready) {
+				t.Errorf("%s, held %v: answered %q", c.name, held, got)
+			}
+			s.step(Event{cl, Closed})
+			s.checkReleased(0)
+		}
+	}
+}
+
+// TestMessageThatGoesOnWithoutEnd checks that a client which has always just sent something does not keep its connection
+// beyond messageLimit without completing a message.
+func TestMessageThatGoesOnWithoutEnd(t *testing.T) {
+	s := newHarness(t, 40, true)
+	cl := s.newClient()
+	s.send(cl, "Q\x00\x01\x00\x00")
+	began := s.now
+	for !cl.finished && s.now < began+2*messageLimit {
+		cl.heldBytes = []byte(" ")
+		s.advance(20 * millisecond)
+		cl.PeerOpen()
+		s.step(Event{cl, Readable})
+	}
+	if took := s.now - began; took < messageLimit || took > messageLimit+second {
+		t.Errorf("ended after %d ms", took/millisecond)
+	}
+}
+
 // TestClientThatReadsNothing checks that the connection of a client that reads nothing is closed after unreadLimit, not
 // before, and that one that reads a little now and then is kept.
 func TestClientThatReadsNothing(t *testing.T) {
--- a/internal/sock/link.go
+++ b/internal/sock/link.go
@@ -19,6 +19,7 @@
 	conn      *nbio.Conn
 	mu        sync.Mutex       // guards in, inputFull and closed
 	in        ring.Buffer      // data that was received and not discarded
+	inBytes   atomic.Int64     // bytes that were received
 	inputFull bool             // received bytes were left with the system because in was full
 	closed    bool             // the descriptor was released
 	pending   front.EventFlags // events that Poll has not returned yet; guarded by Net.mu
@@ -61,6 +62,7 @@
 		switch {
 		case n > 0:
 			l.in.Commit(n)
+			l.inBytes.Add(int64(n))
 			l.received.Store(true)
 			got = true
 		case err == syscall.EINTR:
@@ -171,6 +173,9 @@
 	return l.inputFull
 }
 
+// ReceivedBytes returns the number of bytes received so far, discarded or not.
+func (l *Link) ReceivedBytes() int64 { return l.inBytes.Load() }
+
 // Owner returns the value last passed to SetOwner.
 func (l *Link) Owner() any { return l.owner }
 
--- a/internal/world/link.go
+++ b/internal/world/link.go
@@ -20,6 +20,7 @@
 	number  uint64
 	in, out []byte
 	sent    int64
+	got     int64 // bytes that have come from the other side
 	owner   any
 	what    front.EventFlags
 	told    bool // it stands among the front's events
@@ -35,7 +36,8 @@
 	sort.Slice(links, func(a, b int) bool { return links[a].number < links[b].number })
 }
 
-// Peek, Discard, Full, Write, Flush, Sent, Empty, Close, Abort, Finish, Owner and Own are front.Link.
+// Peek, Discard, ReadBufferFull, ReceivedBytes, Write, Flush, SentBytes, Flushed, Close, Abort, CloseWrite, Owner and
+// SetOwner are front.Link.
 func (l *link) Peek() []byte         { return l.in }
 func (l *link) Discard(n int)        { l.in = l.in[n:] }
 func (l *link) ReadBufferFull() bool { return len(l.in) > 1<<18 }
@@ -43,11 +45,12 @@
 	l.out = append(l.out, p...)
 	return true
 }
-func (l *link) SentBytes() int64 { return l.sent }
-func (l *link) Flushed() bool    { return len(l.out) == 0 }
-func (l *link) Abort()           { l.Close() }
-func (l *link) Owner() any       { return l.owner }
-func (l *link) SetOwner(o any)   { l.owner = o }
+func (l *link) ReceivedBytes() int64 { return l.got }
+func (l *link) SentBytes() int64     { return l.sent }
+func (l *link) Flushed() bool        { return len(l.out) == 0 }
+func (l *link) Abort()               { l.Close() }
+func (l *link) Owner() any           { return l.owner }
+func (l *link) SetOwner(o any)       { l.owner = o }
 
 func (l *link) Flush() {
 	if len(l.out) == 0 || l.closed {
@@ -112,6 +115,7 @@
 	l.f.w.carry(l.other, l.f.Node, func() {
 		if !l.closed {
 			l.in = append(l.in, b...)
+			l.got += int64(len(b))
 			l.news(front.Readable)
 		}
 	})
