Fences: a request keeps its session beside a bookmark, and the later fence counts

Cause: openRequest took the session from every request with a bookmark, writes too, so that the front did not remember the second write; and the balancer, where it remembers fences, ignored a read's own one if it named a session. Two fences were taken for alternatives.

Change: the session stays, and a read's fence is the later of what it tells and what the front remembers. Where reads carry their fences, or tell nothing, actions are the same.

Tests: TestBoltSessionSpansDriverSessions and TestLaterOfTwoFencesCounts force the orders and fail each time before the change.

--- a/balance/admission.go
+++ b/balance/admission.go
@@ -62,7 +62,7 @@
 		hash.Write([]byte(in.Session))
 		req.fenceSlot = int32(hash.Sum32() >> (32 - fenceBits))
 	}
-	if class.Need == Session && (b.fencesCarried || req.fenceSlot < 0) && in.WriteAge >= 0 {
+	if class.Need == Session && in.WriteAge >= 0 { // where fences are remembered, the later one counts
 		req.fence = now - in.WriteAge
 	}
 	req.priority = class.Credit / class.typicalTime
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -901,6 +901,33 @@
 	}
 }
 
+// TestLaterOfTwoFencesCounts guards against a read of a session that misses a write which it has told of itself, or one
+// that the front remembers. Where the front remembers fences, a read may carry the age of a write as well.
+func TestLaterOfTwoFencesCounts(t *testing.T) {
+	settings := testSettings()
+	settings.FencesCarried, settings.MayProbe = false, false
+	for _, c := range []struct {
+		name       string
+		remembered Time // age of the write that the front remembers
+		carried    Time // age of the write that the read tells
+	}{
+		{"an older write remembered", 900, 10},
+		{"an older write carried", 10, 900},
+	} {
+		front := threeStores(t, settings)
+		front.advance(1000)
+		write, read := newRequest("w", "once"), newRequest("r", "session")
+		write.Session, read.Session, read.WriteAge = "s", "s", c.carried
+		front.submit(write)
+		front.finish("w", 0, Result{Note: Report{Position: front.now - c.remembered, Role: Primary}})
+		front.report(2, front.now-500, Replica)
+		front.report(3, front.now-500, Replica)
+		if front.submit(read); front.lastStore(t, "r") != 1 {
+			t.Errorf("%s: the read went to %d, which is not known to have the later one", c.name, front.lastStore(t, "r"))
+		}
+	}
+}
+
 // TestCarriedFenceWithoutSession checks that, where the front remembers fences, a read without a session that
 // tells the age of its last write (by a bookmark, say) is handled by that.
 func TestCarriedFenceWithoutSession(t *testing.T) {
--- a/balance/front.go
+++ b/balance/front.go
@@ -13,7 +13,7 @@
 	Tenants            []Tenant // tenants that have a quota
 	OverQuotaCredit    float64  // credit of a request beyond its tenant's quota, as a part of the usual
 	StoresCheckReads   bool     // a store rejects a read for which it is too far behind
-	FencesCarried      bool     // reads carry the age of their session's last write; otherwise the front remembers it
+	FencesCarried      bool     // reads carry the age of their session's last write; otherwise the front remembers it too
 	ListPushed         bool     // changes of the member list are pushed; otherwise the front has to ask for them
 	ListInterval       Time     // a front without a watch has to ask for the list this often
 	AgentGrace         Time     // a drain binds this long after the front's own agent has it, whether the front was told or not; 0: no agent
--- a/balance/helper_test.go
+++ b/balance/helper_test.go
@@ -131,12 +131,11 @@
 			tracked.class = q
 		}
 	}
-	if front.settings.FencesCarried {
-		if in.WriteAge >= 0 {
-			tracked.fence = front.now - in.WriteAge
-		}
-	} else {
-		tracked.fence = front.fences[in.Session]
+	if in.WriteAge >= 0 {
+		tracked.fence = front.now - in.WriteAge
+	}
+	if !front.settings.FencesCarried {
+		tracked.fence = max(tracked.fence, front.fences[in.Session])
 	}
 	front.requests[in.ID] = tracked
 	front.order = append(front.order, in.ID)
--- a/cmd/micatrack/boltcases_test.go
+++ b/cmd/micatrack/boltcases_test.go
@@ -130,6 +130,65 @@
 	}
 }
 
+// TestBoltSessionSpansDriverSessions guards against a session's read that misses its last write because a bookmark came
+// with that write, or an older one with the read. The writes and reads come in several of the driver's sessions, all under
+// one session in s, while the replicas stand where they were after the first write.
+func TestBoltSessionSpansDriverSessions(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), outer)
+	defer cancel()
+	g := newGraph(t, "a", "b", "c")
+	d := g.driver("bolt")
+	do := func(s neo4j.SessionWithContext, id, class, statement string) {
+		t.Helper()
+		res, err := s.Run(ctx, statement, nil, func(c *neo4j.TransactionConfig) {
+			neo4j.WithTxTimeout(2500 * time.Millisecond)(c)
+			neo4j.WithTxMetadata(map[string]any{"id": id, "c": class, "s": "reader-7", "cluster": 1})(c)
+		})
+		if err == nil {
+			_, err = res.Consume(ctx)
+		}
+		if err != nil {
+			t.Fatal(id, err)
+		}
+	}
+	newSession := func(marks ...string) neo4j.SessionWithContext {
+		return d.NewSession(ctx, neo4j.SessionConfig{Bookmarks: marks})
+	}
+	chained := newSession()
+	do(chained, "w1", "save", "CREATE (n)")
+	firstMarks := chained.LastBookmarks()
+	time.Sleep(50 * time.Millisecond)
+	for _, replica := range []string{"b", "c"} {
+		g.group.SetLag(replica, time.Minute)
+	}
+	for n := 0; !g.replicaHasServed("warm"); n++ { // the front has to know that a replica has passed the first write
+		if n == 40 {
+			t.Fatal("no replica serves a read of the session after its first write")
+		}
+		do(newSession(), fmt.Sprint("warm", n), "mine", "RETURN 1")
+		time.Sleep(50 * time.Millisecond)
+	}
+	do(chained, "w2", "save", "CREATE (n)")
+	do(newSession(), "without a bookmark", "mine", "RETURN 1")
+	do(newSession(firstMarks...), "with an older bookmark", "mine", "RETURN 1")
+	written := g.group.WritePosition("w2")
+	for _, e := range g.group.Ledger() {
+		if strings.HasPrefix(e.RequestID, "with") && e.Position < written {
+			t.Errorf("read %s was answered by %s at %d, before the session's write at %d", e.RequestID, e.Store, e.Position, written)
+		}
+	}
+}
+
+// replicaHasServed reports whether a replica has served a read whose ID begins with prefix.
+func (g *graph) replicaHasServed(prefix string) bool {
+	for _, e := range g.group.Ledger() {
+		if strings.HasPrefix(e.RequestID, prefix) && e.Store != "a" {
+			return true
+		}
+	}
+	return false
+}
+
 func packed(what bolt.MessageType, fields int, more func(b []byte) []byte) []byte {
 	b, at := bolt.BeginMessage(nil)
 	return bolt.EndMessage(more(bolt.AppendStruct(b, byte(what), fields)), at)
--- a/internal/front/bolt.go
+++ b/internal/front/bolt.go
@@ -213,9 +213,6 @@
 		b.termBytes = append(b.termBytes, *v...)
 		*v = b.termBytes[len(b.termBytes)-len(*v) : len(b.termBytes) : len(b.termBytes)]
 	}
-	if t.HasReadAfter {
-		t.Session = nil // the bookmark takes precedence over the position that this front remembers for the session
-	}
 	if kind, ok := c.classes.byName[string(t.Class)]; ok && r.Extra.ReadOnly && c.classes.settings[kind].Need == balance.Write {
 		why = "a job that writes came in access mode r"
 	}
