Core: the limit for one message starts anew with each message

Callers that send commands without a gap for 30 s would be answered 08P01 ("not completed in time") and closed with a command half sent.

Cause: messageSince was set back by an empty buffer and by completed messages that are no requests; a completed request did not set it back, and over Bolt no message did.

Change: each completed message sets it back, in client.read and in Bolt's inputAvailable.

Tests: TestMessagesWithoutAGap and TestBoltMessagesWithoutAGap fail before the change each time, ended after 31.0 s. Tests of internal/front pass.

--- a/internal/front/bolt.go
+++ b/internal/front/bolt.go
@@ -106,6 +106,9 @@
 		case n == 0:
 			b.forwardRequest(cl, c)
 			return
+		}
+		cl.messageSince = 0
+		switch {
 		case len(body) == 0 && !b.dialogue.Busy(): // an empty chunk, which is a no-op
 			cl.link.Discard(n)
 			continue
--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -249,13 +249,14 @@
 			}
 			return
 		}
+		cl.messageSince = 0
 		if cl.request >= 0 {
 			cl.requestBytes, cl.pipeline.parsedBytes = n, n
 			c.requests[cl.request].arrivedAt = cl.pipeline.arrivals.arrivedAt(n, c.now)
 			continue
 		}
 		cl.discard(c, n)
-		cl.activeAt, cl.messageSince = c.now, 0
+		cl.activeAt = c.now
 	}
 }
 
--- a/internal/front/timeouts_test.go
+++ b/internal/front/timeouts_test.go
@@ -4,6 +4,7 @@
 	"strings"
 	"testing"
 
+	"micatrack/internal/bolt"
 	"micatrack/internal/pgwire"
 )
 
@@ -135,6 +136,57 @@
 	}
 }
 
+// TestMessagesWithoutAGap guards against a busy client whose connection is ended as stalled. For longer than messageLimit a
+// part of its next message has arrived whenever the connection is examined, and each message is completed in good time.
+func TestMessagesWithoutAGap(t *testing.T) {
+	s := newHarness(t, 40, true)
+	cl := s.newClient()
+	command := func(n int) string { return ask("any", n) }
+	const part = 9
+	s.send(cl, command(1)[:part])
+	for n, began := 1, s.now; s.now < began+messageLimit+5*second; n++ {
+		s.advance(second)
+		s.send(cl, command(n)[part:], command(n + 1)[:part])
+		s.welcomeAll()
+		carrier := s.carrierOf(n)
+		if cl.finished || carrier == nil {
+			t.Fatalf("ended after %d ms, answer %q", (s.now-began)/millisecond, cl.takeOutput())
+		}
+		carrier.takeOutput()
+		s.send(carrier, value, ready)
+		if got := code(t, cl.takeOutput()); got != "value" {
+			t.Fatalf("command %d is answered %s", n, got)
+		}
+	}
+}
+
+// TestBoltMessagesWithoutAGap is TestMessagesWithoutAGap for messages over Bolt that need no store.
+func TestBoltMessagesWithoutAGap(t *testing.T) {
+	message := func(kind bolt.MessageType, fields int) string {
+		text, at := bolt.BeginMessage(nil)
+		text = bolt.AppendStruct(text, byte(kind), fields)
+		for range fields {
+			text = bolt.AppendMap(text, 0)
+		}
+		return string(bolt.EndMessage(text, at))
+	}
+	s := newHarness(t, 40, true)
+	cl := &fakeLink{in: bolt.AppendHandshake(nil)}
+	s.step(Event{cl, Accepted | Bolt | Readable})
+	s.send(cl, message(bolt.Hello, 1), message(bolt.Logon, 1))
+	reset := message(bolt.Reset, 0)
+	const part = 3
+	s.send(cl, reset[:part])
+	cl.takeOutput()
+	for began := s.now; s.now < began+messageLimit+5*second; {
+		s.advance(second)
+		s.send(cl, reset[part:], reset[:part])
+		if cl.finished || len(cl.takeOutput()) == 0 {
+			t.Fatalf("ended or not answered after %d ms", (s.now-began)/millisecond)
+		}
+	}
+}
+
 // TestClientThatReadsNothing checks that the connection of a client that reads nothing is closed after unreadLimit, not
 // before, and that one that reads a little now and then is kept.
 func TestClientThatReadsNothing(t *testing.T) {
