Leases: messages of an added voter carry its address, so that a newer voter can answer

Cause: a new voter knows the addresses in the operators' file alone until it has the record. To a leader that was added since, it dropped its answers without a word, and so never got the log.

Change: messages of an added voter name it and its address, in a field that exists; a voter keeps that of senders that it does not know, 16 at most. Messages dropped for want of an address count among the dropped ones.

--- a/internal/leases/leases.go
+++ b/internal/leases/leases.go
@@ -9,6 +9,7 @@
 	"errors"
 	"log/slog"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,6 +27,7 @@
 const (
 	queueSize      = 1024                   // calls that wait for the voter, and replies that wait for the loop
 	maxQueuedLarge = 16                     // queue length above which messages larger than a datagram are dropped
+	maxSenders     = 16                     // voters of unknown address that are kept from their messages
 	closeTimeout   = 200 * time.Millisecond // how long Close waits for a stalled disk
 	clockUnit      = 100 * time.Microsecond // unit of Time
 )
@@ -64,8 +66,10 @@
 // Leases is one front's part in leases: its holder and, if it has one, its voter. Only the event loop may call its
 // methods, unless they say otherwise.
 type Leases struct {
-	Holder          *lease.Holder
-	DroppedMessages atomic.Int64 // messages dropped because they were malformed or a queue was full
+	Holder *lease.Holder
+	// DroppedMessages counts messages dropped because they were malformed, a queue was full, or the address of the voter
+	// that they are for is not known.
+	DroppedMessages atomic.Int64
 
 	host       Host
 	config     Config
@@ -201,7 +205,10 @@
 			l.DroppedMessages.Add(1)
 			return
 		}
-		l.localVoter.enqueue(func(v *lease.Voter) { v.HandleMessage(l.now(), &in) })
+		l.localVoter.enqueue(func(v *lease.Voter) {
+			l.localVoter.noteSender(m.From, m.Voters)
+			v.HandleMessage(l.now(), &in)
+		})
 	}
 }
 
@@ -249,6 +256,9 @@
 	stop           chan struct{}                        // closed to stop the goroutine
 	done           chan struct{}                        // closed when the goroutine has ended
 	mismatchLogged sync.Once                            // logs a mismatch of the initial voters only once
+	// senders holds voters, the newest last, that messages have come from and that neither the replicated record nor the
+	// operators' file has. Only the voter's goroutine may use it.
+	senders []lease.VoterInfo
 }
 
 // openVoter opens this front's state file and starts a voter from it.
@@ -335,12 +345,41 @@
 // Save persists a batch.
 func (v *localVoter) Save(b lease.Batch) error { return v.saver.Save(b) }
 
-// Send sends a raft message to another voter.
+// Send sends a raft message to another voter. That of an added voter names it and its address: a voter that is added
+// after it could not answer otherwise, and would never get the record from which it learns the address.
 func (v *localVoter) Send(to uint64, m *pb.Message) {
 	text, err := proto.Marshal(m)
-	if err == nil {
-		v.send(to, &peers.LeaseMessage{From: v.id, To: to, Log: text, InitialVotersHash: v.file.Identity.InitialVotersHash()})
+	if err != nil {
+		return
 	}
+	message := peers.LeaseMessage{From: v.id, To: to, Log: text, InitialVotersHash: v.file.Identity.InitialVotersHash()}
+	if k := indexOfVoter(v.voter.AddedVoters(), v.id); k >= 0 {
+		message.Voters = v.voter.AddedVoters()[k : k+1]
+	}
+	v.send(to, &message)
+}
+
+// noteSender keeps the address of a voter whose message names it, if it is not known otherwise.
+func (v *localVoter) noteSender(from uint64, named []lease.VoterInfo) {
+	k := indexOfVoter(named, from)
+	if k < 0 {
+		return
+	}
+	if known := indexOfVoter(v.senders, from); known >= 0 {
+		v.senders = slices.Delete(v.senders, known, known+1)
+	}
+	if v.voterInfo(from) != nil {
+		return
+	}
+	if len(v.senders) == maxSenders {
+		v.senders = slices.Delete(v.senders, 0, 1)
+	}
+	v.senders = append(v.senders, named[k])
+}
+
+// indexOfVoter returns the index of the voter with that ID, or -1.
+func indexOfVoter(voters []lease.VoterInfo, id uint64) int {
+	return slices.IndexFunc(voters, func(s lease.VoterInfo) bool { return s.ID == id })
 }
 
 // Forward forwards a request to the leader.
@@ -372,13 +411,12 @@
 // Log writes a line to the log.
 func (v *localVoter) Log(text string) { v.leases.log.Info(text) }
 
-// voterInfo returns a voter from the replicated record or else from the operators' file, or nil if neither has it.
+// voterInfo returns a voter from the replicated record, or else from the operators' file or from its own messages, or nil
+// if none has it.
 func (v *localVoter) voterInfo(id uint64) *lease.VoterInfo {
-	for _, voters := range [...][]lease.VoterInfo{v.voter.AddedVoters(), v.leases.config.Voters} {
-		for k := range voters {
-			if voters[k].ID == id {
-				return &voters[k]
-			}
+	for _, voters := range [...][]lease.VoterInfo{v.voter.AddedVoters(), v.leases.config.Voters, v.senders} {
+		if k := indexOfVoter(voters, id); k >= 0 {
+			return &voters[k]
 		}
 	}
 	return nil
@@ -386,9 +424,12 @@
 
 // send sends a lease message to another voter, if its address is known.
 func (v *localVoter) send(to uint64, m *peers.LeaseMessage) {
-	if s := v.voterInfo(to); s != nil {
-		v.leases.peers.SendLease(s.Addr, peers.AppendLease(nil, m))
+	s := v.voterInfo(to)
+	if s == nil {
+		v.leases.DroppedMessages.Add(1)
+		return
 	}
+	v.leases.peers.SendLease(s.Addr, peers.AppendLease(nil, m))
 }
 
 // VoterStatus is the status of one voter, as shown to operators.
@@ -406,8 +447,7 @@
 	Leases []lease.Grant `json:"leases"`
 	Leads  bool          `json:"leads"`           // whether this front's voter leads
 	Aside  string        `json:"aside,omitempty"` // why this front's voter has stepped aside, if it has
-	// Refused counts messages dropped because they cannot come from a voter, Dropped those dropped because they were
-	// malformed or a queue was full.
+	// Refused counts messages dropped because they cannot come from a voter, Dropped those of Leases.DroppedMessages.
 	Refused uint64 `json:"refused"`
 	Dropped int64  `json:"dropped"`
 }
--- a/internal/leases/leases_test.go
+++ b/internal/leases/leases_test.go
@@ -69,6 +69,16 @@
 
 // newFleetWithVoters returns n fronts of a fleet, of which the first votes ones run voters.
 func newFleetWithVoters(t *testing.T, fleet string, n, votes int, span time.Duration, wants ...string) (all []*testFront) {
+	return openFleet(t, fleetSize{fronts: n, voters: votes}, fleet, span, wants...)
+}
+
+// fleetSize is the number of fronts of a fleet. The first ones run voters of its first start, the next ones voters that
+// may be added.
+type fleetSize struct{ fronts, voters, laterVoters int }
+
+// openFleet returns the fronts of a fleet.
+func openFleet(t *testing.T, size fleetSize, fleet string, span time.Duration, wants ...string) (all []*testFront) {
+	n, votes := size.fronts, size.voters
 	start := time.Now()
 	now := func() Time { return 1_000_000 + int64(time.Since(start)/clockUnit) }
 	var voters []lease.VoterInfo
@@ -87,9 +97,9 @@
 	}
 	for k, m := range all {
 		path := ""
-		if k < votes {
+		if k < votes+size.laterVoters {
 			path = filepath.Join(t.TempDir(), "state")
-			if _, err := voterstate.Create(path, fleet, names[k], true, names[:votes]); err != nil {
+			if _, err := voterstate.Create(path, fleet, names[k], k < votes, names[:votes]); err != nil {
 				t.Fatal(err)
 			}
 		}
@@ -396,3 +406,36 @@
 	}
 	await(t, 5*time.Second, "the voter responds again", func() bool { _, err := m.Status(); return err == nil })
 }
+
+// TestAddedVoterAddsAnother guards against a fleet that grants nothing after a voter was added while an added voter led.
+// A new voter begins with the addresses in the operators' file alone, and has to answer a leader that is not in it. Each
+// voter replaces the one before it, so that all but the first are added by one that was added itself.
+func TestAddedVoterAddsAnother(t *testing.T) {
+	const wanted = "lease"
+	fronts := openFleet(t, fleetSize{fronts: 4, voters: 1, laterVoters: 3}, "replaced", span, wanted)
+	held := func() bool {
+		return slices.ContainsFunc(fronts, func(m *testFront) bool { return m.token(wanted) != 0 })
+	}
+	await(t, 5*time.Second, "a grant", held)
+	for k, next := range fronts[1:] {
+		last := fronts[k]
+		added := lease.VoterInfo{ID: next.localVoter.id, Name: fmt.Sprint("f", k+1), Addr: next.peers.Addr()}
+		await(t, 5*time.Second, "a voter is added", func() bool { return last.ChangeVoters(added, true) == nil })
+		await(t, 5*time.Second, fmt.Sprintf("voter f%d has the record", k+1), func() bool {
+			status, err := next.Status()
+			return err == nil && len(status.Voters) == 2
+		})
+		time.Sleep(span) // the fronts learn of the added voter by the replies to their requests
+		await(t, 5*time.Second, "a voter is removed", func() bool {
+			return last.ChangeVoters(lease.VoterInfo{ID: last.localVoter.id}, false) == nil
+		})
+		await(t, 5*time.Second, "the added voter leads alone", func() bool {
+			status, err := next.Status()
+			return err == nil && status.Leads && len(status.Voters) == 1
+		})
+		time.Sleep(2 * span)
+		if !held() {
+			t.Errorf("voter f%d alone renews no lease", k+1)
+		}
+	}
+}
--- a/internal/peers/lease.go
+++ b/internal/peers/lease.go
@@ -17,9 +17,11 @@
 	Log               []byte // an encoded raftpb.Message
 	Request           *lease.Request
 	Reply             *lease.Reply
-	Addr              string            // of a Reply: address of the front that sent the request
-	InitialVotersHash uint64            // of a Log: identifies the voters that its sender started with
-	Voters            []lease.VoterInfo // of a Reply: the voters, if they have changed since the first start of the fleet
+	Addr              string // of a Reply: address of the front that sent the request
+	InitialVotersHash uint64 // of a Log: identifies the voters that its sender started with
+	// Voters are, in a Reply, the voters if they have changed since the first start of the fleet; in a Log, the sender if
+	// it was added since.
+	Voters []lease.VoterInfo
 }
 
 const (
