Log when the front was held up, and requests whose clients left after a late read

A step that comes over 5 ms later than it was due marks a delay; delays from 50 ms on are logged ('held up') and counted in 'ended'. 'request not served' is also written for a request abandoned behind its deadline, or after it was read late, with how long it may have waited to be read: by the front's own delays, and by what the system tells of the socket (TCP_INFO).

--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -62,6 +62,8 @@
 	classIndex  int                // index of its class in classes
 	timeLeft    Time               // time left as given by the client on arrival
 	arrivedAt   Time               // when its last byte arrived
+	readLate    Time               // how long before it was read it may have arrived, by the front's own delays
+	inputAge    Time               // how long before that the system received its client's last input
 	attempts    int                // number of attempts started
 	attemptConn *conn              // connection that carries the current attempt
 	awaitsConn  bool               // the current attempt waits for a connection
@@ -202,6 +204,9 @@
 	return true
 }
 
+// inputAge returns how long ago the system received the client's last input, or 0 if it does not tell.
+func (cl *client) inputAge() Time { return Time(cl.link.InputAge() / timeUnit) }
+
 // processInput processes the input that has arrived.
 func (cl *client) processInput(c *Core) {
 	if cl.ending {
@@ -392,7 +397,7 @@
 	c.freeRequests = c.freeRequests[:len(c.freeRequests)-1]
 	c.pending++
 	req := &c.requests[i]
-	*req = request{id: req.id, client: cl, metadata: meta, timeoutSpan: timeoutSpan, classes: c.classes, classIndex: kind, bolt: isBolt, arrivedAt: c.now, timeLeft: meta.TimeLeft, inUse: true}
+	*req = request{id: req.id, client: cl, metadata: meta, timeoutSpan: timeoutSpan, classes: c.classes, classIndex: kind, bolt: isBolt, arrivedAt: c.now, readLate: c.now - c.delay.earliestArrival(c.now), inputAge: cl.inputAge(), timeLeft: meta.TimeLeft, inUse: true}
 	c.queueArrival(i)
 	return i, noFault, ""
 }
--- a/internal/front/events.go
+++ b/internal/front/events.go
@@ -63,7 +63,10 @@
 	closed    [numberOfCloseCauses]int
 	requests  [numberOfRequestEnds]int
 	late      int // answers given after their clients' deadlines
+	delays    int // times that the front was held up
 	summaryAt Time
+
+	longestDelay Time // the longest of the delays
 }
 
 // countClose counts the end of a client's connection, and logs it if it is unusual or leaves a request unanswered.
@@ -80,8 +83,9 @@
 		"unread", len(cl.link.Peek()), "answer_out", cl.link.Flushed(), "silent_ms", (c.now-cl.activeAt)/millisecond)
 }
 
-// countRequest counts the end of a request. It logs a request that was answered after its deadline, or that failed
-// after an attempt that may have run.
+// countRequest counts the end of a request. It logs a request that was answered after its deadline, that failed after an
+// attempt that may have run, or that was abandoned after its deadline or after it was
+// read late.
 func (c *Core) countRequest(index int32, end requestEnd) {
 	req := &c.requests[index]
 	c.counts.requests[end]++
@@ -90,7 +94,8 @@
 	if isLate {
 		c.counts.late++
 	}
-	if !isLate && end != endFailed {
+	unanswered := end == endAbandoned && (over > 0 || req.readLate > 0 || req.inputAge > stepTolerance)
+	if !isLate && end != endFailed && !unanswered {
 		return
 	}
 	store := ""
@@ -98,7 +103,7 @@
 		store = c.stores[req.store].id
 	}
 	c.logLimited("request not served", "request", string(req.metadata.ID), "end", end.String(), "took_ms", (c.now-req.arrivedAt)/millisecond,
-		"over_ms", over/millisecond, "attempts", req.attempts, "store", store, "out", req.attemptConn != nil, "waits", req.awaitsConn)
+		"over_ms", over/millisecond, "read_late_ms", req.readLate/millisecond, "input_age_ms", req.inputAge/millisecond, "attempts", req.attempts, "store", store, "out", req.attemptConn != nil, "waits", req.awaitsConn)
 }
 
 // summarize logs the counts once in each summaryInterval in which something ended.
@@ -123,6 +128,9 @@
 	if c.counts.late > 0 {
 		attributes = append(attributes, slog.Int("requests_late", c.counts.late))
 	}
+	if c.counts.delays > 0 {
+		attributes = append(attributes, slog.Int("delays", c.counts.delays), slog.Int64("longest_delay_ms", c.counts.longestDelay/millisecond))
+	}
 	for cause, count := range c.counts.closed {
 		if count > 0 {
 			attributes = append(attributes, slog.Int("closed_"+closeCause(cause).String(), count))
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"log/slog"
 	"strconv"
+	"time"
 
 	"micatrack/admission"
 	"micatrack/balance"
@@ -20,7 +21,10 @@
 // monotonically from there.
 type Time = balance.Time
 
-const millisecond = 10 // number of Time units in a millisecond
+const (
+	millisecond = 10                     // number of Time units in a millisecond
+	timeUnit    = 100 * time.Microsecond // one unit of Time
+)
 
 // Link is one socket. The core owns it from Dial or its Accepted event until it calls Close, Abort or CloseWrite, or is
 // told that it is closed.
@@ -31,6 +35,8 @@
 	Discard(n int)
 	// ReceivedBytes returns the number of bytes of input received so far, discarded or not.
 	ReceivedBytes() int64
+	// InputAge returns the time since the system received the last input, or 0 if it does not tell.
+	InputAge() time.Duration
 	// ReadBufferFull reports whether there is no room for more input.
 	ReadBufferFull() bool
 	// Write queues all of p, or returns false if there is no room for it.
@@ -184,6 +190,7 @@
 	settings         Settings // the settings in force
 	now              Time
 	nextWake         Time // when the next sweep and tick are due
+	delay            delay
 	watchDiscovery   func()
 	requests         []request         // all entries, in use or free
 	freeRequests     []int32           // indices of the free entries
@@ -295,6 +302,7 @@
 // Step runs one iteration of the loop.
 func (c *Core) Step(now Time, events []Event) {
 	c.now = now
+	c.noteDelay()
 	for _, e := range events {
 		switch o := e.Link.Owner().(type) {
 		case *client:
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"strings"
 	"testing"
+	"time"
 
 	"micatrack/balance"
 	"micatrack/internal/pgwire"
@@ -26,8 +27,9 @@
 	lateSentBytes    int    // of the unsent bytes, those accepted just before the close
 	owner            any
 	closed, finished bool
-	peerGone         bool // its peer has disconnected, and the core has not been told
-	writeLimit       int  // bytes that Write has room for; 0: any
+	peerGone         bool          // its peer has disconnected, and the core has not been told
+	writeLimit       int           // bytes that Write has room for; 0: any
+	inputAge         time.Duration // time since the system received the last input; 0: it does not tell
 }
 
 func (w *fakeLink) Peek() []byte { return w.in }
@@ -35,8 +37,9 @@
 	w.in = w.in[n:]
 	w.discardedBytes += n
 }
-func (w *fakeLink) ReceivedBytes() int64 { return int64(w.discardedBytes + len(w.in)) }
-func (w *fakeLink) ReadBufferFull() bool { return false }
+func (w *fakeLink) ReceivedBytes() int64    { return int64(w.discardedBytes + len(w.in)) }
+func (w *fakeLink) ReadBufferFull() bool    { return false }
+func (w *fakeLink) InputAge() time.Duration { return w.inputAge }
 func (w *fakeLink) Write(p []byte) bool {
 	if w.writeLimit > 0 && len(w.out)+len(p) > w.writeLimit {
 		return false
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -12,6 +12,7 @@
 
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
+	"golang.org/x/sys/unix"
 
 	"micatrack/internal/front"
 	"micatrack/internal/pgwire"
@@ -43,6 +44,7 @@
 	events         []front.Event        // result of the last Poll
 	wake           chan struct{}        // makes Poll return
 	timer          *time.Timer          // bounds the wait of Poll
+	tcpInfo        unix.TCPInfo         // result of the last InputAge
 	maxAnswer      int                  // bytes of the longest message from a store
 	maxLinks       int                  // number of links from which on none is accepted
 	budget         atomic.Int64         // bytes by which all ring buffers together may still grow
--- a/internal/world/link.go
+++ b/internal/world/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"time"
 
 	"micatrack/internal/front"
 )
@@ -45,12 +46,13 @@
 	l.out = append(l.out, p...)
 	return true
 }
-func (l *link) ReceivedBytes() int64 { return l.got }
-func (l *link) SentBytes() int64     { return l.sent }
-func (l *link) Flushed() bool        { return len(l.out) == 0 }
-func (l *link) Abort()               { l.Close() }
-func (l *link) Owner() any           { return l.owner }
-func (l *link) SetOwner(o any)       { l.owner = o }
+func (l *link) ReceivedBytes() int64    { return l.got }
+func (l *link) SentBytes() int64        { return l.sent }
+func (l *link) InputAge() time.Duration { return 0 }
+func (l *link) Flushed() bool           { return len(l.out) == 0 }
+func (l *link) Abort()                  { l.Close() }
+func (l *link) Owner() any              { return l.owner }
+func (l *link) SetOwner(o any)          { l.owner = o }
 
 func (l *link) Flush() {
 	if len(l.out) == 0 || l.closed {
