Core: count the time of commands sent with the startup from their arrival

Seen by callers: of several commands that a client wrote behind its startup message, those that may not run side by side were answered one deadline after another, the second 0.5 s behind its client's time in the test.

Cause: arrivals are recorded as input is processed, but only for greeted clients; what came with the startup was never looked at again, so such a command counted from when the one before it had ended. Change: arrivals are recorded once more when the startup is complete.

--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -212,10 +212,15 @@
 	if cl.ending {
 		return
 	}
+	cl.recordArrivals(c)
+	cl.read(c)
+}
+
+// recordArrivals records when the commands in the last input arrived.
+func (cl *client) recordArrivals(c *Core) {
 	if _, isPostgres := cl.protocol.(postgres); isPostgres && cl.greeted {
 		cl.pipeline.arrivals.scan(cl.link.Peek(), c.now)
 	}
-	cl.read(c)
 }
 
 // receiveInput processes all input that has arrived up to this moment, whether or not an event has told of it. It
@@ -246,6 +251,7 @@
 			}
 			continue
 		}
+		wasGreeted := cl.greeted
 		n := cl.readNext(cl, c, cl.link.Peek())
 		if n == 0 {
 			// The message is long, and the total size of all read buffers may not grow.
@@ -262,6 +268,9 @@
 		}
 		cl.discard(c, n)
 		cl.activeAt = c.now
+		if cl.greeted && !wasGreeted { // commands may have come with the startup
+			cl.recordArrivals(c)
+		}
 	}
 }
 
--- a/internal/front/pipeline_test.go
+++ b/internal/front/pipeline_test.go
@@ -284,3 +284,16 @@
 	}
 	a.scan([]byte("?\xff\xff\xff\xff"), 5) // input that cannot be parsed ends no message
 }
+
+func TestCommandsSentWithTheStartupCountFromTheirArrival(t *testing.T) {
+	s := newHarness(t, 40, true)
+	cl := &fakeLink{in: pgwire.AppendStartup(nil, "web", "orders")}
+	cl.in = append(cl.in, keyed("once", 1, 500, "a")+keyed("once", 2, 500, "a")+keyed("once", 3, 500, "a")...)
+	s.step(Event{cl, Accepted | Readable})
+	s.welcomeAll()
+	cl.takeOutput()
+	s.advance(500 * millisecond)
+	if answers := strings.Count(cl.takeOutput(), ready); answers != 3 {
+		t.Errorf("%d of 3 commands are answered when their client's time is over", answers)
+	}
+}
