Core: count a request's time from when it arrived, not from when it was read

Seen by callers: requests read by a front that had been held up got no answer in their time; their clients closed the connection 0.06 s behind their time, and the front, which by its own reckoning still had time, called the attempt off and answered nothing.

Cause: the deadline was counted from the step that read the request. A front that is held up for 0.06 to 0.15 s reads it that much late, so its deadline lay behind the client's end; the store was told too much time for the same reason.

Change: a request counts from the earliest time at which it may have arrived. For 20 ms behind a step that came late, that is the step before the delay, at most 0.15 s back; at all times it is also what the system tells of the socket (TCP_INFO), which covers a thread that is held up alone, a connection that waited to be accepted, and longer delays. A front that runs in time acts as before.

--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -61,9 +61,8 @@
 	classes     *classTable        // the classes in force when it arrived
 	classIndex  int                // index of its class in classes
 	timeLeft    Time               // time left as given by the client on arrival
-	arrivedAt   Time               // when its last byte arrived
-	readLate    Time               // how long before it was read it may have arrived, by the front's own delays
-	inputAge    Time               // how long before that the system received its client's last input
+	arrivedAt   Time               // when its last byte arrived at the earliest
+	readAt      Time               // when it was read
 	attempts    int                // number of attempts started
 	attemptConn *conn              // connection that carries the current attempt
 	awaitsConn  bool               // the current attempt waits for a connection
@@ -84,6 +83,7 @@
 	readNext     func(cl *client, c *Core, in []byte) (used int) // processes the next input; 0: it is incomplete
 	activeAt     Time                                            // when it connected, last completed a message or was last answered
 	lastInput    Time                                            // when it connected or more input was last found
+	arrivedAt    Time                                            // when that input arrived at the earliest
 	inputBytes   int64                                           // bytes of input received by then
 	request      int32                                           // index of the pending request, or -1
 	requestBytes int                                             // bytes of the pending request's query
@@ -200,26 +200,39 @@
 	if received == cl.inputBytes {
 		return false
 	}
-	cl.inputBytes, cl.lastInput = received, c.now
+	cl.inputBytes, cl.lastInput, cl.arrivedAt = received, c.now, cl.inputArrival(c)
 	return true
 }
 
-// inputAge returns how long ago the system received the client's last input, or 0 if it does not tell.
-func (cl *client) inputAge() Time { return Time(cl.link.InputAge() / timeUnit) }
+// inputArrival returns the time from which the requests in the input that is read now have to be counted: the earliest
+// at which it may have arrived, by the front's own delays and by what the system tells.
+func (cl *client) inputArrival(c *Core) Time {
+	age := Time(cl.link.InputAge() / timeUnit)
+	return min(c.delay.earliestArrival(c.now), c.now-age)
+}
+
+// latestArrival returns when a command arrived whose arrival was not recorded. The time that it has waited behind
+// others does not count.
+func (cl *client) latestArrival(c *Core) Time {
+	if cl.lastInput == c.now {
+		return cl.arrivedAt
+	}
+	return c.now
+}
 
 // processInput processes the input that has arrived.
 func (cl *client) processInput(c *Core) {
 	if cl.ending {
 		return
 	}
-	cl.recordArrivals(c)
+	cl.recordArrivals()
 	cl.read(c)
 }
 
 // recordArrivals records when the commands in the last input arrived.
-func (cl *client) recordArrivals(c *Core) {
+func (cl *client) recordArrivals() {
 	if _, isPostgres := cl.protocol.(postgres); isPostgres && cl.greeted {
-		cl.pipeline.arrivals.scan(cl.link.Peek(), c.now)
+		cl.pipeline.arrivals.scan(cl.link.Peek(), cl.arrivedAt)
 	}
 }
 
@@ -263,13 +276,13 @@
 		cl.messageSince = 0
 		if cl.request >= 0 {
 			cl.requestBytes, cl.pipeline.parsedBytes = n, n
-			c.requests[cl.request].arrivedAt = cl.pipeline.arrivals.arrivedAt(n, c.now)
+			c.requests[cl.request].arrivedAt = cl.pipeline.arrivals.arrivedAt(n, cl.latestArrival(c))
 			continue
 		}
 		cl.discard(c, n)
 		cl.activeAt = c.now
 		if cl.greeted && !wasGreeted { // commands may have come with the startup
-			cl.recordArrivals(c)
+			cl.recordArrivals()
 		}
 	}
 }
@@ -406,7 +419,7 @@
 	c.freeRequests = c.freeRequests[:len(c.freeRequests)-1]
 	c.pending++
 	req := &c.requests[i]
-	*req = request{id: req.id, client: cl, metadata: meta, timeoutSpan: timeoutSpan, classes: c.classes, classIndex: kind, bolt: isBolt, arrivedAt: c.now, readLate: c.now - c.delay.earliestArrival(c.now), inputAge: cl.inputAge(), timeLeft: meta.TimeLeft, inUse: true}
+	*req = request{id: req.id, client: cl, metadata: meta, timeoutSpan: timeoutSpan, classes: c.classes, classIndex: kind, bolt: isBolt, arrivedAt: c.now, readAt: c.now, timeLeft: meta.TimeLeft, inUse: true}
 	c.queueArrival(i)
 	return i, noFault, ""
 }
--- a/internal/front/delays.go
+++ b/internal/front/delays.go
@@ -22,7 +22,7 @@
 // observe is called at the beginning of each step with the time at which it was due at the latest. It returns how long
 // the front may have been held up, or 0.
 func (d *delay) observe(now, due Time) (span Time) {
-	if d.lastStep > 0 && now > due+stepTolerance {
+	if now > due+stepTolerance {
 		span = now - d.lastStep
 		if now >= d.caughtUpAt { // otherwise the input that arrived during the one before may not have been read either
 			d.begin = d.lastStep
--- a/internal/front/events.go
+++ b/internal/front/events.go
@@ -94,7 +94,8 @@
 	if isLate {
 		c.counts.late++
 	}
-	unanswered := end == endAbandoned && (over > 0 || req.readLate > 0 || req.inputAge > stepTolerance)
+	readLate := req.readAt - req.arrivedAt
+	unanswered := end == endAbandoned && (over > 0 || readLate > stepTolerance)
 	if !isLate && end != endFailed && !unanswered {
 		return
 	}
@@ -103,7 +104,7 @@
 		store = c.stores[req.store].id
 	}
 	c.logLimited("request not served", "request", string(req.metadata.ID), "end", end.String(), "took_ms", (c.now-req.arrivedAt)/millisecond,
-		"over_ms", over/millisecond, "read_late_ms", req.readLate/millisecond, "input_age_ms", req.inputAge/millisecond, "attempts", req.attempts, "store", store, "out", req.attemptConn != nil, "waits", req.awaitsConn)
+		"over_ms", over/millisecond, "read_late_ms", readLate/millisecond, "attempts", req.attempts, "store", store, "out", req.attemptConn != nil, "waits", req.awaitsConn)
 }
 
 // summarize logs the counts once in each summaryInterval in which something ended.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -224,7 +224,7 @@
 // New returns a front with settings c and h. watch is called when the balancer asks discovery for changes.
 func New(now Time, c balance.Settings, h settings.Process, l Limits, s Sockets, watch func(),
 	log *slog.Logger) (*Core, error) {
-	f := &Core{sockets: s, log: log, host: h, limits: l, now: now, watchDiscovery: watch,
+	f := &Core{sockets: s, log: log, host: h, limits: l, now: now, watchDiscovery: watch, delay: delay{lastStep: now},
 		classes: newClassTable(c.Classes), settings: Settings{Balancer: c, Host: h, Admission: l.Admission},
 		storeIndex: map[string]uint32{}, groups: map[uint64]bool{}}
 	var err error
--- a/internal/front/pipeline.go
+++ b/internal/front/pipeline.go
@@ -71,14 +71,14 @@
 	a.count++
 }
 
-// arrivedAt returns the time by which the read buffer held end bytes, or now if none is recorded.
-func (a *arrivalTimes) arrivedAt(end int, now Time) Time {
+// arrivedAt returns the time by which the read buffer held end bytes, or latest if none is recorded.
+func (a *arrivalTimes) arrivedAt(end int, latest Time) Time {
 	for _, mark := range a.marks[:a.count] {
 		if mark.end >= end {
 			return mark.at
 		}
 	}
-	return now
+	return latest
 }
 
 // discard adjusts the offsets after the first size bytes of the read buffer were dropped.
@@ -138,7 +138,7 @@
 	}
 	req := &c.requests[index]
 	req.offset = offset
-	req.arrivedAt = cl.pipeline.arrivals.arrivedAt(offset+size, c.now)
+	req.arrivedAt = cl.pipeline.arrivals.arrivedAt(offset+size, cl.latestArrival(c))
 	cl.pipeline.queue = append(cl.pipeline.queue, pipelinedRequest{request: index, size: size})
 	cl.pipeline.parsedBytes += size
 	c.pipelined++
