Core: a shutdown counts from a signal that came while the front was held up

A front that was held up then had that much less before the earliest SIGKILL, and one more delay at the end used all of it: 0.15 + 0.5 + 0.15 s of 0.7 s behind the longest deadline. What SIGKILL finds unanswered is lost.

Change: Stop counts from the earliest time at which the signal may have come, as requests do. TestShutdownCountsFromASignalThatCameWhileHeldUp failed before (120 ms late) and passes, as does the rest of internal/front.

--- a/internal/front/delays.go
+++ b/internal/front/delays.go
@@ -42,9 +42,9 @@
 	return now
 }
 
-// noteDelay records and logs how long the front was held up before this step.
-func (c *Core) noteDelay() {
-	span := c.delay.observe(c.now, c.nextWake)
+// noteDelay records and logs how long the front was held up before now.
+func (c *Core) noteDelay(now Time) {
+	span := c.delay.observe(now, c.nextWake)
 	if span < loggedDelay {
 		return
 	}
--- a/internal/front/delays_test.go
+++ b/internal/front/delays_test.go
@@ -126,3 +126,15 @@
 		t.Errorf("answered %q", got)
 	}
 }
+
+func TestShutdownCountsFromASignalThatCameWhileHeldUp(t *testing.T) {
+	s := newHarness(t, 40, true)
+	s.advance(100 * millisecond)
+	signalAt := s.now + 1
+	s.now += heldUpFor
+	s.core.Stop(s.now)
+	span := s.core.classes.longest + s.core.limits.ShutdownGrace
+	if late := s.core.shutdownDeadline - (signalAt + span); late > 0 {
+		t.Errorf("the forced end comes %d ms late", late/millisecond)
+	}
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -283,6 +283,8 @@
 // are answered before the front is ended by force.
 func (c *Core) Stop(now Time) {
 	if c.shutdownAt == 0 {
+		c.noteDelay(now)
+		now = c.delay.earliestArrival(now) // the signal may have come while the front was held up
 		span := min(c.classes.longest, cmp.Or(c.limits.MaxDeadline, c.classes.longest))
 		// Where deadlines are short, new connections still arrive when most of that time is over.
 		c.shutdownAt, c.shutdownDeadline = now+max(span*3/4, c.limits.ShutdownGrace), now+span+cmp.Or(c.limits.ForceAfter, c.limits.ShutdownGrace)
@@ -302,7 +304,7 @@
 // Step runs one iteration of the loop.
 func (c *Core) Step(now Time, events []Event) {
 	c.now = now
-	c.noteDelay()
+	c.noteDelay(now)
 	for _, e := range events {
 		switch o := e.Link.Owner().(type) {
 		case *client:
