Core: the grace of a draining store counts from a list that came while the front was held up

Change: it counts from the earliest time at which the list may have come. TestDrainGraceCountsFromAListThatCameWhileHeldUp failed before and passes, as does the rest of internal/front.

--- a/internal/front/delays_test.go
+++ b/internal/front/delays_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"micatrack/balance"
 	"micatrack/internal/pgwire"
 )
 
@@ -138,3 +139,16 @@
 		t.Errorf("the forced end comes %d ms late", late/millisecond)
 	}
 }
+
+func TestDrainGraceCountsFromAListThatCameWhileHeldUp(t *testing.T) {
+	s := newHarness(t, 40, true)
+	s.core.limits.DrainGrace = 500 * millisecond
+	s.advance(100 * millisecond)
+	listAt := s.now + 1
+	s.now += heldUpFor
+	s.core.UpdateStores(StoreList{Kind: balance.ListChanges, Entries: []StoreEntry{{ID: "s", Member: balance.Member{Group: 3, Condition: balance.Draining}}}})
+	s.core.Step(s.now, nil)
+	if late := s.core.stores[s.core.storeIndex["s"]].drainUntil - (listAt + 500*millisecond); late > 0 {
+		t.Errorf("an open transaction may go on for %d ms too long", late/millisecond)
+	}
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -463,7 +463,7 @@
 			c.closeIdle(i)
 		case balance.Draining:
 			if s.drainUntil == 0 {
-				s.drainUntil = c.now + c.limits.DrainGrace
+				s.drainUntil = c.delay.earliestArrival(c.now) + c.limits.DrainGrace
 			}
 		case balance.Ready:
 			s.drainUntil = 0
