Answer earlier by the length of recent delays, so that a deadline in a delay is met

Change: the core tells the balancer of each delay of 50 ms or more (RecordDelay); for 10 s new requests are given up earlier by the longest of them, 0.15 s at most, less the slack of answers, and by no more than a quarter of their time. The cost, for a front that is: what would have been answered in that last part of its time.

--- a/balance/admission.go
+++ b/balance/admission.go
@@ -49,7 +49,7 @@
 	b.requestOf[in.ID] = i
 	req, class := &b.requests[i], &b.classes[classIndex]
 	*req = request{id: in.ID, class: classIndex, group: b.groupIndex(in.Group), fenceSlot: -1, arrivedAt: now,
-		deadline: min(now+in.Left, b.shutdownAt)}
+		deadline: min(now+in.Left-b.delays.reserve(now, in.Left), b.shutdownAt)}
 	req.expectedBy = now - in.Waited + min(class.ExpectedTime+Time(class.Stretch*float64(in.Work)),
 		class.Deadline)
 	// The expected time of a retry runs from the first try. Its start is taken to be a Deadline before the
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -64,6 +64,7 @@
 		now, settings.Zone, settings.OverQuotaCredit, settings.StoresCheckReads, settings.FencesCarried
 	b.listInterval, b.onlyDrainingBinds, b.crossZonePriced =
 		settings.ListInterval, settings.OnlyDrainingBinds, settings.CrossZonePrice > 0
+	b.answerSlack = settings.AnswerSlack
 	b.startCapacity, b.warmupTime, b.coldOverloadFactor, b.coldOverloadSpan =
 		settings.StartCapacity, settings.WarmupTime, settings.ColdOverloadFactor, settings.ColdOverloadSpan
 	b.maxAttempts, b.mayProbe, b.mayCancel = max(settings.MaxAttempts, 1), settings.MayProbe, settings.MayCancel
--- a/balance/state.go
+++ b/balance/state.go
@@ -105,6 +105,8 @@
 	front                 Front                   // carries out the decisions
 	now                   Time                    // time of the last event
 	tickInterval          Time                    // time between ticks
+	answerSlack           Time                    // see Settings.AnswerSlack
+	delays                delayReserve            // time kept back for delays of the front
 	warmupTime            Time                    // see Settings.WarmupTime
 	maxRetryAfter         Time                    // see Settings.MaxRetryAfter
 	listInterval          Time                    // see Settings.ListInterval
--- a/cmd/micatrack/lateread_test.go
+++ b/cmd/micatrack/lateread_test.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"fmt"
 	"net"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -147,3 +148,28 @@
 		})
 	}
 }
+
+func TestRequestWhoseDeadlineComesWhileHeldUpIsAnsweredInItsClientsTime(t *testing.T) {
+	const beforeDeadline = 40 * time.Millisecond // from the next delay to the deadline
+	w := newWorld(t, "primary", "replica")
+	w.hangForever()
+	cmd := w.start()
+	holdUpFront := func() {
+		cmd.Process.Signal(syscall.SIGSTOP)
+		time.Sleep(holdUp)
+		cmd.Process.Signal(syscall.SIGCONT)
+	}
+	holdUpFront()
+	time.Sleep(50 * time.Millisecond)
+	for round := range 3 {
+		cl := &patientClient{client: *w.client()}
+		cl.sendRequests(nil, fmt.Sprintf("over-%d", round), requestsPerBatch)
+		var delayed sync.WaitGroup
+		delayed.Go(func() {
+			time.Sleep(shortPatience*time.Millisecond - beforeDeadline)
+			holdUpFront()
+		})
+		cl.expectAnswers(t, fmt.Sprintf("round %d", round), requestsPerBatch)
+		delayed.Wait()
+	}
+}
--- a/internal/front/delays.go
+++ b/internal/front/delays.go
@@ -50,5 +50,6 @@
 	}
 	c.counts.delays++
 	c.counts.longestDelay = max(c.counts.longestDelay, span)
+	c.balancer.RecordDelay(now, span)
 	c.logLimited("held up", "up_to_ms", span/millisecond)
 }
