--- a/balance/delay.go
+++ b/balance/delay.go
@@ -3,7 +3,7 @@
 const (
 	delayMemory     = 10 * second         // how long a delay of the front counts
 	maxDelayReserve = 150 * second / 1000 // a front is not expected to be held up for longer
-	minReserveShare = 4                   // at most one part in this many of a request's time is kept back
+	reserveDivisor  = 2                   // at most this part of a request's time is kept back
 )
 
 // delayReserve is the time by which requests are answered earlier, while the front is now and then held up. Without it
@@ -29,5 +29,5 @@
 	if now >= r.until {
 		return 0
 	}
-	return min(r.span, max(timeLeft, 0)/minReserveShare)
+	return min(r.span, max(timeLeft, 0)/reserveDivisor)
 }
