--- a/balance/delay.go
+++ b/balance/delay.go
@@ -6,8 +6,9 @@
 	reserveDivisor  = 2                   // at most this part of a request's time is kept back
 )
 
-// delayReserve is the time by which requests are answered earlier, while the front is now and then held up. Without it
-// a request whose deadline comes during a delay is answered behind it, or not at all if its client leaves first.
+// delayReserve is the time by which requests are answered earlier, while the front is now and then held
+// up. Without it a request whose deadline comes during a delay is answered behind it, or not at all if its
+// client leaves first.
 type delayReserve struct {
 	span  Time // the longest of the recent delays, less the slack that an answer has
 	until Time // when they are forgotten
