--- a/review/stage2/postgres.go
+++ b/review/stage2/postgres.go
@@ -72,6 +72,12 @@
 	Connecting func(n int)
 	// Work is called for each statement that is no probe, before it is answered; false: it is never answered.
 	Work func(id string) bool
+	// Way is how long the way to the store takes in each direction.
+	Way time.Duration
+	// Echo has reads answered with a value that names the request.
+	Echo bool
+	// Twice tells whether an answer is followed by a second copy; it is asked where nothing else waits on the connection.
+	Twice func(id string) bool
 	// Probe is called for each probe; false: it is never answered.
 	Probe func() bool
 	// Lag returns how far the store is behind as a replica.
@@ -155,7 +161,8 @@
 	return head[0], body, err
 }
 
-func (s *Store) serve(c net.Conn) {
+func (s *Store) serve(conn net.Conn) {
+	c := newDelayed(conn, s.Way)
 	defer c.Close()
 	r := bufio.NewReader(c)
 	head := make([]byte, 4)
@@ -191,9 +198,15 @@
 		s.mu.Lock()
 		s.told = append(s.told, Told{time.Now(), role, id})
 		s.mu.Unlock()
-		if _, err := c.Write(pgwire.AppendReady(out)); err != nil {
+		out = pgwire.AppendReady(out)
+		if _, err := c.Write(out); err != nil {
 			return
 		}
+		if s.Twice != nil && id != "probe" && r.Buffered() == 0 && !c.waits() && s.Twice(id) {
+			if _, err := c.Write(out); err != nil {
+				return
+			}
+		}
 	}
 }
 
@@ -253,6 +266,9 @@
 			value = c.Value
 		}
 	}
+	if s.Echo {
+		value = "value of " + run.ID
+	}
 	s.mu.Lock()
 	s.runs = append(s.runs, run)
 	s.mu.Unlock()
