--- a/review/6/main.go
+++ b/review/6/main.go
@@ -12,14 +12,14 @@
 )
 
 const (
-	stores  = 9 // in three groups
+	stores  = 8 // in two groups
 	cores   = 3
-	clients = 66
-	work    = 40 * time.Millisecond
-	way     = 1500 * time.Microsecond // to a store, in each direction; up to three tenths more now and then
-	length  = 50 * time.Second
+	clients = 50
+	work    = 45 * time.Millisecond
+	way     = 300 * time.Microsecond // to a store, in each direction; up to three tenths more now and then
+	length  = 40 * time.Second
 	share   = 25 // one of so many answers comes with a second copy
-	limitMS = 1000
+	limitMS = 1200
 )
 
 func main() {
@@ -27,11 +27,11 @@
 	var entries []stage2.Entry
 	var answers, copies atomic.Int64
 	for n := range stores {
-		group := uint64(n/3 + 1)
-		if n%3 == 0 {
+		group := uint64(n/4 + 1)
+		if n%4 == 0 {
 			groups = append(groups, stage2.NewGroup(fmt.Sprintf("s-%da", group)))
 		}
-		store := s.NewStore(fmt.Sprintf("s-%d%c", group, 'a'+n%3), groups[len(groups)-1])
+		store := s.NewStore(fmt.Sprintf("s-%d%c", group, 'a'+n%4), groups[len(groups)-1])
 		running := make(chan struct{}, cores)
 		store.Way, store.Echo = way, true
 		store.Lag = func() time.Duration { return 10 * time.Millisecond }
@@ -50,16 +50,16 @@
 			return true
 		}
 		role := "replica"
-		if n%3 == 0 {
+		if n%4 == 0 {
 			role = "primary"
 		}
-		entries = append(entries, stage2.Entry{ID: store.Name, Addr: store.Addr(), Zone: "a", Kind: "std-3", Cell: group, State: "active",
+		entries = append(entries, stage2.Entry{ID: store.Name, Addr: store.Addr(), Zone: "a", Kind: "tipo-a", Cell: group, State: "active",
 			Weight: 1, Role: role})
 	}
 	discovery := s.NewDiscovery(entries...)
-	front := s.StartFront("front-1", stage2.FrontOptions{Discovery: discovery.Addr(), Settings: stage2.Settings(250, "carried",
+	front := s.StartFront("front-1", stage2.FrontOptions{Discovery: discovery.Addr(), Settings: stage2.Settings(500, "carried",
 		stage2.Class{Name: "vitrina", Freshness: "any", Idempotency: "repeatable", Group: "all", AimMS: 300, LimitMS: limitMS, Worth: 1},
-		stage2.Class{Name: "book-slot", Freshness: "write", Idempotency: "once", Group: "cell", AimMS: 600, LimitMS: 3000, Worth: 3, LateWorth: 0.3})})
+		stage2.Class{Name: "pedido", Freshness: "write", Idempotency: "by_key", Group: "cell", AimMS: 750, LimitMS: 3000, WindowMS: 3000, Worth: 4, LateWorth: 0.7})})
 	var served, refused, failed, foreign atomic.Int64
 	var all sync.WaitGroup
 	until := time.Now().Add(length)
@@ -74,7 +74,7 @@
 			defer c.Close()
 			for k := 0; time.Now().Before(until); k++ {
 				id := fmt.Sprintf("%d-%d", n, k)
-				a := c.Ask(stage2.Read(id, "vitrina", "ref-"+id, limitMS, n%3+1))
+				a := c.Ask(stage2.Read(id, "vitrina", "ref-"+id, limitMS, n%2+1))
 				s.Note("client is told of %s: %v", id, a)
 				switch {
 				case a.Err != nil:
--- a/review/7/main.go
+++ b/review/7/main.go
@@ -172,26 +172,6 @@
 	a := ask(clients[2], id, stage2.Read(id, "slot-check", ref, limitMS, g.number))
 	others.Wait()
 	if a.Code == "" && a.Err == nil && a.Value != newest {
-		judge(s, g, id, newest, committed)
-	}
-}
-
-// judge decides about a read that was answered without the newest write, which was committed before the read was sent. It breaks
-// the rule unless the front had not been told yet that the store is a primary no more; what an answer tells counts 100 ms later.
-func judge(s *stage2.Stage, g *group, id, newest string, committed time.Time) {
-	for _, store := range g.stores {
-		for _, run := range store.Runs() {
-			if run.ID != id || run.Position.After(committed) {
-				continue
-			}
-			for _, t := range store.Told() {
-				if t.Role == "replica" && run.Begun.Sub(t.At) > 100*time.Millisecond {
-					s.Break("%s was sent to %s %.0f ms after the answer to %s had told that this is a replica; it was answered from data %.0f ms old, without %s",
-						id, store.Name, float64(run.Begun.Sub(t.At))/1e6, t.By, float64(run.Begun.Sub(run.Position))/1e6, newest)
-					return
-				}
-			}
-			s.Note("%s was stale, but the front had not been told in time: excused", id)
-		}
+		s.JudgeStale(g.stores[:], id, newest, committed)
 	}
 }
--- a/review/stage2/bolt.go
+++ b/review/stage2/bolt.go
@@ -54,15 +54,22 @@
 	return bolt.EndMessage(b, at)
 }
 
-// extra appends what a RUN or BEGIN says of its request.
+// extra appends what a RUN or BEGIN says of its request. In a keyed class its key is made of its id.
 func extra(b []byte, id, class string, limitMS int) []byte {
 	b = bolt.AppendMap(b, 2)
 	b = bolt.AppendInt(bolt.AppendString(b, "tx_timeout"), int64(limitMS))
-	b = bolt.AppendMap(bolt.AppendString(b, "tx_metadata"), 3)
+	if b = bolt.AppendString(b, "tx_metadata"); class == KeyedClass {
+		b = bolt.AppendPair(bolt.AppendMap(b, 4), "k", "key-"+id)
+	} else {
+		b = bolt.AppendMap(b, 3)
+	}
 	b = bolt.AppendPair(bolt.AppendPair(b, "id", id), "c", class)
 	return bolt.AppendInt(bolt.AppendString(b, "cluster"), 1)
 }
 
+// KeyedClass is the class whose requests over Bolt carry a key.
+const KeyedClass = "pedido"
+
 // Begin returns a BEGIN.
 func Begin(id, class string, limitMS int) []byte {
 	return Message(bolt.BeginTx, 1, func(b []byte) []byte { return extra(b, id, class, limitMS) })
@@ -135,6 +142,3 @@
 		c.in = c.in[:copy(c.in, c.in[n:])]
 	}
 }
-
-// BoltRefused reports whether an answer over Bolt is a refusal.
-func BoltRefused(a Answer) bool { return a.Code == bolt.NoThreadsAvailable }
--- a/review/stage2/postgres.go
+++ b/review/stage2/postgres.go
@@ -78,6 +78,8 @@
 	Echo bool
 	// Twice tells whether an answer is followed by a second copy; it is asked where nothing else waits on the connection.
 	Twice func(id string) bool
+	// Sending is called for each answer to a statement, between its making and its sending.
+	Sending func(id string)
 	// Probe is called for each probe; false: it is never answered.
 	Probe func() bool
 	// Lag returns how far the store is behind as a replica.
@@ -199,6 +201,9 @@
 		s.told = append(s.told, Told{time.Now(), role, id})
 		s.mu.Unlock()
 		out = pgwire.AppendReady(out)
+		if s.Sending != nil && id != "probe" {
+			s.Sending(id)
+		}
 		if _, err := c.Write(out); err != nil {
 			return
 		}
@@ -276,6 +281,26 @@
 	return pgwire.AppendParameter(Row(value), "applied_ms", strconv.FormatInt(millis(run.Position), 10)), run.ID
 }
 
+// JudgeStale decides about a read that was answered without the newest write, which was committed before the read was sent. It breaks
+// the rule unless the front had not been told yet that the store is a primary no more; what an answer tells counts 100 ms later.
+func (s *Stage) JudgeStale(stores []*Store, id, newest string, committed time.Time) {
+	for _, store := range stores {
+		for _, run := range store.Runs() {
+			if run.ID != id || run.Position.After(committed) {
+				continue
+			}
+			for _, t := range store.Told() {
+				if t.Role == "replica" && run.Begun.Sub(t.At) > 100*time.Millisecond {
+					s.Break("%s was sent to %s %.0f ms after the answer to %s had told that this is a replica; it was answered from data %.0f ms old, without %s",
+						id, store.Name, float64(run.Begun.Sub(t.At))/1e6, t.By, float64(run.Begun.Sub(run.Position))/1e6, newest)
+					return
+				}
+			}
+			s.Note("%s was stale, but the front had not been told in time: excused", id)
+		}
+	}
+}
+
 // Client is a client's connection.
 type Client struct {
 	net.Conn
--- a/review/stage2/stage.go
+++ b/review/stage2/stage.go
@@ -255,6 +255,6 @@
 			"FallMultiple": 4.0, "StartCapacity": 0.23, "TipAfter": 1500000},
 		"Extra": map[string]any{"Behind": "off", "SessionMarks": marks, "Freshness": freshness, "OldestData": oldest, "Positions": true,
 			"ShowsRole": "late"},
-		"Prices": map[string]any{"Probe": 0.03}, "Profiles": profiles,
+		"Prices": map[string]any{"Probe": 0.01}, "Profiles": profiles,
 	}
 }
