--- a/review/stage2/stage.go
+++ b/review/stage2/stage.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"regexp"
 	"strings"
@@ -42,6 +43,9 @@
 	if s.record, err = os.Create(filepath.Join(root, "review", fmt.Sprint(number), "record.txt")); err != nil {
 		Unable(err)
 	}
+	interrupts := make(chan os.Signal, 1)
+	signal.Notify(interrupts, syscall.SIGINT, syscall.SIGTERM)
+	go func() { s.Fail((<-interrupts).String()) }()
 	time.AfterFunc(115*time.Second, func() { s.Fail("the case took longer than 115 s") })
 	return s
 }
