A second copy of a store's answer is not passed on as the next request's answer

Cause: a store's connection is given its next request in the step in which its answer ended. A second copy of that answer, which arrives a moment later, was read as the answer to the new request, whose own answer then served the one after it. The same held for probes. The copy of a refusal, followed by the loss of the connection, even counted as proof that a write behind it had not run.

Change: empty queries are written ahead of each request, in the same write. What arrives before their answers belongs to an earlier request and is discarded, logged and counted (stray_answers); what cannot be parsed there ends the connection, and the request counts as one that may have run. The number of empty queries alternates between one and two, since a copy may hold the answers to those of the request before. A role that is reported with the last of these answers is taken in at once (Balancer.RecordReport). A store that answers the first empty query of a connection with anything else is sent no more on it.

--- a/balance/primary.go
+++ b/balance/primary.go
@@ -19,6 +19,18 @@
 	}
 }
 
+// RecordReport takes in what a member has just reported of itself, other than in the answer to a request or a probe.
+func (b *Balancer) RecordReport(now Time, store uint32, r Report) {
+	b.now = now
+	i, ok := b.memberOf[store]
+	if !ok {
+		return
+	}
+	member := &b.members[i]
+	member.roleConfirmed = member.roleConfirmed && r.Role != Replica
+	b.recordReport(i, r, now)
+}
+
 // recordPrimary records that the member was certainly the primary at that time. If two members claim the
 // role, the newer claim holds.
 func (b *Balancer) recordPrimary(i int32, at Time) {
--- a/internal/front/bench_test.go
+++ b/internal/front/bench_test.go
@@ -22,7 +22,7 @@
 		cl.in, cl.out = append(cl.in[:0], query...), cl.out[:0]
 		events[0].Link = cl
 		s.core.Step(s.now, events)
-		st.in, st.out, st.takenBytes = append(st.in[:0], answer...), st.out[:0], st.takenBytes+len(st.out)
+		st.respond(answer)
 		events[0].Link = st
 		s.core.Step(s.now, events)
 		if s.now++; len(cl.out) == 0 {
@@ -31,6 +31,14 @@
 	}
 }
 
+// respond takes the output and has the store answer it. It reuses the memory of the input.
+func (w *fakeLink) respond(answer []byte) {
+	w.takenBytes += len(w.out)
+	w.out = w.out[:0]
+	w.input = append(append(w.input[:0], w.in...), answer...)
+	w.in = w.input
+}
+
 // BenchmarkStores measures a request, and a step with a tick of the balancer, with various numbers of stores in groups
 // of three.
 func BenchmarkStores(b *testing.B) {
@@ -60,7 +68,7 @@
 				}
 				for w := range open {
 					if len(w.out) > 0 && strings.HasSuffix(string(w.out), "\x00") {
-						w.in, w.out, w.takenBytes = append(w.in[:0], answer...), w.out[:0], w.takenBytes+len(w.out)
+						w.respond(answer)
 						s.core.Step(s.now, []Event{{w, Readable}})
 					}
 				}
--- a/internal/front/events.go
+++ b/internal/front/events.go
@@ -67,7 +67,9 @@
 	inputWaits int
 	late       int // answers given after their clients' deadlines
 	delays     int // times that the front was held up
-	summaryAt  Time
+	// strayAnswers is the number of answers of stores that belonged to an earlier request of their connection.
+	strayAnswers int
+	summaryAt    Time
 
 	longestDelay Time // the longest of the delays
 }
@@ -146,6 +148,9 @@
 	if c.counts.late > 0 {
 		attributes = append(attributes, slog.Int("requests_late", c.counts.late))
 	}
+	if c.counts.strayAnswers > 0 {
+		attributes = append(attributes, slog.Int("stray_answers", c.counts.strayAnswers))
+	}
 	if c.counts.delays > 0 {
 		attributes = append(attributes, slog.Int("delays", c.counts.delays), slog.Int64("longest_delay_ms", c.counts.longestDelay/millisecond))
 	}
--- a/internal/front/harness_test.go
+++ b/internal/front/harness_test.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -18,6 +19,7 @@
 type fakeLink struct {
 	addr             string // the address that was dialled; "" for a client
 	in, out          []byte
+	input            []byte // memory that benchmarks reuse for in
 	takenBytes       int    // bytes read by the test
 	discardedBytes   int    // bytes of input that the core has discarded
 	heldBytes        []byte // input that the system holds; PeerOpen receives it
@@ -30,12 +32,19 @@
 	peerGone         bool          // its peer has disconnected, and the core has not been told
 	writeLimit       int           // bytes that Write has room for; 0: any
 	inputAge         time.Duration // time since the system received the last input; 0: it does not tell
+	// ownMarkers is set if the test itself answers the empty queries ahead of a request. Otherwise a store's link does,
+	// and the test sees neither them nor their answers.
+	ownMarkers  bool
+	markerBytes int // bytes of the empty queries that the test does not see
 }
 
 func (w *fakeLink) Peek() []byte { return w.in }
 func (w *fakeLink) Discard(n int) {
 	w.in = w.in[n:]
 	w.discardedBytes += n
+	if len(w.in) == 0 {
+		w.in = w.input[:0]
+	}
 }
 func (w *fakeLink) ReceivedBytes() int64    { return int64(w.discardedBytes + len(w.in)) }
 func (w *fakeLink) ReadOn() bool            { return true }
@@ -45,15 +54,31 @@
 	if w.writeLimit > 0 && len(w.out)+len(p) > w.writeLimit {
 		return false
 	}
+	if w.addr != "" && !w.ownMarkers {
+		p = w.answerMarkers(p)
+	}
 	w.out = append(w.out, p...)
 	return true
 }
-func (w *fakeLink) Flush()           {}
-func (w *fakeLink) SentBytes() int64 { return int64(w.takenBytes + len(w.out) - w.unsentBytes) }
-func (w *fakeLink) Flushed() bool    { return w.unsentBytes == 0 }
-func (w *fakeLink) Abort()           { w.Close() }
-func (w *fakeLink) Close()           { w.closed, w.unsentBytes = true, w.unsentBytes-w.lateSentBytes }
-func (w *fakeLink) CloseWrite()      { w.finished = true }
+
+// answerMarkers answers the empty queries at the start of p, as a store does, and returns what follows them.
+func (w *fakeLink) answerMarkers(p []byte) []byte {
+	for bytes.HasPrefix(p, []byte(emptyQuery)) {
+		p = p[len(emptyQuery):]
+		w.markerBytes += len(emptyQuery)
+		w.in = append(w.in, emptyAnswer...)
+	}
+	return p
+}
+
+func (w *fakeLink) Flush() {}
+func (w *fakeLink) SentBytes() int64 {
+	return int64(w.markerBytes + w.takenBytes + len(w.out) - w.unsentBytes)
+}
+func (w *fakeLink) Flushed() bool { return w.unsentBytes == 0 }
+func (w *fakeLink) Abort()        { w.Close() }
+func (w *fakeLink) Close()        { w.closed, w.unsentBytes = true, w.unsentBytes-w.lateSentBytes }
+func (w *fakeLink) CloseWrite()   { w.finished = true }
 func (w *fakeLink) PeerState() PeerState {
 	w.in = append(w.in, w.heldBytes...)
 	w.heldBytes = nil
@@ -196,7 +221,11 @@
 	}
 }
 
-const ready = "Z\x00\x00\x00\x05I"
+const (
+	ready       = "Z\x00\x00\x00\x05I"
+	emptyQuery  = "Q\x00\x00\x00\x05\x00"
+	emptyAnswer = "I\x00\x00\x00\x04" + ready // to an empty query
+)
 
 func ask(class string, n int) string {
 	return string(pgwire.AppendSimpleQuery(nil, fmt.Sprintf("/* id=%d,c=%s,d=1000,cluster=3 */ SELECT 'k'", n, class)))
--- a/internal/front/postgres.go
+++ b/internal/front/postgres.go
@@ -53,17 +53,21 @@
 
 // sendRequest writes a request's query with the time that is left, or a probe.
 func (postgres) sendRequest(k *conn, c *Core, e pendingAttempt) {
+	c.scratch = k.marker.begin(c.scratch[:0])
 	switch {
 	case e.request >= 0:
 		req := &c.requests[e.request]
 		text, _, _ := pgwire.ParseString(req.client.link.Peek()[req.offset+messageHeaderSize:])
-		c.scratch = req.timeoutSpan.AppendQuery(c.scratch[:0], text, max((e.until-c.now)/millisecond, 1))
+		c.scratch = req.timeoutSpan.AppendQuery(c.scratch, text, max((e.until-c.now)/millisecond, 1))
 	case c.host.LoadReports == "inline" || c.host.LoadReports == "on_probe":
-		c.scratch = pgwire.AppendSimpleQuery(c.scratch[:0], "SHOW load")
+		c.scratch = pgwire.AppendSimpleQuery(c.scratch, "SHOW load")
 	default:
-		c.scratch = pgwire.AppendSimpleQuery(c.scratch[:0], "SELECT 1")
+		c.scratch = pgwire.AppendSimpleQuery(c.scratch, "SELECT 1")
 	}
 	k.onMessage = readAnswer
+	if k.marker.pending() {
+		k.onMessage = readUntilAnswer
+	}
 	k.write(c, c.scratch)
 }
 
@@ -212,6 +216,7 @@
 func (postgres) readAnswers(k *conn, c *Core) {
 	in, unsolicited := k.link.Peek(), 0
 	for k.index >= 0 {
+		outsideAnswer := k.idle || k.answerDone || k.ready && k.marker.pending()
 		kind, body, n, err := pgwire.ParseMessage(in[k.parsedBytes:], c.limits.MaxStoreMessage)
 		if err != nil || n > 0 && !k.onMessage(k, c, kind, body) {
 			if k.ready {
@@ -234,13 +239,13 @@
 			return
 		}
 		k.parsedBytes += n
-		if kind == 'Z' || k.idle || k.answerDone { // all messages so far are processed
+		if kind == 'Z' || outsideAnswer { // all messages so far are processed
 			if unsolicited++; unsolicited > maxUnsolicited {
 				k.connectionLost(c)
 				return
 			}
 			k.link.Discard(k.parsedBytes)
-			if k.parsedBytes = 0; !k.idle && !k.answerDone {
+			if k.parsedBytes = 0; !outsideAnswer {
 				// Messages behind the end of an answer would be taken for the next request's answer.
 				k.answerDone, k.onMessage = true, readWhileIdle
 			}
--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -71,7 +71,8 @@
 	store    uint32 // number of the store
 	protocol storeProtocol
 	bolt     *boltConn // nil: the store speaks PostgreSQL's protocol
-	addr     string    // the address that was dialled
+	marker   answerMarker
+	addr     string // the address that was dialled
 	// onMessage handles one message of the store.
 	onMessage     func(s *conn, c *Core, kind byte, body []byte) (ok bool)
 	ready         bool           // the startup is complete
--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -89,20 +89,35 @@
 	return body[:i], body[i+1:], true
 }
 
+// Types of the fields of an ErrorResponse.
+const (
+	fieldSeverity = 'S'
+	fieldSQLState = 'C'
+)
+
 // SQLState returns the SQLSTATE in the body of an ErrorResponse, or "" if it has none.
-func SQLState(body []byte) string {
+func SQLState(body []byte) string { return string(errorField(body, fieldSQLState)) }
+
+// Fatal reports whether the body of an ErrorResponse tells that the server ends the connection.
+func Fatal(body []byte) bool {
+	severity := errorField(body, fieldSeverity)
+	return string(severity) == "FATAL" || string(severity) == "PANIC"
+}
+
+// errorField returns a field in the body of an ErrorResponse, or nil if it is missing.
+func errorField(body []byte, wanted byte) []byte {
 	for len(body) > 1 {
 		field := body[0]
 		text, rest, ok := ParseString(body[1:])
 		if !ok {
-			return ""
+			return nil
 		}
-		if field == 'C' {
-			return string(text)
+		if field == wanted {
+			return text
 		}
 		body = rest
 	}
-	return ""
+	return nil
 }
 
 // ColumnValue returns the value of the only column in the body of a DataRow. It returns false if the body is malformed, has
--- a/internal/standin/postgres.go
+++ b/internal/standin/postgres.go
@@ -138,6 +138,10 @@
 }
 
 func (p *Postgres) answer(c net.Conn, text []byte) bool {
+	if len(text) == 0 {
+		_, err := c.Write(EmptyResponse())
+		return err == nil
+	}
 	if string(text) == ProbeQuery {
 		p.probes.Add(1)
 		_, err := c.Write(p.group.Execute(p.Name, text))
@@ -182,6 +186,9 @@
 // StartupResponse returns what a store sends on a new connection.
 func StartupResponse() []byte { return pgwire.AppendReady([]byte("R\x00\x00\x00\x08\x00\x00\x00\x00")) }
 
+// EmptyResponse returns what a store sends in answer to an empty query, which it answers at once and does nothing for.
+func EmptyResponse() []byte { return pgwire.AppendReady(pgwire.AppendEmptyQueryResponse(nil)) }
+
 // FullResponse returns what a store sends when it rejects a request without executing it because it is overloaded.
 func FullResponse() []byte {
 	return pgwire.AppendReady(pgwire.AppendError(nil, "ERROR", pgwire.TooManyConnections, "full", ""))
--- a/internal/world/store.go
+++ b/internal/world/store.go
@@ -117,6 +117,10 @@
 }
 
 func (s *Store) asked(j work) {
+	if len(j.text) == 0 {
+		j.l.push(standin.EmptyResponse())
+		return
+	}
 	if string(j.text) == standin.ProbeQuery {
 		s.Probes++
 		j.l.push(s.Group.Execute(s.Name, j.text))
