Bolt: a second copy of a store's answer is not passed on as the next one's

A connection's next RUN and PULL took the copied SUCCESS, RECORD and SUCCESS for their own answers.

Change: a request on a used connection follows RESETs, alternately one and two, and each message of the store has to fit the one that it would answer: RUN's names the columns of a result, no other does. In a transaction a result must not have the number of the one before. Whatever does not fit ends the connection, is logged and counted; the request counts as one that may have run. RESETs do not count as written parts of the request.

--- a/internal/bolt/message.go
+++ b/internal/bolt/message.go
@@ -253,13 +253,26 @@
 	Code    []byte // Of FAILURE: the status code.
 	Message []byte // Of FAILURE: the text.
 	More    bool   // Of SUCCESS to PULL or DISCARD: the result has more records.
+	Columns bool   // Of SUCCESS: it names the columns of a result, as the answer to RUN alone does.
+	QueryID int64  // Of SUCCESS to RUN in a transaction: the number of the result; negative if absent.
+}
+
+// Answers reports whether the message can be an answer to a request of this type.
+func (a *Response) Answers(w MessageType) bool {
+	switch a.Type {
+	case Record:
+		return w == Pull
+	case Success:
+		return a.Columns == (w == Run)
+	}
+	return true
 }
 
 // ReadResponse parses a message from a server. It returns an error if the message is malformed.
 func ReadResponse(body []byte) (a Response, err error) {
 	v := NewDecoder(body)
 	tag, n := v.Struct()
-	a.Type = MessageType(tag)
+	a.Type, a.QueryID = MessageType(tag), -1
 	want := 1
 	if a.Type == Ignored {
 		want = 0
@@ -276,9 +289,15 @@
 	switch a.Type {
 	case Success:
 		readMap(&v, func(key []byte) {
-			if string(key) == "has_more" {
+			switch string(key) {
+			case "has_more":
 				a.More = v.Bool()
-			} else {
+			case "qid":
+				a.QueryID = v.Int()
+			case "fields":
+				a.Columns = true
+				v.Skip()
+			default:
 				v.Skip()
 			}
 		})
--- a/internal/front/bolt.go
+++ b/internal/front/bolt.go
@@ -322,8 +322,13 @@
 	forwarded       bool                // the client has seen part of the request's answer from this connection
 	recordsBuffered bool                // records are among the buffered answers, so all of them may be forwarded
 	stalled         bool                // the client has no room for what has arrived
+	resets          int                 // RESETs ahead of the current request
+	lastResult      int64               // number of the newest result in the transaction; negative: none is known
 }
 
+// maxResets is the larger of the numbers of RESETs between which requests on a used connection alternate.
+const maxResets = 2
+
 // unansweredMessage is a message written to a store that has yet to be answered.
 type unansweredMessage struct {
 	kind bolt.MessageType
@@ -346,6 +351,10 @@
 // sendRequest writes the messages of a request that may be written now, or a probe.
 func (boltStore) sendRequest(k *conn, c *Core, e pendingAttempt) {
 	k.bolt.outcome, k.bolt.forwarded, k.bolt.stalled, k.bolt.recordsBuffered = outcome.Tracker{}, false, false, false
+	k.bolt.lastResult = -1
+	if k.writeResets(c); k.index < 0 {
+		return
+	}
 	if e.request < 0 {
 		dst, at := bolt.BeginMessage(c.scratch[:0])
 		dst = bolt.AppendString(bolt.AppendStruct(dst, byte(bolt.Run), 3), "CALL micatrack.report()")
@@ -363,6 +372,34 @@
 	k.forwardRequest(c, cl, b)
 }
 
+// writeResets writes RESETs ahead of a request on a connection that has carried another.
+//
+// A store may send a second copy of an earlier answer, and that may arrive behind the beginning of this request. It
+// would have to fit the RESETs and the request in turn to be taken for their answers: RUN is answered with the columns
+// of its result, RESET without any. Since a copy may hold the answers to the RESETs of the request before, the number
+// of them alternates.
+func (k *conn) writeResets(c *Core) {
+	if !k.used {
+		return
+	}
+	k.bolt.resets = k.bolt.resets%maxResets + 1
+	for range k.bolt.resets {
+		if k.index >= 0 {
+			k.writeMessage(c, bolt.Reset, bolt.AppendEmpty(c.scratch[:0], bolt.Reset))
+		}
+	}
+}
+
+// expects reports whether a message can be the answer that the store owes next. If not, it belongs to an earlier
+// message.
+func (b *boltConn) expects(a *bolt.Response) bool {
+	if len(b.unanswered) == 0 || !a.Answers(b.unanswered[0].kind) {
+		return false
+	}
+	isRepeated := b.unanswered[0].kind == bolt.Run && a.QueryID >= 0 && a.QueryID == b.lastResult
+	return !isRepeated
+}
+
 // pullAll is a PULL message for all records of a result.
 var pullAll = func() []byte {
 	dst, at := bolt.BeginMessage(nil)
@@ -437,7 +474,10 @@
 		if err == nil {
 			a, err = bolt.ReadResponse(body)
 		}
-		if err != nil || len(b.unanswered) == 0 || a.Type == bolt.Record && b.unanswered[0].kind != bolt.Pull {
+		if err != nil || !b.expects(&a) {
+			if err == nil {
+				c.counts.strayAnswers++
+			}
 			c.logLimited("store connection closed", "store", k.store, "message", a.Type.String())
 			k.connectionLost(c)
 			return
@@ -491,6 +531,9 @@
 	if a.Type != bolt.Record {
 		b.unanswered = b.unanswered[1:]
 	}
+	if w == bolt.Run && a.Type == bolt.Success {
+		b.lastResult = a.QueryID
+	}
 	switch {
 	case w == bolt.Hello || w == bolt.Logon:
 		drop()
@@ -694,7 +737,7 @@
 	b := k.bolt
 	nothingAnswered := !b.outcome.AnyWritten()
 	for _, o := range b.unanswered {
-		if o.end <= k.link.SentBytes() {
+		if o.end <= k.link.SentBytes() && o.kind != bolt.Reset {
 			b.outcome.MessageWritten(o.kind, true)
 		}
 	}
--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -76,6 +76,7 @@
 	// onMessage handles one message of the store.
 	onMessage     func(s *conn, c *Core, kind byte, body []byte) (ok bool)
 	ready         bool           // the startup is complete
+	used          bool           // it has carried a request or a probe
 	idle          bool           // it is in its store's idle list
 	answerDone    bool           // its answer is complete, and the connection has not been reused yet
 	connectedAt   Time           // when it was established
@@ -220,6 +221,7 @@
 		req.awaitsConn, req.attemptConn, req.written = false, k, true
 	}
 	k.protocol.sendRequest(k, c, e)
+	k.used = true
 	if k.index >= 0 {
 		k.link.Flush() // at once: by the end of this step the request's client may have disconnected
 	}
