An attempt that waited for its connection is judged anew by all that allowed it

Cause: whether a read of the need Fresh, or a write, may go to a store was decided as the attempt was placed. When the connection that it waited for came up, MaySend looked at the drain and the window for repeats alone, so the loss of the primary role in between counted for nothing. Two relatives: a store that restarted meanwhile was sent all attempts that had waited for it, none of which is counted against its budget while it is cold; and a connection that an answer freed, or that came up in the same step, was given the next waiting attempt before the balancer was told of that answer.

Change: maySend asks for a Fresh read and for a write what the choice of a store asks: the store is still the primary, for reads with its role confirmed. An attempt placed before its store's restart became known is placed again. Freed connections become idle first; waiting attempts are dispatched once the step has taken in all that has arrived and the balancer has been told of all results.

--- a/balance/attempt.go
+++ b/balance/attempt.go
@@ -20,7 +20,7 @@
 		b.openWrites[req.fenceSlot]++
 	}
 	if req.minPosition = b.requiredPosition(req); member.position >= req.minPosition || b.storesCheckReads ||
-		memberIndex == b.groups[req.group].primary && member.roleConfirmed {
+		b.isConfirmedPrimary(req) {
 		req.minPosition = 0 // the answer need not show any position
 	} else {
 		// The answer has to show all that the peer reported, not only what the request needs now: the attempt
@@ -31,8 +31,9 @@
 }
 
 // MaySend reports whether an attempt that had to wait for a connection may still be sent. If not, the front
-// returns it as NotSent and the request is placed again. Meanwhile its store may have begun to drain, the
-// last known position of the store may have become too old, or the window for repeats may have passed.
+// returns it as NotSent and the request is placed again. All that allowed the attempt when it was placed has to
+// hold still: meanwhile its store may have begun to drain, handed over as the primary or restarted, the last
+// known position of the store may have become too old, or the window for repeats may have passed.
 func (b *Balancer) MaySend(now Time, id string) bool {
 	b.now = now
 	i, ok := b.requestOf[id]
@@ -43,15 +44,26 @@
 func (b *Balancer) maySend(req *request) bool {
 	member, class := &b.members[req.member], &b.classes[req.class]
 	switch {
-	case !member.accepting || class.Repeat == Keyed && req.mayHaveRunAt > 0 && b.now >= b.repeatDeadline(req):
+	case !member.accepting, class.Repeat == Keyed && req.mayHaveRunAt > 0 && b.now >= b.repeatDeadline(req):
 		return false
-	case class.Need != Bounded && class.Need != Session || b.storesCheckReads ||
-		req.member == b.groups[req.group].primary && member.roleConfirmed:
+	case member.startedAt > 0 && member.restartSeenAt > req.sentAt:
+		return false // it has not been counted against the budget of a cold store
+	case class.Need == Write:
+		return b.groups[req.group].primary == req.member
+	case class.Need == Fresh:
+		return b.isConfirmedPrimary(req)
+	case class.Need == Any, b.storesCheckReads, b.isConfirmedPrimary(req):
 		return true
 	}
 	return max(member.position, req.minPosition) >= b.requiredPosition(req)
 }
 
+// isConfirmedPrimary reports whether the member of the request's last attempt is known as the primary of the
+// request's group, so that reads may rely on it.
+func (b *Balancer) isConfirmedPrimary(req *request) bool {
+	return b.groups[req.group].primary == req.member && b.members[req.member].roleConfirmed
+}
+
 // AttemptDone takes in the result of a request's attempt with the given number at a store. A result that
 // does not belong to the attempt in flight is ignored.
 func (b *Balancer) AttemptDone(now Time, id string, attempt int, store uint32, r Result) {
--- a/balance/list.go
+++ b/balance/list.go
@@ -135,7 +135,7 @@
 	member.size = cmp.Or(max(entry.Size, 0), member.size)
 	if member.listedStart = max(member.listedStart, entry.Started); entry.Started > member.startedAt &&
 		b.now-entry.Started < b.warmupTime {
-		member.startedAt = entry.Started
+		member.startedAt, member.restartSeenAt = entry.Started, b.now
 	}
 	// The list is the weakest evidence: it names a primary only where nothing better is known.
 	if group := &b.groups[member.group]; entry.Primary && member.accepting && group.primary < 0 &&
--- a/balance/probe.go
+++ b/balance/probe.go
@@ -84,7 +84,7 @@
 		b.connectionsScarceAt = b.now
 	default:
 		// It may have restarted without notice, and would then be cold.
-		member.startedAt = b.now
+		member.startedAt, member.restartSeenAt = b.now, b.now
 	}
 	member.unansweredSince, member.connectFailedAt = 0, 0
 	if member.suspect {
--- a/balance/state.go
+++ b/balance/state.go
@@ -33,6 +33,7 @@
 	failures          int     // refusals and failures since it last served an attempt
 	backoffUntil      Time    // no new work goes to it until then
 	startedAt         Time    // its last start, 0 when it is warm
+	restartSeenAt     Time    // when startedAt was last set
 	listedStart       Time    // its latest start according to the list
 	limit             float64 // attempts in flight that it handles in good time
 	latencyRatio      float64 // average answer time as a multiple of the expected time
--- a/internal/front/bolt.go
+++ b/internal/front/bolt.go
@@ -453,7 +453,7 @@
 			if b.recordsBuffered && (!d.forwardBuffered(k, c) || k.index < 0) {
 				return
 			} else if in = k.link.Peek(); k.answerDone && len(b.unanswered) == 0 && len(in) == 0 {
-				k.carryNextOrIdle(c)
+				k.becomeIdle(c)
 			} else if !k.link.ReadOn() {
 				k.connectionLost(c)
 			}
@@ -543,7 +543,7 @@
 		}
 		if len(b.unanswered) == 0 {
 			k.ready, k.connectedAt = true, c.now
-			k.carryNextOrIdle(c)
+			k.becomeIdle(c)
 		}
 		return k.index >= 0
 	case w == bolt.Reset:
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -222,6 +222,7 @@
 	pipelined        int    // requests in all pipelines
 	bufferedBytes    int    // bytes of their buffered replies
 	conns            []*conn
+	freed            []uint32    // stores whose connections became idle in this step while attempts waited for one
 	storeLists       []StoreList // updates queued for the next step, as are zoneShares and storeUpdates
 	zoneShares       []zoneShare
 	storeUpdates     []storeUpdate
@@ -335,6 +336,8 @@
 	c.handleEvents(events)
 	c.resumeStalledConns()
 	c.applyUpdates()
+	c.reportResults()
+	c.dispatchWaiting()
 	tickDue := now >= c.nextWake
 	if tickDue {
 		c.sweep()
@@ -397,10 +400,7 @@
 // tasks that result, until nothing is queued.
 func (c *Core) processQueues(tickDue bool) {
 	for once := true; once || c.queuesPending(); once = false {
-		for k := 0; k < len(c.results); k++ {
-			c.reportResult(c.results[k])
-		}
-		c.results = c.results[:0]
+		c.reportResults()
 		c.reportAbandoned()
 		for k := 0; k < len(c.arrived); k++ {
 			c.handleArrival(c.arrived[k])
@@ -487,6 +487,14 @@
 	c.tasks = c.tasks[:0]
 }
 
+// reportResults passes the results that have arrived to the balancer.
+func (c *Core) reportResults() {
+	for k := 0; k < len(c.results); k++ {
+		c.reportResult(c.results[k])
+	}
+	c.results = c.results[:0]
+}
+
 // reportResult passes the result of an attempt or a probe to the balancer.
 func (c *Core) reportResult(b attemptResult) {
 	if b.request < 0 {
--- a/internal/front/postgres.go
+++ b/internal/front/postgres.go
@@ -232,7 +232,7 @@
 				c.balancer.RecordWrite(c.now, c.requests[e.request].id, k.report.Position)
 			}
 			if k.answerDone && len(in) == 0 {
-				k.carryNextOrIdle(c)
+				k.becomeIdle(c)
 			} else if !k.link.ReadOn() { // larger than a value may be, or the total size of all read buffers may not grow
 				k.connectionLost(c)
 			}
--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -250,27 +250,33 @@
 	}
 }
 
-// carryNextOrIdle gives a free connection the oldest pending attempt, or makes it idle.
-func (k *conn) carryNextOrIdle(c *Core) {
+// becomeIdle makes a connection idle that carries nothing any more, or nothing yet. Attempts that wait for one are
+// dispatched later in the step.
+func (k *conn) becomeIdle(c *Core) {
 	s := &c.stores[k.store]
 	if k.addr != s.addr { // the store's address has changed meanwhile
 		k.release(c)
 		c.dispatchOldest(k.store)
 		return
 	}
-	for len(s.waiting) > 0 {
-		e := s.waiting[0]
-		s.waiting = append(s.waiting[:0], s.waiting[1:]...)
-		if c.mayStillStart(e) && c.clientConnected(e) {
-			k.carry(c, e)
-			return
-		}
-		c.failUnsent(k.store, e, balance.NotSent)
-	}
 	k.protocol.prepareIdle(k)
 	k.errorCode = ""
 	k.idle, k.answerDone, k.since = true, false, c.now
 	s.idle = append(s.idle, k)
+	if len(s.waiting) > 0 {
+		c.freed = append(c.freed, k.store)
+	}
+}
+
+// dispatchWaiting gives the connections that have become idle to the attempts that wait for one. It is called when the
+// balancer has been told of all results that have arrived, since one of them may be why an attempt must not start.
+func (c *Core) dispatchWaiting() {
+	for _, i := range c.freed {
+		for s := &c.stores[i]; len(s.waiting) > 0 && len(s.idle) > 0; {
+			c.dispatchOldest(i)
+		}
+	}
+	c.freed = c.freed[:0]
 }
 
 // drainExpired reports whether the store drains, its grace period is over, and the request needs more of the store than
@@ -280,8 +286,8 @@
 	return k.bolt != nil && k.current.request >= 0 && s.drainUntil > 0 && c.now >= s.drainUntil && !k.bolt.outcome.StaysDuringDrain()
 }
 
-// dispatchOldest dispatches the oldest waiting attempt again, since the connection that would have carried it is
-// closed.
+// dispatchOldest dispatches the oldest waiting attempt again, since a connection has become idle, or the one that would
+// have carried it is closed.
 func (c *Core) dispatchOldest(i uint32) {
 	if s := &c.stores[i]; len(s.waiting) > 0 {
 		e := s.waiting[0]
