A late answer of a former primary is taken for as old as it can be

Cause: what an answer says of its store's role counted as of the moment at which the answer was read. The answer of a primary that then stood still and handed over came 300 ms late, and made the store the primary again: the claim was newer than the new primary's, and than the position in the store's own denial, which was passed over. A write that was sent before the denial even confirmed the role.

Change: a report carries the time within which it can have been made. A claim counts from its earliest moment, the sending of the attempt or the position that it shows; a denial until its latest. A write confirms the role only if it was sent, or has its position, after the last denial.

--- a/balance/attempt.go
+++ b/balance/attempt.go
@@ -133,10 +133,11 @@
 			// The position of a commit is reported rounded up, but a member's position must not be.
 			report.Position -= second / 1000
 		}
+		// A write that was sent before the member denied its role may have been served before that, too.
 		member.roleConfirmed = member.roleConfirmed && report.Role != Replica ||
-			class.Need == Write && r.Ending == Served
-		b.recordReport(req.member, report, b.now)
-		b.recordReport(req.member, r.Load, 0)
+			class.Need == Write && r.Ending == Served && max(req.sentAt, report.Position) > member.replicaAt
+		b.recordReport(req.member, report, interval{req.sentAt, b.now})
+		b.recordReport(req.member, r.Load, unknownTime)
 		b.recordAlive(req.member, r.Since)
 	}
 	switch {
--- a/internal/front/marker.go
+++ b/internal/front/marker.go
@@ -94,7 +94,7 @@
 	empty := k.marker.endGroup()
 	switch {
 	case empty && !k.marker.pending() && k.report.Role != balance.RoleUnknown:
-		c.balancer.RecordReport(c.now, k.store, k.report)
+		c.balancer.RecordReport(c.now, k.store, k.report, k.since)
 	case !empty && k.marker.unsupported && supported:
 		c.logLimited("store does not answer empty queries", "store", k.store, "addr", k.addr)
 	case !empty:
