Bolt: a read whose result has not begun is answered in its client's time

Cause: with the first message that was passed on, also a RUN's SUCCESS that holds nothing of the result, the balancer was told that the answer had begun, and dropped all time limits of the request; the attempt's end moved to the longest limit of all classes.

Change: what has been passed on and what limits the time are told apart.

TestBoltResultLongerThanTheDeadline holds what was so before.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -3,7 +3,7 @@
 //
 // New takes the first Settings and the Front through which the package acts. After that each event is
 // reported by a call of a method (UpdateMembers, Submit, AttemptDone, ProbeDone, ClientGone,
-// ResponseStarted, Tick and so on), one at a time, with the current time. A Balancer is not safe for
+// ResultStarted, Tick and so on), one at a time, with the current time. A Balancer is not safe for
 // concurrent use.
 //
 // The mechanism is that of pgpilot: a session has a fence, the log position of its last write. A read goes
--- a/balance/repeat.go
+++ b/balance/repeat.go
@@ -59,7 +59,7 @@
 	case b.now >= req.deadline-b.tickInterval,
 		req.waiting && (late || b.now+Time(class.typicalTime/2) > req.deadline):
 		b.giveUp(i)
-	case stuck && req.deadline < never && class.Repeat == Idempotent && b.mayCancel &&
+	case stuck && !req.responseStarted && class.Repeat == Idempotent && b.mayCancel &&
 		b.mayRetryNow(req, req.ranAttempts+1):
 		b.front.Cancel(req.id, req.attempts-1)
 	}
@@ -108,9 +108,19 @@
 	}
 }
 
-// ResponseStarted reports that the answer to the request has begun; its time limits no longer apply.
+// ResponseStarted reports that the client has been sent part of an answer to the request. It cannot be sent to another
+// store any more; its time limits still apply.
 func (b *Balancer) ResponseStarted(now Time, id string) {
 	b.now = now
+	if i, ok := b.requestOf[id]; ok {
+		b.requests[i].responseStarted = true
+	}
+}
+
+// ResultStarted reports that the client is being sent the request's result, and for as long as it takes: the time
+// limits no longer apply.
+func (b *Balancer) ResultStarted(now Time, id string) {
+	b.ResponseStarted(now, id)
 	if i, ok := b.requestOf[id]; ok {
 		b.requests[i].deadline, b.requests[i].expectedBy = never, never
 	}
--- a/balance/state.go
+++ b/balance/state.go
@@ -75,30 +75,32 @@
 
 // request is a request at hand. It has at most one attempt in flight.
 type request struct {
-	id            string        // "" if the slot is free
-	class         int32         // index of its class
-	group         int32         // index of its group
-	fenceSlot     int32         // slot of its session's fence; -1 if it has no session
-	priority      float64       // credit for the work it takes, as estimated on arrival
-	fence         Time          // the log position that it has to see
-	arrivedAt     Time          // when it was submitted
-	expectedBy    Time          // when its expected time is over
-	deadline      Time          // when the client gives up, or the front is shut down
-	minPosition   Time          // the position that its answer has to prove; 0 for none
-	member        int32         // index of the member that its last attempt went to
-	sentAt        Time          // when its last attempt was sent
-	mayHaveRunAt  Time          // when the first attempt that may have run was sent; 0 for none
-	attempts      int           // attempts sent
-	probes        int           // probes sent for it
-	ranAttempts   int           // attempts that returned and may have cost the store time
-	ended         bool          // it has had its final answer, or needs none
-	waiting       bool          // it is in its group's queue
-	inFlight      bool          // an attempt is in flight
-	overdue       bool          // that attempt has taken so long that its member's inFlight no longer counts it
-	spilled       bool          // it is a read whose attempt went to the primary
-	primaryBarred bool          // it is a read that must not spill to the primary
-	fundedSearch  bool          // its credit has been added to its group's searchProbes
-	onResult      resultHandler // called with the result of its last attempt
+	id           string  // "" if the slot is free
+	class        int32   // index of its class
+	group        int32   // index of its group
+	fenceSlot    int32   // slot of its session's fence; -1 if it has no session
+	priority     float64 // credit for the work it takes, as estimated on arrival
+	fence        Time    // the log position that it has to see
+	arrivedAt    Time    // when it was submitted
+	expectedBy   Time    // when its expected time is over
+	deadline     Time    // when the client gives up, or the front is shut down
+	minPosition  Time    // the position that its answer has to prove; 0 for none
+	member       int32   // index of the member that its last attempt went to
+	sentAt       Time    // when its last attempt was sent
+	mayHaveRunAt Time    // when the first attempt that may have run was sent; 0 for none
+	attempts     int     // attempts sent
+	probes       int     // probes sent for it
+	ranAttempts  int     // attempts that returned and may have cost the store time
+	ended        bool    // it has had its final answer, or needs none
+	waiting      bool    // it is in its group's queue
+	inFlight     bool    // an attempt is in flight
+	// responseStarted is set if the client has been sent part of the answer.
+	responseStarted bool
+	overdue         bool          // that attempt has taken so long that its member's inFlight no longer counts it
+	spilled         bool          // it is a read whose attempt went to the primary
+	primaryBarred   bool          // it is a read that must not spill to the primary
+	fundedSearch    bool          // its credit has been added to its group's searchProbes
+	onResult        resultHandler // called with the result of its last attempt
 }
 
 // Balancer makes the decisions for one front. Its methods must not be called concurrently.
--- a/internal/front/bolt.go
+++ b/internal/front/bolt.go
@@ -613,7 +613,7 @@
 	if cl.index < 0 { // the connection was closed because the client does not read
 		return false
 	}
-	k.noteForwarded(c, req)
+	k.noteForwarded(c, req, w != bolt.Run && w != bolt.BeginTx)
 	if k.index >= 0 && cl.index >= 0 {
 		k.forwardRequest(c, cl, t)
 	}
@@ -638,13 +638,14 @@
 	c.unflushed = append(c.unflushed, req.client.link)
 	k.link.Discard(k.parsedBytes)
 	k.parsedBytes, k.bolt.recordsBuffered = 0, false
-	k.noteForwarded(c, req)
+	k.noteForwarded(c, req, true)
 	return true
 }
 
-// noteForwarded records that the client has seen part of an answer. A result that is being read is limited by the time
-// in which no part of it is forwarded; a transaction is limited by its client's deadline as before.
-func (k *conn) noteForwarded(c *Core, req *request) {
+// noteForwarded records that the client has seen part of an answer. ofResult tells whether that holds some of the result,
+// not only what comes before it. A result that is being read is limited by the time in which no part of it is forwarded;
+// until it begins, and in a transaction, the client's deadline holds.
+func (k *conn) noteForwarded(c *Core, req *request, ofResult bool) {
 	k.bolt.outcome.ResultForwarded()
 	b := req.client.protocol.(*boltClient)
 	n := b.dialogue.Delivered()
@@ -654,7 +655,9 @@
 	if !k.bolt.forwarded {
 		c.balancer.ResponseStarted(c.now, req.id)
 	}
-	if k.bolt.forwarded = true; !k.bolt.outcome.Transaction {
+	k.bolt.forwarded = true
+	if ofResult && !k.bolt.outcome.Transaction {
+		c.balancer.ResultStarted(c.now, req.id)
 		k.current.until = c.now + c.classes.longest
 	}
 }
