Bolt: a statement is sent to a replica only if its data is recent enough then

Cause: where a transaction's statements go was decided as BEGIN was sent. What was decided before the wait for the client was not asked again as the statement was written.

Change: before a RUN in a transaction is written, the balancer is asked whether the store may still answer the class's reads (MayContinue). If what is known of it is too old, the store is probed and the statement waits, for a tenth of the class's expected time at most; then the transaction ends, of which nothing is committed: it is refused, or placed at another store if the client has not been sent anything. Writing classes are not asked; the primary judges them.

The processes' test stand-in now answers empty queries as the protocol page says; it took them for requests, and TestClientGoesWhileHeld panicked.

--- a/balance/attempt.go
+++ b/balance/attempt.go
@@ -50,6 +50,15 @@
 		return false // it has not been counted against the budget of a cold store
 	case class.Need == Write:
 		return b.groups[req.group].primary == req.member
+	}
+	return b.mayRead(req)
+}
+
+// mayRead reports whether the data that the member of the request's last attempt is known to have is recent enough
+// for the request.
+func (b *Balancer) mayRead(req *request) bool {
+	member, class := &b.members[req.member], &b.classes[req.class]
+	switch {
 	case class.Need == Fresh:
 		return b.isConfirmedPrimary(req)
 	case class.Need == Any, b.storesCheckReads, b.isConfirmedPrimary(req):
@@ -58,6 +67,40 @@
 	return max(member.position, req.minPosition) >= b.requiredPosition(req)
 }
 
+// Permission says whether a further statement of a transaction may be sent to the transaction's store.
+type Permission uint8
+
+const (
+	Allowed Permission = iota // it may be sent now
+	Pending                   // the store is asked for its position; the answer is to be awaited
+	Denied                    // the transaction has to end
+)
+
+// MayContinue reports whether the next statement of a transaction may be sent to its store. Between two statements the
+// client may take its time, and what was known of the store when the transaction began may no longer do for a read.
+func (b *Balancer) MayContinue(now Time, id string) Permission {
+	b.now = now
+	i, ok := b.requestOf[id]
+	if !ok {
+		return Denied
+	}
+	req := &b.requests[i]
+	class := &b.classes[req.class]
+	switch {
+	case class.Need == Write || b.mayRead(req):
+		req.confirmingSince = 0
+		return Allowed
+	case !b.mayProbe || class.Need == Fresh:
+		return Denied
+	case req.confirmingSince == 0:
+		req.confirmingSince = now
+		b.sendProbe(&b.members[req.member], b.requiredPosition(req), false)
+	case now-req.confirmingSince >= class.ExpectedTime/10:
+		return Denied
+	}
+	return Pending
+}
+
 // isConfirmedPrimary reports whether the member of the request's last attempt is known as the primary of the
 // request's group, so that reads may rely on it.
 func (b *Balancer) isConfirmedPrimary(req *request) bool {
--- a/balance/state.go
+++ b/balance/state.go
@@ -100,6 +100,7 @@
 	spilled         bool          // it is a read whose attempt went to the primary
 	primaryBarred   bool          // it is a read that must not spill to the primary
 	fundedSearch    bool          // its credit has been added to its group's searchProbes
+	confirmingSince Time          // since when a statement of its transaction waits for its store's position; 0: none does
 	onResult        resultHandler // called with the result of its last attempt
 }
 
--- a/cmd/micatrack/main_test.go
+++ b/cmd/micatrack/main_test.go
@@ -221,6 +221,10 @@
 		}
 		now := time.Now().UnixMilli()
 		notes := pgwire.AppendParameter(pgwire.AppendParameter(nil, "role", role), "applied_ms", fmt.Sprint(now))
+		if len(body) == 1 { // an empty query
+			c.Write(pgwire.AppendReady(append(pgwire.AppendEmptyQueryResponse(nil), notes...)))
+			continue
+		}
 		if bytes.HasPrefix(body, []byte("SHOW load")) {
 			row := fmt.Sprintf("x0=%d.%03d,x1=%d", now/1000, now%1000, map[string]int{"primary": 1, "replica": 0}[role])
 			out := append([]byte("T\x00\x00\x00\x0a\x00\x01p\x00\x00\x00D\x00\x00\x00"), byte(10+len(row)), 0, 1, 0, 0, 0, byte(len(row)))
--- a/internal/front/bolt.go
+++ b/internal/front/bolt.go
@@ -414,6 +414,9 @@
 		if s.drainUntil > 0 && c.now >= s.drainUntil && !outcome.AllowedAfterDrain(w) {
 			return // the next sweep ends the request
 		}
+		if w == bolt.Run && b.dialogue.InTransaction() && !k.mayContinue(c) {
+			return
+		}
 		from, to := b.dialogue.Span(i)
 		raw := cl.link.Peek()[from:to]
 		// Rewrite the timeout to the time that is left now.
@@ -439,6 +442,35 @@
 	}
 }
 
+// mayContinue reports whether the next statement of the connection's transaction may be written. If not, it waits for
+// the store's position, or the transaction is ended: nothing of it has been committed.
+func (k *conn) mayContinue(c *Core) bool {
+	e := k.current
+	switch c.balancer.MayContinue(c.now, c.requests[e.request].id) {
+	case balance.Allowed:
+		return true
+	case balance.Pending:
+		if !slices.Contains(c.heldConns, k) {
+			c.heldConns = append(c.heldConns, k)
+		}
+	case balance.Denied:
+		k.release(c)
+		k.protocol.lossEnding(k, c) // answers a client that has been sent part of an answer
+		c.endAttempt(k, e, balance.Result{Ending: balance.NotSent})
+	}
+	return false
+}
+
+// resumeHeld writes the statement that waits for the store's position, if it may be written now.
+func (k *conn) resumeHeld(c *Core) {
+	if k.index < 0 || k.idle || k.answerDone || k.current.request < 0 {
+		return
+	}
+	if cl := c.requests[k.current.request].client; cl != nil {
+		k.forwardRequest(c, cl, cl.protocol.(*boltClient))
+	}
+}
+
 // readAnswers processes the complete messages that have arrived. Those that are not yet forwarded to the client stay in
 // the read buffer.
 func (d boltStore) readAnswers(k *conn, c *Core) {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -233,6 +233,7 @@
 	tasks            []task          // requested by the balancer or admission control and not yet executed
 	unflushed        []Link          // links with output to be flushed at the end of the step
 	stalledConns     []*conn         // connections whose clients had no room for part of a result
+	heldConns        []*conn         // connections with a statement that waits for its store's position
 	scratch          []byte          // scratch buffer for output
 	shutdownAt       Time            // from then on idle clients are closed; 0: not stopping
 	shutdownDeadline Time            // all requests must be answered by then
@@ -293,7 +294,7 @@
 func (c *Core) NextStep() Time {
 	// Their clients may have read meanwhile; there is no event for that if the system had accepted all output.
 	next := c.nextWake
-	if len(c.stalledConns) > 0 {
+	if len(c.stalledConns)+len(c.heldConns) > 0 {
 		next = min(next, c.now+millisecond)
 	}
 	if len(c.backlog.clients) > 0 {
@@ -338,6 +339,7 @@
 	c.applyUpdates()
 	c.reportResults()
 	c.dispatchWaiting()
+	c.resumeHeldConns()
 	tickDue := now >= c.nextWake
 	if tickDue {
 		c.sweep()
@@ -377,6 +379,15 @@
 	}
 }
 
+// resumeHeldConns looks again at the statements that wait for the positions of their stores.
+func (c *Core) resumeHeldConns() {
+	for n := len(c.heldConns); n > 0; n-- { // those that wait on are appended behind the others
+		k := c.heldConns[0]
+		c.heldConns = append(c.heldConns[:0], c.heldConns[1:]...)
+		k.resumeHeld(c)
+	}
+}
+
 // applyUpdates applies what was queued since the last step by UpdateStores, SetZoneShare and the reports on stores.
 func (c *Core) applyUpdates() {
 	for _, p := range c.zoneShares {
