--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -222,6 +222,7 @@
 	pipelined        int    // requests in all pipelines
 	bufferedBytes    int    // bytes of their buffered replies
 	conns            []*conn
+	unserved         []uint32    // stores of which a connection that could have carried a waiting attempt was closed in this step
 	freed            []uint32    // stores whose connections became idle in this step while attempts waited for one
 	storeLists       []StoreList // updates queued for the next step, as are zoneShares and storeUpdates
 	zoneShares       []zoneShare
--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -256,7 +256,7 @@
 	s := &c.stores[k.store]
 	if k.addr != s.addr { // the store's address has changed meanwhile
 		k.release(c)
-		c.dispatchOldest(k.store)
+		c.unserved = append(c.unserved, k.store)
 		return
 	}
 	k.protocol.prepareIdle(k)
@@ -268,9 +268,14 @@
 	}
 }
 
-// dispatchWaiting gives the connections that have become idle to the attempts that wait for one. It is called when the
-// balancer has been told of all results that have arrived, since one of them may be why an attempt must not start.
+// dispatchWaiting gives the connections that have become idle to the attempts that wait for one, and dispatches again
+// those whose connection was closed instead. It is called when the balancer has been told of all results that have
+// arrived, since one of them may be why an attempt must not start.
 func (c *Core) dispatchWaiting() {
+	for _, i := range c.unserved {
+		c.dispatchOldest(i)
+	}
+	c.unserved = c.unserved[:0]
 	for _, i := range c.freed {
 		for s := &c.stores[i]; len(s.waiting) > 0 && len(s.idle) > 0; {
 			c.dispatchOldest(i)
@@ -310,7 +315,7 @@
 		}
 		return
 	case k.answerDone:
-		c.dispatchOldest(k.store)
+		c.unserved = append(c.unserved, k.store)
 		return
 	case !busy:
 		return
