--- a/balance/attempt.go
+++ b/balance/attempt.go
@@ -20,7 +20,7 @@
 		b.openWrites[req.fenceSlot]++
 	}
 	if req.minPosition = b.requiredPosition(req); member.position >= req.minPosition || b.storesCheckReads ||
-		b.isConfirmedPrimary(req) {
+		memberIndex == b.groups[req.group].primary && member.roleConfirmed {
 		req.minPosition = 0 // the answer need not show any position
 	} else {
 		// The answer has to show all that the peer reported, not only what the request needs now: the attempt
@@ -31,9 +31,9 @@
 }
 
 // MaySend reports whether an attempt that had to wait for a connection may still be sent. If not, the front
-// returns it as NotSent and the request is placed again. All that allowed the attempt when it was placed has to
-// hold still: meanwhile its store may have begun to drain, handed over as the primary or restarted, the last
-// known position of the store may have become too old, or the window for repeats may have passed.
+// returns it as NotSent and the request is placed again. All that allowed the attempt when it was placed has
+// to hold still: meanwhile its store may have begun to drain, handed over as the primary or restarted, the
+// last known position of the store may have become too old, or the window for repeats may have passed.
 func (b *Balancer) MaySend(now Time, id string) bool {
 	b.now = now
 	i, ok := b.requestOf[id]
@@ -44,69 +44,48 @@
 func (b *Balancer) maySend(req *request) bool {
 	member, class := &b.members[req.member], &b.classes[req.class]
 	switch {
-	case !member.accepting, class.Repeat == Keyed && req.mayHaveRunAt > 0 && b.now >= b.repeatDeadline(req):
+	case !member.accepting,
+		class.Repeat == Keyed && req.mayHaveRunAt > 0 && b.now >= b.repeatDeadline(req),
+		member.startedAt > 0 && member.restartSeenAt > req.sentAt: // not counted against its cold budget
 		return false
-	case member.startedAt > 0 && member.restartSeenAt > req.sentAt:
-		return false // it has not been counted against the budget of a cold store
-	case class.Need == Write:
-		return b.groups[req.group].primary == req.member
 	}
-	return b.mayRead(req)
+	return b.storeSuffices(req)
 }
 
-// mayRead reports whether the data that the member of the request's last attempt is known to have is recent enough
-// for the request.
-func (b *Balancer) mayRead(req *request) bool {
-	member, class := &b.members[req.member], &b.classes[req.class]
-	switch {
-	case class.Need == Fresh:
-		return b.isConfirmedPrimary(req)
-	case class.Need == Any, b.storesCheckReads, b.isConfirmedPrimary(req):
-		return true
-	}
-	return max(member.position, req.minPosition) >= b.requiredPosition(req)
+// storeSuffices reports whether the member of the request's last attempt is known to have what the class
+// needs: the role of the primary, or data that is recent enough.
+func (b *Balancer) storeSuffices(req *request) bool {
+	member, need := &b.members[req.member], b.classes[req.class].Need
+	isPrimary := b.groups[req.group].primary == req.member
+	if isPrimary && member.roleConfirmed || need >= Fresh {
+		return isPrimary && (member.roleConfirmed || need == Write)
+	}
+	return need == Any || b.storesCheckReads ||
+		max(member.position, req.minPosition) >= b.requiredPosition(req)
 }
 
-// Permission says whether a further statement of a transaction may be sent to the transaction's store.
-type Permission uint8
-
-const (
-	Allowed Permission = iota // it may be sent now
-	Pending                   // the store is asked for its position; the answer is to be awaited
-	Denied                    // the transaction has to end
-)
-
-// MayContinue reports whether the next statement of a transaction may be sent to its store. Between two statements the
-// client may take its time, and what was known of the store when the transaction began may no longer do for a read.
+// MayContinue reports whether the next statement of a transaction may be sent to its store. Between two
+// statements the client may take its time, and what was known of the store when the transaction began may no
+// longer do. The store is probed then.
 func (b *Balancer) MayContinue(now Time, id string) Permission {
 	b.now = now
 	i, ok := b.requestOf[id]
 	if !ok {
 		return Denied
 	}
-	req := &b.requests[i]
-	class := &b.classes[req.class]
-	switch {
-	case class.Need == Write || b.mayRead(req):
+	switch req, class := &b.requests[i], &b.classes[b.requests[i].class]; {
+	case class.Need == Write || b.storeSuffices(req): // a store that is no primary rejects a write itself
 		req.confirmingSince = 0
 		return Allowed
-	case !b.mayProbe || class.Need == Fresh:
+	case !b.mayProbe || req.confirmingSince > 0 && now-req.confirmingSince >= class.ExpectedTime/10:
 		return Denied
 	case req.confirmingSince == 0:
 		req.confirmingSince = now
 		b.sendProbe(&b.members[req.member], b.requiredPosition(req), false)
-	case now-req.confirmingSince >= class.ExpectedTime/10:
-		return Denied
 	}
 	return Pending
 }
 
-// isConfirmedPrimary reports whether the member of the request's last attempt is known as the primary of the
-// request's group, so that reads may rely on it.
-func (b *Balancer) isConfirmedPrimary(req *request) bool {
-	return b.groups[req.group].primary == req.member && b.members[req.member].roleConfirmed
-}
-
 // AttemptDone takes in the result of a request's attempt with the given number at a store. A result that
 // does not belong to the attempt in flight is ignored.
 func (b *Balancer) AttemptDone(now Time, id string, attempt int, store uint32, r Result) {
@@ -139,15 +118,6 @@
 	b.dispatchWaiting(groupIndex)
 }
 
-// recycle frees the slot of a request that has ended and has no attempt in flight.
-func (b *Balancer) recycle(i int32) {
-	if req := &b.requests[i]; req.ended && !req.inFlight && req.id != "" {
-		delete(b.requestOf, req.id)
-		req.id = ""
-		b.freeRequests = append(b.freeRequests, i)
-	}
-}
-
 // recordResult updates what is known of the member, the class and the session by the result of the
 // request's last attempt.
 func (b *Balancer) recordResult(req *request, r Result) {
@@ -180,7 +150,7 @@
 		member.roleConfirmed = member.roleConfirmed && report.Role != Replica ||
 			class.Need == Write && r.Ending == Served && max(req.sentAt, report.Position) > member.replicaAt
 		b.recordReport(req.member, report, interval{req.sentAt, b.now})
-		b.recordReport(req.member, r.Load, unknownTime)
+		b.recordReport(req.member, r.Load, interval{})
 		b.recordAlive(req.member, r.Since)
 	}
 	switch {
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -3,7 +3,7 @@
 //
 // New takes the first Settings and the Front through which the package acts. After that each event is
 // reported by a call of a method (UpdateMembers, Submit, AttemptDone, ProbeDone, ClientGone,
-// ResultStarted, Tick and so on), one at a time, with the current time. A Balancer is not safe for
+// ResponseStarted, Tick and so on), one at a time, with the current time. A Balancer is not safe for
 // concurrent use.
 //
 // The mechanism is that of pgpilot: a session has a fence, the log position of its last write. A read goes
@@ -140,14 +140,6 @@
 	}
 }
 
-// randomBelow returns a pseudorandom number from 0 to n-1, from a multiply-with-carry generator.
-func (b *Balancer) randomBelow(n Time) Time { return b.random.Below(n) }
-
-// randomHit returns true with the given probability.
-func (b *Balancer) randomHit(probability float64) bool {
-	return float64(b.randomBelow(1<<20)) < probability*(1<<20)
-}
-
 // Tick does the periodic work: it asks for the member list when that is due, refills the budgets of cold
 // members, suspects silent members, sends probes, and reviews all requests. It also asks the Front for the
 // next tick.
--- a/balance/front.go
+++ b/balance/front.go
@@ -151,6 +151,15 @@
 // NeverRan reports whether the ending proves that the attempt had no effect.
 func (e Ending) NeverRan() bool { return e >= NotEligible && e <= Aborted }
 
+// Permission says whether a further statement of a transaction may be sent to the transaction's store.
+type Permission uint8
+
+const (
+	Allowed Permission = iota // it may be sent now
+	Pending                   // the store is asked for its position; ask again soon
+	Denied                    // the transaction has to end
+)
+
 // Result is the result of an attempt or a probe.
 type Result struct {
 	Ending Ending // how it ended
--- a/balance/primary.go
+++ b/balance/primary.go
@@ -4,41 +4,32 @@
 
 // Which member of a group is its primary, by what the members report of themselves.
 
-// interval is the time in which something happened: not before from, and not after to.
-type interval struct {
-	from, to Time
-}
-
-// unknownTime stands for an unknown time in the past.
-var unknownTime interval
-
-// recordReport takes in what a member reports of itself, and when the report was made. A report may arrive late. So the
-// member counts as the primary from the earliest time at which it can have claimed to be, and as a replica until the
-// latest at which it can have denied it.
+// recordReport takes in what a member reports of itself, and when the report was made; the zero interval is
+// an unknown time in the past. A report may arrive late. So the member counts as the primary from the
+// earliest time at which it can have claimed to be, and as a replica until the latest at which it can have
+// denied it.
 func (b *Balancer) recordReport(i int32, r Report, made interval) {
-	member := &b.members[i]
-	if r.Role == RoleUnknown || r.Position < member.position && made == unknownTime || r.Position > b.now+2*b.tickInterval {
+	member, timeKnown := &b.members[i], made != interval{}
+	if r.Role == RoleUnknown || r.Position < member.position && !timeKnown ||
+		r.Position > b.now+2*b.tickInterval {
 		return // no role, older than what is known, or from the future
 	}
 	member.position, member.positionSeenAt = max(member.position, r.Position), b.now
 	if r.Role == Primary {
 		b.recordPrimary(i, max(made.from, r.Position)) // a primary's position is the time of its report
-	} else if made != unknownTime || r.Position > member.primaryAt {
+	} else if timeKnown || r.Position > member.primaryAt {
 		b.recordReplica(i, max(made.to, r.Position))
 	}
 }
 
-// RecordReport takes in what a member has reported of itself, other than in the answer to a request or a probe. It was
-// asked for the report at the time asked.
+// RecordReport takes in what a member has reported of itself, other than in the answer to a request or a
+// probe. It was asked for the report at the time asked.
 func (b *Balancer) RecordReport(now Time, store uint32, r Report, asked Time) {
 	b.now = now
-	i, ok := b.memberOf[store]
-	if !ok {
-		return
+	if i, ok := b.memberOf[store]; ok {
+		b.members[i].roleConfirmed = b.members[i].roleConfirmed && r.Role != Replica
+		b.recordReport(i, r, interval{asked, now})
 	}
-	member := &b.members[i]
-	member.roleConfirmed = member.roleConfirmed && r.Role != Replica
-	b.recordReport(i, r, interval{asked, now})
 }
 
 // recordPrimary records that the member was certainly the primary at that time. If two members claim the
--- a/balance/probe.go
+++ b/balance/probe.go
@@ -54,7 +54,7 @@
 		}
 		return
 	}
-	b.recordReport(i, r.Load, unknownTime)
+	b.recordReport(i, r.Load, interval{})
 	b.recordAlive(i, r.Since)
 	b.dispatchWaiting(b.members[i].group)
 }
--- a/balance/repeat.go
+++ b/balance/repeat.go
@@ -27,10 +27,9 @@
 		return false
 	case req.mayHaveRunAt == 0:
 		return true // certain never to have run
-	case class.Repeat == AtMostOnce:
-		return false // a repeat could take effect twice
-	case class.Repeat == Keyed && b.now >= b.repeatDeadline(req):
-		return false // no other group could take it: attempts never leave the request's group
+	case class.Repeat == AtMostOnce, // a repeat could take effect twice
+		class.Repeat == Keyed && b.now >= b.repeatDeadline(req): // attempts never leave the group
+		return false
 	}
 	return b.mayRetryNow(req, req.ranAttempts)
 }
@@ -108,20 +107,14 @@
 	}
 }
 
-// ResponseStarted reports that the client has been sent part of an answer to the request. It cannot be sent to another
-// store any more; its time limits still apply.
-func (b *Balancer) ResponseStarted(now Time, id string) {
+// ResponseStarted reports that the client has been sent part of an answer to the request, which cannot be
+// sent to another store any more. Once that is part of the result, its time limits no longer apply.
+func (b *Balancer) ResponseStarted(now Time, id string, ofResult bool) {
 	b.now = now
 	if i, ok := b.requestOf[id]; ok {
 		b.requests[i].responseStarted = true
-	}
-}
-
-// ResultStarted reports that the client is being sent the request's result, and for as long as it takes: the time
-// limits no longer apply.
-func (b *Balancer) ResultStarted(now Time, id string) {
-	b.ResponseStarted(now, id)
-	if i, ok := b.requestOf[id]; ok {
-		b.requests[i].deadline, b.requests[i].expectedBy = never, never
+		if ofResult {
+			b.requests[i].deadline, b.requests[i].expectedBy = never, never
+		}
 	}
 }
--- a/balance/state.go
+++ b/balance/state.go
@@ -5,6 +5,11 @@
 // The state that the package keeps. These types make no decisions; the files that deploy/balancer.toml names under
 // policy do.
 
+// interval is the time in which something happened: not before from, and not after to.
+type interval struct {
+	from, to Time
+}
+
 // classState is a class with what has been learned about it.
 type classState struct {
 	Class
@@ -161,3 +166,20 @@
 	warmRate              float64                 // average of the typical time that warm members serve, per size and time
 	servedWarm            float64                 // typical time that warm members served since the last tick
 }
+
+// randomBelow returns a pseudorandom number from 0 to n-1, from a multiply-with-carry generator.
+func (b *Balancer) randomBelow(n Time) Time { return b.random.Below(n) }
+
+// randomHit returns true with the given probability.
+func (b *Balancer) randomHit(probability float64) bool {
+	return float64(b.randomBelow(1<<20)) < probability*(1<<20)
+}
+
+// recycle frees the slot of a request that has ended and has no attempt in flight.
+func (b *Balancer) recycle(i int32) {
+	if req := &b.requests[i]; req.ended && !req.inFlight && req.id != "" {
+		delete(b.requestOf, req.id)
+		req.id = ""
+		b.freeRequests = append(b.freeRequests, i)
+	}
+}
--- a/internal/front/boltstore.go
+++ b/internal/front/boltstore.go
@@ -387,13 +387,11 @@
 	n := b.dialogue.Delivered()
 	b.requestBytes -= n
 	req.client.link.Discard(n)
+	ofResult = ofResult && !k.bolt.outcome.Transaction
 	// Otherwise the balancer would cancel an attempt that takes long, and send the request to another store.
-	if !k.bolt.forwarded {
-		c.balancer.ResponseStarted(c.now, req.id)
-	}
+	c.balancer.ResponseStarted(c.now, req.id, ofResult)
 	k.bolt.forwarded = true
-	if ofResult && !k.bolt.outcome.Transaction {
-		c.balancer.ResultStarted(c.now, req.id)
+	if ofResult {
 		k.current.until = c.now + c.classes.longest
 	}
 }
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -259,7 +259,7 @@
 	case "LEFT":
 		f.balancer.ClientGone(h.now, h.fields["Tid"])
 	case "FLOWING":
-		f.balancer.ResultStarted(h.now, h.fields["Tid"])
+		f.balancer.ResponseStarted(h.now, h.fields["Tid"], true)
 	case "WAKEUP":
 		f.balancer.Tick(h.now)
 	case "NOTE_FROM": // fronts in the simulation send each other no messages
