--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -91,8 +91,9 @@
 
 // Types of the fields of an ErrorResponse.
 const (
-	fieldSeverity = 'S'
-	fieldSQLState = 'C'
+	fieldSeverity          = 'V'
+	fieldLocalizedSeverity = 'S' // the only one that servers before PostgreSQL 9.6 send
+	fieldSQLState          = 'C'
 )
 
 // SQLState returns the SQLSTATE in the body of an ErrorResponse, or "" if it has none.
@@ -101,6 +102,9 @@
 // Fatal reports whether the body of an ErrorResponse tells that the server ends the connection.
 func Fatal(body []byte) bool {
 	severity := errorField(body, fieldSeverity)
+	if severity == nil {
+		severity = errorField(body, fieldLocalizedSeverity)
+	}
 	return string(severity) == "FATAL" || string(severity) == "PANIC"
 }
 
--- a/internal/pgwire/pgwire_test.go
+++ b/internal/pgwire/pgwire_test.go
@@ -109,6 +109,18 @@
 	}
 }
 
+// TestFatalErrors checks which errors tell that the server ends the connection, also where the severity is translated.
+func TestFatalErrors(t *testing.T) {
+	for in, fatal := range map[string]bool{
+		"SFATAL\x00VFATAL\x00C57P01\x00": true, "SPANIC\x00C53300\x00": true, "SSCHWERWIEGEND\x00VFATAL\x00": true,
+		"SFATAL\x00VERROR\x00": false, "SERROR\x00VERROR\x00C53300\x00": false, "CFATAL\x00": false, "VFATAL": false, "": false,
+	} {
+		if Fatal([]byte(in)) != fatal {
+			t.Errorf("%q: fatal %v", in, !fatal)
+		}
+	}
+}
+
 // FuzzParsers: no input makes a parser panic or read past its end, and a rewritten query has the same metadata except for the
 // remaining time.
 func FuzzParsers(f *testing.F) {
