--- a/cmd/micatrack/main_test.go
+++ b/cmd/micatrack/main_test.go
@@ -4,8 +4,10 @@
 	"bufio"
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -58,6 +60,7 @@
 	http      *httptest.Server
 	silent    int                                                                 // watches opened before this number say nothing more
 	down      bool                                                                // discovery takes calls and answers none
+	copies    bool                                                                // stores send a second copy of each answer, unless something waits
 	greets    func(store string)                                                  // before a store takes a connection in
 	cut       bool                                                                // the next line of the watch is cut off
 	answer    func(store, query string) (reply string, then func(c *net.TCPConn)) // for all but probes
@@ -202,7 +205,8 @@
 	if _, err := io.ReadFull(c, start); err != nil {
 		return
 	}
-	io.CopyN(io.Discard, c, int64(start[3])-4)
+	in := bufio.NewReader(c)
+	io.CopyN(io.Discard, in, int64(start[3])-4)
 	w.mu.Lock()
 	greets := w.greets
 	w.mu.Unlock()
@@ -211,7 +215,7 @@
 	}
 	io.WriteString(c, "R\x00\x00\x00\x08\x00\x00\x00\x00"+ready)
 	for {
-		_, body, err := message(c)
+		_, body, err := message(in)
 		if err != nil {
 			return
 		}
@@ -230,6 +234,7 @@
 			out := append([]byte("T\x00\x00\x00\x0a\x00\x01p\x00\x00\x00D\x00\x00\x00"), byte(10+len(row)), 0, 1, 0, 0, 0, byte(len(row)))
 			out = append(append(out, row...), "C\x00\x00\x00\x09SHOW\x00"+ready...)
 			c.Write(out)
+			w.copyAnswer(c, in, out)
 			continue
 		}
 		w.mu.Lock()
@@ -238,6 +243,7 @@
 		reply, then := answer(name, string(body))
 		if reply != "" {
 			io.WriteString(c, reply+string(notes)+ready)
+			w.copyAnswer(c, in, []byte(reply+string(notes)+ready))
 		}
 		if then != nil {
 			then(c)
@@ -246,6 +252,24 @@
 	}
 }
 
+// copyAnswer sends a second copy of an answer up to longestCopyDelay late, if stores do that and nothing waits on the
+// connection then.
+func (w *world) copyAnswer(c *net.TCPConn, in *bufio.Reader, answer []byte) {
+	const longestCopyDelay = 500 * time.Microsecond
+	w.mu.Lock()
+	copies := w.copies
+	w.mu.Unlock()
+	if !copies {
+		return
+	}
+	c.SetReadDeadline(time.Now().Add(rand.N(longestCopyDelay)))
+	_, err := in.Peek(1)
+	c.SetReadDeadline(time.Time{})
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.Write(answer)
+	}
+}
+
 func reset(c *net.TCPConn) { c.SetLinger(0); c.Close() }
 
 // hang says nothing until the test ends or lets it go.
